--- /dev/null
+++ b/crates/oatdale-mesh/src/lib.rs
@@ -0,0 +1,1 @@
+//! Node to node: membership, configuration deltas, load, limits, evidence.
--- /dev/null
+++ b/crates/oatdale-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One oatdale node and its binary oatdaled.
--- /dev/null
+++ b/crates/oatdale-node/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/oatdale-placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to engines under a lease with a fencing number.
