Let nodes find each other, spread the configuration and hold bills

The workspace had an empty crate for what nodes tell each other. This adds a member as a state machine without I/O or clock, and a duty that drives it over WebSockets with CBOR messages. Both ends prove that they hold the key by HMAC over both hellos; later frames carry a tag.

Ruled out: gossip with digests of every host's state, which costs a few KB in each exchange at 360 hosts; links are long-lived, so a sender knows what its peer has.

Run: cargo test -p oatdale-mesh, 4 tests over loopback sockets and one example. Faults, shares and sizes are not tested yet.

--- /dev/null
+++ b/crates/oatdale-mesh/src/addresses.rs
@@ -0,0 +1,97 @@
+//! Which addresses a caller should use.
+
+use crate::rank;
+use crate::types::{PeerState, PeerView};
+use std::net::SocketAddr;
+
+/// Load from which on a node counts as one tier farther away.
+const CROWDED: f32 = 0.9;
+/// The least spare capacity that a weight stands for, so that a full node still gets some.
+const LEAST_SPARE: f32 = 0.05;
+
+/// One address for a caller.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Address {
+    /// Where to connect.
+    pub address: SocketAddr,
+    /// How much of a caller's work should go there, from 1 to 100, among addresses that are
+    /// equally near.
+    pub weight: u32,
+}
+
+/// Chooses at most `count` addresses for a caller in failure domain `domain`, best first.
+///
+/// Nodes of the caller's failure domain come first, then those of its region, then the rest.
+/// Within a tier the order is random with weight by spare capacity, so that callers spread;
+/// `seed` should differ from caller to caller. Nodes that are leaving, suspected or not accepting
+/// are never in it. The answering node must put a view of itself into `peers`.
+///
+/// # Examples
+///
+/// ```
+/// use oatdale_mesh::{addresses, PeerState, PeerView};
+/// use std::time::Duration;
+///
+/// let view = |host: &str, domain: &str, load, state| PeerView {
+///     host: host.to_owned(),
+///     domain: domain.to_owned(),
+///     region: "south".to_owned(),
+///     incarnation: 1,
+///     caller: "10.0.0.1:80".parse().unwrap(),
+///     accepting: true,
+///     load,
+///     revision: 7,
+///     revision_age: Duration::ZERO,
+///     state,
+/// };
+/// let peers = [
+///     view("a", "hall-1", 0.5, PeerState::Alive),
+///     view("b", "hall-2", 0.1, PeerState::Alive),
+///     view("c", "hall-1", 0.0, PeerState::Suspect),
+/// ];
+/// let list = addresses(&peers, "hall-1", 3, 42);
+/// assert_eq!(list.len(), 2);
+/// assert_eq!(list[0].weight, 50);
+/// ```
+pub fn addresses(peers: &[PeerView], domain: &str, count: usize, seed: u64) -> Vec<Address> {
+    let region = peers
+        .iter()
+        .find(|p| p.domain == domain)
+        .map(|p| p.region.as_str());
+    let mut ranked: Vec<(u8, f64, Address)> = peers
+        .iter()
+        .filter(|p| p.accepting && p.state == PeerState::Alive)
+        .map(|p| (tier(p, domain, region), key(p, seed), entry(p)))
+        .collect();
+    ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, _, address)| address).collect()
+}
+
+fn tier(peer: &PeerView, domain: &str, region: Option<&str>) -> u8 {
+    let near = match peer {
+        p if p.domain == domain => 0,
+        p if Some(p.region.as_str()) == region => 1,
+        _ => 2,
+    };
+    near + u8::from(peer.load >= CROWDED)
+}
+
+fn spare(peer: &PeerView) -> f32 {
+    (1.0 - peer.load).clamp(LEAST_SPARE, 1.0)
+}
+
+/// A draw for weighted sampling without replacement: the least `-ln(u) / weight` comes first.
+fn key(peer: &PeerView, seed: u64) -> f64 {
+    let host = crate::types::HostId::of(&peer.host);
+    let draw = (rank::score(host, seed) >> 11) as f64 / (1u64 << 53) as f64;
+    -draw.max(f64::MIN_POSITIVE).ln() / f64::from(spare(peer))
+}
+
+fn entry(peer: &PeerView) -> Address {
+    let weight = (spare(peer) * 100.0).round() as u32;
+    Address {
+        address: peer.caller,
+        weight,
+    }
+}
--- /dev/null
+++ b/crates/oatdale-mesh/src/duty.rs
@@ -0,0 +1,286 @@
+//! The duty that drives a [`Member`] over WebSockets.
+
+use crate::cfg::{Listen, MeshConfig};
+use crate::error::{ListenSnafu, Result};
+use crate::link::{self, LinkContext, LinkEvent};
+use crate::member::{Conn, Input, Member, MemberConfig, Output};
+use crate::types::{Command, Event, HoldAck};
+use crate::wire::{Card, Frame};
+use snafu::ResultExt;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+/// How often the member looks at its timers.
+const TICK: Duration = Duration::from_millis(50);
+/// Connections at once, with those that have not proved themselves.
+const MAX_CONNS: usize = 1024;
+/// What links have to say and the member has not heard yet.
+const LINK_EVENTS: usize = 1024;
+/// Events that the node has not taken.
+const MAX_EVENTS: usize = 256;
+/// How long the last frames may take at the end.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+
+/// Runs one node's part of the mesh until the node leaves or drops `rx`.
+///
+/// # Errors
+///
+/// Fails at the start on settings that make no sense and on an address that can't be bound.
+/// What goes wrong with single peers is logged, and they are tried again.
+pub async fn run(
+    cfg: MeshConfig,
+    rx: mpsc::Receiver<Command>,
+    tx: mpsc::Sender<Event>,
+) -> Result<()> {
+    cfg.check()?;
+    let card = card(&cfg);
+    let listener = bind(cfg.listen).await?;
+    let (links_tx, links_rx) = mpsc::channel(LINK_EVENTS);
+    let member = MemberConfig {
+        card: card.clone(),
+        seeds: cfg.seeds,
+        holders: cfg.holders,
+        intervals: cfg.intervals,
+    };
+    let duty = Duty {
+        member: Member::new(member, Duration::ZERO),
+        card,
+        key: cfg.key.into(),
+        start: Instant::now(),
+        links: HashMap::new(),
+        next_conn: 0,
+        tasks: JoinSet::new(),
+        links_tx,
+        holds: HashMap::new(),
+        forward: None,
+        events: VecDeque::new(),
+        over: false,
+    };
+    duty.run(listener, rx, links_rx, tx).await;
+    Ok(())
+}
+
+struct Duty {
+    member: Member,
+    card: Card,
+    key: Arc<[u8]>,
+    start: Instant,
+    links: HashMap<Conn, mpsc::Sender<Frame>>,
+    next_conn: u64,
+    tasks: JoinSet<()>,
+    links_tx: mpsc::Sender<LinkEvent>,
+    holds: HashMap<u128, oneshot::Sender<HoldAck>>,
+    forward: Option<oneshot::Sender<bool>>,
+    events: VecDeque<Event>,
+    over: bool,
+}
+
+impl Duty {
+    async fn run(
+        mut self,
+        listener: TcpListener,
+        mut rx: mpsc::Receiver<Command>,
+        mut links_rx: mpsc::Receiver<LinkEvent>,
+        tx: mpsc::Sender<Event>,
+    ) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !(self.over && self.events.is_empty()) {
+            tokio::select! {
+                permit = tx.reserve(), if !self.events.is_empty() => match permit {
+                    Ok(permit) => {
+                        if let Some(event) = self.events.pop_front() {
+                            permit.send(event);
+                        }
+                    }
+                    Err(_) => break,
+                },
+                command = rx.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => break,
+                },
+                Some(event) = links_rx.recv() => self.link_event(event),
+                Ok((stream, _)) = listener.accept() => self.accept(stream),
+                Some(_) = self.tasks.join_next() => {}
+                _ = ticks.tick() => self.input(Input::Tick),
+            }
+        }
+        self.close(links_rx).await;
+    }
+
+    /// Lets links write what is queued, but not for long.
+    async fn close(mut self, mut links_rx: mpsc::Receiver<LinkEvent>) {
+        self.links.clear();
+        let drained = async {
+            loop {
+                tokio::select! {
+                    Some(_) = links_rx.recv() => {}
+                    task = self.tasks.join_next() => if task.is_none() { break },
+                }
+            }
+        };
+        let _ = timeout(LAST_WORDS, drained).await;
+    }
+
+    fn command(&mut self, command: Command) {
+        let input = match command {
+            Command::Adopted { revision, document } => Input::Adopted { revision, document },
+            Command::Local(state) => Input::Local(state),
+            Command::Hosts(list) => Input::Hosts(list),
+            Command::Hold { id, record, reply } => {
+                self.holds.insert(id, reply);
+                Input::Hold { id, record }
+            }
+            Command::Release(ids) => Input::Release(ids),
+            Command::Forward { to, payload, reply } => {
+                self.forward = Some(reply);
+                Input::Forward { to, payload }
+            }
+            Command::Leave => Input::Leave,
+        };
+        self.input(input);
+    }
+
+    fn link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up {
+                conn,
+                card,
+                dialed,
+                tx,
+            } => {
+                self.links.insert(conn, tx);
+                self.input(Input::Connected { conn, card, dialed });
+            }
+            LinkEvent::Frame { conn, frame } => self.input(Input::Received { conn, frame }),
+            LinkEvent::Down { conn } => {
+                self.links.remove(&conn);
+                self.input(Input::Disconnected(conn));
+            }
+            LinkEvent::DialFailed { address, myself } => {
+                self.input(Input::DialFailed { address, myself });
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut full = Vec::new();
+        for output in self.member.handle(input, self.start.elapsed()) {
+            match output {
+                Output::Send { conn, frame } => {
+                    let sent = self.links.get(&conn).map(|tx| tx.try_send(frame));
+                    full.extend(matches!(sent, Some(Err(_))).then_some(conn));
+                }
+                Output::Dial(address) => self.dial(address),
+                // The link writes what is queued before it sees that its sender is gone.
+                Output::Close(conn) => drop(self.links.remove(&conn)),
+                Output::Event(event) => self.event(event),
+                Output::HoldDone { id, ack } => {
+                    if let Some(reply) = self.holds.remove(&id) {
+                        let _ = reply.send(ack);
+                    }
+                }
+                Output::Forwarded(sent) => {
+                    if let Some(reply) = self.forward.take() {
+                        let _ = reply.send(sent);
+                    }
+                }
+            }
+        }
+        // A peer that does not read would cost memory without bound.
+        for conn in full {
+            log::warn!("mesh: a peer does not read; closing its link");
+            self.links.remove(&conn);
+            self.input(Input::Disconnected(conn));
+        }
+        self.card.incarnation = self.member.incarnation();
+    }
+
+    fn context(&mut self) -> LinkContext {
+        self.next_conn += 1;
+        LinkContext {
+            conn: Conn(self.next_conn),
+            card: self.card.clone(),
+            key: self.key.clone(),
+            tx: self.links_tx.clone(),
+        }
+    }
+
+    fn dial(&mut self, address: SocketAddr) {
+        if self.tasks.len() < MAX_CONNS {
+            let cx = self.context();
+            self.tasks.spawn(link::dial(cx, address));
+        }
+    }
+
+    fn accept(&mut self, stream: TcpStream) {
+        if self.tasks.len() < MAX_CONNS {
+            let cx = self.context();
+            self.tasks.spawn(link::accept(cx, stream));
+        }
+    }
+
+    /// Queues an event; one that the next of its kind replaces does not wait twice.
+    fn event(&mut self, event: Event) {
+        self.over |= matches!(event, Event::LeaveDone | Event::Superseded { .. });
+        let kind = std::mem::discriminant(&event);
+        if replaces(&event) {
+            self.events.retain(|e| std::mem::discriminant(e) != kind);
+        }
+        self.events.push_back(event);
+        if self.events.len() > MAX_EVENTS {
+            // Orphans are told again; a forwarded payload may be lost.
+            let lossy = |e: &Event| matches!(e, Event::Orphans(_) | Event::Forwarded { .. });
+            let oldest = self.events.iter().position(lossy);
+            self.events.remove(oldest.unwrap_or(0));
+        }
+    }
+}
+
+fn replaces(event: &Event) -> bool {
+    match event {
+        Event::Document { .. }
+        | Event::Peers(_)
+        | Event::Demand(_)
+        | Event::Evidence(_)
+        | Event::Stops(_)
+        | Event::WatchKey(_) => true,
+        Event::Joined { .. }
+        | Event::Orphans(_)
+        | Event::Forwarded { .. }
+        | Event::Superseded { .. }
+        | Event::LeaveDone => false,
+    }
+}
+
+fn card(cfg: &MeshConfig) -> Card {
+    Card {
+        host: cfg.host.clone(),
+        domain: cfg.domain.clone(),
+        region: cfg.region.clone(),
+        incarnation: cfg.incarnation,
+        address: cfg.advertise,
+        caller: cfg.caller,
+    }
+}
+
+async fn bind(listen: Listen) -> Result<TcpListener> {
+    match listen {
+        Listen::Address(address) => TcpListener::bind(address).await.context(ListenSnafu {
+            address: address.to_string(),
+        }),
+        Listen::Bound(socket) => {
+            let address = || ListenSnafu {
+                address: "the given socket",
+            };
+            socket.set_nonblocking(true).with_context(|_| address())?;
+            TcpListener::from_std(socket).with_context(|_| address())
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-mesh/src/member/counters.rs
@@ -0,0 +1,162 @@
+//! Evidence: counters that only rise, merged by maximum for each process.
+
+use crate::types::{HostId, VersionCounters};
+use crate::wire::HostCounters;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Counters of one version at most.
+const MAX_COUNTS: usize = 16;
+/// Versions of one process at most.
+const MAX_VERSIONS: usize = 256;
+/// Processes of this failure domain that are remembered at most.
+const MAX_PROCESSES: usize = 512;
+
+type Counts = BTreeMap<u32, Vec<u64>>;
+
+/// Counters of the processes of this failure domain, and sums of the others.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    processes: BTreeMap<(HostId, u64), (Duration, Counts)>,
+    domains: BTreeMap<u32, Counts>,
+    /// What peers in this failure domain were told of this process.
+    sent: Counts,
+    told: Counts,
+}
+
+impl Counters {
+    /// Takes this process's own counters.
+    pub(crate) fn set_own(&mut self, id: (HostId, u64), list: &[VersionCounters], now: Duration) {
+        let counts = list.iter().map(|v| (v.version, v.counts.clone())).collect();
+        let own = HostCounters {
+            host: id.0,
+            incarnation: id.1,
+            counts,
+        };
+        self.merge(std::slice::from_ref(&own), now);
+    }
+
+    pub(crate) fn merge(&mut self, list: &[HostCounters], now: Duration) {
+        for process in list {
+            let key = (process.host, process.incarnation);
+            let entry = self.processes.entry(key).or_default();
+            entry.0 = now;
+            raise(&mut entry.1, &process.counts);
+        }
+        while self.processes.len() > MAX_PROCESSES {
+            let oldest = self
+                .processes
+                .iter()
+                .min_by_key(|(_, (at, _))| *at)
+                .map(|(key, _)| *key);
+            let Some(oldest) = oldest else { break };
+            self.processes.remove(&oldest);
+        }
+    }
+
+    /// Takes the sums of another failure domain; different reporters' sums merge by maximum.
+    pub(crate) fn merge_domain(&mut self, domain: u32, counts: &[(u32, Vec<u64>)]) {
+        raise(self.domains.entry(domain).or_default(), counts);
+    }
+
+    pub(crate) fn of_domain(&self, domain: u32) -> Vec<(u32, Vec<u64>)> {
+        self.domains.get(&domain).map(list).unwrap_or_default()
+    }
+
+    /// What this process counted since the last call.
+    pub(crate) fn own_news(&mut self, id: (HostId, u64)) -> Option<HostCounters> {
+        let (_, own) = self.processes.get(&id)?;
+        let counts = changed(own, &self.sent);
+        raise(&mut self.sent, &counts);
+        (!counts.is_empty()).then_some(HostCounters {
+            host: id.0,
+            incarnation: id.1,
+            counts,
+        })
+    }
+
+    /// Everything about this failure domain, for a peer in it.
+    pub(crate) fn all(&self) -> Vec<HostCounters> {
+        self.processes
+            .iter()
+            .map(|((host, incarnation), (_, counts))| HostCounters {
+                host: *host,
+                incarnation: *incarnation,
+                counts: list(counts),
+            })
+            .collect()
+    }
+
+    /// Sums over this failure domain that changed against `sent`.
+    pub(crate) fn domain_news(&self, sent: &mut Counts) -> Vec<(u32, Vec<u64>)> {
+        let sums = sum(self.processes.values().map(|(_, counts)| counts));
+        let counts = changed(&sums, sent);
+        raise(sent, &counts);
+        counts
+    }
+
+    /// Sums over everyone but this process, if they changed since the last call.
+    pub(crate) fn totals(&mut self, me: (HostId, u64)) -> Option<Vec<VersionCounters>> {
+        let others = self
+            .processes
+            .iter()
+            .filter(|(id, _)| **id != me)
+            .map(|(_, (_, c))| c);
+        let sums = sum(others.chain(self.domains.values()));
+        if changed(&sums, &self.told).is_empty() {
+            return None;
+        }
+        raise(&mut self.told, &list(&sums));
+        let version = |(version, counts): (&u32, &Vec<u64>)| VersionCounters {
+            version: *version,
+            counts: counts.clone(),
+        };
+        Some(self.told.iter().map(version).collect())
+    }
+}
+
+fn list(counts: &Counts) -> Vec<(u32, Vec<u64>)> {
+    counts
+        .iter()
+        .map(|(version, counts)| (*version, counts.clone()))
+        .collect()
+}
+
+fn raise(into: &mut Counts, from: &[(u32, Vec<u64>)]) {
+    for (version, counts) in from {
+        if into.len() >= MAX_VERSIONS && !into.contains_key(version) {
+            continue;
+        }
+        let entry = into.entry(*version).or_default();
+        zip(entry, counts, u64::max);
+    }
+}
+
+fn sum<'a>(all: impl Iterator<Item = &'a Counts>) -> Counts {
+    let mut sums = Counts::new();
+    for (version, counts) in all.flatten() {
+        zip(
+            sums.entry(*version).or_default(),
+            counts,
+            u64::saturating_add,
+        );
+    }
+    sums
+}
+
+fn zip(into: &mut Vec<u64>, from: &[u64], join: impl Fn(u64, u64) -> u64) {
+    let len = from.len().min(MAX_COUNTS);
+    if into.len() < len {
+        into.resize(len, 0);
+    }
+    for (a, b) in into.iter_mut().zip(&from[..len]) {
+        *a = join(*a, *b);
+    }
+}
+
+fn changed(now: &Counts, before: &Counts) -> Vec<(u32, Vec<u64>)> {
+    now.iter()
+        .filter(|(version, counts)| before.get(version) != Some(counts))
+        .map(|(version, counts)| (*version, counts.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/oatdale-mesh/src/member/holds.rs
@@ -0,0 +1,447 @@
+//! Bill records that nodes keep for one another until the journal has them.
+
+use super::{Member, Output};
+use crate::rank;
+use crate::types::{Event, HoldAck, HostId};
+use crate::wire::{HeldId, MAX_RECORD, Message, Record};
+use bytes::Bytes;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Bytes kept for other nodes at most; beyond it a record is not confirmed.
+const MAX_HELD_BYTES: usize = 16 * 1024 * 1024;
+/// Own records that wait for the journal at most; beyond it a hold ends at once without copies.
+const MAX_OWN: usize = 65_536;
+/// Memory of a kept record besides its bytes.
+const RECORD_OVERHEAD: usize = 128;
+/// After an owner is gone its holders first tell each other what they have: one may hold the
+/// closing record of a request where the other has only the opening one, and a caller would be
+/// billed as interrupted for a whole answer.
+const ORPHAN_GRACE: Duration = Duration::from_secs(1);
+/// The second holder waits longer, so that usually only one appends to the journal.
+const ORPHAN_SECOND: Duration = Duration::from_secs(5);
+/// Orphans that were not released are told again.
+const ORPHAN_RETRY: Duration = Duration::from_secs(30);
+/// Orphans in one event.
+const ORPHANS_AT_ONCE: usize = 512;
+/// How long a leaving node waits for those who take over what it holds.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
+/// What is kept here and what others keep for this node.
+#[derive(Debug, Default)]
+pub(crate) struct Holds {
+    own: BTreeMap<u128, Own>,
+    seq: u64,
+    /// Nodes that keep this node's records.
+    holders: Vec<HostId>,
+    waiting: VecDeque<(Duration, u128)>,
+    kept: BTreeMap<u128, Kept>,
+    bytes: usize,
+    /// Records that a leaving node still wants to be confirmed by others.
+    handing: BTreeSet<u128>,
+}
+
+/// A record of this node's.
+#[derive(Debug)]
+struct Own {
+    record: Bytes,
+    seq: u64,
+    /// Who has confirmed this record.
+    acks: BTreeSet<HostId>,
+    /// Who may have this or an earlier record of the id.
+    sent: BTreeSet<HostId>,
+    answered: bool,
+}
+
+/// A record kept for another node.
+#[derive(Debug)]
+struct Kept {
+    record: Record,
+    since: Duration,
+    orphaned_at: Option<Duration>,
+    told_at: Option<Duration>,
+}
+
+impl Holds {
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(crate) fn holders(&self) -> &[HostId] {
+        &self.holders
+    }
+
+    /// A host has lost what it kept.
+    pub(crate) fn restarted(&mut self, host: HostId) {
+        for own in self.own.values_mut() {
+            own.acks.remove(&host);
+            own.sent.remove(&host);
+        }
+    }
+
+    /// Keeps a record unless a later one of its id is kept; `false` if there is no room.
+    fn put(&mut self, record: Record, now: Duration) -> bool {
+        let rank = |r: &Record| (r.incarnation, r.seq);
+        let old = self
+            .kept
+            .get(&record.id)
+            .map(|k| (rank(&k.record), size(&k.record)));
+        if old.is_some_and(|(old, _)| old >= rank(&record)) {
+            return true;
+        }
+        let bytes = self.bytes - old.map_or(0, |(_, size)| size) + size(&record);
+        if bytes > MAX_HELD_BYTES || record.record.len() > MAX_RECORD {
+            return false;
+        }
+        self.bytes = bytes;
+        let kept = Kept {
+            since: now,
+            orphaned_at: None,
+            told_at: None,
+            record,
+        };
+        self.kept.insert(kept.record.id, kept);
+        true
+    }
+
+    fn drop_kept(&mut self, id: u128) -> Option<Record> {
+        let kept = self.kept.remove(&id)?;
+        self.bytes -= size(&kept.record);
+        self.handing.remove(&id);
+        Some(kept.record)
+    }
+}
+
+fn size(record: &Record) -> usize {
+    record.record.len() + RECORD_OVERHEAD
+}
+
+impl Member {
+    pub(super) fn hold(&mut self, id: u128, record: Bytes) {
+        let full = self.holds.own.len() >= MAX_OWN && !self.holds.own.contains_key(&id);
+        if full || record.len() > MAX_RECORD {
+            log::warn!(
+                "mesh: record {id:032x} of {} bytes can't be held",
+                record.len()
+            );
+            return self.hold_done(id, 0);
+        }
+        self.holds.seq += 1;
+        let seq = self.holds.seq;
+        let sent = self
+            .holds
+            .own
+            .remove(&id)
+            .map(|o| o.sent)
+            .unwrap_or_default();
+        let own = Own {
+            record,
+            seq,
+            acks: BTreeSet::new(),
+            sent,
+            answered: false,
+        };
+        self.holds.own.insert(id, own);
+        for host in self.holds.holders.clone() {
+            self.send_own(host, &[id]);
+        }
+        match self.holds.holders.is_empty() {
+            true => self.answer_hold(id),
+            false => self
+                .holds
+                .waiting
+                .push_back((self.now + self.timers.hold, id)),
+        }
+    }
+
+    fn send_own(&mut self, host: HostId, ids: &[u128]) {
+        if !self.links.contains_key(&host) {
+            return;
+        }
+        let other = self
+            .holds
+            .holders
+            .iter()
+            .find(|h| **h != host)
+            .map_or(0, |h| h.0);
+        let mut records = Vec::new();
+        for id in ids {
+            let Some(own) = self.holds.own.get_mut(id) else {
+                continue;
+            };
+            own.sent.insert(host);
+            records.push(Record {
+                id: *id,
+                owner: self.id,
+                incarnation: self.me.incarnation,
+                seq: own.seq,
+                other,
+                record: own.record.clone(),
+            });
+        }
+        for record in records {
+            self.send(host, Message::Hold(vec![record]));
+        }
+    }
+
+    fn hold_done(&mut self, id: u128, copies: usize) {
+        let ack = HoldAck {
+            copies: copies as u8,
+            wanted: self.holders,
+        };
+        self.out.push(Output::HoldDone { id, ack });
+    }
+
+    fn answer_hold(&mut self, id: u128) {
+        let Some(own) = self.holds.own.get_mut(&id).filter(|o| !o.answered) else {
+            return;
+        };
+        own.answered = true;
+        let copies = own.acks.len();
+        self.hold_done(id, copies);
+    }
+
+    /// Others confirm records: this node's own, or those that it hands over while leaving.
+    pub(super) fn held(&mut self, from: HostId, ids: &[HeldId]) {
+        let wanted = self.holds.holders.len().min(usize::from(self.holders));
+        let mut release = Vec::new();
+        let mut again = Vec::new();
+        for held in ids {
+            if held.owner != self.id {
+                self.holds.handing.remove(&held.id);
+                continue;
+            }
+            // A record of a former incarnation is not this process's to judge: releasing it would
+            // lose a bill that only its holders have.
+            if held.incarnation != self.me.incarnation {
+                continue;
+            }
+            match self.holds.own.get_mut(&held.id) {
+                None => release.push(held.id),
+                Some(own) if own.seq > held.seq => again.push(held.id),
+                Some(own) => {
+                    own.acks.insert(from);
+                    own.sent.insert(from);
+                    if own.acks.len() >= wanted {
+                        self.answer_hold(held.id);
+                    }
+                }
+            }
+        }
+        if !release.is_empty() {
+            self.send(from, Message::Release(release));
+        }
+        self.send_own(from, &again);
+    }
+
+    /// Keeps what others ask to keep.
+    pub(super) fn keep(&mut self, from: HostId, records: Vec<Record>) {
+        let mut held = Vec::new();
+        for record in records {
+            let id = HeldId::of(&record);
+            match record.owner == self.id {
+                true => {}
+                false if self.holds.put(record, self.now) => held.push(id),
+                false => log::warn!("mesh: no room to hold {:032x}", id.id),
+            }
+        }
+        if !held.is_empty() {
+            self.send(from, Message::Held(held));
+        }
+    }
+
+    /// The journal has these, says this node.
+    pub(super) fn release(&mut self, ids: &[u128]) {
+        let mut to: BTreeMap<HostId, Vec<u128>> = BTreeMap::new();
+        for id in ids {
+            let own = self
+                .holds
+                .own
+                .remove(id)
+                .map(|o| o.sent)
+                .unwrap_or_default();
+            let other = self.holds.drop_kept(*id).map(|r| HostId(r.other));
+            for host in own.into_iter().chain(other) {
+                to.entry(host).or_default().push(*id);
+            }
+        }
+        for (host, ids) in to {
+            self.send(host, Message::Release(ids));
+        }
+    }
+
+    /// The journal has these, says another node.
+    pub(super) fn released(&mut self, ids: &[u128]) {
+        for id in ids {
+            self.holds.drop_kept(*id);
+        }
+    }
+
+    /// What a new link begins with: this node's records for a holder, and the list of what is kept
+    /// for the other side, which releases what the journal has got in the meantime.
+    pub(super) fn holds_greet(&mut self, host: HostId) {
+        self.fill(host);
+        let Some(peer) = self.roster.get(host) else {
+            return;
+        };
+        let incarnation = peer.card.incarnation;
+        let mine: Vec<HeldId> = self
+            .holds
+            .kept
+            .values()
+            .map(|k| HeldId::of(&k.record))
+            .filter(|h| h.owner == host && h.incarnation == incarnation)
+            .collect();
+        for part in mine.chunks(1024) {
+            self.send(host, Message::Held(part.to_vec()));
+        }
+    }
+
+    /// Sends a holder every record that it has not confirmed.
+    fn fill(&mut self, host: HostId) {
+        if !self.holds.holders.contains(&host) {
+            return;
+        }
+        let missing: Vec<u128> = self
+            .holds
+            .own
+            .iter()
+            .filter(|(_, own)| !own.acks.contains(&host))
+            .map(|(id, _)| *id)
+            .collect();
+        self.send_own(host, &missing);
+    }
+
+    /// Sends everything again, under a new incarnation.
+    pub(super) fn hold_again(&mut self) {
+        for own in self.holds.own.values_mut() {
+            own.acks.clear();
+        }
+        for host in self.holds.holders.clone() {
+            self.fill(host);
+        }
+    }
+
+    /// Picks the nodes that keep this node's records: in failure domains other than its own and
+    /// each other's as far as there are any, and the same ones as long as they are there.
+    pub(super) fn choose_holders(&mut self) {
+        let mut chosen: Vec<HostId> = Vec::new();
+        for _ in 0..self.holders {
+            let best = self
+                .roster
+                .iter()
+                .filter(|(host, p)| p.usable() && !chosen.contains(host))
+                .min_by_key(|(host, p)| {
+                    let shared = chosen
+                        .iter()
+                        .any(|c| self.roster.domain_of(*c) == Some(p.domain));
+                    let class = match p.domain == self.domain {
+                        true => 2,
+                        false => u8::from(shared),
+                    };
+                    let new = !self.holds.holders.contains(host);
+                    (class, new, rank::score(*host, self.id.0))
+                });
+            let Some((host, _)) = best else { break };
+            chosen.push(host);
+        }
+        let added: Vec<HostId> = chosen
+            .iter()
+            .copied()
+            .filter(|h| !self.holds.holders.contains(h))
+            .collect();
+        self.holds.holders = chosen;
+        for host in added {
+            self.fill(host);
+        }
+    }
+
+    /// Answers holds that waited long enough.
+    pub(super) fn time_out_holds(&mut self) {
+        while let Some((at, id)) = self.holds.waiting.front().copied()
+            && at <= self.now
+        {
+            self.holds.waiting.pop_front();
+            self.answer_hold(id);
+        }
+    }
+
+    /// Looks for records whose owner is gone.
+    pub(super) fn find_orphans(&mut self) {
+        let mut share: BTreeMap<HostId, Vec<Record>> = BTreeMap::new();
+        let mut tell = Vec::new();
+        let (now, orphan) = (self.now, self.timers.orphan);
+        for kept in self.holds.kept.values_mut() {
+            let (owner, incarnation) = (kept.record.owner, kept.record.incarnation);
+            let unknown = self.roster.get(owner).is_none();
+            let gone = match self.roster.gone_for(owner, incarnation, now) {
+                Some(gone) => gone >= orphan,
+                None => unknown && now.saturating_sub(kept.since) >= orphan,
+            };
+            if !gone {
+                kept.orphaned_at = None;
+                continue;
+            }
+            let other = HostId(kept.record.other);
+            if kept.orphaned_at.is_none() {
+                kept.orphaned_at = Some(now);
+                share.entry(other).or_default().push(kept.record.clone());
+            }
+            let second = self.links.contains_key(&other)
+                && rank::score(other, owner.0) < rank::score(self.id, owner.0);
+            let wait = match second {
+                true => ORPHAN_GRACE + ORPHAN_SECOND,
+                false => ORPHAN_GRACE,
+            };
+            let due = kept.orphaned_at.is_some_and(|at| at + wait <= now);
+            let again = kept.told_at.is_none_or(|at| at + ORPHAN_RETRY <= now);
+            if due && again && tell.len() < ORPHANS_AT_ONCE {
+                kept.told_at = Some(now);
+                tell.push((kept.record.id, kept.record.record.clone()));
+            }
+        }
+        for (host, records) in share {
+            self.send_records(host, records);
+        }
+        if !tell.is_empty() {
+            log::warn!("mesh: {} held records whose owner is gone", tell.len());
+            self.emit(Event::Orphans(tell));
+        }
+    }
+
+    fn send_records(&mut self, host: HostId, records: Vec<Record>) {
+        for record in records {
+            self.send(host, Message::Hold(vec![record]));
+        }
+    }
+
+    /// A leaving node gives records whose owner is gone to somebody else. Those whose owner is
+    /// there are sent by the owner itself, which hears that this node leaves.
+    pub(super) fn hand_over(&mut self) {
+        let orphans: Vec<Record> = self
+            .holds
+            .kept
+            .values()
+            .filter(|k| k.orphaned_at.is_some() || self.roster.get(k.record.owner).is_none())
+            .map(|k| k.record.clone())
+            .collect();
+        for record in orphans {
+            let to = self
+                .links
+                .keys()
+                .copied()
+                .filter(|h| self.roster.is_usable(*h) && h.0 != record.other)
+                .min_by_key(|h| rank::score(*h, record.owner.0));
+            if let Some(host) = to {
+                self.holds.handing.insert(record.id);
+                self.send(host, Message::Hold(vec![record]));
+            }
+        }
+    }
+
+    /// Whether a leaving node may end.
+    pub(super) fn handed_over(&self, since: Duration) -> bool {
+        let own_safe = self.holds.own.values().all(|o| !o.acks.is_empty());
+        (self.holds.handing.is_empty() && own_safe) || self.now >= since + HAND_OVER
+    }
+}
--- /dev/null
+++ b/crates/oatdale-mesh/src/member/shares.rs
@@ -0,0 +1,312 @@
+//! Splits customers' limits over nodes by recent demand.
+//!
+//! Each node computes its part from its own view. Three rules keep the sum near the limit while
+//! views differ: a part falls at once but rises only after everyone has had time to hear why; the
+//! part of a host that is not heard of stays reserved for it, since it may be cut off rather than
+//! dead; hosts that are listed but not known yet get an even part reserved.
+
+use crate::types::{HostId, Share};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// The part of a limit that is split evenly, so that a customer's first request at any node finds
+/// some room.
+const FLOOR: f64 = 0.2;
+/// Customers that are followed at most.
+const MAX_CUSTOMERS: usize = 1024;
+/// A change of demand below this fraction of it is not told.
+const STEP: f32 = 0.1;
+/// Nor is one below this fraction of the limit.
+const LEAST_STEP: f32 = 0.005;
+
+/// Something that has a part of each limit.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub(crate) enum Unit {
+    /// A host of this failure domain.
+    Host(HostId),
+    /// Another failure domain, by hash of its name.
+    Domain(u32),
+}
+
+/// How a unit stands when parts are computed.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) enum Standing {
+    /// Heard of lately, with so many live hosts.
+    Live(usize),
+    /// Not heard of.
+    Frozen,
+}
+
+type Demand = BTreeMap<u32, f32>;
+
+/// Demand and parts of everyone.
+#[derive(Debug)]
+pub(crate) struct Shares {
+    own: Demand,
+    sent: Demand,
+    hosts: BTreeMap<HostId, Demand>,
+    /// Live demand and frozen part of other failure domains.
+    domains: BTreeMap<u32, BTreeMap<u32, (f32, f32)>>,
+    /// The part that each unit had when it was last live.
+    parts: BTreeMap<(Unit, u32), f32>,
+    windows: BTreeMap<u32, Window>,
+    since: Duration,
+}
+
+/// The least of the parts computed within a time, which is what may be used.
+#[derive(Debug, Default)]
+struct Window(VecDeque<(Duration, f32)>);
+
+impl Window {
+    /// A customer that nobody asked for anything so far has the same part everywhere.
+    fn at(now: Duration, part: f32) -> Self {
+        Window(VecDeque::from([(now, part)]))
+    }
+
+    fn push(&mut self, now: Duration, part: f32, keep: Duration) -> f32 {
+        while self.0.back().is_some_and(|(_, p)| *p >= part) {
+            self.0.pop_back();
+        }
+        self.0.push_back((now, part));
+        while self.0.front().is_some_and(|(at, _)| *at + keep < now) {
+            self.0.pop_front();
+        }
+        self.0.front().map_or(part, |(_, p)| *p)
+    }
+}
+
+impl Shares {
+    pub(crate) fn new(now: Duration) -> Self {
+        Shares {
+            own: Demand::new(),
+            sent: Demand::new(),
+            hosts: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            windows: BTreeMap::new(),
+            since: now,
+        }
+    }
+
+    /// Parts may not rise before everyone had time to hear of this node.
+    pub(crate) fn start(&mut self, now: Duration) {
+        self.since = now;
+    }
+
+    pub(crate) fn set_own(&mut self, demand: &[(u32, f32)]) {
+        self.own = demand
+            .iter()
+            .copied()
+            .filter(sane)
+            .take(MAX_CUSTOMERS)
+            .collect();
+    }
+
+    /// Own demand that changed enough to be told.
+    pub(crate) fn own_news(&mut self) -> Vec<(u32, f32)> {
+        let before = |c: &u32| self.sent.get(c).copied().unwrap_or(0.0);
+        let apart = |a: f32, b: f32| (a - b).abs() > (STEP * a.max(b)).max(LEAST_STEP);
+        let gone = self
+            .sent
+            .keys()
+            .filter(|c| !self.own.contains_key(c))
+            .map(|c| (*c, 0.0));
+        let news: Vec<(u32, f32)> = self
+            .own
+            .iter()
+            .map(|(c, d)| (*c, *d))
+            .chain(gone)
+            .filter(|(c, d)| apart(before(c), *d))
+            .collect();
+        for (customer, demand) in &news {
+            match *demand > 0.0 {
+                true => self.sent.insert(*customer, *demand),
+                false => self.sent.remove(customer),
+            };
+        }
+        news
+    }
+
+    /// Own demand as it was told, for a peer that is new.
+    pub(crate) fn told(&self) -> Vec<(u32, f32)> {
+        self.sent.iter().map(|(c, d)| (*c, *d)).collect()
+    }
+
+    pub(crate) fn heard(&mut self, host: HostId, news: &[(u32, f32)]) {
+        let demand = self.hosts.entry(host).or_default();
+        for (customer, rate) in news.iter().copied().filter(sane) {
+            if rate > 0.0 && (demand.len() < MAX_CUSTOMERS || demand.contains_key(&customer)) {
+                demand.insert(customer, rate);
+            } else if rate == 0.0 {
+                demand.remove(&customer);
+            }
+        }
+    }
+
+    pub(crate) fn heard_domain(&mut self, domain: u32, list: &[(u32, f32, f32)]) {
+        let sane = |(c, live, frozen): &(u32, f32, f32)| sane(&(*c, *live)) && sane(&(*c, *frozen));
+        let demand = list.iter().filter(|l| sane(l)).take(MAX_CUSTOMERS);
+        self.domains.insert(
+            domain,
+            demand
+                .map(|(c, live, frozen)| (*c, (*live, *frozen)))
+                .collect(),
+        );
+    }
+
+    /// Forgets a host whose process is gone; its part is free.
+    pub(crate) fn forget(&mut self, host: HostId) {
+        self.hosts.remove(&host);
+        self.parts.retain(|(unit, _), _| *unit != Unit::Host(host));
+    }
+
+    /// What this failure domain tells others: live demand, and parts kept for hosts of it that are
+    /// not heard of.
+    pub(crate) fn summary(&self, live: &[HostId], frozen: &[HostId]) -> Vec<(u32, f32, f32)> {
+        let customers = self.customers();
+        let demand = |c: u32| -> f32 {
+            let peers = live.iter().filter_map(|h| self.hosts.get(h)?.get(&c));
+            peers.sum::<f32>() + self.sent.get(&c).copied().unwrap_or(0.0)
+        };
+        let kept = |c: u32| -> f32 {
+            frozen
+                .iter()
+                .filter_map(|h| self.parts.get(&(Unit::Host(*h), c)))
+                .sum()
+        };
+        customers
+            .into_iter()
+            .map(|c| (c, demand(c), kept(c)))
+            .filter(|(_, d, k)| *d > 0.0 || *k > 0.0)
+            .collect()
+    }
+
+    fn customers(&self) -> BTreeSet<u32> {
+        let hosts = self.hosts.values().flat_map(|d| d.keys());
+        let domains = self.domains.values().flat_map(|d| d.keys());
+        self.own
+            .keys()
+            .chain(self.sent.keys())
+            .chain(hosts)
+            .chain(domains)
+            .copied()
+            .collect()
+    }
+
+    /// Computes this node's parts. `unknown` of `expected` hosts are listed but not known;
+    /// `raise` is the time after which a part may rise.
+    pub(crate) fn compute(
+        &mut self,
+        units: &[(Unit, Standing)],
+        unknown: (usize, usize),
+        raise: Duration,
+        now: Duration,
+    ) -> Vec<Share> {
+        let customers = self.customers();
+        self.windows.retain(|c, _| customers.contains(c));
+        let early = now.saturating_sub(self.since) < raise;
+        let compute = |shares: &mut Self, customer| {
+            let split = shares.split(customer, units, unknown);
+            // A node that has just come starts with its even part: the others, who had not heard
+            // of it, use the rest until they have.
+            let part = match early {
+                true => split.mine.min(split.early),
+                false => split.mine,
+            };
+            let idle = split.idle;
+            let window = shares
+                .windows
+                .entry(customer)
+                .or_insert_with(|| Window::at(now, idle));
+            let share = window.push(now, part, raise);
+            Share {
+                customer,
+                total: split.total,
+                share,
+            }
+        };
+        customers.into_iter().map(|c| compute(self, c)).collect()
+    }
+
+    fn split(
+        &mut self,
+        customer: u32,
+        units: &[(Unit, Standing)],
+        unknown: (usize, usize),
+    ) -> Split {
+        let mut frozen = unknown.0 as f64 / unknown.1.max(1) as f64;
+        let mut hosts = 1;
+        let own = self.own.get(&customer).copied().unwrap_or(0.0);
+        let mut total = own;
+        for (unit, standing) in units {
+            match standing {
+                Standing::Live(count) => {
+                    let (demand, kept) = self.demand(*unit, customer);
+                    hosts += count;
+                    total += demand;
+                    frozen += f64::from(kept);
+                }
+                Standing::Frozen => {
+                    frozen += f64::from(self.parts.get(&(*unit, customer)).copied().unwrap_or(0.0));
+                }
+            }
+        }
+        let free = (1.0 - frozen).max(0.0);
+        let part = |count: usize, demand: f32| {
+            let even = count as f64 / hosts as f64;
+            let (demand, total) = (f64::from(demand), f64::from(total));
+            // While there is enough for all, what nobody asks for is split evenly, so that a
+            // burst finds room at a node that was idle.
+            let asked = match total > 1.0 {
+                true => demand / total,
+                false => demand + (1.0 - total) * even,
+            };
+            (free * (FLOOR * even + (1.0 - FLOOR) * asked)) as f32
+        };
+        for (unit, standing) in units {
+            if let Standing::Live(count) = standing {
+                let (demand, kept) = self.demand(*unit, customer);
+                self.parts
+                    .insert((*unit, customer), part(*count, demand) + kept);
+            }
+        }
+        let idle = (free / hosts as f64) as f32;
+        let early = match hosts {
+            1 => idle,
+            _ => idle * FLOOR as f32,
+        };
+        Split {
+            mine: part(1, own),
+            early,
+            idle,
+            total,
+        }
+    }
+
+    fn demand(&self, unit: Unit, customer: u32) -> (f32, f32) {
+        match unit {
+            Unit::Host(host) => {
+                let demand = self.hosts.get(&host).and_then(|d| d.get(&customer));
+                (demand.copied().unwrap_or(0.0), 0.0)
+            }
+            Unit::Domain(domain) => {
+                let demand = self.domains.get(&domain).and_then(|d| d.get(&customer));
+                demand.copied().unwrap_or((0.0, 0.0))
+            }
+        }
+    }
+}
+
+/// One customer's limit as this node would split it, all as parts of the limit but `total`.
+struct Split {
+    mine: f32,
+    /// What a node that has just come may use.
+    early: f32,
+    /// What every host has while nobody asks.
+    idle: f32,
+    total: f32,
+}
+
+fn sane((_, rate): &(u32, f32)) -> bool {
+    rate.is_finite() && *rate >= 0.0
+}
--- /dev/null
+++ b/crates/oatdale-mesh/tests/support/sockets.rs
@@ -0,0 +1,128 @@
+//! Nodes that run the duty over loopback sockets.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use oatdale_mesh::{Command, Event, HoldAck, Intervals, Listen, MeshConfig, run};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// A hung test fails after this; nothing else depends on it.
+const BOUND: Duration = Duration::from_secs(30);
+
+pub(crate) const KEY: [u8; 32] = [7; 32];
+
+pub(crate) struct Node {
+    pub(crate) address: SocketAddr,
+    pub(crate) tx: mpsc::Sender<Command>,
+    pub(crate) rx: mpsc::Receiver<Event>,
+    pub(crate) task: JoinHandle<()>,
+}
+
+pub(crate) fn settings(host: &str, domain: &str, seeds: &[SocketAddr]) -> MeshConfig {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = socket.local_addr().expect("it is bound");
+    MeshConfig {
+        host: host.to_owned(),
+        domain: domain.to_owned(),
+        region: "south".to_owned(),
+        incarnation: 1000,
+        listen: Listen::Bound(socket),
+        advertise: address,
+        caller: address,
+        seeds: seeds.to_vec(),
+        key: KEY.to_vec(),
+        holders: 2,
+        intervals: Intervals {
+            beat: Duration::from_millis(100),
+            suspect: Duration::from_millis(1500),
+            ..Intervals::default()
+        },
+    }
+}
+
+pub(crate) fn start_with(cfg: MeshConfig) -> Node {
+    let address = cfg.advertise;
+    let (tx, commands) = mpsc::channel(64);
+    let (events, rx) = mpsc::channel(64);
+    let task = tokio::spawn(async move {
+        run(cfg, commands, events)
+            .await
+            .expect("settings that work");
+    });
+    Node {
+        address,
+        tx,
+        rx,
+        task,
+    }
+}
+
+pub(crate) async fn start(host: &str, domain: &str, seeds: &[SocketAddr]) -> Node {
+    start_with(settings(host, domain, seeds))
+}
+
+pub(crate) async fn start_three() -> Vec<Node> {
+    let a = start("a", "hall-1", &[]).await;
+    let b = start("b", "hall-2", &[a.address]).await;
+    let c = start("c", "hall-3", &[a.address]).await;
+    vec![a, b, c]
+}
+
+impl Node {
+    pub(crate) async fn until(&mut self, pred: impl Fn(&Event) -> bool) -> Event {
+        let search = async {
+            loop {
+                let event = self.rx.recv().await.expect("the duty runs");
+                if pred(&event) {
+                    return event;
+                }
+            }
+        };
+        timeout(BOUND, search).await.expect("the event comes")
+    }
+
+    pub(crate) async fn adopt(&self, revision: u64, text: &'static [u8]) {
+        let document = Bytes::from_static(text);
+        self.tx
+            .send(Command::Adopted { revision, document })
+            .await
+            .expect("the duty runs");
+    }
+
+    pub(crate) async fn document(&mut self, at_least: u64) -> Bytes {
+        let found = self
+            .until(|e| matches!(e, Event::Document { revision, .. } if *revision >= at_least))
+            .await;
+        let Event::Document { document, .. } = found else {
+            unreachable!()
+        };
+        document
+    }
+
+    pub(crate) async fn hold(&self, id: u128, record: &'static [u8]) -> HoldAck {
+        let (reply, ack) = oneshot::channel();
+        let record = Bytes::from_static(record);
+        self.tx
+            .send(Command::Hold { id, record, reply })
+            .await
+            .expect("the duty runs");
+        timeout(BOUND, ack)
+            .await
+            .expect("an answer")
+            .expect("an answer")
+    }
+
+    /// Holds again until enough copies are confirmed, which takes as long as joining does.
+    pub(crate) async fn hold_until(&self, copies: u8, id: u128, record: &'static [u8]) -> HoldAck {
+        loop {
+            let ack = self.hold(id, record).await;
+            if ack.copies >= copies {
+                return ack;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
