Bring about the loss of hosts, links and the service in tests of the mesh

Members run in one process over counted time; links are cut, hosts lose power, pause and restart.

Cause of what first failed: in a cut each half went on to split the limit by demand that had changed after the cut, and froze the other half's part too low; the sum reached 1.80 of the limit. A holder that left handed over only records that were orphans already, so a bill whose owner had just died went with it.

Change: a part rises only after a cut would have been noticed, and the reserve of a silent host is its greatest part of that time; a leaving holder passes on every record whose owner is not heard of.

--- a/crates/oatdale-mesh/src/member/holds.rs
+++ b/crates/oatdale-mesh/src/member/holds.rs
@@ -422,7 +422,7 @@
             .holds
             .kept
             .values()
-            .filter(|k| k.orphaned_at.is_some() || self.roster.get(k.record.owner).is_none())
+            .filter(|k| !self.roster.is_usable(k.record.owner))
             .map(|k| k.record.clone())
             .collect();
         for record in orphans {
--- a/crates/oatdale-mesh/src/member/shares.rs
+++ b/crates/oatdale-mesh/src/member/shares.rs
@@ -1,9 +1,14 @@
 //! Splits customers' limits over nodes by recent demand.
 //!
 //! Each node computes its part from its own view. Three rules keep the sum near the limit while
-//! views differ: a part falls at once but rises only after everyone has had time to hear why; the
-//! part of a host that is not heard of stays reserved for it, since it may be cut off rather than
-//! dead; hosts that are listed but not known yet get an even part reserved.
+//! views differ: a part falls at once but rises only after everyone has had time to hear why, or to
+//! notice that the others can't be heard; the part of a host that is not heard of stays reserved
+//! for it, since it may be cut off rather than dead; hosts that are listed but not known yet get
+//! an even part reserved.
+//!
+//! Reserved is the greatest part that the host had lately. Demand that changes here between a cut
+//! and its notice would otherwise shrink what the other side goes on using, and each side would
+//! end up with most of the limit.
 
 use crate::types::{HostId, Share};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -47,13 +52,13 @@
     hosts: BTreeMap<HostId, Demand>,
     /// Live demand and frozen part of other failure domains.
     domains: BTreeMap<u32, BTreeMap<u32, (f32, f32)>>,
-    /// The part that each unit had when it was last live.
-    parts: BTreeMap<(Unit, u32), f32>,
+    /// The parts that each unit had when it was last live, negated: the least is the greatest.
+    parts: BTreeMap<(Unit, u32), Window>,
     windows: BTreeMap<u32, Window>,
     since: Duration,
 }
 
-/// The least of the parts computed within a time, which is what may be used.
+/// The least of the values of some time.
 #[derive(Debug, Default)]
 struct Window(VecDeque<(Duration, f32)>);
 
@@ -71,7 +76,11 @@
         while self.0.front().is_some_and(|(at, _)| *at + keep < now) {
             self.0.pop_front();
         }
-        self.0.front().map_or(part, |(_, p)| *p)
+        self.least().unwrap_or(part)
+    }
+
+    fn least(&self) -> Option<f32> {
+        self.0.front().map(|(_, p)| *p)
     }
 }
 
@@ -171,7 +180,7 @@
         let kept = |c: u32| -> f32 {
             frozen
                 .iter()
-                .filter_map(|h| self.parts.get(&(Unit::Host(*h), c)))
+                .map(|h| self.reserved(Unit::Host(*h), c))
                 .sum()
         };
         customers
@@ -206,7 +215,7 @@
         self.windows.retain(|c, _| customers.contains(c));
         let early = now.saturating_sub(self.since) < raise;
         let compute = |shares: &mut Self, customer| {
-            let split = shares.split(customer, units, unknown);
+            let split = shares.split(customer, units, unknown, raise, now);
             // A node that has just come starts with its even part: the others, who had not heard
             // of it, use the rest until they have.
             let part = match early {
@@ -228,11 +237,19 @@
         customers.into_iter().map(|c| compute(self, c)).collect()
     }
 
+    /// What is kept for a unit that is not heard of.
+    fn reserved(&self, unit: Unit, customer: u32) -> f32 {
+        let window = self.parts.get(&(unit, customer));
+        -window.and_then(Window::least).unwrap_or(0.0)
+    }
+
     fn split(
         &mut self,
         customer: u32,
         units: &[(Unit, Standing)],
         unknown: (usize, usize),
+        raise: Duration,
+        now: Duration,
     ) -> Split {
         let mut frozen = unknown.0 as f64 / unknown.1.max(1) as f64;
         let mut hosts = 1;
@@ -246,37 +263,30 @@
                     total += demand;
                     frozen += f64::from(kept);
                 }
-                Standing::Frozen => {
-                    frozen += f64::from(self.parts.get(&(*unit, customer)).copied().unwrap_or(0.0));
-                }
+                Standing::Frozen => frozen += f64::from(self.reserved(*unit, customer)),
             }
         }
-        let free = (1.0 - frozen).max(0.0);
-        let part = |count: usize, demand: f32| {
-            let even = count as f64 / hosts as f64;
-            let (demand, total) = (f64::from(demand), f64::from(total));
-            // While there is enough for all, what nobody asks for is split evenly, so that a
-            // burst finds room at a node that was idle.
-            let asked = match total > 1.0 {
-                true => demand / total,
-                false => demand + (1.0 - total) * even,
-            };
-            (free * (FLOOR * even + (1.0 - FLOOR) * asked)) as f32
+        let limit = Limit {
+            free: (1.0 - frozen).max(0.0),
+            hosts,
+            total,
         };
         for (unit, standing) in units {
             if let Standing::Live(count) = standing {
                 let (demand, kept) = self.demand(*unit, customer);
-                self.parts
-                    .insert((*unit, customer), part(*count, demand) + kept);
+                let part = limit.part(*count, demand) + kept;
+                let window = self.parts.entry((*unit, customer)).or_default();
+                window.push(now, -part, raise);
             }
         }
-        let idle = (free / hosts as f64) as f32;
+        let idle = (limit.free / hosts as f64) as f32;
         let early = match hosts {
             1 => idle,
             _ => idle * FLOOR as f32,
         };
+        let mine = limit.part(1, own);
         Split {
-            mine: part(1, own),
+            mine,
             early,
             idle,
             total,
@@ -297,6 +307,29 @@
     }
 }
 
+/// A customer's limit that is to be split.
+struct Limit {
+    /// The part of it that nothing is reserved of.
+    free: f64,
+    hosts: usize,
+    total: f32,
+}
+
+impl Limit {
+    /// The part of `count` hosts that ask for `demand`.
+    fn part(&self, count: usize, demand: f32) -> f32 {
+        let even = count as f64 / self.hosts as f64;
+        let (demand, total) = (f64::from(demand), f64::from(self.total));
+        // While there is enough for all, what nobody asks for is split evenly, so that a burst
+        // finds room at a node that was idle.
+        let asked = match total > 1.0 {
+            true => demand / total,
+            false => demand + (1.0 - total) * even,
+        };
+        (self.free * (FLOOR * even + (1.0 - FLOOR) * asked)) as f32
+    }
+}
+
 /// One customer's limit as this node would split it, all as parts of the limit but `total`.
 struct Split {
     mine: f32,
--- a/crates/oatdale-mesh/src/member/summary.rs
+++ b/crates/oatdale-mesh/src/member/summary.rs
@@ -15,7 +15,7 @@
 /// summaries in a second.
 const REPORTS_PER_SECOND: u32 = 4;
 /// A summary is stale after so many intervals without a new one.
-const STALE: u32 = 4;
+const STALE: u32 = 3;
 
 /// What is known of other failure domains.
 #[derive(Debug, Default)]
@@ -64,10 +64,10 @@
             .max(Duration::from_secs(1) / REPORTS_PER_SECOND * domains)
     }
 
-    /// How long it takes until everyone has heard of a change: a heartbeat within the failure
-    /// domain, a summary to the other, one more if a reporter fails in between.
+    /// How long it takes until everyone has heard of a change, or has noticed that it can't hear.
     fn propagation(&self) -> Duration {
-        self.report_interval() * 2 + self.timers.beat * 2
+        let stale = self.report_interval() * STALE;
+        stale.max(self.timers.suspect) + self.timers.beat * 2
     }
 
     /// The nodes of the failure domain `of` that talk to `to`.
--- /dev/null
+++ b/crates/oatdale-mesh/tests/holds.rs
@@ -0,0 +1,239 @@
+//! Bill records survive the loss of their owner and of one holder.
+
+#[path = "support/in_memory.rs"]
+mod support;
+
+use bytes::Bytes;
+use oatdale_mesh::{HoldAck, Input};
+use std::time::Duration;
+use support::fleet::{Fleet, ms};
+
+const LONG: Duration = Duration::from_secs(60);
+const BOTH: HoldAck = HoldAck {
+    copies: 2,
+    wanted: 2,
+};
+
+fn settled(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(seed, 3, 3);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.run(Duration::from_secs(5));
+    fleet
+}
+
+fn hold(fleet: &mut Fleet, owner: usize, id: u128, record: &'static [u8]) {
+    fleet.input(
+        owner,
+        Input::Hold {
+            id,
+            record: Bytes::from_static(record),
+        },
+    );
+}
+
+fn holders(fleet: &Fleet) -> Vec<usize> {
+    let holds = |i: &usize| {
+        fleet.nodes[*i]
+            .member
+            .as_ref()
+            .is_some_and(|m| m.held_bytes() > 0)
+    };
+    (0..fleet.nodes.len()).filter(holds).collect()
+}
+
+#[test]
+fn holders_are_in_other_failure_domains() {
+    let mut fleet = settled(1);
+    for owner in 0..9 {
+        hold(&mut fleet, owner, 7, b"bill");
+        fleet.run(ms(100));
+        assert_eq!(fleet.nodes[owner].app.acks[&7], BOTH);
+        let at: Vec<usize> = holders(&fleet)
+            .iter()
+            .map(|i| fleet.nodes[*i].domain)
+            .collect();
+        assert_eq!(at.len(), 2);
+        assert!(
+            at[0] != at[1] && !at.contains(&fleet.nodes[owner].domain),
+            "{at:?}"
+        );
+        fleet.input(owner, Input::Release(vec![7]));
+        fleet.run(ms(100));
+        assert!(holders(&fleet).is_empty());
+    }
+}
+
+/// A node and one of the two nodes that keep its bills lose their power together. The caller has
+/// its whole answer, so the bill must still be written.
+#[test]
+fn the_loss_of_the_owner_and_one_holder_keeps_the_bill() {
+    for seed in 0..10 {
+        let mut fleet = settled(seed);
+        hold(&mut fleet, 0, 1, b"opened");
+        fleet.run(ms(50));
+        hold(&mut fleet, 0, 1, b"closed");
+        fleet.run(ms(50));
+        assert_eq!(fleet.nodes[0].app.acks[&1], BOTH);
+        let victim = holders(&fleet)[(seed % 2) as usize];
+        fleet.kill(0, true);
+        fleet.kill(victim, true);
+        fleet.run(Duration::from_secs(30));
+        assert_eq!(fleet.platform.journal[&1], &b"closed"[..]);
+        assert!(holders(&fleet).is_empty());
+    }
+}
+
+/// A host is replaced by a process of the same name before anyone suspects it. What the former
+/// process left with its holders is still a bill.
+#[test]
+fn a_restarted_owner_does_not_lose_its_former_bills() {
+    let mut fleet = settled(11);
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(50));
+    fleet.kill(0, false);
+    fleet.run(ms(200));
+    fleet.restart(0);
+    fleet.run(Duration::from_secs(15));
+    assert_eq!(fleet.platform.journal[&1], &b"closed"[..]);
+    assert!(holders(&fleet).is_empty());
+}
+
+/// A holder dies while its owner goes on. Nobody notices at first, but the next loss would cost
+/// the bill: so the owner must give its records to another node by itself.
+#[test]
+fn an_owner_replaces_a_holder_that_is_lost() {
+    let mut fleet = settled(12);
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(50));
+    let first = holders(&fleet);
+    fleet.kill(first[0], true);
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(holders(&fleet).len(), 2);
+    fleet.kill(first[1], true);
+    fleet.kill(0, true);
+    fleet.run(Duration::from_secs(30));
+    assert_eq!(fleet.platform.journal[&1], &b"closed"[..]);
+}
+
+/// The link breaks just when the owner releases a record, so that the holder never hears of it.
+/// Its memory would fill up with records that the journal has long got.
+#[test]
+fn a_release_that_was_lost_is_made_up_for() {
+    let mut fleet = settled(13);
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(50));
+    fleet.cut(|a, _| a.name == "host-0");
+    fleet.run(Duration::from_secs(3));
+    fleet.input(0, Input::Release(vec![1]));
+    fleet.run(ms(500));
+    fleet.heal();
+    fleet.run(Duration::from_secs(4));
+    assert!(holders(&fleet).is_empty());
+}
+
+/// A node is stopped as planned with bills that the journal has not got yet, in the middle of an
+/// outage of the service.
+#[test]
+fn a_leaving_owner_leaves_its_bills_behind() {
+    let mut fleet = settled(14);
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(50));
+    fleet.input(0, Input::Leave);
+    fleet.run(ms(200));
+    assert!(fleet.nodes[0].app.ended);
+    fleet.kill(0, false);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.platform.journal[&1], &b"closed"[..]);
+}
+
+/// Both holders of a node are stopped as planned, one after the other, as in a roll-out of the
+/// product itself, and then the owner dies.
+#[test]
+fn holders_that_leave_pass_records_on() {
+    let mut fleet = settled(15);
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(50));
+    for holder in holders(&fleet) {
+        fleet.input(holder, Input::Leave);
+        fleet.run(ms(500));
+        fleet.kill(holder, false);
+        fleet.run(ms(500));
+    }
+    fleet.kill(0, true);
+    fleet.run(Duration::from_secs(30));
+    assert_eq!(fleet.platform.journal[&1], &b"closed"[..]);
+}
+
+/// The owner dies, and then a holder is stopped as planned before the owner counts as gone. The
+/// record must not go down with the only node that would have journalled it.
+#[test]
+fn a_holder_that_leaves_hands_over_records_of_a_dead_owner() {
+    let mut fleet = settled(16);
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(50));
+    let both = holders(&fleet);
+    fleet.kill(0, true);
+    fleet.kill(both[0], true);
+    fleet.run(Duration::from_secs(3));
+    fleet.input(both[1], Input::Leave);
+    fleet
+        .run_until(LONG, |f| f.nodes[both[1]].app.ended)
+        .expect("it leaves");
+    fleet.kill(both[1], false);
+    fleet.run(Duration::from_secs(30));
+    assert_eq!(fleet.platform.journal[&1], &b"closed"[..]);
+}
+
+/// A node alone in the world can't have its bills kept. It must say so at once, and not hold the
+/// end of every answer back.
+#[test]
+fn a_lone_node_is_told_at_once() {
+    let mut fleet = Fleet::new(17, 1, 1);
+    fleet.start_all();
+    fleet.run(Duration::from_secs(3));
+    hold(&mut fleet, 0, 1, b"closed");
+    assert_eq!(
+        fleet.nodes[0].app.acks[&1],
+        HoldAck {
+            copies: 0,
+            wanted: 2
+        }
+    );
+}
+
+/// The owner is cut off from everyone. Its answers must not wait for holders for ever.
+#[test]
+fn a_hold_ends_after_its_timeout() {
+    let mut fleet = settled(18);
+    fleet.cut(|a, _| a.name == "host-0");
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(600));
+    assert_eq!(
+        fleet.nodes[0].app.acks[&1],
+        HoldAck {
+            copies: 0,
+            wanted: 2
+        }
+    );
+}
+
+/// A node is paused for so long that its holders journal its records, and returns. Both must end
+/// with nothing held.
+#[test]
+fn a_paused_owner_that_returns_keeps_no_ghosts() {
+    let mut fleet = settled(19);
+    hold(&mut fleet, 0, 1, b"opened");
+    fleet.run(ms(50));
+    fleet.pause(0);
+    fleet.run(Duration::from_secs(20));
+    assert_eq!(fleet.platform.journal[&1], &b"opened"[..]);
+    fleet.resume(0);
+    fleet.run(ms(500));
+    fleet.journal(0, 1, &Bytes::from_static(b"closed"));
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.platform.journal[&1], &b"opened"[..]);
+    assert!(holders(&fleet).is_empty());
+}
--- /dev/null
+++ b/crates/oatdale-mesh/tests/membership.rs
@@ -0,0 +1,188 @@
+//! Who is there: joining, dying, pausing, leaving, returning, at sizes from today's to tomorrow's.
+
+#[path = "support/in_memory.rs"]
+mod support;
+
+use oatdale_mesh::{HostId, Input, PeerState};
+use std::time::Duration;
+use support::fleet::{Fleet, ms};
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn states(fleet: &Fleet, at: usize, of: usize) -> Option<PeerState> {
+    let name = &fleet.nodes[of].name;
+    fleet.nodes[at]
+        .app
+        .peers
+        .iter()
+        .find(|p| p.host == *name)
+        .map(|p| p.state)
+}
+
+#[test]
+fn nine_nodes_find_each_other() {
+    let mut fleet = Fleet::new(1, 3, 3);
+    fleet.start_all();
+    let took = fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    fleet.run(Duration::from_secs(5));
+    assert!(
+        fleet
+            .nodes
+            .iter()
+            .all(|n| n.member.as_ref().expect("up").linked().count() == 8)
+    );
+}
+
+#[test]
+fn one_seed_is_enough() {
+    let mut fleet = Fleet::new(2, 3, 3);
+    let seed = fleet.nodes[0].address;
+    for i in 0..9 {
+        fleet.start_with(i, vec![seed]);
+    }
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+}
+
+#[test]
+fn a_larger_fleet_keeps_few_links() {
+    let mut fleet = Fleet::new(3, 8, 8);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.run(LONG);
+    assert!(fleet.views_agree());
+    let most = fleet
+        .nodes
+        .iter()
+        .map(|n| n.member.as_ref().expect("up").linked().count())
+        .max();
+    assert!(most.expect("nodes") < 40, "{most:?}");
+}
+
+/// A host loses its power and nothing tells its peers. Until they notice, callers may be sent to
+/// an address where nobody answers.
+#[test]
+fn a_host_without_power_is_suspected_and_forgotten_once_unlisted() {
+    let mut fleet = Fleet::new(4, 3, 3);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.kill(8, true);
+    fleet.run(Duration::from_secs(4));
+    assert!((0..8).all(|i| states(&fleet, i, 8) == Some(PeerState::Suspect)));
+    fleet.list_hosts();
+    fleet.run(Duration::from_secs(8));
+    assert!((0..8).all(|i| states(&fleet, i, 8).is_none()));
+}
+
+/// A node stops for ten seconds, as under a debugger or a stalled hypervisor, and goes on. If it
+/// judged the others by its own stopped clock it would suspect them all.
+#[test]
+fn a_paused_node_suspects_nobody_when_it_returns() {
+    let mut fleet = Fleet::new(5, 3, 3);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.pause(0);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(states(&fleet, 1, 0), Some(PeerState::Suspect));
+    fleet.resume(0);
+    fleet.run(ms(60));
+    assert!((1..9).all(|i| states(&fleet, 0, i) == Some(PeerState::Alive)));
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("it is seen again");
+}
+
+/// A host is replaced within a second by one of the same name. A late card of the dead process
+/// must not take its place.
+#[test]
+fn a_restarted_node_is_known_by_its_new_incarnation() {
+    let mut fleet = Fleet::new(6, 3, 3);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.kill(4, true);
+    fleet.run(ms(500));
+    fleet.restart(4);
+    let incarnation = fleet.nodes[4].member.as_ref().expect("up").incarnation();
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.views_agree());
+    for node in fleet.nodes.iter().filter(|n| n.name != "host-4") {
+        let seen = node
+            .app
+            .peers
+            .iter()
+            .find(|p| p.host == "host-4")
+            .expect("known");
+        assert_eq!(seen.incarnation, incarnation);
+    }
+}
+
+/// A host comes back with its clock set to the past, so that its new process seems older than the
+/// one that died. Were it refused for good, the host would be lost until its clock is right.
+#[test]
+fn a_restart_with_an_earlier_clock_is_taken_in() {
+    let mut fleet = Fleet::new(7, 3, 3);
+    fleet.run(Duration::from_secs(100));
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.kill(4, false);
+    fleet.run(ms(500));
+    fleet.clock_back = Duration::from_secs(50);
+    fleet.restart(4);
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("it is seen again");
+}
+
+#[test]
+fn a_node_that_leaves_is_out_of_the_addresses_at_once() {
+    let mut fleet = Fleet::new(8, 3, 3);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.input(3, Input::Leave);
+    fleet.run(ms(100));
+    assert!(
+        (0..9)
+            .filter(|i| *i != 3)
+            .all(|i| states(&fleet, i, 3) == Some(PeerState::Left))
+    );
+    assert!(fleet.nodes[3].app.ended);
+}
+
+/// Two regions lose each other for minutes and find each other again. Nobody restarts anything.
+#[test]
+fn halves_find_each_other_after_a_long_cut() {
+    let mut fleet = Fleet::new(9, 3, 3);
+    fleet.intervals.forget = Duration::from_secs(30);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.cut(|a, b| a.domain == 0 && b.domain != 0);
+    fleet.run(Duration::from_secs(120));
+    assert_eq!(states(&fleet, 0, 1), None);
+    fleet.heal();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen again");
+}
+
+#[test]
+fn names_that_differ_have_ids_that_differ() {
+    assert_ne!(HostId::of("a"), HostId::of("b"));
+}
--- /dev/null
+++ b/crates/oatdale-mesh/tests/shares.rs
@@ -0,0 +1,119 @@
+//! The parts of a customer's limit add up to no more than a stated bound.
+
+#[path = "support/in_memory.rs"]
+mod support;
+
+use std::time::Duration;
+use support::fleet::{Fleet, ms};
+
+const LONG: Duration = Duration::from_secs(60);
+const CUSTOMER: u32 = 42;
+/// What the sum may reach while views differ, whatever happens.
+const BOUND: f32 = 1.1;
+
+fn settled(seed: u64, domains: usize, each: usize) -> Fleet {
+    let mut fleet = Fleet::new(seed, domains, each);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    for i in 0..domains * each {
+        fleet.set_demand(i, vec![(CUSTOMER, 0.0)]);
+    }
+    fleet.run(Duration::from_secs(15));
+    fleet
+}
+
+#[test]
+fn an_idle_customer_has_an_even_part_everywhere() {
+    let fleet = settled(1, 3, 3);
+    for node in &fleet.nodes {
+        let share = node.app.shares[&CUSTOMER];
+        assert!((share - 1.0 / 9.0).abs() < 0.01, "{share}");
+    }
+}
+
+#[test]
+fn parts_follow_demand_and_the_sum_holds_meanwhile() {
+    for (domains, each) in [(3, 3), (2, 4), (4, 8)] {
+        let mut fleet = settled(2, domains, each);
+        let count = domains * each;
+        for busy in [0, 3, count - 1] {
+            for i in 0..count {
+                let demand = if i == busy { 2.0 } else { 0.01 };
+                fleet.set_demand(i, vec![(CUSTOMER, demand)]);
+            }
+            let greatest = fleet.greatest_sum(Duration::from_secs(15), CUSTOMER);
+            assert!(greatest <= BOUND, "{greatest} at {count} nodes");
+            let share = fleet.nodes[busy].app.shares[&CUSTOMER];
+            assert!(share > 0.65, "{share} at {count} nodes");
+        }
+    }
+}
+
+/// Regions lose each other while callers move from one to the other. Were each half to split the
+/// whole limit, a customer could use it twice.
+#[test]
+fn a_cut_does_not_double_the_limit() {
+    let mut fleet = settled(3, 3, 3);
+    fleet.cut(|a, b| a.domain == 0 && b.domain != 0);
+    for i in 0..9 {
+        fleet.set_demand(i, vec![(CUSTOMER, 1.0)]);
+    }
+    let greatest = fleet.greatest_sum(Duration::from_secs(120), CUSTOMER);
+    assert!(greatest <= BOUND, "{greatest}");
+    fleet.heal();
+    let greatest = fleet.greatest_sum(Duration::from_secs(20), CUSTOMER);
+    assert!(greatest <= BOUND, "{greatest}");
+}
+
+/// A whole fleet starts at once and no node knows another yet. Each would take the whole limit.
+#[test]
+fn a_cold_start_does_not_multiply_the_limit() {
+    let mut fleet = Fleet::new(4, 3, 3);
+    fleet.start_all();
+    for i in 0..9 {
+        fleet.set_demand(i, vec![(CUSTOMER, 1.0)]);
+    }
+    let greatest = fleet.greatest_sum(Duration::from_secs(20), CUSTOMER);
+    assert!(greatest <= BOUND, "{greatest}");
+}
+
+/// Nodes are killed and replaced one after the other under full demand, as on any day.
+#[test]
+fn restarts_keep_the_sum() {
+    let mut fleet = settled(5, 3, 3);
+    for i in 0..9 {
+        fleet.set_demand(i, vec![(CUSTOMER, 0.3)]);
+    }
+    let mut greatest = fleet.greatest_sum(Duration::from_secs(10), CUSTOMER);
+    for i in 0..9 {
+        fleet.kill(i, i % 2 == 0);
+        greatest = greatest.max(fleet.greatest_sum(ms(700), CUSTOMER));
+        fleet.restart(i);
+        fleet.set_demand(i, vec![(CUSTOMER, 0.3)]);
+        greatest = greatest.max(fleet.greatest_sum(Duration::from_secs(2), CUSTOMER));
+    }
+    assert!(greatest <= BOUND, "{greatest}");
+    fleet.run(Duration::from_secs(15));
+    let sum = fleet.share_sum(CUSTOMER);
+    assert!(sum > 0.9, "{sum}");
+}
+
+/// A host loses its power for good. Its part is of use to nobody until the platform's list drops
+/// the host; then the others must have it.
+#[test]
+fn the_part_of_a_lost_host_returns() {
+    let mut fleet = settled(6, 3, 3);
+    for i in 0..9 {
+        fleet.set_demand(i, vec![(CUSTOMER, 0.5)]);
+    }
+    fleet.run(Duration::from_secs(10));
+    fleet.list_hosts();
+    fleet.kill(8, true);
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.share_sum(CUSTOMER) < 0.95);
+    fleet.list_hosts();
+    fleet.run(Duration::from_secs(20));
+    assert!(fleet.share_sum(CUSTOMER) > 0.95);
+}
