Let domains that suspect each other wholly find each other again

Cause: with more than 24 hosts, nodes that talk to another failure domain are chosen among its hosts in good standing.

Ruled out: lost frames and dial backoff; links within each side were complete and no dial was made. A first try chose suspected hosts by rank only; it finds the others unless those ranked first are dead, so others take turns now.

Change: without usable hosts, suspected ones are tried, others every 5 s; while a domain is silent, any link to it carries summaries.

--- a/crates/oatdale-mesh/src/member/summary.rs
+++ b/crates/oatdale-mesh/src/member/summary.rs
@@ -16,6 +16,8 @@
 const REPORTS_PER_SECOND: u32 = 4;
 /// A summary is stale after so many intervals without a new one.
 const STALE: u32 = 3;
+/// While a failure domain is silent, other hosts of it are tried this often.
+const RETRY_OTHERS: Duration = Duration::from_secs(5);
 
 /// What is known of other failure domains.
 #[derive(Debug, Default)]
@@ -71,36 +73,60 @@
     }
 
     /// The nodes of the failure domain `of` that talk to `to`.
+    ///
+    /// After a cut all hosts of the other side are suspected. Were only hosts in good standing
+    /// chosen, nobody would ever talk to the other side again and each would go without the
+    /// other's nodes until restarted. So suspected ones are tried then, others each time.
     pub(super) fn reporters(&self, of: u32, to: u32) -> Vec<HostId> {
+        let salt = rank::report_salt(of, to);
         let here = (of == self.domain && self.leaving.is_none()).then_some(self.id);
-        let there = self
-            .roster
-            .iter()
-            .filter(|(_, p)| p.domain == of && p.usable());
-        let hosts = there.map(|(host, _)| host).chain(here);
-        rank::first(hosts, rank::report_salt(of, to), REPORTERS)
+        let there = || self.roster.present().filter(|(_, p)| p.domain == of);
+        let usable = there().filter(|(_, p)| p.usable()).map(|(host, _)| host);
+        let chosen = rank::first(usable.chain(here), salt, REPORTERS);
+        if !chosen.is_empty() {
+            return chosen;
+        }
+        let turn = self.now.as_secs() / RETRY_OTHERS.as_secs();
+        let salt = salt ^ rank::mix(turn);
+        rank::first(there().map(|(host, _)| host), salt, REPORTERS)
+    }
+
+    /// Hosts of another failure domain that get this one's summary from this node.
+    fn report_to(&self, domain: u32) -> Vec<HostId> {
+        let linked = |h: &HostId| self.links.contains_key(h);
+        match self.is_stale(domain) {
+            // Whoever has a link tells, until proper reporters have found each other.
+            true => {
+                let hosts = self.links.keys().copied();
+                hosts
+                    .filter(|h| self.roster.domain_of(*h) == Some(domain))
+                    .collect()
+            }
+            false if self.reporters(self.domain, domain).contains(&self.id) => {
+                let hosts = self.reporters(domain, self.domain);
+                hosts.into_iter().filter(linked).collect()
+            }
+            false => Vec::new(),
+        }
+    }
+
+    fn is_stale(&self, domain: u32) -> bool {
+        let stale = self.report_interval() * STALE;
+        self.summaries
+            .heard
+            .get(&domain)
+            .is_none_or(|h| h.at + stale <= self.now)
     }
 
     /// Sends this failure domain's summary to those others that this node reports to.
     pub(super) fn send_reports(&mut self) {
         let mut report = None;
         for domain in self.other_domains() {
-            if !self.reporters(self.domain, domain).contains(&self.id) {
-                continue;
-            }
-            let base = report.get_or_insert_with(|| self.own_report()).clone();
-            for host in self.reporters(domain, self.domain) {
-                if self.links.contains_key(&host) {
-                    let sent = self.summaries.sent.entry(host).or_default();
-                    let counts = self.counters.domain_news(sent);
-                    self.send(
-                        host,
-                        Message::Report(Report {
-                            counts,
-                            ..base.clone()
-                        }),
-                    );
-                }
+            for host in self.report_to(domain) {
+                let base = report.get_or_insert_with(|| self.own_report()).clone();
+                let sent = self.summaries.sent.entry(host).or_default();
+                let counts = self.counters.domain_news(sent);
+                self.send(host, Message::Report(Report { counts, ..base }));
             }
         }
     }
@@ -284,11 +310,10 @@
             PeerState::Alive => (Unit::Host(host), Standing::Live(1)),
             _ => (Unit::Host(host), Standing::Frozen),
         });
-        let stale = self.report_interval() * STALE;
         let domains = self.other_domains().into_iter().map(|domain| {
             let heard = self.summaries.heard.get(&domain);
             let live = match heard {
-                Some(h) if h.at + stale > self.now => {
+                Some(h) if !self.is_stale(domain) => {
                     let alive = |m: &&ReportMember| m.flags & FLAG_SUSPECT == 0;
                     Standing::Live(h.report.members.iter().filter(alive).count())
                 }
--- a/crates/oatdale-mesh/src/member/upkeep.rs
+++ b/crates/oatdale-mesh/src/member/upkeep.rs
@@ -96,6 +96,7 @@
     fn look_over(&mut self) {
         self.send_evidence();
         self.find_orphans();
+        self.update_wanted();
         self.prune_links();
         self.choose_watchers();
         let views = self.roster.views(self.now);
--- a/crates/oatdale-mesh/tests/support/app.rs
+++ b/crates/oatdale-mesh/tests/support/app.rs
@@ -13,6 +13,8 @@
     /// Revisions in the order in which they came into force.
     pub(crate) revisions: Vec<u64>,
     pub(crate) document: Bytes,
+    /// The last revision that the mesh told.
+    pub(crate) told: u64,
     pub(crate) joined: bool,
     pub(crate) watches: bool,
     pub(crate) peers: Vec<PeerView>,
@@ -116,14 +118,13 @@
         match event {
             Event::Joined { .. } => self.nodes[i].app.joined = true,
             Event::Document { revision, document } => {
-                let last = self.nodes[i].app.revisions.last().copied().unwrap_or(0);
-                if revision < last {
-                    // The service may have told the node just now; the mesh itself must not.
-                    let told = self.nodes[i].revision();
+                let last = self.nodes[i].app.told;
+                if revision <= last {
                     self.platform
                         .broken
-                        .push(format!("{i}: {revision} after {last}, {told}"));
+                        .push(format!("{i}: told {revision} after {last}"));
                 }
+                self.nodes[i].app.told = revision;
                 self.force(i, revision, &document);
                 self.later(i, ms(1), Input::Adopted { revision, document });
             }
@@ -200,6 +201,34 @@
         })
     }
 
+    /// Who does not see whom alive, or lacks the newest revision.
+    pub(crate) fn disagreement(&self) -> String {
+        let mut text = String::from("no agreement:");
+        for i in self.up() {
+            let node = &self.nodes[i];
+            let alive = |p: &&PeerView| p.state == PeerState::Alive;
+            let seen: BTreeSet<&str> = node
+                .app
+                .peers
+                .iter()
+                .filter(alive)
+                .map(|p| p.host.as_str())
+                .collect();
+            let missing = self.nodes.iter().map(|n| n.name.as_str());
+            let missing: Vec<&str> = missing
+                .filter(|n| *n != node.name && !seen.contains(n))
+                .collect();
+            let links = node.member.as_ref().map_or(0, |m| m.linked().count());
+            text += &format!(
+                "\n{} holds {}, has {links} links, ended {}, lacks {missing:?}",
+                node.name,
+                node.revision(),
+                node.app.ended
+            );
+        }
+        text
+    }
+
     /// The sum of a customer's shares over nodes that run.
     pub(crate) fn share_sum(&self, customer: u32) -> f32 {
         let running = self.up().into_iter().filter(|i| !self.nodes[*i].paused);
--- a/crates/oatdale-mesh/tests/support/fleet.rs
+++ b/crates/oatdale-mesh/tests/support/fleet.rs
@@ -38,6 +38,19 @@
     pub(crate) bytes: usize,
 }
 
+impl Tally {
+    pub(crate) fn add(&mut self, other: &Tally) {
+        self.kills += other.kills;
+        self.pauses += other.pauses;
+        self.cuts += other.cuts;
+        self.outages += other.outages;
+        self.restarts += other.restarts;
+        self.under_way += other.under_way;
+        self.frames += other.frames;
+        self.bytes += other.bytes;
+    }
+}
+
 pub(crate) struct Slot {
     pub(crate) name: String,
     pub(crate) domain: usize,
@@ -491,7 +504,13 @@
             return;
         };
         let start = self.clocked.then(std::time::Instant::now);
+        let before = member.revision();
         let outputs = member.handle(input, self.now - slot.started);
+        if member.revision() < before {
+            self.platform
+                .broken
+                .push(format!("{i}: fell from {before}"));
+        }
         slot.busy += start.map_or(Duration::ZERO, |s| s.elapsed());
         for output in outputs {
             self.output(i, output);
