--- a/crates/oatdale-mesh/examples/slopes.rs
+++ b/crates/oatdale-mesh/examples/slopes.rs
@@ -1,7 +1,8 @@
 //! Measures what control traffic costs a node as the fleet grows.
 //!
 //! `cargo run --release -p oatdale-mesh --example slopes` prints two tables (`core` or `sockets`
-//! after `--` prints one): the pure core on a counted clock, which is the same at each run but for
+//! after `--` prints one, and a number of nodes after that only its row, as memory needs: a row
+//! reuses what the one before has freed): the pure core on a counted clock, which is the same at each run but for
 //! the processor's time, and the duty over loopback sockets, where all nodes share one thread.
 
 #[path = "../tests/support/in_memory.rs"]
@@ -25,12 +26,15 @@
 
 fn main() {
     let part = std::env::args().nth(1);
+    let only = std::env::args()
+        .nth(2)
+        .and_then(|n| n.parse::<usize>().ok());
     if part.as_deref() != Some("sockets") {
-        core_table();
+        core_table(only);
         bills();
     }
     if part.as_deref() != Some("core") {
-        sockets_table();
+        sockets_table(only);
     }
 }
 
@@ -50,7 +54,7 @@
     text.into()
 }
 
-fn core_table() {
+fn core_table(only: Option<usize>) {
     println!(
         "pure core, counted clock, {} s, a change every 12.3 s",
         MEASURED.as_secs()
@@ -79,7 +83,9 @@
         (16, 128),
         (16, 360),
     ] {
-        core_row(domains, hosts);
+        if only.is_none_or(|n| n == hosts) {
+            core_row(domains, hosts);
+        }
     }
 }
 
@@ -203,13 +209,16 @@
     println!("({frames} frames in 30 s with {count} bills, heartbeats included)\n");
 }
 
-fn sockets_table() {
+fn sockets_table(only: Option<usize>) {
     println!("duty over loopback sockets, all nodes on one thread, 30 s");
     println!(
         "{:>5} {:>7} {:>13} {:>9} {:>9} {:>9}",
         "nodes", "domains", "CPU us/s/node", "KB/node", "median ms", "worst ms"
     );
     for (domains, hosts) in [(4, 8), (3, 9), (4, 16), (8, 32), (8, 64)] {
+        if only.is_some_and(|n| n != hosts) {
+            continue;
+        }
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build();
--- a/crates/oatdale-mesh/src/member.rs
+++ b/crates/oatdale-mesh/src/member.rs
@@ -9,6 +9,7 @@
 mod holds;
 mod inbox;
 mod limits;
+mod orphans;
 mod roster;
 mod shares;
 mod spread;
--- a/crates/oatdale-mesh/src/wire.rs
+++ b/crates/oatdale-mesh/src/wire.rs
@@ -1,6 +1,30 @@
 //! Messages between nodes and their CBOR form: arrays of numbers, no field names.
 
-use crate::delta::Delta;
+/// Gives a type with named fields its form on the wire, a tuple of the same values.
+macro_rules! tuple_form {
+    ($name:ident { $($field:ident: $type:ty),* $(,)? }) => {
+        impl From<$name> for ($($type,)*) {
+            fn from(v: $name) -> Self {
+                ($(v.$field,)*)
+            }
+        }
+
+        impl From<($($type,)*)> for $name {
+            fn from(($($field,)*): ($($type,)*)) -> Self {
+                $name { $($field),* }
+            }
+        }
+    };
+}
+
+mod document;
+mod record;
+mod summary;
+
+pub(crate) use self::document::{Chunk, Fetch, Newest, Step};
+pub(crate) use self::record::{HeldId, Record};
+pub(crate) use self::summary::{Fraction, HostCounters, Report, ReportMember};
+
 use crate::error::{MalformedSnafu, Result};
 use crate::types::{HostId, Stop};
 use bytes::Bytes;
@@ -146,40 +170,6 @@
     }
 }
 
-macro_rules! tuple_form {
-    ($name:ident { $($field:ident: $type:ty),* $(,)? }) => {
-        impl From<$name> for ($($type,)*) {
-            fn from(v: $name) -> Self {
-                ($(v.$field,)*)
-            }
-        }
-
-        impl From<($($type,)*)> for $name {
-            fn from(($($field,)*): ($($type,)*)) -> Self {
-                $name { $($field),* }
-            }
-        }
-    };
-}
-
-/// A part of a limit in ten-thousandths, up to about six and a half limits.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(transparent)]
-pub(crate) struct Fraction(u16);
-
-impl From<f32> for Fraction {
-    fn from(part: f32) -> Self {
-        // The cast saturates, and takes what is not a number for 0.
-        Fraction((part * 10_000.0).round() as u16)
-    }
-}
-
-impl From<Fraction> for f32 {
-    fn from(part: Fraction) -> Self {
-        f32::from(part.0) / 10_000.0
-    }
-}
-
 /// A heartbeat.
 #[derive(Clone, Copy, PartialEq, Debug, serde::Serialize, serde::Deserialize)]
 #[serde(from = "BeatWire", into = "BeatWire")]
@@ -247,192 +237,3 @@
         HostId::of(&self.host)
     }
 }
-
-/// Says which configuration the sender holds.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "(u64, u64)", into = "(u64, u64)")]
-pub(crate) struct Newest {
-    pub(crate) revision: u64,
-    pub(crate) digest: u64,
-}
-tuple_form!(Newest {
-    revision: u64,
-    digest: u64
-});
-
-/// Asks for a configuration.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "(u64, u64, u32)", into = "(u64, u64, u32)")]
-pub(crate) struct Fetch {
-    /// Digest of the text that the sender has, 0 for none.
-    pub(crate) have: u64,
-    /// Digest of the text of which the sender has a part, 0 for none.
-    pub(crate) partial: u64,
-    /// How many bytes of it.
-    pub(crate) offset: u32,
-}
-tuple_form!(Fetch {
-    have: u64,
-    partial: u64,
-    offset: u32
-});
-
-/// One delta of the configuration.
-#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "StepWire", into = "StepWire")]
-pub(crate) struct Step {
-    /// Digest of the text before.
-    pub(crate) from: u64,
-    /// Revision after.
-    pub(crate) revision: u64,
-    /// Digest of the text after.
-    pub(crate) digest: u64,
-    pub(crate) delta: Delta,
-}
-
-type StepWire = (u64, u64, u64, Delta);
-tuple_form!(Step {
-    from: u64,
-    revision: u64,
-    digest: u64,
-    delta: Delta
-});
-
-/// A piece of a configuration.
-#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "ChunkWire", into = "ChunkWire")]
-pub(crate) struct Chunk {
-    pub(crate) revision: u64,
-    /// Digest of the whole text.
-    pub(crate) digest: u64,
-    /// Length of the whole text.
-    pub(crate) total: u32,
-    pub(crate) offset: u32,
-    pub(crate) bytes: Bytes,
-}
-
-type ChunkWire = (u64, u64, u32, u32, Bytes);
-tuple_form!(Chunk {
-    revision: u64,
-    digest: u64,
-    total: u32,
-    offset: u32,
-    bytes: Bytes
-});
-
-/// A held record.
-#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "RecordWire", into = "RecordWire")]
-pub(crate) struct Record {
-    pub(crate) id: u128,
-    /// The host whose request it is.
-    pub(crate) owner: HostId,
-    /// That host's incarnation.
-    pub(crate) incarnation: u64,
-    /// The owner's count of records; the higher replaces the lower of the same id.
-    pub(crate) seq: u64,
-    /// The other holder, 0 for none.
-    pub(crate) other: u64,
-    pub(crate) record: Bytes,
-}
-
-type RecordWire = (u128, HostId, u64, u64, u64, Bytes);
-tuple_form!(Record {
-    id: u128,
-    owner: HostId,
-    incarnation: u64,
-    seq: u64,
-    other: u64,
-    record: Bytes,
-});
-
-/// Names a held record.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "HeldIdWire", into = "HeldIdWire")]
-pub(crate) struct HeldId {
-    pub(crate) owner: HostId,
-    pub(crate) incarnation: u64,
-    pub(crate) id: u128,
-    pub(crate) seq: u64,
-}
-
-type HeldIdWire = (HostId, u64, u128, u64);
-tuple_form!(HeldId {
-    owner: HostId,
-    incarnation: u64,
-    id: u128,
-    seq: u64
-});
-
-impl HeldId {
-    pub(crate) fn of(record: &Record) -> Self {
-        HeldId {
-            owner: record.owner,
-            incarnation: record.incarnation,
-            id: record.id,
-            seq: record.seq,
-        }
-    }
-}
-
-/// The counters of one process.
-#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "HostCountersWire", into = "HostCountersWire")]
-pub(crate) struct HostCounters {
-    pub(crate) host: HostId,
-    pub(crate) incarnation: u64,
-    /// By version.
-    pub(crate) counts: Vec<(u32, Vec<u64>)>,
-}
-
-type HostCountersWire = (HostId, u64, Vec<(u32, Vec<u64>)>);
-tuple_form!(HostCounters { host: HostId, incarnation: u64, counts: Vec<(u32, Vec<u64>)> });
-
-/// A summary of a failure domain, made by one of its nodes and passed on within another.
-#[derive(Clone, PartialEq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "ReportWire", into = "ReportWire")]
-pub(crate) struct Report {
-    /// [`name_hash`](crate::name_hash) of the failure domain.
-    pub(crate) domain: u32,
-    /// The highest revision in force there.
-    pub(crate) revision: u64,
-    /// Its hosts.
-    pub(crate) members: Vec<ReportMember>,
-    /// Demand of the hosts that the reporter hears, and the share kept for the others.
-    pub(crate) demand: Vec<(u32, Fraction, Fraction)>,
-    /// Sums over its hosts that changed since the last report of this reporter.
-    pub(crate) counts: Vec<(u32, Vec<u64>)>,
-}
-
-type ReportWire = (
-    u32,
-    u64,
-    Vec<ReportMember>,
-    Vec<(u32, Fraction, Fraction)>,
-    Vec<(u32, Vec<u64>)>,
-);
-tuple_form!(Report {
-    domain: u32,
-    revision: u64,
-    members: Vec<ReportMember>,
-    demand: Vec<(u32, Fraction, Fraction)>,
-    counts: Vec<(u32, Vec<u64>)>,
-});
-
-/// One host of a summary.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
-#[serde(from = "(u32, u8, u8, u64)", into = "(u32, u8, u8, u64)")]
-pub(crate) struct ReportMember {
-    /// See [`HostId::short`].
-    pub(crate) short: u32,
-    pub(crate) flags: u8,
-    pub(crate) load: u8,
-    /// How far its revision is behind the report's.
-    pub(crate) behind: u64,
-}
-tuple_form!(ReportMember {
-    short: u32,
-    flags: u8,
-    load: u8,
-    behind: u64
-});
--- /dev/null
+++ b/crates/oatdale-mesh/src/wire/document.rs
@@ -0,0 +1,76 @@
+//! What nodes say to each other about the configuration.
+
+use crate::delta::Delta;
+use bytes::Bytes;
+
+/// Says which configuration the sender holds.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
+pub(crate) struct Newest {
+    pub(crate) revision: u64,
+    pub(crate) digest: u64,
+}
+tuple_form!(Newest {
+    revision: u64,
+    digest: u64
+});
+
+/// Asks for a configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "(u64, u64, u32)", into = "(u64, u64, u32)")]
+pub(crate) struct Fetch {
+    /// Digest of the text that the sender has, 0 for none.
+    pub(crate) have: u64,
+    /// Digest of the text of which the sender has a part, 0 for none.
+    pub(crate) partial: u64,
+    /// How many bytes of it.
+    pub(crate) offset: u32,
+}
+tuple_form!(Fetch {
+    have: u64,
+    partial: u64,
+    offset: u32
+});
+
+/// One delta of the configuration.
+#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "StepWire", into = "StepWire")]
+pub(crate) struct Step {
+    /// Digest of the text before.
+    pub(crate) from: u64,
+    /// Revision after.
+    pub(crate) revision: u64,
+    /// Digest of the text after.
+    pub(crate) digest: u64,
+    pub(crate) delta: Delta,
+}
+
+type StepWire = (u64, u64, u64, Delta);
+tuple_form!(Step {
+    from: u64,
+    revision: u64,
+    digest: u64,
+    delta: Delta
+});
+
+/// A piece of a configuration.
+#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "ChunkWire", into = "ChunkWire")]
+pub(crate) struct Chunk {
+    pub(crate) revision: u64,
+    /// Digest of the whole text.
+    pub(crate) digest: u64,
+    /// Length of the whole text.
+    pub(crate) total: u32,
+    pub(crate) offset: u32,
+    pub(crate) bytes: Bytes,
+}
+
+type ChunkWire = (u64, u64, u32, u32, Bytes);
+tuple_form!(Chunk {
+    revision: u64,
+    digest: u64,
+    total: u32,
+    offset: u32,
+    bytes: Bytes
+});
--- /dev/null
+++ b/crates/oatdale-mesh/src/wire/summary.rs
@@ -0,0 +1,83 @@
+//! Counters and summaries of failure domains.
+
+use crate::types::HostId;
+
+/// A part of a limit in ten-thousandths, up to about six and a half limits.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Fraction(u16);
+
+impl From<f32> for Fraction {
+    fn from(part: f32) -> Self {
+        // The cast saturates, and takes what is not a number for 0.
+        Fraction((part * 10_000.0).round() as u16)
+    }
+}
+
+impl From<Fraction> for f32 {
+    fn from(part: Fraction) -> Self {
+        f32::from(part.0) / 10_000.0
+    }
+}
+
+/// The counters of one process.
+#[derive(Clone, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "HostCountersWire", into = "HostCountersWire")]
+pub(crate) struct HostCounters {
+    pub(crate) host: HostId,
+    pub(crate) incarnation: u64,
+    /// By version.
+    pub(crate) counts: Vec<(u32, Vec<u64>)>,
+}
+
+type HostCountersWire = (HostId, u64, Vec<(u32, Vec<u64>)>);
+tuple_form!(HostCounters { host: HostId, incarnation: u64, counts: Vec<(u32, Vec<u64>)> });
+
+/// A summary of a failure domain, made by one of its nodes and passed on within another.
+#[derive(Clone, PartialEq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "ReportWire", into = "ReportWire")]
+pub(crate) struct Report {
+    /// [`name_hash`](crate::name_hash) of the failure domain.
+    pub(crate) domain: u32,
+    /// The highest revision in force there.
+    pub(crate) revision: u64,
+    /// Its hosts.
+    pub(crate) members: Vec<ReportMember>,
+    /// Demand of the hosts that the reporter hears, and the share kept for the others.
+    pub(crate) demand: Vec<(u32, Fraction, Fraction)>,
+    /// Sums over its hosts that changed since the last report of this reporter.
+    pub(crate) counts: Vec<(u32, Vec<u64>)>,
+}
+
+type ReportWire = (
+    u32,
+    u64,
+    Vec<ReportMember>,
+    Vec<(u32, Fraction, Fraction)>,
+    Vec<(u32, Vec<u64>)>,
+);
+tuple_form!(Report {
+    domain: u32,
+    revision: u64,
+    members: Vec<ReportMember>,
+    demand: Vec<(u32, Fraction, Fraction)>,
+    counts: Vec<(u32, Vec<u64>)>,
+});
+
+/// One host of a summary.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(from = "(u32, u8, u8, u64)", into = "(u32, u8, u8, u64)")]
+pub(crate) struct ReportMember {
+    /// See [`HostId::short`].
+    pub(crate) short: u32,
+    pub(crate) flags: u8,
+    pub(crate) load: u8,
+    /// How far its revision is behind the report's.
+    pub(crate) behind: u64,
+}
+tuple_form!(ReportMember {
+    short: u32,
+    flags: u8,
+    load: u8,
+    behind: u64
+});
--- a/crates/oatdale-mesh/tests/history.rs
+++ b/crates/oatdale-mesh/tests/history.rs
@@ -11,7 +11,8 @@
 use oatdale_mesh::{HoldAck, Input};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use support::fleet::{Fleet, Slot, Tally, ms};
+use support::faults::Tally;
+use support::fleet::{Fleet, Slot, ms};
 
 const LONG: Duration = Duration::from_secs(90);
 const CUSTOMER: u32 = 42;
--- a/crates/oatdale-mesh/tests/support/fleet.rs
+++ b/crates/oatdale-mesh/tests/support/fleet.rs
@@ -5,8 +5,10 @@
 #![allow(dead_code)]
 
 use super::app::{App, Platform};
+use super::faults::Tally;
+use super::network::Wire;
 use oatdale_mesh::{
-    Card, Conn, Event, Frame, HostId, Input, Intervals, LocalState, Member, MemberConfig, Output,
+    Card, Conn, Event, HostId, Input, Intervals, LocalState, Member, MemberConfig, Output,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -15,42 +17,10 @@
 use std::time::Duration;
 
 pub(crate) const TICK: Duration = Duration::from_millis(50);
-/// A dial to a host that does not answer fails after this.
-const DIAL: Duration = Duration::from_secs(3);
-/// WebSocket header, mask and our tag, added to each frame's bytes.
-pub(crate) const FRAMING: usize = 8 + 6;
-
 pub(crate) const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
-/// What happened in a run.
-#[derive(Clone, Copy, Default, Debug)]
-pub(crate) struct Tally {
-    pub(crate) kills: usize,
-    pub(crate) pauses: usize,
-    pub(crate) cuts: usize,
-    pub(crate) outages: usize,
-    pub(crate) restarts: usize,
-    /// Frames that were under way when a fault happened.
-    pub(crate) under_way: usize,
-    pub(crate) frames: usize,
-    pub(crate) bytes: usize,
-}
-
-impl Tally {
-    pub(crate) fn add(&mut self, other: &Tally) {
-        self.kills += other.kills;
-        self.pauses += other.pauses;
-        self.cuts += other.cuts;
-        self.outages += other.outages;
-        self.restarts += other.restarts;
-        self.under_way += other.under_way;
-        self.frames += other.frames;
-        self.bytes += other.bytes;
-    }
-}
-
 pub(crate) struct Slot {
     pub(crate) name: String,
     pub(crate) domain: usize,
@@ -59,9 +29,9 @@
     pub(crate) app: App,
     pub(crate) paused: bool,
     started: Duration,
-    life: u64,
-    chain: u64,
-    inbox: Vec<Input>,
+    pub(super) life: u64,
+    pub(super) chain: u64,
+    pub(super) inbox: Vec<Input>,
     pub(crate) sent_bytes: usize,
     pub(crate) sent_frames: usize,
     pub(crate) received_bytes: usize,
@@ -69,18 +39,8 @@
     pub(crate) busy: Duration,
 }
 
-/// Both ends of a connection.
-#[derive(Clone, Copy)]
-struct Wire {
-    ends: [usize; 2],
-    lives: [u64; 2],
-    open: [bool; 2],
-    /// When the last frame in each direction arrives; the next one comes later.
-    last: [Duration; 2],
-}
-
 #[derive(Debug)]
-enum Delivery {
+pub(super) enum Delivery {
     Dial {
         from: usize,
         life: u64,
@@ -127,11 +87,11 @@
     /// Measure the time spent in each member, which makes a run slower but not different.
     pub(crate) clocked: bool,
     rng: Pcg64,
-    cuts: BTreeSet<(usize, usize)>,
-    wires: BTreeMap<u64, Wire>,
-    held: Vec<Delivery>,
-    queue: BTreeMap<(Duration, u64), Delivery>,
-    counter: u64,
+    pub(super) cuts: BTreeSet<(usize, usize)>,
+    pub(super) wires: BTreeMap<u64, Wire>,
+    pub(super) held: Vec<Delivery>,
+    pub(super) queue: BTreeMap<(Duration, u64), Delivery>,
+    pub(super) counter: u64,
     /// How far wall clocks of hosts that start are behind.
     pub(crate) clock_back: Duration,
 }
@@ -219,68 +179,6 @@
         self.read_service(i);
     }
 
-    pub(crate) fn restart(&mut self, i: usize) {
-        self.tally.restarts += 1;
-        self.start(i);
-    }
-
-    /// Ends a node at once. A silent kill leaves its peers waiting.
-    pub(crate) fn kill(&mut self, i: usize, silent: bool) {
-        self.tally.kills += 1;
-        self.note_under_way();
-        self.nodes[i].member = None;
-        self.nodes[i].paused = false;
-        let conns: Vec<u64> = self
-            .wires
-            .iter()
-            .filter(|(_, w)| w.ends.contains(&i))
-            .map(|(c, _)| *c)
-            .collect();
-        for conn in conns {
-            self.close(conn, i, silent);
-        }
-    }
-
-    pub(crate) fn pause(&mut self, i: usize) {
-        self.tally.pauses += 1;
-        self.note_under_way();
-        self.nodes[i].paused = true;
-    }
-
-    pub(crate) fn resume(&mut self, i: usize) {
-        self.nodes[i].paused = false;
-        self.nodes[i].chain += 1;
-        let chain = self.nodes[i].chain;
-        self.schedule(self.now, Delivery::Tick { at: i, chain });
-        for input in std::mem::take(&mut self.nodes[i].inbox) {
-            self.input(i, input);
-        }
-    }
-
-    /// Cuts every pair for which `apart` says so.
-    pub(crate) fn cut(&mut self, apart: impl Fn(&Slot, &Slot) -> bool) {
-        self.tally.cuts += 1;
-        self.note_under_way();
-        let pairs = (0..self.nodes.len()).flat_map(|a| (0..a).map(move |b| (b, a)));
-        for (a, b) in pairs {
-            if apart(&self.nodes[a], &self.nodes[b]) || apart(&self.nodes[b], &self.nodes[a]) {
-                self.cuts.insert((a, b));
-            }
-        }
-    }
-
-    pub(crate) fn heal(&mut self) {
-        self.cuts.clear();
-        for delivery in std::mem::take(&mut self.held) {
-            self.schedule(self.now + ms(1), delivery);
-        }
-    }
-
-    fn note_under_way(&mut self) {
-        let frame = |d: &&Delivery| matches!(d, Delivery::Frame { .. });
-        self.tally.under_way += self.queue.values().filter(frame).count();
-    }
-
     pub(crate) fn is_up(&self, i: usize) -> bool {
         self.nodes[i].member.is_some()
     }
@@ -289,7 +187,7 @@
         (0..self.nodes.len()).filter(|i| self.is_up(*i)).collect()
     }
 
-    fn apart(&self, a: usize, b: usize) -> bool {
+    pub(super) fn apart(&self, a: usize, b: usize) -> bool {
         self.cuts.contains(&(a.min(b), a.max(b)))
     }
 
@@ -337,7 +235,7 @@
         }
     }
 
-    fn schedule(&mut self, at: Duration, delivery: Delivery) {
+    pub(super) fn schedule(&mut self, at: Duration, delivery: Delivery) {
         self.counter += 1;
         self.queue.insert((at, self.counter), delivery);
     }
@@ -348,13 +246,6 @@
         self.schedule(self.now + after, Delivery::App { at: i, life, input });
     }
 
-    fn delay(&mut self, a: usize, b: usize) -> Duration {
-        let near = self.nodes[a].domain == self.nodes[b].domain;
-        let base = if near { 100 } else { 500 };
-        let spread = if self.random(50) == 0 { 20_000 } else { 1000 };
-        Duration::from_micros(base + self.random(spread))
-    }
-
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Dial { from, life, to } => self.dialed(from, life, to),
@@ -391,117 +282,6 @@
         }
     }
 
-    fn dialed(&mut self, from: usize, life: u64, address: SocketAddr) {
-        let to = self
-            .nodes
-            .iter()
-            .position(|n| n.address == address)
-            .expect("a known address");
-        let silent = self.apart(from, to) || self.nodes[to].paused;
-        if from == to || silent || !self.is_up(to) || !self.is_up(from) {
-            let after = if silent { DIAL } else { ms(1) };
-            let failed = Delivery::DialFailed {
-                at: from,
-                life,
-                address,
-                myself: from == to,
-            };
-            return self.schedule(self.now + after, failed);
-        }
-        self.counter += 1;
-        let conn = self.counter;
-        let lives = [self.nodes[from].life, self.nodes[to].life];
-        let wire = Wire {
-            ends: [from, to],
-            lives,
-            open: [true; 2],
-            last: [self.now; 2],
-        };
-        self.wires.insert(conn, wire);
-        let cards = [self.card(from), self.card(to)];
-        let there = self.now + self.delay(from, to);
-        let here = there + self.delay(from, to);
-        let [mine, theirs] = cards;
-        self.schedule(
-            here,
-            Delivery::Up {
-                conn,
-                end: 0,
-                dialed: Some(address),
-                card: theirs,
-            },
-        );
-        self.schedule(
-            there,
-            Delivery::Up {
-                conn,
-                end: 1,
-                dialed: None,
-                card: mine,
-            },
-        );
-        let wire = self.wires.get_mut(&conn).expect("it was just made");
-        wire.last = [there + ms(1), here + ms(1)];
-    }
-
-    fn card(&self, i: usize) -> Card {
-        let slot = &self.nodes[i];
-        let member = slot.member.as_ref().expect("the node is up");
-        Card {
-            host: slot.name.clone(),
-            domain: format!("hall-{}", slot.domain),
-            region: format!("region-{}", slot.domain % 5),
-            incarnation: member.incarnation(),
-            address: slot.address,
-            caller: slot.address,
-        }
-    }
-
-    fn frame(&mut self, conn: u64, to: usize, bytes: Vec<u8>) {
-        let Some(wire) = self.wires.get(&conn).copied() else {
-            return;
-        };
-        if self.apart(wire.ends[0], wire.ends[1]) {
-            return self.held.push(Delivery::Frame { conn, to, bytes });
-        }
-        if wire.open[to] && self.nodes[wire.ends[to]].life == wire.lives[to] {
-            self.nodes[wire.ends[to]].received_bytes += bytes.len() + FRAMING;
-            let start = self.clocked.then(std::time::Instant::now);
-            let frame = Frame::decode(&bytes).expect("what was encoded");
-            self.nodes[wire.ends[to]].busy += start.map_or(Duration::ZERO, |s| s.elapsed());
-            let conn = Conn(conn * 2 + to as u64);
-            self.input(wire.ends[to], Input::Received { conn, frame });
-        }
-    }
-
-    fn closed(&mut self, conn: u64, to: usize) {
-        let Some(wire) = self.wires.get(&conn).copied() else {
-            return;
-        };
-        if self.apart(wire.ends[0], wire.ends[1]) {
-            return self.held.push(Delivery::Closed { conn, to });
-        }
-        self.wires.remove(&conn);
-        if wire.open[to] && self.nodes[wire.ends[to]].life == wire.lives[to] {
-            self.input(
-                wire.ends[to],
-                Input::Disconnected(Conn(conn * 2 + to as u64)),
-            );
-        }
-    }
-
-    fn close(&mut self, conn: u64, by: usize, silent: bool) {
-        let Some(wire) = self.wires.get_mut(&conn) else {
-            return;
-        };
-        let end = usize::from(wire.ends[1] == by);
-        wire.open[end] = false;
-        let at = wire.last[end].max(self.now) + ms(1);
-        if !silent {
-            self.schedule(at, Delivery::Closed { conn, to: 1 - end });
-        }
-    }
-
     /// Gives a node an input and carries out what it wants; a paused node gets it later.
     pub(crate) fn input(&mut self, i: usize, input: Input) {
         let slot = &mut self.nodes[i];
@@ -542,33 +322,6 @@
         }
     }
 
-    fn send(&mut self, i: usize, conn: Conn, frame: &Frame) {
-        let (conn, end) = (conn.0 / 2, (conn.0 % 2) as usize);
-        let Some(wire) = self.wires.get(&conn).copied() else {
-            return;
-        };
-        if !wire.open[end] {
-            return;
-        }
-        let start = self.clocked.then(std::time::Instant::now);
-        let bytes = frame.encode();
-        self.nodes[i].busy += start.map_or(Duration::ZERO, |s| s.elapsed());
-        self.nodes[i].sent_bytes += bytes.len() + FRAMING;
-        self.nodes[i].sent_frames += 1;
-        self.tally.frames += 1;
-        self.tally.bytes += bytes.len() + FRAMING;
-        let at = (self.now + self.delay(wire.ends[0], wire.ends[1])).max(wire.last[end]);
-        self.wires.get_mut(&conn).expect("it was just seen").last[end] = at;
-        self.schedule(
-            at,
-            Delivery::Frame {
-                conn,
-                to: 1 - end,
-                bytes,
-            },
-        );
-    }
-
     fn event(&mut self, i: usize, event: Event) {
         self.on_event(i, event);
     }
