Read and check the operators' text

Cause: nodes and operators need one checked form of the text; a mistake must be refused with its place and what to write instead.

Change: from_str reads YAML by serde-saphyr into wire types whose leaf values keep their line and column, and TryFrom turns them into Config. Problems are collected, so one run reports several; rules over the whole text (a version that no endpoint holds, a customer that no version serves) run only on a text that is otherwise sound, as they would repeat what was found already.

Ruled out: untagged enums and flatten in the wire types, since serde buffers them and the places are lost; serde's own check for repeated names, which names one of the two places only.

--- a/crates/oatdale-config/src/key.rs
+++ b/crates/oatdale-config/src/key.rs
@@ -77,6 +77,11 @@
         self.items.get(key.index())
     }
 
+    /// The item of a key, to be completed while the text is checked.
+    pub(crate) fn get_mut(&mut self, key: K) -> &mut T {
+        &mut self.items[key.index()]
+    }
+
     /// How many items there are.
     pub fn len(&self) -> usize {
         self.items.len()
--- a/crates/oatdale-config/src/lib.rs
+++ b/crates/oatdale-config/src/lib.rs
@@ -1,12 +1,19 @@
 //! The operators' text and a node's settings: parse, check, digest, difference.
 
+mod check;
 mod config;
+mod de;
+mod error;
 mod key;
+mod suggest;
+mod wire;
 
 pub use crate::config::{
     CallPattern, Config, Customer, Digest, Domain, Endpoint, Limits, Model, Pool, PoolKind, Price,
     Revision, Service, ServiceKind, Version, VersionState,
 };
+pub use crate::de::{MAX_TEXT, from_str};
+pub use crate::error::{Category, Error, Problem, Result};
 pub use crate::key::{
     Arena, CustomerKey, DomainKey, EndpointKey, Key, ModelKey, PoolKey, ServiceKey, VersionKey,
 };
