Read and check a node's settings

Cause: a node learns its addresses and failure domain from its settings, and a wrong one must be refused before it serves anybody.

Change: NodeSettings by node_settings_from_str, checked as the operators' text is; defaults for all that a small site need not set.

--- a/crates/oatdale-config/src/check.rs
+++ b/crates/oatdale-config/src/check.rs
@@ -4,9 +4,9 @@
 mod graph;
 mod models;
 mod pools;
-mod problems;
+pub(crate) mod problems;
 mod services;
-mod value;
+pub(crate) mod value;
 
 use crate::check::problems::Problems;
 use crate::config::{Config, Domain};
--- a/crates/oatdale-config/src/check/value.rs
+++ b/crates/oatdale-config/src/check/value.rs
@@ -73,22 +73,30 @@
 
 /// Reads an address of an IP number and a port.
 pub(crate) fn address(p: &mut Problems, word: &Word) -> Option<SocketAddr> {
-    match word.value.parse::<SocketAddr>() {
-        Ok(a) if a.port() != 0 => return Some(a),
-        Ok(_) => p.add(
+    let address = address_or_any_port(p, word)?;
+    if address.port() == 0 {
+        p.add(
             word.referenced,
             Category::Value,
             format!("address `{}` has port 0", word.value),
             "write the port that it listens on",
-        ),
-        Err(_) => p.add(
+        );
+    }
+    Some(address)
+}
+
+/// Reads an address to listen on, where port 0 takes a free port.
+pub(crate) fn address_or_any_port(p: &mut Problems, word: &Word) -> Option<SocketAddr> {
+    let address = word.value.parse().ok();
+    if address.is_none() {
+        p.add(
             word.referenced,
             Category::Value,
             format!("`{}` is not an IP number with a port", shorten(&word.value)),
             "write it like `10.20.1.11:8000` or `[fd00::11]:8000`; host names are not looked up",
-        ),
+        );
     }
-    None
+    address
 }
 
 /// Reads the digest of a caller's key.
--- a/crates/oatdale-config/src/lib.rs
+++ b/crates/oatdale-config/src/lib.rs
@@ -5,6 +5,7 @@
 mod de;
 mod error;
 mod key;
+mod node;
 mod suggest;
 mod wire;
 
@@ -17,3 +18,7 @@
 pub use crate::key::{
     Arena, CustomerKey, DomainKey, EndpointKey, Key, ModelKey, PoolKey, ServiceKey, VersionKey,
 };
+pub use crate::node::{
+    Addresses, LogLevel, MeshKey, NodeLimits, NodeSettings, PlatformAddresses, Secret,
+    node_settings_from_str,
+};
--- a/crates/oatdale-config/tests/examples.rs
+++ b/crates/oatdale-config/tests/examples.rs
@@ -4,12 +4,15 @@
 use sha2::{Digest as _, Sha256};
 use std::path::PathBuf;
 
-fn example(name: &str) -> Config {
+fn text(name: &str) -> String {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
         .join("../../examples")
         .join(name);
-    let text = std::fs::read_to_string(path).expect("the example is there");
-    match oatdale_config::from_str(&text) {
+    std::fs::read_to_string(path).expect("the example is there")
+}
+
+fn example(name: &str) -> Config {
+    match oatdale_config::from_str(&text(name)) {
         Ok(cfg) => cfg,
         Err(e) => panic!("{}", e.in_file(name)),
     }
@@ -63,3 +66,12 @@
         }
     }
 }
+
+#[test]
+fn the_node_of_the_example_belongs_to_skyward() {
+    let node = oatdale_config::node_settings_from_str(&text("node.yaml")).expect("sound");
+    let cfg = example("skyward.yaml");
+    let domain = cfg.domains.iter().find(|(_, d)| d.name == node.domain);
+    assert_eq!(domain.expect("a known domain").1.region, node.region);
+    assert_eq!(node.advertise.callers.to_string(), "10.84.1.1:8080");
+}
