--- a/crates/oatdale-config/src/check/models.rs
+++ b/crates/oatdale-config/src/check/models.rs
@@ -64,15 +64,11 @@
 }
 
 fn check_state(p: &mut Problems, name: &Word, version: &wire::Version) -> VersionState {
-    let state = match version.state.value.as_str() {
+    let state = match p.one_of("state", &version.state, STATES) {
         "canary" => return check_canary(p, name, version),
         "serving" => VersionState::Serving,
         "draining" => VersionState::Draining,
-        "withdrawn" => VersionState::Withdrawn,
-        _ => {
-            p.unknown("state", &version.state, STATES.into_iter());
-            return VersionState::Withdrawn;
-        }
+        _ => VersionState::Withdrawn,
     };
     if let Some(share) = &version.share {
         p.add(
--- a/crates/oatdale-config/src/check/pools.rs
+++ b/crates/oatdale-config/src/check/pools.rs
@@ -65,7 +65,7 @@
 }
 
 fn check_kind(p: &mut Problems, name: &Word, pool: &wire::Pool) -> PoolKind {
-    match (pool.kind.value.as_str(), &pool.fencing) {
+    match (p.one_of("kind of pool", &pool.kind, KINDS), &pool.fencing) {
         ("engines", Some(fencing)) => PoolKind::Engines {
             fencing: fencing.value,
         },
@@ -91,11 +91,7 @@
             );
             PoolKind::Plain
         }
-        ("plain", None) => PoolKind::Plain,
-        _ => {
-            p.unknown("kind of pool", &pool.kind, KINDS.into_iter());
-            PoolKind::Plain
-        }
+        _ => PoolKind::Plain,
     }
 }
 
--- a/crates/oatdale-config/src/check/problems.rs
+++ b/crates/oatdale-config/src/check/problems.rs
@@ -100,6 +100,21 @@
         }
     }
 
+    /// One of a closed set of words. A word that is not in it is a problem, and the nearest one is
+    /// taken for it, so that what hangs on it is not reported too.
+    pub(crate) fn one_of<const N: usize>(
+        &mut self,
+        what: &str,
+        word: &Word,
+        known: [&'static str; N],
+    ) -> &'static str {
+        let found = known.into_iter().find(|k| *k == word.value);
+        found.unwrap_or_else(|| {
+            self.unknown(what, word, known.into_iter());
+            nearest(&word.value, known).unwrap_or(known[0])
+        })
+    }
+
     /// Adds that a name is not defined, with the nearest that is.
     pub(crate) fn unknown<'a>(
         &mut self,
@@ -107,7 +122,8 @@
         name: &Word,
         known: impl Iterator<Item = &'a str>,
     ) {
-        let known: Vec<&str> = known.collect();
+        let mut known: Vec<&str> = known.collect();
+        known.dedup();
         let help = match nearest(&name.value, known.iter().copied()) {
             Some(near) => format!("did you mean `{near}`?"),
             None if known.is_empty() => format!("no {what} is defined; define one first"),
--- a/crates/oatdale-config/src/check/services.rs
+++ b/crates/oatdale-config/src/check/services.rs
@@ -53,14 +53,10 @@
 }
 
 fn check_kind(cfg: &Config, p: &mut Problems, name: &Word, service: &wire::Service) -> ServiceKind {
-    match service.kind.value.as_str() {
+    match p.one_of("kind of service", &service.kind, KINDS) {
         "model" => check_model_kind(cfg, p, name, service),
-        "plain" => {
-            check_plain_kind(p, service);
-            ServiceKind::Plain
-        }
         _ => {
-            p.unknown("kind of service", &service.kind, KINDS.into_iter());
+            check_plain_kind(p, service);
             ServiceKind::Plain
         }
     }
--- a/crates/oatdale-config/src/de.rs
+++ b/crates/oatdale-config/src/de.rs
@@ -12,6 +12,9 @@
 /// limit of a megabyte.
 pub const MAX_TEXT: usize = 960 * 1024;
 
+/// Where problems of the whole text are reported.
+const BEGINNING: (u32, u32) = (1, 1);
+
 /// Reads and checks the operators' text.
 ///
 /// # Errors
@@ -43,8 +46,11 @@
     serde_saphyr::from_str_with_options(text, options).map_err(|e| problem(&e).into())
 }
 
-/// The line and column of a place; unknown places are 0.
+/// The line and column of a place; what concerns the whole text is at its beginning.
 pub(crate) fn place(location: Location) -> (u32, u32) {
+    if location == Location::UNKNOWN {
+        return BEGINNING;
+    }
     let line = u32::try_from(location.line()).unwrap_or(u32::MAX);
     let column = u32::try_from(location.column()).unwrap_or(u32::MAX);
     (line, column)
@@ -52,8 +58,8 @@
 
 fn too_long(len: usize) -> Problem {
     Problem {
-        line: 0,
-        column: 0,
+        line: BEGINNING.0,
+        column: BEGINNING.1,
         category: Category::Value,
         message: format!("the text has {len} bytes, and {MAX_TEXT} are the most"),
         help: Some("take out what is no longer used".to_owned()),
@@ -62,7 +68,7 @@
 
 fn problem(error: &YamlError) -> Problem {
     let error = error.without_snippet();
-    let (line, column) = error.location().map_or((0, 0), place);
+    let (line, column) = error.location().map_or(BEGINNING, place);
     let (category, message, help) = explain(error);
     Problem {
         line,
@@ -101,21 +107,27 @@
             format!("found {unexpected}"),
             Some(format!("write {expected}")),
         ),
-        YamlError::InvalidScalar { ty, .. } => (
-            Category::Field,
-            format!("this is not a valid {ty}"),
-            Some(format!("write a value of type {ty}")),
-        ),
+        YamlError::InvalidScalar { ty, .. } => {
+            let wanted = plain_words(ty);
+            (
+                Category::Field,
+                format!("this is not {wanted}"),
+                Some(format!("write {wanted}")),
+            )
+        }
         YamlError::InvalidBooleanStrict { .. } => (
             Category::Field,
             "this is neither true nor false".to_owned(),
             Some("write `true` or `false`".to_owned()),
         ),
-        YamlError::Unexpected { expected, .. } => (
-            Category::Field,
-            format!("expected {expected} here"),
-            Some(format!("write {expected}, indented below its name")),
-        ),
+        YamlError::Unexpected { expected, .. } => {
+            let wanted = plain_words(expected);
+            (
+                Category::Field,
+                format!("{wanted} belongs here"),
+                Some(format!("write {wanted}")),
+            )
+        }
         YamlError::Message { msg, .. } if msg.starts_with("duplicate field") => (
             Category::Field,
             msg.clone(),
@@ -148,6 +160,18 @@
     }
 }
 
+/// The parser's word for a type or token in an operator's words.
+fn plain_words(wanted: &'static str) -> &'static str {
+    match wanted {
+        "u32" => "a whole number from 0 to 4294967295",
+        "floating point" => "a number such as `0.5`",
+        "sequence start" => "a list such as `[first, second]`",
+        "mapping start" => "a map such as `{ name: value }`, or lines of `name: value`",
+        "string scalar" | "scalar" => "one word or number",
+        other => other,
+    }
+}
+
 fn instead(word: &str, expected: &[&'static str]) -> String {
     match nearest(word, expected.iter().copied()) {
         Some(known) => format!("did you mean `{known}`?"),
@@ -155,7 +179,10 @@
     }
 }
 
+/// The parser's message without the place, which stands before it already.
 fn first_line(error: &YamlError) -> String {
     let text = error.to_string();
-    text.lines().next().unwrap_or("not YAML").to_owned()
+    let line = text.lines().next().unwrap_or("not YAML");
+    let end = line.rfind(" at line ").unwrap_or(line.len());
+    line[..end].to_owned()
 }
--- a/crates/oatdale-config/src/error.rs
+++ b/crates/oatdale-config/src/error.rs
@@ -23,9 +23,9 @@
 /// One thing that is wrong with a text.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Problem {
-    /// Line, from 1; 0 when the problem has no place.
+    /// Line, from 1; problems of the whole text stand at its beginning.
     pub line: u32,
-    /// Column in characters, from 1; 0 when the problem has no place.
+    /// Column in characters, from 1.
     pub column: u32,
     /// What sort of problem it is.
     pub category: Category,
--- a/crates/oatdale-config/src/wire.rs
+++ b/crates/oatdale-config/src/wire.rs
@@ -138,8 +138,4 @@
         }
         Ok(Entries(entries))
     }
-
-    fn visit_unit<E>(self) -> Result<Self::Value, E> {
-        Ok(Entries::default())
-    }
 }
