--- a/crates/oatdale-config/src/check/value.rs
+++ b/crates/oatdale-config/src/check/value.rs
@@ -8,8 +8,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// What a digest of a caller's key begins with.
-const DIGEST_PREFIX: &str = "sha256:";
 /// The word that stands for every call of a service.
 const ALL_CALLS: &str = "all";
 /// Methods that a call may name.
@@ -101,17 +99,15 @@
 
 /// Reads the digest of a caller's key.
 pub(crate) fn digest(p: &mut Problems, word: &Word) -> Option<Digest> {
-    let hex = word.value.strip_prefix(DIGEST_PREFIX);
-    let mut bytes = [0; 32];
-    if hex.is_some_and(|h| hex::decode_to_slice(h, &mut bytes).is_ok()) {
-        return Some(Digest(bytes));
+    if let Ok(digest) = word.value.parse() {
+        return Some(digest);
     }
     p.add(
         word.referenced,
         Category::Value,
         // The value may be the key itself, put here by mistake, so no part of it is shown.
         "this is not the digest of a caller's key",
-        format!("write `{DIGEST_PREFIX}` and 64 hex digits, as `oatdale key digest` prints them"),
+        "write `sha256:` and 64 hex digits, as `oatdale key digest` prints them",
     );
     None
 }
