--- /dev/null
+++ b/crates/oatdale-policy/src/average.rs
@@ -0,0 +1,95 @@
+//! Moving averages over time and over samples.
+
+use std::time::Duration;
+
+/// Events a second, averaged over a time constant.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rate {
+    value: f64,
+    at: Duration,
+    tau: f64,
+}
+
+impl Rate {
+    pub(crate) fn new(now: Duration, tau: Duration) -> Self {
+        Rate {
+            value: 0.0,
+            at: now,
+            tau: tau.as_secs_f64(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, now: Duration) {
+        self.value = self.get(now) + 1.0 / self.tau;
+        self.at = self.at.max(now);
+    }
+
+    pub(crate) fn get(&self, now: Duration) -> f64 {
+        let spent = now.saturating_sub(self.at).as_secs_f64();
+        self.value * (-spent / self.tau).exp()
+    }
+}
+
+/// A level that changes in steps, averaged over a time constant.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Level {
+    average: f64,
+    level: f64,
+    at: Duration,
+    tau: f64,
+}
+
+impl Level {
+    pub(crate) fn new(now: Duration, tau: Duration) -> Self {
+        Level {
+            average: 0.0,
+            level: 0.0,
+            at: now,
+            tau: tau.as_secs_f64(),
+        }
+    }
+
+    pub(crate) fn set(&mut self, now: Duration, level: f64) {
+        self.average = self.get(now);
+        self.at = self.at.max(now);
+        self.level = level;
+    }
+
+    pub(crate) fn get(&self, now: Duration) -> f64 {
+        let spent = now.saturating_sub(self.at).as_secs_f64();
+        let kept = (-spent / self.tau).exp();
+        self.level + (self.average - self.level) * kept
+    }
+}
+
+/// A mean over samples that forgets old ones; the first samples count in full.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Mean {
+    value: f64,
+    samples: f64,
+    memory: f64,
+}
+
+impl Mean {
+    /// A mean that remembers about `memory` samples.
+    pub(crate) fn new(memory: f64) -> Self {
+        Mean {
+            value: 0.0,
+            samples: 0.0,
+            memory,
+        }
+    }
+
+    pub(crate) fn add(&mut self, sample: f64) {
+        self.samples = (self.samples + 1.0).min(self.memory);
+        self.value += (sample - self.value) / self.samples;
+    }
+
+    /// The mean, or `default` before the first sample.
+    pub(crate) fn get_or(&self, default: f64) -> f64 {
+        match self.samples > 0.0 {
+            true => self.value,
+            false => default,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/bucket.rs
@@ -0,0 +1,48 @@
+//! A token bucket for a customer's rate.
+
+use std::time::Duration;
+
+/// How much unused rate may be saved up.
+const BURST: Duration = Duration::from_secs(2);
+
+/// Tokens that refill at a rate which may change at any time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bucket {
+    tokens: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub(crate) fn new(now: Duration, rate: f64) -> Self {
+        Bucket {
+            tokens: burst(rate),
+            at: now,
+        }
+    }
+
+    /// How long until a token is there; zero when it is there now.
+    pub(crate) fn wait(&mut self, now: Duration, rate: f64) -> Duration {
+        self.refill(now, rate);
+        match 1.0 - self.tokens {
+            missing if missing <= 0.0 => Duration::ZERO,
+            missing => Duration::from_secs_f64((missing / rate.max(1e-3)).min(3600.0)),
+        }
+    }
+
+    /// Takes one token, which [`Bucket::wait`] found to be there.
+    pub(crate) fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    fn refill(&mut self, now: Duration, rate: f64) {
+        let spent = now.saturating_sub(self.at).as_secs_f64();
+        self.tokens = (self.tokens + spent * rate).min(burst(rate));
+        self.at = self.at.max(now);
+    }
+}
+
+/// At least one token, or a rate below one request in [`BURST`] would never let any through.
+fn burst(rate: f64) -> f64 {
+    (rate * BURST.as_secs_f64()).max(1.0)
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/choice.rs
@@ -0,0 +1,199 @@
+//! Which versions may serve a request, and in which order to try them.
+
+use crate::endpoints::mix;
+use crate::request::{Ask, RefusalReason, Session, VersionReason};
+use crate::version_rule::{Work, admits};
+use oatdale_config::{Config, CustomerKey, Key, ServiceKey, ServiceKind, VersionKey, VersionState};
+use smallvec::SmallVec;
+
+/// Versions in some order.
+pub(crate) type Versions = SmallVec<[VersionKey; 8]>;
+
+/// Versions to ask one after the other until an answer is good enough.
+#[derive(Clone, PartialEq, Debug)]
+pub(crate) struct Plan {
+    /// The steps; empty for plain services.
+    pub(crate) steps: Versions,
+    /// Why it starts with its first step.
+    pub(crate) why: VersionReason,
+}
+
+impl Plan {
+    /// The plan of a request to a plain service.
+    pub(crate) fn plain() -> Self {
+        Plan {
+            steps: Versions::new(),
+            why: VersionReason::Plain,
+        }
+    }
+
+    /// A plan of one version.
+    pub(crate) fn single(version: VersionKey, why: VersionReason) -> Self {
+        Plan {
+            steps: SmallVec::from_slice(&[version]),
+            why,
+        }
+    }
+}
+
+/// Versions of each service, cheapest first, and which of them are stopped.
+pub(crate) struct Catalogue {
+    by_price: Vec<Versions>,
+    stopped: Vec<bool>,
+}
+
+impl Catalogue {
+    pub(crate) fn new(cfg: &Config) -> Self {
+        Catalogue {
+            by_price: cfg.services.keys().map(|s| by_price(cfg, s)).collect(),
+            stopped: vec![false; cfg.versions.len()],
+        }
+    }
+
+    /// The versions of all models of a service, cheapest first.
+    pub(crate) fn of(&self, service: ServiceKey) -> &[VersionKey] {
+        &self.by_price[service.index()]
+    }
+
+    pub(crate) fn is_stopped(&self, version: VersionKey) -> bool {
+        self.stopped[version.index()]
+    }
+
+    pub(crate) fn set_stopped(&mut self, version: VersionKey, stopped: bool) {
+        if let Some(entry) = self.stopped.get_mut(version.index()) {
+            *entry = stopped;
+        }
+    }
+
+    /// Whether a version may serve this request now, by its state, its stop and the customer.
+    ///
+    /// Every path that sends a request asks here: first choice, cascade, retry, turn from the
+    /// queue and session.
+    pub(crate) fn permits(&self, cfg: &Config, ask: &Ask, version: VersionKey) -> bool {
+        let Some(item) = cfg.versions.get(version) else {
+            return false;
+        };
+        let work = match ask.session {
+            Session::Pinned { .. } => Work::Pinned,
+            Session::None | Session::Opens => Work::New,
+        };
+        admits(item.state, self.is_stopped(version), work)
+            && cfg.allows(ask.customer, version)
+            && self.of(ask.service).contains(&version)
+    }
+
+    /// Versions in state `serving` that may serve this new request, cheapest first.
+    pub(crate) fn serving(&self, cfg: &Config, ask: &Ask) -> Versions {
+        self.of(ask.service)
+            .iter()
+            .copied()
+            .filter(|&v| cfg.versions[v].state == VersionState::Serving)
+            .filter(|&v| !self.is_stopped(v) && cfg.allows(ask.customer, v))
+            .collect()
+    }
+
+    /// The canary whose share the request falls into, if any.
+    ///
+    /// With `instead_of`, only canaries of that version's model are looked at, since a share is a
+    /// share of its model's new work.
+    pub(crate) fn canary(
+        &self,
+        cfg: &Config,
+        ask: &Ask,
+        instead_of: Option<VersionKey>,
+    ) -> Option<VersionKey> {
+        let model = instead_of.map(|v| cfg.versions[v].model);
+        let mut bands: SmallVec<[(oatdale_config::ModelKey, f64); 4]> = SmallVec::new();
+        for &version in self.of(ask.service) {
+            let item = &cfg.versions[version];
+            let VersionState::Canary { share } = item.state else {
+                continue;
+            };
+            if model.is_some_and(|m| m != item.model) {
+                continue;
+            }
+            let used = bands.iter().find(|(m, _)| *m == item.model);
+            let from = used.map_or(0.0, |(_, to)| *to);
+            bands.retain(|(m, _)| *m != item.model);
+            bands.push((item.model, from + share));
+            let place = place(ask.draw, item.model.index());
+            let inside = place >= from && place < from + share;
+            if inside && self.permits(cfg, ask, version) {
+                return Some(version);
+            }
+        }
+        None
+    }
+
+    /// Whether every customer keeps a serving version for each service if this one is stopped.
+    ///
+    /// Stopping a customer's last version would turn some bad answers into none at all. A canary
+    /// is stopped in any case: it was never meant to carry its model alone.
+    pub(crate) fn can_do_without(&self, cfg: &Config, version: VersionKey) -> bool {
+        if let VersionState::Canary { .. } = cfg.versions[version].state {
+            return true;
+        }
+        cfg.customers
+            .keys()
+            .filter(|&customer| cfg.allows(customer, version))
+            .all(|customer| self.customer_can_do_without(cfg, customer, version))
+    }
+
+    fn customer_can_do_without(
+        &self,
+        cfg: &Config,
+        customer: CustomerKey,
+        version: VersionKey,
+    ) -> bool {
+        let is_other = |v: VersionKey| {
+            let serves = cfg.versions[v].state == VersionState::Serving;
+            v != version && serves && !self.is_stopped(v) && cfg.allows(customer, v)
+        };
+        cfg.customers[customer]
+            .services
+            .iter()
+            .map(|&service| self.of(service))
+            .filter(|versions| versions.contains(&version))
+            .all(|versions| versions.iter().any(|&v| is_other(v)))
+    }
+
+    /// The version of a pinned request.
+    ///
+    /// # Errors
+    ///
+    /// Says why the session can't go on.
+    pub(crate) fn pinned(
+        &self,
+        cfg: &Config,
+        ask: &Ask,
+        version: VersionKey,
+    ) -> Result<Plan, RefusalReason> {
+        let state = cfg.versions.get(version).map(|v| v.state);
+        match state {
+            Some(VersionState::Withdrawn) => Err(RefusalReason::SessionVersionWithdrawn),
+            Some(_) if self.permits(cfg, ask, version) => {
+                Ok(Plan::single(version, VersionReason::Pinned))
+            }
+            Some(_) | None => Err(RefusalReason::NoVersion),
+        }
+    }
+}
+
+/// The place of a request in its model's shares, from 0 to 1.
+fn place(draw: u64, model: usize) -> f64 {
+    let spread = mix(draw ^ mix(model as u64));
+    (spread >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+fn by_price(cfg: &Config, service: ServiceKey) -> Versions {
+    let ServiceKind::Model { models, .. } = &cfg.services[service].kind else {
+        return Versions::new();
+    };
+    let mut versions: Versions = models
+        .iter()
+        .flat_map(|&m| cfg.models[m].versions.iter().copied())
+        .collect();
+    let price = |v: VersionKey| cfg.versions[v].price.input + cfg.versions[v].price.output;
+    versions.sort_by(|&a, &b| price(a).total_cmp(&price(b)).then(a.cmp(&b)));
+    versions
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/endpoint.rs
@@ -0,0 +1,136 @@
+//! What this node knows of one endpoint.
+
+use crate::request::LoadReport;
+use oatdale_config::VersionKey;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// How many changes of the own load are kept to correct lagging reports.
+const HISTORY: usize = 64;
+
+/// Failures in a row after which an endpoint is left alone for a while.
+const TOLERATED: u32 = 2;
+
+/// The first pause after failures; each further failure doubles it.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_secs(16);
+
+/// The weight of a new answer in the moving averages.
+const WEIGHT: f64 = 0.2;
+
+/// Load, health and pace of one endpoint, as far as this node has seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointState {
+    /// Takes nothing new.
+    pub(crate) leaving: bool,
+    /// Versions it reports as loaded; `None` trusts the configuration.
+    pub(crate) holds: Option<Vec<VersionKey>>,
+    /// Requests of this node that run there.
+    pub(crate) running: u32,
+    /// Requests of other nodes, worked out from the last report.
+    others: f64,
+    /// Whether the last report told of requests waiting there.
+    pub(crate) queued: bool,
+    history: VecDeque<(Duration, u32)>,
+    failures: u32,
+    paused_until: Duration,
+    failure_share: f64,
+    pace: Option<f64>,
+}
+
+impl EndpointState {
+    /// Whether it may get one more request now.
+    pub(crate) fn is_fit(&self, now: Duration, concurrency: u32) -> bool {
+        self.is_live(now) && self.load() + 1.0 <= f64::from(concurrency)
+    }
+
+    /// Whether it is worth asking at all; after a pause a single request tries it.
+    pub(crate) fn is_live(&self, now: Duration) -> bool {
+        !self.leaving
+            && match self.failures {
+                failures if failures <= TOLERATED => true,
+                _ => now >= self.paused_until && self.running == 0,
+            }
+    }
+
+    /// When its pause after failures ends, if it is in one.
+    pub(crate) fn pause_end(&self, now: Duration) -> Option<Duration> {
+        let paused = !self.leaving && self.failures > TOLERATED && now < self.paused_until;
+        paused.then_some(self.paused_until)
+    }
+
+    /// Requests that it runs, by its last report and what this node did since.
+    pub(crate) fn load(&self) -> f64 {
+        self.others + f64::from(self.running)
+    }
+
+    /// The expected time to the first byte of one more request, in seconds of no fixed scale.
+    ///
+    /// `usual` stands in for an endpoint that has not answered yet.
+    pub(crate) fn score(&self, concurrency: u32, usual: f64) -> f64 {
+        let crowding = 1.0 + self.load() / f64::from(concurrency.max(1));
+        let pace = self.pace.unwrap_or(usual);
+        let failing = 1.0 + 10.0 * self.failure_share;
+        pace * crowding * failing
+    }
+
+    /// Notes that this node sent it a request.
+    pub(crate) fn sent(&mut self, now: Duration) {
+        self.running += 1;
+        self.remember(now);
+    }
+
+    /// Notes that one of this node's requests is over there.
+    pub(crate) fn over(&mut self, now: Duration) {
+        self.running = self.running.saturating_sub(1);
+        self.remember(now);
+    }
+
+    /// Notes an answer and how its time to the first byte compares to the usual one.
+    pub(crate) fn answered(&mut self, relative: Option<f64>) {
+        self.failures = 0;
+        self.failure_share *= 1.0 - WEIGHT;
+        if let Some(relative) = relative {
+            let old = self.pace.unwrap_or(relative);
+            self.pace = Some(old + WEIGHT * (relative - old));
+        }
+    }
+
+    /// Notes a failure.
+    pub(crate) fn failed(&mut self, now: Duration) {
+        self.failures += 1;
+        self.failure_share += WEIGHT * (1.0 - self.failure_share);
+        let doublings = self.failures.saturating_sub(TOLERATED + 1).min(8);
+        self.paused_until = now + (PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+    }
+
+    /// Takes in a report, less what this node itself had there when the report was made.
+    ///
+    /// A report that counted this node's own requests twice, or requests that have ended since,
+    /// would make each node flee and return to an endpoint in step with the reports.
+    pub(crate) fn report(&mut self, now: Duration, report: LoadReport) {
+        let made = now.saturating_sub(report.age);
+        let own = self.running_at(made);
+        let total = f64::from(report.running + report.waiting);
+        self.others = (total - f64::from(own)).max(0.0);
+        self.queued = report.waiting > 0;
+    }
+
+    fn running_at(&self, time: Duration) -> u32 {
+        let later = self.history.iter().rev().find(|(at, _)| *at <= time);
+        match (later, self.history.front()) {
+            (Some(&(_, running)), _) => running,
+            (None, Some(_)) => 0,
+            (None, None) => self.running,
+        }
+    }
+
+    fn remember(&mut self, now: Duration) {
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((now, self.running));
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/endpoints.rs
@@ -0,0 +1,253 @@
+//! Choice of an endpoint among the few that this node uses for a pool and version.
+
+use crate::endpoint::EndpointState;
+use crate::request::EndpointReason;
+use oatdale_config::{Config, DomainKey, EndpointKey, Key, PoolKey, VersionKey};
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// How many endpoints a node uses for one pool and version.
+///
+/// The fleet may have thousands; a node that spoke to each would hold a connection and a view of
+/// load for each, and would hear of each too rarely to judge it.
+pub(crate) const SUBSET: usize = 64;
+
+/// An endpoint chosen by its prefix cache may be this much worse than the other choice.
+const AFFINITY_SLACK: f64 = 2.0;
+
+/// What a choice has to heed.
+#[derive(Clone, Copy)]
+pub(crate) struct Wish<'a> {
+    pub(crate) pool: PoolKey,
+    pub(crate) version: Option<VersionKey>,
+    /// A hash of the prompt's beginning, if its cache may help.
+    pub(crate) prefix: Option<u64>,
+    /// Endpoints that have failed this request.
+    pub(crate) tried: &'a [EndpointKey],
+}
+
+/// A chosen endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pick {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) why: EndpointReason,
+    pub(crate) considered: u16,
+}
+
+/// All endpoints of the configuration and the subsets that this node uses.
+pub(crate) struct Endpoints {
+    pub(crate) states: Vec<EndpointState>,
+    subsets: Vec<Vec<EndpointKey>>,
+    versions: usize,
+    pub(crate) domain: Option<DomainKey>,
+    pub(crate) seed: u64,
+}
+
+impl Endpoints {
+    pub(crate) fn new(cfg: &Config, domain: Option<DomainKey>, seed: u64) -> Self {
+        let mut endpoints = Endpoints {
+            states: vec![EndpointState::default(); cfg.endpoints.len()],
+            subsets: Vec::new(),
+            versions: cfg.versions.len(),
+            domain,
+            seed,
+        };
+        endpoints.rebuild(cfg);
+        endpoints
+    }
+
+    /// Works the subsets out anew after the configuration or an engine's versions changed.
+    pub(crate) fn rebuild(&mut self, cfg: &Config) {
+        self.versions = cfg.versions.len();
+        let mut subsets = vec![Vec::new(); cfg.pools.len() * (self.versions + 1)];
+        for (pool, item) in cfg.pools.iter() {
+            let base = pool.index() * (self.versions + 1);
+            subsets[base] = self.subset(cfg, &item.endpoints);
+            for version in cfg.versions.keys() {
+                let holders: Vec<_> = item
+                    .endpoints
+                    .iter()
+                    .copied()
+                    .filter(|&e| self.holds(cfg, e, version))
+                    .collect();
+                subsets[base + 1 + version.index()] = self.subset(cfg, &holders);
+            }
+        }
+        self.subsets = subsets;
+    }
+
+    /// The endpoints that this node uses for a pool and version; all versions for `None`.
+    pub(crate) fn used(&self, pool: PoolKey, version: Option<VersionKey>) -> &[EndpointKey] {
+        let offset = version.map_or(0, |v| v.index() + 1);
+        let at = pool.index() * (self.versions + 1) + offset;
+        self.subsets.get(at).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether any endpoint of the pool that holds the version is worth asking.
+    pub(crate) fn any_live(
+        &self,
+        now: Duration,
+        pool: PoolKey,
+        version: Option<VersionKey>,
+    ) -> bool {
+        self.used(pool, version)
+            .iter()
+            .any(|e| self.states[e.index()].is_live(now))
+    }
+
+    /// The earliest end of a pause after failures.
+    pub(crate) fn next_pause_end(&self, now: Duration, pool: PoolKey) -> Option<Duration> {
+        self.used(pool, None)
+            .iter()
+            .filter_map(|e| self.states[e.index()].pause_end(now))
+            .min()
+    }
+
+    /// Chooses an endpoint that has room, if there is one.
+    ///
+    /// The request's prefix names a home among the fit endpoints. Otherwise the better of two
+    /// drawn at random is taken, in the node's own failure domain while that has room: with
+    /// lagging reports, all nodes that took the least loaded would rush to the same one.
+    pub(crate) fn pick(
+        &self,
+        now: Duration,
+        cfg: &Config,
+        wish: Wish<'_>,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<Pick> {
+        let used = self.used(wish.pool, wish.version);
+        let mut fit: SmallVec<[EndpointKey; SUBSET]> = SmallVec::new();
+        let mut near: SmallVec<[EndpointKey; SUBSET]> = SmallVec::new();
+        for &e in used {
+            let endpoint = &cfg.endpoints[e];
+            let is_fit = self.states[e.index()].is_fit(now, endpoint.concurrency);
+            if !is_fit || wish.tried.contains(&e) {
+                continue;
+            }
+            fit.push(e);
+            if Some(endpoint.domain) == self.domain {
+                near.push(e);
+            }
+        }
+        let considered = fit.len() as u16;
+        let failed_in = wish.tried.last().map(|e| cfg.endpoints[*e].domain);
+        let elsewhere: SmallVec<[EndpointKey; SUBSET]> = fit
+            .iter()
+            .copied()
+            .filter(|&e| Some(cfg.endpoints[e].domain) != failed_in)
+            .collect();
+        let (from, why): (&[EndpointKey], _) = match () {
+            () if fit.is_empty() => return None,
+            () if fit.len() == 1 => (&fit, EndpointReason::Only),
+            () if failed_in.is_some() && !elsewhere.is_empty() => {
+                (&elsewhere, EndpointReason::Retry)
+            }
+            () if failed_in.is_some() => (&fit, EndpointReason::Retry),
+            () if !near.is_empty() => (&near, EndpointReason::OwnDomain),
+            () => (&fit, EndpointReason::Spill),
+        };
+        let chosen = self.better_of_two(cfg, from, rng);
+        let home = wish.prefix.and_then(|p| self.home(cfg, &fit, p, chosen));
+        let (endpoint, why) = home.map_or((chosen, why), |e| (e, EndpointReason::Prefix));
+        Some(Pick {
+            endpoint,
+            why,
+            considered,
+        })
+    }
+
+    /// The live endpoint with the best score, whether or not it has room.
+    pub(crate) fn least_loaded(
+        &self,
+        now: Duration,
+        cfg: &Config,
+        pool: PoolKey,
+        version: Option<VersionKey>,
+        tried: &[EndpointKey],
+    ) -> Option<Pick> {
+        let live = self
+            .used(pool, version)
+            .iter()
+            .copied()
+            .filter(|e| !tried.contains(e) && self.states[e.index()].is_live(now));
+        let considered = live.clone().count() as u16;
+        let endpoint = live.min_by(|&a, &b| self.score(cfg, a).total_cmp(&self.score(cfg, b)))?;
+        Some(Pick {
+            endpoint,
+            why: EndpointReason::Spill,
+            considered,
+        })
+    }
+
+    fn better_of_two(&self, cfg: &Config, from: &[EndpointKey], rng: &mut Pcg64Mcg) -> EndpointKey {
+        let draw = rng.next_u64();
+        let n = from.len() as u64;
+        let first = (draw & 0xffff_ffff) % n;
+        let a = from[first as usize];
+        if n == 1 {
+            return a;
+        }
+        let b = from[((first + 1 + (draw >> 32) % (n - 1)) % n) as usize];
+        match self.score(cfg, a) <= self.score(cfg, b) {
+            true => a,
+            false => b,
+        }
+    }
+
+    /// The endpoint that requests of this prefix go to, unless it is much worse than `other`.
+    fn home(
+        &self,
+        cfg: &Config,
+        fit: &[EndpointKey],
+        prefix: u64,
+        other: EndpointKey,
+    ) -> Option<EndpointKey> {
+        let home = fit
+            .iter()
+            .copied()
+            .max_by_key(|e| mix(prefix ^ mix(e.index() as u64 + 1)))?;
+        let bound = AFFINITY_SLACK * self.score(cfg, other);
+        (self.score(cfg, home) <= bound).then_some(home)
+    }
+
+    fn score(&self, cfg: &Config, e: EndpointKey) -> f64 {
+        self.states[e.index()].score(cfg.endpoints[e].concurrency, 1.0)
+    }
+
+    fn holds(&self, cfg: &Config, e: EndpointKey, version: VersionKey) -> bool {
+        match &self.states[e.index()].holds {
+            Some(versions) => versions.contains(&version),
+            None => cfg.endpoints[e].versions.contains(&version),
+        }
+    }
+
+    /// Rendezvous hashing: an endpoint that comes or goes changes one place of the subset.
+    fn subset(&self, cfg: &Config, from: &[EndpointKey]) -> Vec<EndpointKey> {
+        let mut ranked: Vec<_> = from
+            .iter()
+            .map(|&e| (mix(self.seed ^ name_hash(&cfg.endpoints[e].name)), e))
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(SUBSET);
+        let mut subset: Vec<_> = ranked.into_iter().map(|(_, e)| e).collect();
+        subset.sort_unstable();
+        subset
+    }
+}
+
+/// Spreads a number over all 64 bits (the finishing step of splitmix64).
+pub(crate) fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// FNV-1a, so that an endpoint keeps its place when the text's order changes.
+fn name_hash(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/oatdale-policy/src/lib.rs
+++ b/crates/oatdale-policy/src/lib.rs
@@ -3,9 +3,29 @@
 //! Times are [`Duration`](std::time::Duration)s since the node's start and come in as arguments,
 //! as does randomness by a seed, so that the same calls give the same decisions.
 
+mod average;
+mod bucket;
+mod budget;
+mod choice;
+mod endpoint;
+mod endpoints;
+mod evidence;
+mod limit;
+mod queue;
+mod rekey;
 mod request;
+mod router;
+mod state;
+mod tickets;
+mod trial;
+mod version_rule;
 
+pub use crate::evidence::VersionCounters;
 pub use crate::request::{
-    Ask, AttemptResult, Dispatch, EndpointReason, LoadReport, Next, Offer, Outcome, Refusal,
-    RefusalReason, Session, Ticket, VersionReason,
+    Ask, AttemptResult, Dispatch, EndpointReason, LoadReport, Next, Offer, Outcome, Place,
+    PoolGauges, Refusal, RefusalReason, ServiceGauges, Session, Snapshot, Ticket, Turn,
+    VersionReason,
 };
+pub use crate::router::Router;
+pub use crate::trial::{Fault, StopDecision};
+pub use crate::version_rule::{Work, admits, stop_holds};
--- /dev/null
+++ b/crates/oatdale-policy/src/limit.rs
@@ -0,0 +1,62 @@
+//! An adaptive limit of the requests that this node has under way at one pool.
+
+use std::time::Duration;
+
+/// What a congested answer leaves of the limit.
+const DECREASE: f64 = 0.9;
+
+/// The least time between two decreases, so that one burst of bad news counts once.
+const DECREASE_EVERY: Duration = Duration::from_millis(250);
+
+/// The limit never falls below this.
+const FLOOR: f64 = 2.0;
+
+/// Additive increase, multiplicative decrease between a floor and what the endpoints can run.
+///
+/// Several nodes share a pool and none knows what the others send. Without this limit each would
+/// fill the whole pool by itself and requests would queue at the endpoints, where no fair queue
+/// orders them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limit {
+    limit: f64,
+    ceiling: f64,
+    decreased: Option<Duration>,
+}
+
+impl Limit {
+    pub(crate) fn new(ceiling: f64) -> Self {
+        Limit {
+            limit: ceiling,
+            ceiling,
+            decreased: None,
+        }
+    }
+
+    /// The present limit in requests.
+    pub(crate) fn get(&self) -> f64 {
+        self.limit
+    }
+
+    /// Takes in what the endpoints can run now.
+    pub(crate) fn set_ceiling(&mut self, ceiling: f64) {
+        let ceiling = ceiling.max(FLOOR);
+        if self.ceiling > 0.0 {
+            self.limit *= ceiling / self.ceiling;
+        }
+        self.ceiling = ceiling;
+        self.limit = self.limit.clamp(FLOOR, ceiling);
+    }
+
+    /// Takes in one answer; `full` says whether the limit was in use.
+    pub(crate) fn observe(&mut self, now: Duration, congested: bool, full: bool) {
+        let recently = self.decreased.is_some_and(|at| now < at + DECREASE_EVERY);
+        match congested {
+            true if !recently => {
+                self.limit = (self.limit * DECREASE).max(FLOOR);
+                self.decreased = Some(now);
+            }
+            false if full => self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/queue.rs
@@ -0,0 +1,111 @@
+//! Weighted fair queueing by virtual time.
+
+use crate::request::Ticket;
+use std::collections::VecDeque;
+
+/// One waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    /// The request.
+    pub(crate) ticket: Ticket,
+    /// Goes before lower values within one flow; arrival order among equals.
+    pub(crate) priority: u32,
+    /// What it will use, in any unit that all requests share.
+    pub(crate) cost: f64,
+}
+
+/// Flows that share one resource in proportion to their weights.
+///
+/// A flow that becomes busy starts at the present virtual time: it neither saves up credit while
+/// idle nor pays for the past.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairQueue {
+    flows: Vec<Flow>,
+    busy: Vec<usize>,
+    now: f64,
+    len: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    virtual_time: f64,
+    waiting: VecDeque<Waiting>,
+}
+
+impl FairQueue {
+    /// How many requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// How many requests of one flow wait.
+    pub(crate) fn flow_len(&self, flow: usize) -> usize {
+        self.flows.get(flow).map_or(0, |f| f.waiting.len())
+    }
+
+    /// Adds a request to a flow.
+    pub(crate) fn push(&mut self, flow: usize, item: Waiting) {
+        if self.flows.len() <= flow {
+            self.flows.resize_with(flow + 1, Flow::default);
+        }
+        let entry = &mut self.flows[flow];
+        if entry.waiting.is_empty() {
+            entry.virtual_time = entry.virtual_time.max(self.now);
+            self.busy.push(flow);
+        }
+        let behind = entry
+            .waiting
+            .iter()
+            .rev()
+            .take_while(|w| w.priority < item.priority)
+            .count();
+        let at = entry.waiting.len() - behind;
+        entry.waiting.insert(at, item);
+        self.len += 1;
+    }
+
+    /// The flows with a request waiting, least virtual time first.
+    pub(crate) fn order(&self) -> smallvec::SmallVec<[usize; 16]> {
+        let mut order: smallvec::SmallVec<[usize; 16]> = smallvec::SmallVec::from_slice(&self.busy);
+        order.sort_unstable_by(|&a, &b| {
+            let (x, y) = (&self.flows[a], &self.flows[b]);
+            x.virtual_time.total_cmp(&y.virtual_time).then(a.cmp(&b))
+        });
+        order
+    }
+
+    /// The next request of a flow.
+    pub(crate) fn head(&self, flow: usize) -> Option<Waiting> {
+        self.flows.get(flow)?.waiting.front().copied()
+    }
+
+    /// Takes the next request of a flow and charges the flow for it.
+    pub(crate) fn pop(&mut self, flow: usize, weight: f64) -> Option<Waiting> {
+        let entry = self.flows.get_mut(flow)?;
+        let item = entry.waiting.pop_front()?;
+        self.now = self.now.max(entry.virtual_time);
+        entry.virtual_time += item.cost / weight.max(1e-3);
+        self.len -= 1;
+        self.settle(flow);
+        Some(item)
+    }
+
+    /// Drops a request that waits no longer.
+    pub(crate) fn remove(&mut self, flow: usize, ticket: Ticket) {
+        let Some(entry) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let Some(at) = entry.waiting.iter().position(|w| w.ticket == ticket) else {
+            return;
+        };
+        entry.waiting.remove(at);
+        self.len -= 1;
+        self.settle(flow);
+    }
+
+    fn settle(&mut self, flow: usize) {
+        if self.flows[flow].waiting.is_empty() {
+            self.busy.retain(|&f| f != flow);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/rekey.rs
@@ -0,0 +1,75 @@
+//! Finds each item of one configuration in the next one by its name.
+
+use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
+use std::collections::HashMap;
+
+/// Where the items of an old configuration are in a new one.
+pub(crate) struct Rekey {
+    customers: Vec<Option<CustomerKey>>,
+    services: Vec<Option<ServiceKey>>,
+    versions: Vec<Option<VersionKey>>,
+    endpoints: Vec<Option<EndpointKey>>,
+    domains: Vec<Option<DomainKey>>,
+}
+
+impl Rekey {
+    pub(crate) fn new(old: &Config, new: &Config) -> Self {
+        Rekey {
+            customers: map(
+                old.customers.iter().map(|(_, c)| c.name.clone()),
+                new.customers.iter().map(|(k, c)| (c.name.clone(), k)),
+            ),
+            services: map(
+                old.services.iter().map(|(_, s)| s.name.clone()),
+                new.services.iter().map(|(k, s)| (s.name.clone(), k)),
+            ),
+            versions: map(
+                old.versions.keys().map(|k| old.version_name(k)),
+                new.versions.keys().map(|k| (new.version_name(k), k)),
+            ),
+            endpoints: map(
+                old.endpoints.keys().map(|k| endpoint_name(old, k)),
+                new.endpoints.keys().map(|k| (endpoint_name(new, k), k)),
+            ),
+            domains: map(
+                old.domains.iter().map(|(_, d)| d.name.clone()),
+                new.domains.iter().map(|(k, d)| (d.name.clone(), k)),
+            ),
+        }
+    }
+
+    pub(crate) fn customer(&self, old: CustomerKey) -> Option<CustomerKey> {
+        self.customers.get(old.index()).copied().flatten()
+    }
+
+    pub(crate) fn service(&self, old: ServiceKey) -> Option<ServiceKey> {
+        self.services.get(old.index()).copied().flatten()
+    }
+
+    pub(crate) fn version(&self, old: VersionKey) -> Option<VersionKey> {
+        self.versions.get(old.index()).copied().flatten()
+    }
+
+    pub(crate) fn endpoint(&self, old: EndpointKey) -> Option<EndpointKey> {
+        self.endpoints.get(old.index()).copied().flatten()
+    }
+
+    pub(crate) fn domain(&self, old: DomainKey) -> Option<DomainKey> {
+        self.domains.get(old.index()).copied().flatten()
+    }
+}
+
+/// The address belongs to the name: an endpoint that moved is a new one with its own pace.
+fn endpoint_name(cfg: &Config, key: EndpointKey) -> (String, String, std::net::SocketAddr) {
+    let endpoint = &cfg.endpoints[key];
+    let pool = cfg.pools[endpoint.pool].name.clone();
+    (pool, endpoint.name.clone(), endpoint.address)
+}
+
+fn map<N: Eq + std::hash::Hash, K: Copy>(
+    old: impl Iterator<Item = N>,
+    new: impl Iterator<Item = (N, K)>,
+) -> Vec<Option<K>> {
+    let new: HashMap<N, K> = new.collect();
+    old.map(|name| new.get(&name).copied()).collect()
+}
--- a/crates/oatdale-policy/src/request.rs
+++ b/crates/oatdale-policy/src/request.rs
@@ -1,6 +1,6 @@
 //! What the router is told of a request and what it answers.
 
-use oatdale_config::{CustomerKey, EndpointKey, ServiceKey, VersionKey};
+use oatdale_config::{CustomerKey, DomainKey, EndpointKey, PoolKey, ServiceKey, VersionKey};
 use std::time::Duration;
 
 /// A request as the router sees it.
@@ -213,3 +213,52 @@
     /// How old the report was when it arrived.
     pub age: Duration,
 }
+
+/// What became of a waiting request.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Turn {
+    /// Send it now.
+    Run(Dispatch),
+    /// Give the caller its final answer now.
+    Refuse(Refusal),
+}
+
+/// Where the node stands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Place {
+    /// The node's own failure domain, if the text names it.
+    pub domain: Option<DomainKey>,
+    /// Decides every random draw and which endpoints the node uses; each node has its own.
+    pub seed: u64,
+}
+
+/// Gauges for the metrics.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Snapshot {
+    /// One entry for each service, in the order of the text.
+    pub services: Vec<ServiceGauges>,
+    /// One entry for each pool, in the order of the text.
+    pub pools: Vec<PoolGauges>,
+}
+
+/// What a service does at the moment.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct ServiceGauges {
+    /// The service.
+    pub service: ServiceKey,
+    /// Requests that wait for their turn.
+    pub waiting: usize,
+    /// Attempts under way.
+    pub running: u32,
+}
+
+/// What a pool does at the moment.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct PoolGauges {
+    /// The pool.
+    pub pool: PoolKey,
+    /// Attempts under way.
+    pub running: u32,
+    /// Attempts that may be under way at once.
+    pub limit: f64,
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/router.rs
@@ -0,0 +1,239 @@
+//! The router: one node's decisions, each a function of what it was told and when.
+
+mod finish;
+mod offer;
+mod reconfigure;
+mod start;
+mod turn;
+
+use crate::choice::Catalogue;
+use crate::endpoints::Endpoints;
+use crate::evidence::{Evidence, VersionCounters};
+use crate::request::{
+    Ask, LoadReport, Place, PoolGauges, Refusal, RefusalReason, ServiceGauges, Session, Snapshot,
+    Ticket, VersionReason,
+};
+use crate::state::{CustomerState, PoolState, Request, ServiceState};
+use crate::tickets::Tickets;
+use crate::trial::{StopDecision, Trials};
+use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a request may wait at most before the router looks at the queues again by itself.
+const RECHECK: Duration = Duration::from_millis(500);
+
+/// One node's decisions.
+///
+/// All times are since the node's start and must not fall from call to call. Keys in questions
+/// and answers are those of the configuration that is in force at the call.
+///
+/// After every [`Router::finish`], [`Router::cancel`], [`Router::observe_load`] and
+/// [`Router::reconfigure`], and at [`Router::next_wake`], the node calls [`Router::next_turn`]
+/// until it returns `None`.
+pub struct Router {
+    cfg: Arc<Config>,
+    now: Duration,
+    rng: Pcg64Mcg,
+    requests: Tickets<Request>,
+    arrivals: u64,
+    /// Waiting requests by the time at which they are given up.
+    give_ups: BTreeSet<(Duration, Ticket)>,
+    services: Vec<ServiceState>,
+    pools: Vec<PoolState>,
+    customers: Vec<CustomerState>,
+    endpoints: Endpoints,
+    catalogue: Catalogue,
+    evidence: Evidence,
+    trials: Trials,
+}
+
+impl Router {
+    /// A router that has seen nothing yet.
+    pub fn new(cfg: Arc<Config>, place: Place) -> Self {
+        let now = Duration::ZERO;
+        let mut router = Router {
+            now,
+            rng: Pcg64Mcg::seed_from_u64(place.seed),
+            requests: Tickets::new(),
+            arrivals: 0,
+            give_ups: BTreeSet::new(),
+            services: cfg
+                .services
+                .keys()
+                .map(|_| ServiceState::new(now))
+                .collect(),
+            pools: Vec::new(),
+            customers: cfg
+                .customers
+                .iter()
+                .map(|(_, c)| CustomerState::new(now, c.limits.requests_per_second))
+                .collect(),
+            endpoints: Endpoints::new(&cfg, place.domain, place.seed),
+            catalogue: Catalogue::new(&cfg),
+            evidence: Evidence::new(cfg.versions.keys()),
+            trials: Trials::new(&cfg),
+            cfg,
+        };
+        router.pools = router.new_pools();
+        router
+    }
+
+    /// Which version a session that is opened now, before any prompt, keeps.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if the customer may not call the service or no version takes new work. A plain
+    /// service has no versions and refuses too.
+    pub fn open_session(
+        &mut self,
+        now: Duration,
+        customer: CustomerKey,
+        service: ServiceKey,
+        draw: u64,
+    ) -> Result<(VersionKey, VersionReason), Refusal> {
+        self.now = self.now.max(now);
+        let ask = Ask {
+            customer,
+            service,
+            idempotent: true,
+            session: Session::Opens,
+            deadline: Duration::MAX,
+            input_tokens: 0,
+            output_tokens: 0,
+            prefix: 0,
+            draw,
+            stream: false,
+            class: 0,
+        };
+        let refused = |reason| Refusal {
+            reason,
+            retry_after: None,
+        };
+        self.check_names(&ask).map_err(refused)?;
+        let plans = self.plans(&ask).map_err(refused)?;
+        let first = plans.first().and_then(|p| Some((*p.steps.first()?, p.why)));
+        first.ok_or(refused(RefusalReason::NoVersion))
+    }
+
+    /// Takes in an engine's report of its load.
+    pub fn observe_load(&mut self, now: Duration, endpoint: EndpointKey, report: LoadReport) {
+        self.now = self.now.max(now);
+        if let Some(state) = self.endpoints.states.get_mut(endpoint.index()) {
+            state.report(now, report);
+        }
+    }
+
+    /// Takes in a late rating, 0 to 1, of an answer that had not been held back for it.
+    pub fn observe_rating(
+        &mut self,
+        now: Duration,
+        service: ServiceKey,
+        class: u8,
+        version: VersionKey,
+        rating: f64,
+    ) {
+        self.now = self.now.max(now);
+        self.learn_rating(service, class, version, false, rating);
+    }
+
+    /// Notes that an endpoint leaves, so that it gets nothing new, or that it is back.
+    pub fn endpoint_leaving(&mut self, now: Duration, endpoint: EndpointKey, leaving: bool) {
+        self.now = self.now.max(now);
+        if let Some(state) = self.endpoints.states.get_mut(endpoint.index()) {
+            state.leaving = leaving;
+        }
+        self.fit_limits();
+    }
+
+    /// Notes which versions an engine reports as loaded; `None` trusts the configuration.
+    pub fn endpoint_holds(&mut self, endpoint: EndpointKey, versions: Option<Vec<VersionKey>>) {
+        let Some(state) = self.endpoints.states.get_mut(endpoint.index()) else {
+            return;
+        };
+        if state.holds != versions {
+            state.holds = versions;
+            self.endpoints.rebuild(&self.cfg);
+        }
+    }
+
+    /// Sets this node's share, from 0 to 1, of a customer's limits.
+    pub fn set_share(&mut self, customer: CustomerKey, share: f64) {
+        if let Some(state) = self.customers.get_mut(customer.index()) {
+            state.share = share.clamp(0.0, 1.0);
+        }
+    }
+
+    /// Sets the node's own failure domain, once the text names it or no longer does.
+    pub fn set_domain(&mut self, domain: Option<DomainKey>) {
+        self.endpoints.domain = domain;
+    }
+
+    /// Each customer's demand at this node in requests a second, refused ones included.
+    pub fn demand(&self, now: Duration) -> impl Iterator<Item = (CustomerKey, f64)> {
+        self.cfg
+            .customers
+            .keys()
+            .zip(&self.customers)
+            .map(move |(key, state)| (key, state.demand.get(now)))
+    }
+
+    /// This node's own counts of how versions behave; none ever falls.
+    pub fn evidence(&self) -> Vec<VersionCounters> {
+        self.evidence.own().to_vec()
+    }
+
+    /// Takes in another node's counts; an older or repeated report changes nothing.
+    ///
+    /// `node` names one incarnation of a node, since a node that starts again counts from 0.
+    pub fn merge_evidence(&mut self, node: u64, counters: &[VersionCounters]) {
+        self.evidence.merge(node, counters);
+    }
+
+    /// Sets whether a stop recorded beside the text keeps new work off a version.
+    pub fn set_stopped(&mut self, version: VersionKey, stopped: bool) {
+        if version.index() >= self.cfg.versions.len() {
+            return;
+        }
+        if self.catalogue.is_stopped(version) && !stopped {
+            self.trials.restart(version, &self.cfg, &self.evidence);
+        }
+        self.catalogue.set_stopped(version, stopped);
+    }
+
+    /// Versions found to be bad since the last call, already stopped here; the node records them.
+    pub fn take_stops(&mut self, now: Duration) -> Vec<StopDecision> {
+        self.now = self.now.max(now);
+        let (trials, catalogue) = (&mut self.trials, &self.catalogue);
+        let stops = trials.judge(&self.cfg, catalogue, &self.evidence);
+        for stop in &stops {
+            self.catalogue.set_stopped(stop.version, true);
+        }
+        stops
+    }
+
+    /// Gauges for the metrics.
+    pub fn snapshot(&self) -> Snapshot {
+        let services = self.cfg.services.keys().zip(&self.services);
+        let pools = self.cfg.pools.keys().zip(&self.pools);
+        Snapshot {
+            services: services
+                .map(|(service, state)| ServiceGauges {
+                    service,
+                    waiting: state.queue.len(),
+                    running: state.running,
+                })
+                .collect(),
+            pools: pools
+                .map(|(pool, state)| PoolGauges {
+                    pool,
+                    running: state.running,
+                    limit: state.limit.get(),
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -0,0 +1,246 @@
+//! The end of an attempt: what is learned, and whether another attempt follows.
+
+use super::Router;
+use crate::request::{Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Ticket};
+use crate::state::{Attempt, Stage};
+use oatdale_config::{Key, ServiceKey, VersionKey};
+use std::time::Duration;
+
+/// An answer is good enough from this rating on.
+pub(crate) const ACCEPTED: f64 = 0.5;
+
+/// Attempts of one request at most, escalations included.
+const MOST_ATTEMPTS: u16 = 4;
+
+/// An answer counts as slow from this multiple of the usual time to its first byte.
+const SLOW: f64 = 3.0;
+
+impl Router {
+    /// Takes in the end of an attempt and says what follows.
+    ///
+    /// A ticket that is over already is answered by [`Next::Done`].
+    pub fn finish(&mut self, now: Duration, ticket: Ticket, outcome: &Outcome) -> Next {
+        self.now = self.now.max(now);
+        let Some(request) = self.requests.get(ticket) else {
+            return Next::Done;
+        };
+        let Stage::Running(attempt) = request.stage else {
+            return Next::Done;
+        };
+        let (ask, void) = (request.ask, request.void);
+        if void {
+            self.forget(ticket);
+            return close(outcome);
+        }
+        self.count_end(&ask, attempt);
+        self.learn(&ask, attempt, outcome);
+        let next = self.follow(ticket, &ask, attempt, outcome);
+        if !matches!(next, Next::Run(_)) {
+            self.forget(ticket);
+        }
+        next
+    }
+
+    /// Forgets a request whose caller went away, whether it waits or runs.
+    pub fn cancel(&mut self, now: Duration, ticket: Ticket) {
+        self.now = self.now.max(now);
+        let Some(request) = self.requests.get(ticket) else {
+            return;
+        };
+        let (ask, stage, void) = (request.ask, request.stage, request.void);
+        match stage {
+            Stage::Waiting { .. } => self.unqueue(ticket),
+            Stage::Running(attempt) if !void => self.count_end(&ask, attempt),
+            Stage::Running(_) => {}
+        }
+        self.forget(ticket);
+    }
+
+    fn count_end(&mut self, ask: &Ask, attempt: Attempt) {
+        let now = self.now;
+        let pool = self.cfg.services[ask.service].pool;
+        let pool = &mut self.pools[pool.index()];
+        pool.running = pool.running.saturating_sub(1);
+        let service = &mut self.services[ask.service.index()];
+        service.set_running(now, service.running.saturating_sub(1));
+        if let Some(endpoint) = attempt.endpoint {
+            self.endpoints.states[endpoint.index()].over(now);
+        }
+    }
+
+    fn learn(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
+        let slow = self.learn_times(ask, outcome);
+        self.learn_endpoint(ask, attempt, outcome);
+        self.learn_version(ask, attempt, outcome, slow);
+    }
+
+    /// Takes in an answer's times; true if its first byte came late.
+    fn learn_times(&mut self, ask: &Ask, outcome: &Outcome) -> bool {
+        let service = &mut self.services[ask.service.index()];
+        let AttemptResult::Complete { .. } = outcome.result else {
+            return false;
+        };
+        service.pace.add(self.now);
+        service.total.add(outcome.total.as_secs_f64());
+        let Some(first_byte) = outcome.first_byte.map(|t| t.as_secs_f64()) else {
+            return false;
+        };
+        let usual = service.first_byte.get_or(first_byte);
+        service.first_byte.add(first_byte);
+        first_byte > SLOW * usual
+    }
+
+    fn learn_endpoint(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
+        let now = self.now;
+        let usual = self.services[ask.service.index()].first_byte.get_or(1.0);
+        let Some(key) = attempt.endpoint else { return };
+        let state = &mut self.endpoints.states[key.index()];
+        let queued = state.queued;
+        let mut congested = queued;
+        match outcome.result {
+            AttemptResult::Complete { .. } => {
+                let first_byte = outcome.first_byte.map(|t| t.as_secs_f64());
+                state.answered(first_byte.map(|t| t / usual.max(1e-6)));
+            }
+            AttemptResult::NotSent | AttemptResult::Broken => state.failed(now),
+            AttemptResult::TimedOut => {
+                state.failed(now);
+                congested = true;
+            }
+            AttemptResult::NotStarted { .. } => congested = true,
+            AttemptResult::Cancelled => return,
+        }
+        let pool = self.cfg.services[ask.service].pool;
+        let pool = &mut self.pools[pool.index()];
+        let full = f64::from(pool.running) + 1.0 >= 0.8 * pool.limit.get();
+        pool.limit.observe(now, congested, full);
+    }
+
+    fn learn_version(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome, slow: bool) {
+        let Some(version) = attempt.version else {
+            return;
+        };
+        match outcome.result {
+            AttemptResult::Complete { rating, .. } => {
+                self.evidence.record(version, |c| {
+                    c.requests += 1;
+                    c.slow += u64::from(slow);
+                });
+                if let Some(rating) = rating {
+                    self.learn_rating(ask.service, ask.class, version, false, rating);
+                }
+            }
+            AttemptResult::Broken | AttemptResult::TimedOut => {
+                self.evidence.record(version, |c| {
+                    c.requests += 1;
+                    c.errors += 1;
+                });
+            }
+            AttemptResult::NotSent
+            | AttemptResult::NotStarted { .. }
+            | AttemptResult::Cancelled => {}
+        }
+    }
+
+    /// Takes in a rating; `after` says that the request's answer before it was rejected.
+    pub(super) fn learn_rating(
+        &mut self,
+        _service: ServiceKey,
+        _class: u8,
+        version: VersionKey,
+        _after: bool,
+        rating: f64,
+    ) {
+        self.evidence.record(version, |c| {
+            c.rated += 1;
+            c.low += u64::from(rating < ACCEPTED);
+        });
+    }
+
+    fn follow(&mut self, ticket: Ticket, ask: &Ask, attempt: Attempt, outcome: &Outcome) -> Next {
+        let may_repeat = ask.idempotent && !outcome.forwarded;
+        match outcome.result {
+            AttemptResult::Cancelled => Next::Done,
+            AttemptResult::Complete {
+                rating: Some(rating),
+                ..
+            } if attempt.judge && may_repeat && rating < ACCEPTED => self.escalate(ticket, ask),
+            AttemptResult::Complete { .. } => Next::Done,
+            AttemptResult::NotSent => self.retry(ticket, ask, attempt, None),
+            AttemptResult::NotStarted { retry_after } => {
+                self.retry(ticket, ask, attempt, retry_after)
+            }
+            AttemptResult::Broken | AttemptResult::TimedOut if may_repeat => {
+                self.retry(ticket, ask, attempt, None)
+            }
+            AttemptResult::Broken | AttemptResult::TimedOut => refuse(None),
+        }
+    }
+
+    /// Goes on to the plan's next step that may still serve the request.
+    fn escalate(&mut self, ticket: Ticket, ask: &Ask) -> Next {
+        let Some(request) = self.requests.get(ticket) else {
+            return Next::Done;
+        };
+        if request.attempts >= MOST_ATTEMPTS || !self.has_time(ask.deadline, ask.service) {
+            return Next::Done;
+        }
+        let (plan, from, tried) = (request.plan.clone(), request.step, request.tried.clone());
+        for step in from + 1..plan.steps.len() {
+            let version = plan.steps[step];
+            if !self.catalogue.permits(&self.cfg, ask, version) {
+                continue;
+            }
+            if let Some(pick) = self.pick_crowded(ask, Some(version), &tried) {
+                return Next::Run(self.dispatch(ticket, plan, step, pick));
+            }
+        }
+        Next::Done
+    }
+
+    fn retry(
+        &mut self,
+        ticket: Ticket,
+        ask: &Ask,
+        attempt: Attempt,
+        retry_after: Option<Duration>,
+    ) -> Next {
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return Next::Done;
+        };
+        request.tried.extend(attempt.endpoint);
+        let (plan, step, tried) = (request.plan.clone(), request.step, request.tried.clone());
+        let attempts = request.attempts;
+        let permitted = attempt
+            .version
+            .is_none_or(|v| self.catalogue.permits(&self.cfg, ask, v));
+        if attempts >= MOST_ATTEMPTS || !permitted || !self.has_time(ask.deadline, ask.service) {
+            return refuse(retry_after);
+        }
+        let Some(pick) = self.pick_crowded(ask, attempt.version, &tried) else {
+            return refuse(retry_after);
+        };
+        if !self.services[ask.service.index()].budget.withdraw() {
+            return refuse(retry_after);
+        }
+        Next::Run(self.dispatch(ticket, plan, step, pick))
+    }
+}
+
+fn refuse(retry_after: Option<Duration>) -> Next {
+    Next::Refuse(Refusal {
+        reason: RefusalReason::Failed,
+        retry_after: Some(retry_after.unwrap_or(Duration::from_secs(1))),
+    })
+}
+
+/// The end of a request whose customer or service left the configuration while it ran.
+fn close(outcome: &Outcome) -> Next {
+    match outcome.result {
+        AttemptResult::Complete { .. } | AttemptResult::Cancelled => Next::Done,
+        _ => Next::Refuse(Refusal {
+            reason: RefusalReason::Failed,
+            retry_after: None,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/router/offer.rs
@@ -0,0 +1,266 @@
+//! A new request: limits, room and the decision to run, wait or refuse.
+
+use super::Router;
+use crate::choice::Plan;
+use crate::queue::Waiting;
+use crate::request::{Ask, Offer, Refusal, RefusalReason, Session, Ticket, VersionReason};
+use crate::state::{Request, Stage};
+use oatdale_config::{Key, ServiceKind};
+use rand::Rng;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// The part of the time left that a request may spend in the queue.
+const PATIENCE: f64 = 0.5;
+
+/// The shortest and longest advice on when to come back.
+const RETRY_AFTER: (f64, f64) = (0.25, 30.0);
+
+/// How long a caller whose requests all run is told to wait.
+const CONCURRENCY_RETRY: Duration = Duration::from_secs(1);
+
+/// How long a caller is told to wait when nothing that serves it can be reached.
+const ENDPOINT_RETRY: Duration = Duration::from_secs(2);
+
+impl Router {
+    /// Decides on a new request.
+    pub fn offer(&mut self, now: Duration, ask: &Ask) -> Offer {
+        self.now = self.now.max(now);
+        match self.admit(ask) {
+            Ok(()) => self.start_or_wait(ask),
+            Err(refusal) => Offer::Refuse(refusal),
+        }
+    }
+
+    /// Checks that the keys are known and that the customer may call the service.
+    pub(super) fn check_names(&self, ask: &Ask) -> Result<(), RefusalReason> {
+        let known = self.cfg.customers.get(ask.customer).is_some()
+            && self.cfg.services.get(ask.service).is_some();
+        match known && self.cfg.may_call(ask.customer, ask.service) {
+            true => Ok(()),
+            false => Err(RefusalReason::NoVersion),
+        }
+    }
+
+    fn admit(&mut self, ask: &Ask) -> Result<(), Refusal> {
+        self.check_names(ask).map_err(final_refusal)?;
+        self.check_customer(ask)?;
+        if ask.deadline <= self.now {
+            return Err(final_refusal(RefusalReason::Deadline));
+        }
+        let plans = self.plans(ask).map_err(final_refusal)?;
+        self.check_reach(ask, &plans)?;
+        self.check_dependencies(ask)
+    }
+
+    fn check_customer(&mut self, ask: &Ask) -> Result<(), Refusal> {
+        let now = self.now;
+        let limits = self.cfg.customers[ask.customer].limits;
+        let state = &mut self.customers[ask.customer.index()];
+        state.demand.add(now);
+        let wait = state
+            .bucket
+            .wait(now, limits.requests_per_second * state.share);
+        let concurrent = (f64::from(limits.concurrent) * state.share).ceil().max(1.0);
+        match () {
+            () if wait > Duration::ZERO => Err(Refusal {
+                reason: RefusalReason::CustomerRate,
+                retry_after: Some(wait),
+            }),
+            () if f64::from(state.under_way) >= concurrent => Err(Refusal {
+                reason: RefusalReason::CustomerConcurrency,
+                retry_after: Some(CONCURRENCY_RETRY),
+            }),
+            () => Ok(()),
+        }
+    }
+
+    fn check_reach(&self, ask: &Ask, plans: &[Plan]) -> Result<(), Refusal> {
+        let pool = self.cfg.services[ask.service].pool;
+        let reachable = plans.iter().any(|plan| {
+            let version = plan.steps.first().copied();
+            self.endpoints.any_live(self.now, pool, version)
+        });
+        match reachable {
+            true => Ok(()),
+            false => Err(Refusal {
+                reason: RefusalReason::NoEndpoint,
+                retry_after: Some(ENDPOINT_RETRY),
+            }),
+        }
+    }
+
+    /// A request whose answer is of no use without another service is not begun while that
+    /// service has no room: it would take room here and fail there.
+    fn check_dependencies(&mut self, ask: &Ask) -> Result<(), Refusal> {
+        let cfg = self.cfg.clone();
+        for &on in &cfg.services[ask.service].depends_on {
+            let service = &cfg.services[on];
+            let live = self.endpoints.any_live(self.now, service.pool, None);
+            let wait = self.expected_wait(on, None);
+            let allowed = service.deadline.as_secs_f64() * PATIENCE;
+            if !live || wait > allowed {
+                return Err(Refusal {
+                    reason: RefusalReason::Dependency,
+                    retry_after: Some(self.come_back_in(wait)),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn start_or_wait(&mut self, ask: &Ask) -> Offer {
+        let ticket = self.insert(ask);
+        let service = ask.service.index();
+        let alone = self.services[service].queue.len() == 0;
+        if alone && self.has_room(ask.service) {
+            match self.start(ticket) {
+                Ok(Some(dispatch)) => return Offer::Run(dispatch),
+                Ok(None) => {}
+                Err(refusal) => {
+                    self.forget(ticket);
+                    return Offer::Refuse(refusal);
+                }
+            }
+        }
+        let wait = self.expected_wait(ask.service, Some(ask));
+        let left = ask.deadline.saturating_sub(self.now).as_secs_f64();
+        let runs = self.services[service].first_byte.get_or(0.0);
+        if wait > (left - runs) * PATIENCE {
+            self.forget(ticket);
+            return Offer::Refuse(Refusal {
+                reason: RefusalReason::Overload,
+                retry_after: Some(self.come_back_in(wait)),
+            });
+        }
+        self.enqueue(ticket);
+        Offer::Wait(ticket)
+    }
+
+    fn insert(&mut self, ask: &Ask) -> Ticket {
+        self.arrivals += 1;
+        let customer = &mut self.customers[ask.customer.index()];
+        customer.bucket.take();
+        customer.under_way += 1;
+        self.requests.insert(Request {
+            ask: *ask,
+            order: self.arrivals,
+            attempts: 0,
+            tried: SmallVec::new(),
+            plan: Plan::plain(),
+            step: 0,
+            stage: Stage::Waiting {
+                give_up: Duration::MAX,
+            },
+            void: false,
+        })
+    }
+
+    /// Puts a request into its service's queue.
+    pub(super) fn enqueue(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return;
+        };
+        let ask = request.ask;
+        let service = &mut self.services[ask.service.index()];
+        let runs = Duration::from_secs_f64(service.first_byte.get_or(0.0).max(0.0));
+        let give_up = ask.deadline.saturating_sub(runs).max(self.now);
+        request.stage = Stage::Waiting { give_up };
+        self.give_ups.insert((give_up, ticket));
+        if service.queue.len() == 0 {
+            let pool = &self.pools[self.cfg.services[ask.service].pool.index()];
+            service.virtual_time = service.virtual_time.max(pool.virtual_time);
+        }
+        let item = Waiting {
+            ticket,
+            priority: 0,
+            cost: cost(&ask),
+        };
+        service.queue.push(ask.customer.index(), item);
+    }
+
+    /// The expected time in the queue, in seconds, of one more request.
+    ///
+    /// With `ask` it counts the customer's own requests only, by its share of the service, or a
+    /// customer that asks little would be refused for the queue of one that asks much.
+    pub(super) fn expected_wait(
+        &self,
+        service: oatdale_config::ServiceKey,
+        ask: Option<&Ask>,
+    ) -> f64 {
+        let state = &self.services[service.index()];
+        let queued = state.queue.len();
+        if queued == 0 && self.has_room(service) {
+            return 0.0;
+        }
+        let pool = self.cfg.services[service].pool;
+        let limit = self.pools[pool.index()].limit.get();
+        let sharing = self.sharing(pool).max(1);
+        let total = state.total.get_or(0.05).max(1e-4);
+        let pace = (limit / sharing as f64 / total).max(state.pace.get(self.now));
+        let ahead = match ask {
+            Some(ask) => self.ahead(service, ask).min(queued as f64),
+            None => queued as f64,
+        };
+        (ahead + 1.0) / pace
+    }
+
+    /// Requests that are served before one more of this customer.
+    fn ahead(&self, service: oatdale_config::ServiceKey, ask: &Ask) -> f64 {
+        let queue = &self.services[service.index()].queue;
+        let own = queue.flow_len(ask.customer.index());
+        let weight = |flow: usize| {
+            let key = oatdale_config::CustomerKey::from_index(flow);
+            self.cfg.customers[key].weight
+        };
+        let own_weight = weight(ask.customer.index());
+        let others: f64 = queue
+            .order()
+            .iter()
+            .filter(|&&flow| flow != ask.customer.index())
+            .map(|&flow| weight(flow))
+            .sum();
+        (own as f64 + 1.0) * (own_weight + others) / own_weight.max(1e-3)
+    }
+
+    /// Advice on when to come back, spread so that refused callers don't return all at once.
+    pub(super) fn come_back_in(&mut self, wait: f64) -> Duration {
+        let spread = 0.75 + 0.5 * (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+        Duration::from_secs_f64((wait * spread).clamp(RETRY_AFTER.0, RETRY_AFTER.1))
+    }
+
+    /// The plans that may serve a request, the preferred one first; never empty.
+    pub(super) fn plans(&mut self, ask: &Ask) -> Result<Vec<Plan>, RefusalReason> {
+        if let ServiceKind::Plain = self.cfg.services[ask.service].kind {
+            return Ok(vec![Plan::plain()]);
+        }
+        if let Session::Pinned { version, .. } = ask.session {
+            return Ok(vec![self.catalogue.pinned(&self.cfg, ask, version)?]);
+        }
+        let serving = self.catalogue.serving(&self.cfg, ask);
+        let first = serving.first().copied();
+        if let Some(canary) = self.catalogue.canary(&self.cfg, ask, first) {
+            return Ok(vec![Plan::single(canary, VersionReason::Canary)]);
+        }
+        let plans: Vec<Plan> = serving
+            .iter()
+            .map(|&v| Plan::single(v, VersionReason::Cheapest))
+            .collect();
+        match plans.is_empty() {
+            true => Err(RefusalReason::NoVersion),
+            false => Ok(plans),
+        }
+    }
+}
+
+fn final_refusal(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: None,
+    }
+}
+
+/// What a request will use, in arbitrary units; a prompt's token costs a tenth of a new one.
+fn cost(ask: &Ask) -> f64 {
+    1.0 + (f64::from(ask.output_tokens) + 0.1 * f64::from(ask.input_tokens)) / 64.0
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/router/reconfigure.rs
@@ -0,0 +1,199 @@
+//! Taking in a new configuration without losing what was learned or what is under way.
+
+use super::Router;
+use crate::choice::Catalogue;
+use crate::endpoints::Endpoints;
+use crate::limit::Limit;
+use crate::rekey::Rekey;
+use crate::request::{Session, Ticket};
+use crate::state::{CustomerState, PoolState, ServiceState, Stage};
+use crate::trial::Trials;
+use oatdale_config::{Config, Key, PoolKey};
+use std::sync::Arc;
+use std::time::Duration;
+
+impl Router {
+    /// Takes in a new configuration; learned state and requests under way are found by name.
+    ///
+    /// Waiting requests whose customer, service or versions are gone are refused at their turn.
+    pub fn reconfigure(&mut self, now: Duration, cfg: Arc<Config>) {
+        self.now = self.now.max(now);
+        let old = std::mem::replace(&mut self.cfg, cfg);
+        let rekey = Rekey::new(&old, &self.cfg);
+        self.move_catalogue(&old, &rekey);
+        self.move_endpoints(&old, &rekey);
+        self.evidence
+            .rekey(self.cfg.versions.keys(), |v| rekey.version(v));
+        let trials = std::mem::replace(&mut self.trials, Trials::new(&self.cfg));
+        self.trials
+            .take_over(trials, &self.cfg, &old, &rekey, &self.evidence);
+        self.move_services(&old, &rekey);
+        self.move_customers(&old, &rekey);
+        self.pools = self.new_pools();
+        self.move_requests(&rekey);
+    }
+
+    /// Pools with limits that fit their endpoints.
+    pub(super) fn new_pools(&self) -> Vec<PoolState> {
+        let keys: Vec<PoolKey> = self.cfg.pools.keys().collect();
+        keys.into_iter()
+            .map(|pool| PoolState {
+                limit: Limit::new(self.ceiling(pool)),
+                running: 0,
+                virtual_time: 0.0,
+            })
+            .collect()
+    }
+
+    /// Fits the limits to the endpoints that take new work.
+    pub(super) fn fit_limits(&mut self) {
+        for pool in self.cfg.pools.keys() {
+            let ceiling = self.ceiling(pool);
+            self.pools[pool.index()].limit.set_ceiling(ceiling);
+        }
+    }
+
+    fn ceiling(&self, pool: PoolKey) -> f64 {
+        let used = self.endpoints.used(pool, None);
+        let staying = used
+            .iter()
+            .filter(|e| !self.endpoints.states[e.index()].leaving);
+        staying
+            .map(|&e| f64::from(self.cfg.endpoints[e].concurrency))
+            .sum::<f64>()
+            .max(1.0)
+    }
+
+    fn move_catalogue(&mut self, old: &Config, rekey: &Rekey) {
+        let mut catalogue = Catalogue::new(&self.cfg);
+        for version in old.versions.keys() {
+            if let Some(new) = rekey.version(version) {
+                catalogue.set_stopped(new, self.catalogue.is_stopped(version));
+            }
+        }
+        self.catalogue = catalogue;
+    }
+
+    fn move_endpoints(&mut self, old: &Config, rekey: &Rekey) {
+        let domain = self.endpoints.domain.and_then(|d| rekey.domain(d));
+        let mut endpoints = Endpoints::new(&self.cfg, domain, self.endpoints.seed);
+        for key in old.endpoints.keys() {
+            let Some(new) = rekey.endpoint(key) else {
+                continue;
+            };
+            let mut state = std::mem::take(&mut self.endpoints.states[key.index()]);
+            let holds = state.holds.take();
+            state.holds = holds.map(|vs| vs.iter().filter_map(|&v| rekey.version(v)).collect());
+            endpoints.states[new.index()] = state;
+        }
+        endpoints.rebuild(&self.cfg);
+        self.endpoints = endpoints;
+    }
+
+    fn move_services(&mut self, old: &Config, rekey: &Rekey) {
+        let now = self.now;
+        let mut services: Vec<ServiceState> = self
+            .cfg
+            .services
+            .keys()
+            .map(|_| ServiceState::new(now))
+            .collect();
+        for (key, state) in old.services.keys().zip(&mut self.services) {
+            if let Some(new) = rekey.service(key) {
+                services[new.index()] = std::mem::replace(state, ServiceState::new(now));
+            }
+        }
+        for service in &mut services {
+            service.queue = crate::queue::FairQueue::default();
+            service.set_running(now, 0);
+            service.virtual_time = 0.0;
+        }
+        self.services = services;
+    }
+
+    fn move_customers(&mut self, old: &Config, rekey: &Rekey) {
+        let now = self.now;
+        let mut customers: Vec<CustomerState> = self
+            .cfg
+            .customers
+            .iter()
+            .map(|(_, c)| CustomerState::new(now, c.limits.requests_per_second))
+            .collect();
+        for (key, state) in old.customers.keys().zip(self.customers.drain(..)) {
+            if let Some(new) = rekey.customer(key) {
+                customers[new.index()] = state;
+                customers[new.index()].under_way = 0;
+            }
+        }
+        self.customers = customers;
+    }
+
+    /// Gives requests their new keys and counts them anew.
+    fn move_requests(&mut self, rekey: &Rekey) {
+        let mut waiting: Vec<(u64, Ticket)> = Vec::new();
+        self.give_ups.clear();
+        let mut lost = Vec::new();
+        for (ticket, request) in self.requests.iter_mut() {
+            let customer = rekey.customer(request.ask.customer);
+            let service = rekey.service(request.ask.service);
+            let (Some(customer), Some(service), false) = (customer, service, request.void) else {
+                request.void = true;
+                lost.push(ticket);
+                continue;
+            };
+            request.ask.customer = customer;
+            request.ask.service = service;
+            if let Session::Pinned { version, .. } = &mut request.ask.session {
+                match rekey.version(*version) {
+                    Some(new) => *version = new,
+                    None => {
+                        request.void = true;
+                        lost.push(ticket);
+                        continue;
+                    }
+                }
+            }
+            request.plan.steps.retain(|v| match rekey.version(*v) {
+                Some(new) => {
+                    *v = new;
+                    true
+                }
+                None => false,
+            });
+            request.tried = request
+                .tried
+                .iter()
+                .filter_map(|&e| rekey.endpoint(e))
+                .collect();
+            self.customers[customer.index()].under_way += 1;
+            match &mut request.stage {
+                Stage::Waiting { .. } => waiting.push((request.order, ticket)),
+                Stage::Running(attempt) => {
+                    attempt.endpoint = attempt.endpoint.and_then(|e| rekey.endpoint(e));
+                    attempt.version = attempt.version.and_then(|v| rekey.version(v));
+                    let pool = self.cfg.services[service].pool;
+                    self.pools[pool.index()].running += 1;
+                    let state = &mut self.services[service.index()];
+                    state.set_running(self.now, state.running + 1);
+                }
+            }
+        }
+        for ticket in lost {
+            if let Some(Stage::Waiting { .. }) = self.requests.get(ticket).map(|r| r.stage) {
+                self.give_up_at_once(ticket);
+            }
+        }
+        waiting.sort_unstable();
+        for (_, ticket) in waiting {
+            self.enqueue(ticket);
+        }
+    }
+
+    fn give_up_at_once(&mut self, ticket: Ticket) {
+        let give_up = Duration::ZERO;
+        if let Some(request) = self.requests.get_mut(ticket) {
+            request.stage = Stage::Waiting { give_up };
+        }
+        self.give_ups.insert((give_up, ticket));
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/state.rs
@@ -0,0 +1,119 @@
+//! What the router keeps of requests, services, pools and customers.
+
+use crate::average::{Level, Mean, Rate};
+use crate::bucket::Bucket;
+use crate::budget::Budget;
+use crate::choice::Plan;
+use crate::limit::Limit;
+use crate::queue::FairQueue;
+use crate::request::Ask;
+use oatdale_config::{EndpointKey, VersionKey};
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// How long a service's use of a pool is remembered for the reserve.
+const NEED_MEMORY: Duration = Duration::from_secs(20);
+
+/// How long a service's pace of finished requests is remembered.
+const PACE_MEMORY: Duration = Duration::from_secs(5);
+
+/// How long a customer's demand is remembered.
+const DEMAND_MEMORY: Duration = Duration::from_secs(5);
+
+/// A request that the router knows.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) ask: Ask,
+    /// Counts requests in the order of their arrival.
+    pub(crate) order: u64,
+    pub(crate) attempts: u16,
+    /// Endpoints that failed it.
+    pub(crate) tried: SmallVec<[EndpointKey; 4]>,
+    pub(crate) plan: Plan,
+    /// The plan's step that runs, from 0.
+    pub(crate) step: usize,
+    pub(crate) stage: Stage,
+    /// Its customer or service is gone from the configuration.
+    pub(crate) void: bool,
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) enum Stage {
+    /// In its service's queue.
+    Waiting {
+        /// When its deadline can't be met any more.
+        give_up: Duration,
+    },
+    /// At an endpoint.
+    Running(Attempt),
+}
+
+/// An attempt under way.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) struct Attempt {
+    /// `None` once the endpoint is gone from the configuration.
+    pub(crate) endpoint: Option<EndpointKey>,
+    pub(crate) version: Option<VersionKey>,
+    pub(crate) judge: bool,
+}
+
+/// A service's queue, pace and budget.
+pub(crate) struct ServiceState {
+    /// One flow for each customer.
+    pub(crate) queue: FairQueue,
+    pub(crate) running: u32,
+    pub(crate) need: Level,
+    pub(crate) pace: Rate,
+    pub(crate) total: Mean,
+    pub(crate) first_byte: Mean,
+    pub(crate) budget: Budget,
+    /// Its place among the services of its pool.
+    pub(crate) virtual_time: f64,
+}
+
+impl ServiceState {
+    pub(crate) fn new(now: Duration) -> Self {
+        ServiceState {
+            queue: FairQueue::default(),
+            running: 0,
+            need: Level::new(now, NEED_MEMORY),
+            pace: Rate::new(now, PACE_MEMORY),
+            total: Mean::new(100.0),
+            first_byte: Mean::new(100.0),
+            budget: Budget::new(),
+            virtual_time: 0.0,
+        }
+    }
+
+    pub(crate) fn set_running(&mut self, now: Duration, running: u32) {
+        self.running = running;
+        self.need.set(now, f64::from(running));
+    }
+}
+
+/// A pool's limit and use.
+pub(crate) struct PoolState {
+    pub(crate) limit: Limit,
+    pub(crate) running: u32,
+    pub(crate) virtual_time: f64,
+}
+
+/// A customer's use.
+pub(crate) struct CustomerState {
+    pub(crate) bucket: Bucket,
+    pub(crate) under_way: u32,
+    pub(crate) share: f64,
+    pub(crate) demand: Rate,
+}
+
+impl CustomerState {
+    pub(crate) fn new(now: Duration, rate: f64) -> Self {
+        CustomerState {
+            bucket: Bucket::new(now, rate),
+            under_way: 0,
+            share: 1.0,
+            demand: Rate::new(now, DEMAND_MEMORY),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/trial.rs
@@ -0,0 +1,268 @@
+//! A sequential test that finds bad versions from counts alone.
+//!
+//! For each version and fault, the test compares how often the version was bad since its trial
+//! began with how often its model's other versions were. The statistic is a mean of likelihood
+//! ratios, which a healthy version raises above a bound of `1 / p` with probability at most `p`
+//! however often one looks (Ville's inequality). It needs only sums, so every node that has the
+//! same counts reaches the same decision.
+
+use crate::choice::Catalogue;
+use crate::evidence::{Evidence, VersionCounters};
+use crate::rekey::Rekey;
+use oatdale_config::{Config, Key, VersionKey, VersionState};
+
+/// The logarithm of the bound that evidence must pass: one false stop in 1,000 healthy trials,
+/// shared by three faults.
+const BOUND: f64 = 8.006_367_567_650_246;
+
+/// Odds, relative to the usual ones, that the test looks for.
+const ODDS: [f64; 6] = [1.5, 2.0, 3.0, 5.0, 10.0, 30.0];
+
+/// Cases of other versions from which their share of bad ones can be told.
+const REFERENCE: u64 = 100;
+
+/// Standard deviations by which the other versions' share may be underestimated.
+const CAUTION: f64 = 2.5;
+
+/// Requests after which a trial begins anew, so that a long good past does not hide a change.
+const LENGTH: u64 = 4_000;
+
+/// What makes a version bad.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fault {
+    /// It fails more often than the model's other versions.
+    Errors,
+    /// Its answers are rated too low more often.
+    LowRatings,
+    /// Its answers start late more often.
+    Slow,
+}
+
+impl Fault {
+    const ALL: [Fault; 3] = [Fault::Errors, Fault::LowRatings, Fault::Slow];
+
+    /// Bad cases and all cases.
+    fn cases(self, c: &VersionCounters) -> (u64, u64) {
+        match self {
+            Fault::Errors => (c.errors, c.requests),
+            Fault::LowRatings => (c.low, c.rated),
+            Fault::Slow => (c.slow, c.requests - c.errors.min(c.requests)),
+        }
+    }
+
+    /// The share of bad cases by which a version may exceed the others and still be healthy.
+    fn tolerance(self) -> f64 {
+        match self {
+            Fault::Errors => 0.01,
+            Fault::LowRatings | Fault::Slow => 0.03,
+        }
+    }
+
+    /// The share of bad cases that is all right while there is nothing to compare with.
+    fn default_share(self) -> f64 {
+        match self {
+            Fault::Errors => 0.05,
+            Fault::LowRatings => 0.5,
+            Fault::Slow => 0.2,
+        }
+    }
+}
+
+/// A version that the test found to be bad.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct StopDecision {
+    /// The version.
+    pub version: VersionKey,
+    /// What is wrong with it.
+    pub fault: Fault,
+    /// Bad cases seen since the trial's start.
+    pub bad: u64,
+    /// All cases seen since the trial's start.
+    pub of: u64,
+    /// The share of bad cases that would have been all right.
+    pub usual: f64,
+}
+
+/// The trials of all versions.
+pub(crate) struct Trials {
+    trials: Vec<Trial>,
+}
+
+/// Counts at a trial's start.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    own: VersionCounters,
+    others: VersionCounters,
+}
+
+impl Trials {
+    /// Trials that begin with the first request.
+    pub(crate) fn new(cfg: &Config) -> Self {
+        let zero = |version| Trial {
+            own: VersionCounters::zero(version),
+            others: VersionCounters::zero(version),
+        };
+        Trials {
+            trials: cfg.versions.keys().map(zero).collect(),
+        }
+    }
+
+    /// Begins a version's trial anew.
+    pub(crate) fn restart(&mut self, version: VersionKey, cfg: &Config, evidence: &Evidence) {
+        self.trials[version.index()] = Trial {
+            own: evidence.total(version),
+            others: others(version, cfg, evidence),
+        };
+    }
+
+    /// Goes on with the trials of an earlier configuration.
+    ///
+    /// The versions to compare with may be others now, so every trial begins anew; a version whose
+    /// state is as it was keeps its own counts as its past.
+    pub(crate) fn take_over(
+        &mut self,
+        old: Trials,
+        cfg: &Config,
+        old_cfg: &Config,
+        rekey: &Rekey,
+        evidence: &Evidence,
+    ) {
+        for version in cfg.versions.keys() {
+            self.restart(version, cfg, evidence);
+        }
+        for trial in old.trials {
+            let Some(version) = rekey.version(trial.own.version) else {
+                continue;
+            };
+            let same_model = same_reference(trial.own.version, version, old_cfg, cfg, rekey);
+            if same_model {
+                let rename = |c| VersionCounters { version, ..c };
+                self.trials[version.index()] = Trial {
+                    own: rename(trial.own),
+                    others: rename(trial.others),
+                };
+            }
+        }
+    }
+
+    /// Judges every version that takes new work and begins long trials anew.
+    pub(crate) fn judge(
+        &mut self,
+        cfg: &Config,
+        catalogue: &Catalogue,
+        evidence: &Evidence,
+    ) -> Vec<StopDecision> {
+        let mut stops: Vec<StopDecision> = Vec::new();
+        for version in cfg.versions.keys() {
+            if !is_on_trial(cfg, version) || catalogue.is_stopped(version) {
+                continue;
+            }
+            let found = Fault::ALL
+                .iter()
+                .find_map(|&fault| self.judge_one(version, fault, cfg, evidence));
+            match found {
+                Some(stop) if catalogue.can_do_without(cfg, version) => stops.push(stop),
+                Some(_) => {}
+                None if self.is_long(version, evidence) => self.restart(version, cfg, evidence),
+                None => {}
+            }
+        }
+        stops
+    }
+
+    fn is_long(&self, version: VersionKey, evidence: &Evidence) -> bool {
+        let start = &self.trials[version.index()].own;
+        evidence.total(version).since(start).requests >= LENGTH
+    }
+
+    fn judge_one(
+        &self,
+        version: VersionKey,
+        fault: Fault,
+        cfg: &Config,
+        evidence: &Evidence,
+    ) -> Option<StopDecision> {
+        let trial = &self.trials[version.index()];
+        let (bad, of) = fault.cases(&evidence.total(version).since(&trial.own));
+        let others = others(version, cfg, evidence).since(&trial.others);
+        let usual = usual(fault, &others, &trial.own);
+        let found = log_evidence(bad, of, usual) > BOUND;
+        found.then_some(StopDecision {
+            version,
+            fault,
+            bad,
+            of,
+            usual,
+        })
+    }
+}
+
+/// Whether a version takes new work and can be stopped.
+fn is_on_trial(cfg: &Config, version: VersionKey) -> bool {
+    match cfg.versions[version].state {
+        VersionState::Canary { .. } | VersionState::Serving => true,
+        VersionState::Draining | VersionState::Withdrawn => false,
+    }
+}
+
+/// The counts of the model's other serving versions together.
+fn others(version: VersionKey, cfg: &Config, evidence: &Evidence) -> VersionCounters {
+    references(version, cfg)
+        .map(|other| evidence.total(other))
+        .fold(VersionCounters::zero(version), |sum, c| sum.plus(&c))
+}
+
+fn references(version: VersionKey, cfg: &Config) -> impl Iterator<Item = VersionKey> {
+    let model = &cfg.models[cfg.versions[version].model];
+    model
+        .versions
+        .iter()
+        .copied()
+        .filter(move |&v| v != version && cfg.versions[v].state == VersionState::Serving)
+}
+
+/// Whether a version has the state and the versions to compare with that it had before.
+fn same_reference(
+    old: VersionKey,
+    new: VersionKey,
+    old_cfg: &Config,
+    cfg: &Config,
+    rekey: &Rekey,
+) -> bool {
+    let mut before: Vec<_> = references(old, old_cfg).map(|v| rekey.version(v)).collect();
+    let mut after: Vec<_> = references(new, cfg).map(Some).collect();
+    before.sort_unstable();
+    after.sort_unstable();
+    let kind = |s: VersionState| std::mem::discriminant(&s);
+    let same_state = kind(old_cfg.versions[old].state) == kind(cfg.versions[new].state);
+    same_state && before == after
+}
+
+/// The share of bad cases that is all right: the other versions' since the trial began, else the
+/// version's own before it, else a fixed one.
+fn usual(fault: Fault, others: &VersionCounters, past: &VersionCounters) -> f64 {
+    let known = [others, past]
+        .into_iter()
+        .map(|c| fault.cases(c))
+        .find(|&(_, of)| of >= REFERENCE);
+    let Some((bad, of)) = known else {
+        return fault.default_share();
+    };
+    let (bad, of) = (bad as f64 + 1.0, of as f64 + 2.0);
+    let share = bad / of;
+    let error = (share * (1.0 - share) / of).sqrt();
+    (share + CAUTION * error + fault.tolerance()).min(0.99)
+}
+
+/// The logarithm of the mean likelihood ratio of worse shares against the usual one.
+fn log_evidence(bad: u64, of: u64, usual: f64) -> f64 {
+    let (bad, good) = (bad as f64, of.saturating_sub(bad) as f64);
+    let odds = usual / (1.0 - usual);
+    let ratios = ODDS.map(|times| {
+        let worse = odds * times / (1.0 + odds * times);
+        bad * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
+    });
+    let most = ratios.into_iter().fold(f64::MIN, f64::max);
+    let sum: f64 = ratios.iter().map(|r| (r - most).exp()).sum();
+    most + (sum / ODDS.len() as f64).ln()
+}
--- /dev/null
+++ b/crates/oatdale-policy/src/version_rule.rs
@@ -0,0 +1,40 @@
+//! The rules of a version's states and of a stop; the node and the specification share them.
+
+use oatdale_config::{Revision, VersionState};
+
+/// What sort of work wants a version.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Work {
+    /// A new session or a request outside any session.
+    New,
+    /// A request of a session that is pinned to the version.
+    Pinned,
+}
+
+/// Whether a version takes work, by its state in the text and the stop recorded beside it.
+///
+/// ```
+/// use oatdale_config::VersionState;
+/// use oatdale_policy::{Work, admits};
+///
+/// assert!(admits(VersionState::Draining, false, Work::Pinned));
+/// assert!(!admits(VersionState::Draining, false, Work::New));
+/// assert!(!admits(VersionState::Serving, true, Work::New));
+/// assert!(!admits(VersionState::Withdrawn, false, Work::Pinned));
+/// ```
+pub fn admits(state: VersionState, stopped: bool, work: Work) -> bool {
+    match (state, work) {
+        (VersionState::Withdrawn, _) | (VersionState::Draining, Work::New) => false,
+        (_, Work::New) => !stopped,
+        (_, Work::Pinned) => true,
+    }
+}
+
+/// Whether a stop decided at one revision still holds, where `spoken_at` is the newest revision
+/// known that changed what the text says of the version.
+///
+/// A node that has not seen the newer revision keeps the stop. A node that has not seen the stop
+/// can't end it, since only a revision above the stop's does.
+pub fn stop_holds(stopped_at: Revision, spoken_at: Revision) -> bool {
+    spoken_at <= stopped_at
+}
--- /dev/null
+++ b/crates/oatdale-policy/tests/router/admission.rs
@@ -0,0 +1,192 @@
+//! Limits, queues and refusals.
+
+use crate::fixture::{Shape, ask, complete, customer, endpoint, outcome, refused, run, secs, wait};
+use oatdale_config::Limits;
+use oatdale_policy::{
+    Ask, AttemptResult, Next, Offer, Outcome, RefusalReason, Router, Ticket, Turn,
+};
+
+fn limited(requests_per_second: f64, concurrent: u32) -> Router {
+    let limits = Limits {
+        requests_per_second,
+        concurrent,
+    };
+    Shape {
+        limits,
+        ..Shape::default()
+    }
+    .router()
+}
+
+#[test]
+fn a_customer_is_held_to_its_rate_and_told_when_to_return() {
+    let mut router = limited(1.0, 100);
+    for _ in 0..2 {
+        let dispatch = run(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+        router.finish(secs(0.0), dispatch.ticket, &complete(None));
+    }
+    let Offer::Refuse(refusal) = router.offer(secs(0.0), &ask(secs(0.0), 1)) else {
+        panic!("the rate is used up");
+    };
+    assert_eq!(refusal.reason, RefusalReason::CustomerRate);
+    let later = refusal.retry_after.expect("it helps to come back");
+    run(router.offer(later, &ask(later, 1)));
+}
+
+#[test]
+fn a_customer_is_held_to_its_share_of_concurrent_requests() {
+    let mut router = limited(1000.0, 8);
+    router.set_share(customer(0), 0.25);
+    let first = run(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+    run(router.offer(secs(0.0), &ask(secs(0.0), 2)));
+    let reason = refused(router.offer(secs(0.0), &ask(secs(0.0), 3)));
+    assert_eq!(reason, RefusalReason::CustomerConcurrency);
+    router.finish(secs(0.1), first.ticket, &complete(None));
+    run(router.offer(secs(0.1), &ask(secs(0.1), 3)));
+}
+
+#[test]
+fn waiting_requests_run_in_turn_as_room_comes() {
+    let mut router = Shape::default().router();
+    let mut running = Vec::new();
+    let mut waiting = Vec::new();
+    for draw in 0..20 {
+        match router.offer(secs(0.0), &ask(secs(0.0), draw)) {
+            Offer::Run(dispatch) => running.push(dispatch.ticket),
+            other => waiting.push(wait(other)),
+        }
+    }
+    assert_eq!((running.len(), waiting.len()), (12, 8));
+    let mut turns = Vec::new();
+    for ticket in running {
+        router.finish(secs(0.2), ticket, &complete(None));
+        while let Some((ticket, turn)) = router.next_turn(secs(0.2)) {
+            assert!(matches!(turn, Turn::Run(_)), "{turn:?}");
+            turns.push(ticket);
+        }
+    }
+    assert_eq!(turns, waiting);
+    assert_eq!(router.next_wake(), None);
+}
+
+/// Endpoints hang and nothing finishes. The caller must hear so when its deadline can't be met
+/// any more, by the router's own wake-up, since no other event comes.
+#[test]
+fn a_waiting_request_is_refused_when_its_deadline_passes() {
+    let mut router = Shape::default().router();
+    let ticket = loop {
+        if let Offer::Wait(ticket) = router.offer(secs(0.0), &ask(secs(0.0), 1)) {
+            break ticket;
+        }
+    };
+    let mut now = secs(0.0);
+    while let Some(wake) = router.next_wake() {
+        assert!(wake > now && wake <= secs(10.0));
+        now = wake;
+        if let Some((refused, Turn::Refuse(refusal))) = router.next_turn(now) {
+            assert_eq!((refused, refusal.reason), (ticket, RefusalReason::Deadline));
+            return;
+        }
+    }
+    panic!("the request was never refused");
+}
+
+#[test]
+fn a_small_customer_does_not_wait_for_a_large_ones_queue() {
+    let mut router = Shape::default().router();
+    let mut running: Vec<Ticket> = Vec::new();
+    for draw in 0..60 {
+        if let Offer::Run(dispatch) = router.offer(secs(0.0), &ask(secs(0.0), draw)) {
+            running.push(dispatch.ticket);
+        }
+    }
+    let small = Ask {
+        customer: customer(1),
+        ..ask(secs(0.0), 1)
+    };
+    let small = wait(router.offer(secs(0.0), &small));
+    let mut place = 0;
+    for ticket in running {
+        router.finish(secs(0.2), ticket, &complete(None));
+        while let Some((ticket, _)) = router.next_turn(secs(0.2)) {
+            place += 1;
+            if ticket == small {
+                assert!(place <= 2, "place {place}");
+                return;
+            }
+        }
+    }
+    panic!("the small customer's request never ran");
+}
+
+/// A booking confirmation breaks off halfway. It may have run, so sending it again could book
+/// twice.
+#[test]
+fn a_non_idempotent_request_is_not_repeated_once_it_may_have_run() {
+    for result in [AttemptResult::Broken, AttemptResult::TimedOut] {
+        let mut router = Shape::default().router();
+        let confirm = Ask {
+            idempotent: false,
+            ..ask(secs(0.0), 1)
+        };
+        let dispatch = run(router.offer(secs(0.0), &confirm));
+        assert!(!dispatch.judge);
+        let next = router.finish(secs(0.1), dispatch.ticket, &outcome(result));
+        assert!(matches!(next, Next::Refuse(_)), "{next:?}");
+    }
+}
+
+#[test]
+fn a_request_that_was_not_sent_is_tried_at_another_endpoint() {
+    let mut router = Shape::default().router();
+    let confirm = Ask {
+        idempotent: false,
+        ..ask(secs(0.0), 1)
+    };
+    let first = run(router.offer(secs(0.0), &confirm));
+    let next = router.finish(secs(0.1), first.ticket, &outcome(AttemptResult::NotSent));
+    let Next::Run(second) = next else {
+        panic!("{next:?}");
+    };
+    assert_ne!(second.endpoint, first.endpoint);
+    assert_eq!((second.ticket, second.attempt), (first.ticket, 2));
+}
+
+/// A stream breaks after its first tokens reached the caller. Another attempt would add a second
+/// beginning to them.
+#[test]
+fn nothing_follows_an_answer_whose_bytes_went_out() {
+    let mut router = Shape::default().router();
+    let dispatch = run(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+    let broken = Outcome {
+        forwarded: true,
+        ..outcome(AttemptResult::Broken)
+    };
+    let next = router.finish(secs(0.1), dispatch.ticket, &broken);
+    assert!(matches!(next, Next::Refuse(_)), "{next:?}");
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new() {
+    let mut router = Shape::default().router();
+    router.endpoint_leaving(secs(0.0), endpoint(0), true);
+    for draw in 0..8 {
+        let dispatch = run(router.offer(secs(0.0), &ask(secs(0.0), draw)));
+        assert_ne!(dispatch.endpoint, endpoint(0));
+    }
+}
+
+#[test]
+fn a_stale_ticket_touches_nobody_else() {
+    let mut router = Shape::default().router();
+    let old = run(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+    router.finish(secs(0.1), old.ticket, &complete(None));
+    let new = run(router.offer(secs(0.2), &ask(secs(0.2), 2)));
+    router.cancel(secs(0.2), old.ticket);
+    assert_eq!(
+        router.finish(secs(0.2), old.ticket, &complete(None)),
+        Next::Done
+    );
+    let next = router.finish(secs(0.3), new.ticket, &outcome(AttemptResult::Broken));
+    assert!(matches!(next, Next::Run(_)), "{next:?}");
+}
--- /dev/null
+++ b/crates/oatdale-policy/tests/router/main.rs
@@ -0,0 +1,5 @@
+//! The router's decisions, by subject.
+
+mod admission;
+mod fixture;
+mod states;
--- /dev/null
+++ b/crates/oatdale-policy/tests/router/states.rs
@@ -0,0 +1,162 @@
+//! Version states and permissions on every path.
+
+use crate::fixture::{
+    Shape, ask, complete, customer, outcome, place, planner, refused, run, secs, version, wait,
+};
+use oatdale_config::VersionState;
+use oatdale_policy::{
+    Ask, AttemptResult, Next, Offer, RefusalReason, Router, Session, Turn, VersionReason,
+};
+
+const CANARY: VersionState = VersionState::Canary { share: 0.2 };
+
+fn shape(states: [VersionState; 3]) -> Shape {
+    Shape {
+        states,
+        ..Shape::default()
+    }
+}
+
+fn pinned(now: f64, index: usize) -> Ask {
+    Ask {
+        session: Session::Pinned {
+            version: version(index),
+            step: 1,
+        },
+        ..ask(secs(now), 1)
+    }
+}
+
+#[test]
+fn a_canary_gets_its_share_and_no_more() {
+    let mut router = shape([VersionState::Serving, CANARY, VersionState::Withdrawn]).router();
+    let mut canaries = 0;
+    for i in 0_u32..2000 {
+        let now = secs(f64::from(i));
+        let dispatch = run(router.offer(now, &ask(now, u64::from(i) * 7919)));
+        canaries += usize::from(dispatch.version == Some(version(1)));
+        router.finish(now, dispatch.ticket, &complete(None));
+    }
+    assert!((340..460).contains(&canaries), "{canaries} of 2000");
+}
+
+#[test]
+fn a_customer_gets_only_its_versions() {
+    let mut router = shape([VersionState::Serving, CANARY, VersionState::Serving]).router();
+    for i in 0_u32..500 {
+        let now = secs(f64::from(i));
+        let asked = Ask {
+            customer: customer(1),
+            ..ask(now, u64::from(i))
+        };
+        let dispatch = run(router.offer(now, &asked));
+        assert_eq!(dispatch.version, Some(version(0)));
+        router.finish(now, dispatch.ticket, &complete(Some(0.0)));
+    }
+}
+
+#[test]
+fn a_draining_version_gets_only_pinned_requests() {
+    let draining = [
+        VersionState::Draining,
+        VersionState::Withdrawn,
+        VersionState::Withdrawn,
+    ];
+    let mut router = shape(draining).router();
+    let refusal = refused(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+    assert_eq!(refusal, RefusalReason::NoVersion);
+    let dispatch = run(router.offer(secs(0.0), &pinned(0.0, 0)));
+    assert_eq!(dispatch.version, Some(version(0)));
+    assert_eq!(dispatch.why_version, VersionReason::Pinned);
+}
+
+/// An operator withdraws the version of a session under way. The caller is refused and told that
+/// its request did not run; it must never be moved to another version without a word.
+#[test]
+fn a_session_whose_version_is_withdrawn_is_refused() {
+    let mut router = shape([VersionState::Serving; 3]).router();
+    let withdrawn = [
+        VersionState::Withdrawn,
+        VersionState::Serving,
+        VersionState::Serving,
+    ];
+    router.reconfigure(secs(1.0), shape(withdrawn).config());
+    let refusal = refused(router.offer(secs(1.0), &pinned(1.0, 0)));
+    assert_eq!(refusal, RefusalReason::SessionVersionWithdrawn);
+}
+
+/// A request waits for room when its version is withdrawn. If the choice made on its arrival were
+/// kept, the withdrawn version would answer seconds after the operators took it away.
+#[test]
+fn a_waiting_request_does_not_run_on_a_version_withdrawn_meanwhile() {
+    let only_first = [
+        VersionState::Serving,
+        VersionState::Withdrawn,
+        VersionState::Withdrawn,
+    ];
+    let mut router = shape(only_first).router();
+    let (running, ticket) = fill(&mut router);
+    let all_gone = [VersionState::Withdrawn; 3];
+    router.reconfigure(secs(0.5), shape(all_gone).config());
+    router.finish(secs(0.5), running, &complete(None));
+    let (turn_ticket, turn) = router.next_turn(secs(0.5)).expect("room is free");
+    assert_eq!(turn_ticket, ticket);
+    let Turn::Refuse(refusal) = turn else {
+        panic!("ran on a withdrawn version: {turn:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoVersion);
+}
+
+/// An attempt fails just after its version was withdrawn. A retry that kept the version would be
+/// new work for it.
+#[test]
+fn a_retry_does_not_go_to_a_version_withdrawn_meanwhile() {
+    let mut router = shape([VersionState::Serving; 3]).router();
+    let dispatch = run(router.offer(secs(0.0), &pinned(0.0, 0)));
+    let withdrawn = [
+        VersionState::Withdrawn,
+        VersionState::Serving,
+        VersionState::Serving,
+    ];
+    router.reconfigure(secs(0.1), shape(withdrawn).config());
+    let next = router.finish(secs(0.1), dispatch.ticket, &outcome(AttemptResult::NotSent));
+    assert!(matches!(next, Next::Refuse(_)), "{next:?}");
+}
+
+#[test]
+fn a_stopped_version_goes_on_for_pinned_sessions_only() {
+    let mut router = Router::new(Shape::default().config(), place());
+    router.set_stopped(version(0), true);
+    for i in 0_u32..50 {
+        let now = secs(f64::from(i));
+        let dispatch = run(router.offer(now, &ask(now, i.into())));
+        assert_ne!(dispatch.version, Some(version(0)));
+        router.finish(now, dispatch.ticket, &complete(None));
+        let opened = router.open_session(now, customer(0), planner(), i.into());
+        assert_ne!(opened.map(|(v, _)| v), Ok(version(0)));
+    }
+    let dispatch = run(router.offer(secs(60.0), &pinned(60.0, 0)));
+    assert_eq!(dispatch.version, Some(version(0)));
+}
+
+/// A stop must outlive the many configuration changes of a day that say nothing of the version.
+#[test]
+fn a_stop_outlives_a_new_configuration() {
+    let mut router = Router::new(Shape::default().config(), place());
+    router.set_stopped(version(0), true);
+    router.reconfigure(secs(1.0), Shape::default().config());
+    let dispatch = run(router.offer(secs(1.0), &ask(secs(1.0), 1)));
+    assert_ne!(dispatch.version, Some(version(0)));
+}
+
+/// Fills the workers and leaves one more request waiting.
+fn fill(router: &mut Router) -> (oatdale_policy::Ticket, oatdale_policy::Ticket) {
+    let mut running = None;
+    for draw in 0..64 {
+        match router.offer(secs(0.0), &ask(secs(0.0), draw)) {
+            Offer::Run(dispatch) => running = Some(dispatch.ticket),
+            other => return (running.expect("there was room"), wait(other)),
+        }
+    }
+    panic!("the workers never filled");
+}
