--- a/crates/oatdale-fakes/tests/kv.rs
+++ b/crates/oatdale-fakes/tests/kv.rs
@@ -146,6 +146,7 @@
     ));
     let big = Bytes::from(vec![0; MAX_VALUE + 1]);
     kv.set_faults(KvFaults::default());
+    sleep(SECOND).await;
     let refused = kv.put("big", big, Condition::Absent, None).await;
     assert!(matches!(refused, Err(KvError::Rejected { .. })));
 }
