Keep claims, pins and bills in a log that nobody owns

Cause: hosts keep nothing, so what must last lies in the platform's service, whose rates do not grow with requests.

The design began with segments created if absent and deleted once compacted. Ruled out while writing: a delayed create succeeds again on a deleted key, so a paused appender would believe in a claim that no reader ever sees. Keeping tombstones for ever, a read after every write and a grace by clocks were weighed; a ring of slots replaced by compare-and-swap costs no extra call and needs no clock, since a slot's revision never comes back.

A writer never needs to know whether its own write took effect: it reads on and asks the fold what holds. Claims that end in an error are released by a record that also voids one still on its way. Pages are written once under names that are never used again and count only when the manifest lists them.

--- /dev/null
+++ b/crates/oatdale-journal/src/compact.rs
@@ -0,0 +1,206 @@
+//! Moves a shard's state and final bills to pages, so that the ring's slots can be used again.
+//!
+//! The manifest alone says which pages count, and it is replaced by compare-and-swap. A page is
+//! listed first by the generation in its name. So a page that no longer is, or never was, listed
+//! by a manifest of its own or a later generation will never be again, and may be deleted.
+
+use crate::error::{JournalError, Result};
+use crate::log::{Log, bounded};
+use crate::meta::{manifest_key, page_key};
+use crate::page::{pack, state_items};
+use crate::wire::{Manifest, WireItem, encode};
+use log::{debug, info, warn};
+use oatdale_platform::{Condition, Kv, KvError, Put};
+
+/// How many pages of bills a manifest may list; more would not fit below a megabyte.
+pub const MAX_BILL_PAGES: usize = 8_000;
+
+/// Segments hold at most this many bytes before they go to pages.
+const MAX_BYTES: usize = 4_000_000;
+
+/// How often a lost answer to the manifest's write is asked after.
+const MAX_ATTEMPTS: usize = 3;
+
+impl<K: Kv> Log<K> {
+    /// Whether it is time to compact.
+    pub(crate) fn wants_compaction(&self) -> bool {
+        let segments = self.next - self.manifest.next;
+        segments >= self.meta.slots / 2 || self.bytes >= MAX_BYTES
+    }
+
+    /// Compacts up to where this process has read; false if another compactor was faster.
+    pub(crate) async fn compact(&mut self) -> Result<bool> {
+        // One call here saves writing pages for nothing when another compactor is done already.
+        let known = self.manifest.generation;
+        self.refresh_manifest().await?;
+        if self.manifest.generation != known {
+            return Ok(false);
+        }
+        if self.manifest.bills.len() >= MAX_BILL_PAGES {
+            let pages = self.manifest.bills.len();
+            return Err(JournalError::Full { pages });
+        }
+        self.fold.purge();
+        let generation = self.manifest.generation + 1;
+        let state = pack(state_items(&self.fold));
+        let bills = pack(self.entries.iter().map(|(_, entry)| WireItem::from(entry)));
+        let states = state.len();
+        let written = self
+            .write_pages(generation, state.into_iter().chain(bills))
+            .await?;
+        let mut listed = self.manifest.bills.clone();
+        listed.extend_from_slice(&written[states..]);
+        let manifest = Manifest {
+            generation,
+            writer: self.writer,
+            next: self.next,
+            state: written[..states].to_vec(),
+            bills: listed,
+        };
+        self.publish(manifest, &written).await
+    }
+
+    /// Replaces the manifest by one of the next generation and takes note of whichever won.
+    async fn publish(&mut self, manifest: Manifest, written: &[String]) -> Result<bool> {
+        let old = std::mem::take(&mut self.manifest);
+        match self.swap_manifest(&manifest).await {
+            Ok(true) => {
+                info!(
+                    "journal shard {}: compacted up to segment {}: {} state pages, {} bill pages",
+                    self.shard.0,
+                    manifest.next,
+                    manifest.state.len(),
+                    manifest.bills.len()
+                );
+                self.manifest = manifest;
+                self.entries.clear();
+                self.bytes = 0;
+                self.delete_unlisted(&old.state).await;
+                Ok(true)
+            }
+            Ok(false) => {
+                self.manifest = old;
+                self.refresh_manifest().await?;
+                self.delete_unlisted(written).await;
+                Ok(false)
+            }
+            Err(error) => {
+                // Whether the swap took effect is open: read everything again before going on.
+                self.manifest = old;
+                self.forget();
+                Err(error)
+            }
+        }
+    }
+
+    /// Writes a manifest over the known one; false if somebody else did before.
+    pub(crate) async fn swap_manifest(&mut self, manifest: &Manifest) -> Result<bool> {
+        let key = manifest_key(self.shard);
+        let value = bytes::Bytes::from(encode(manifest));
+        let cond = match self.manifest_revision {
+            Some(revision) => Condition::Is(revision),
+            None => Condition::Absent,
+        };
+        for _ in 0..MAX_ATTEMPTS {
+            let put = self.kv.put(&key, value.clone(), cond, None);
+            match bounded(self.call_timeout, put).await {
+                Ok(Put::Stored(revision)) => {
+                    self.manifest_revision = Some(revision);
+                    return Ok(true);
+                }
+                Ok(Put::Conflict(_)) => return self.is_stored(manifest).await,
+                Err(KvError::Unknown { message }) => {
+                    debug!("journal shard {}: manifest: {message}", self.shard.0);
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Err(JournalError::Unavailable {
+            retry_after: crate::error::RETRY_AFTER,
+            message: "no answer to the manifest's write".to_owned(),
+        })
+    }
+
+    /// After a conflict: whether the write that won was this one, whose answer had been lost.
+    async fn is_stored(&mut self, manifest: &Manifest) -> Result<bool> {
+        let (stored, revision) = self.read_manifest().await?;
+        let ours = stored == *manifest;
+        if ours {
+            self.manifest_revision = revision;
+        }
+        Ok(ours)
+    }
+
+    /// Reads the manifest again and drops what its pages cover.
+    pub(crate) async fn refresh_manifest(&mut self) -> Result<()> {
+        let (manifest, revision) = self.read_manifest().await?;
+        if manifest.next > self.next {
+            self.forget();
+            return Ok(());
+        }
+        if manifest.next != self.manifest.next {
+            self.bytes = 0;
+        }
+        self.entries.retain(|(seq, _)| *seq >= manifest.next);
+        self.manifest = manifest;
+        self.manifest_revision = revision;
+        Ok(())
+    }
+
+    async fn write_pages(
+        &mut self,
+        generation: u64,
+        pages: impl Iterator<Item = Vec<u8>>,
+    ) -> Result<Vec<String>> {
+        self.attempts += 1;
+        let mut written = Vec::new();
+        for (index, page) in pages.enumerate() {
+            let name = (self.writer, self.attempts);
+            let key = page_key(self.shard, generation, name, index);
+            self.write_page(&key, page.into()).await?;
+            written.push(key);
+        }
+        Ok(written)
+    }
+
+    /// Writes one page. Nobody else uses its name, so a conflict means that an earlier try took
+    /// effect whose answer was lost.
+    async fn write_page(&self, key: &str, page: bytes::Bytes) -> Result<()> {
+        for _ in 0..MAX_ATTEMPTS {
+            let put = self.kv.put(key, page.clone(), Condition::Absent, None);
+            match bounded(self.call_timeout, put).await {
+                Ok(Put::Stored(_) | Put::Conflict(_)) => return Ok(()),
+                Err(KvError::Unknown { message }) => debug!("journal: page {key}: {message}"),
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Err(JournalError::Unavailable {
+            retry_after: crate::error::RETRY_AFTER,
+            message: format!("no answer to the write of {key}"),
+        })
+    }
+
+    /// Deletes those of some pages that the manifest does not list. A page may be listed although
+    /// this process saw its own manifest lose: the manifest won, its answer was lost, and another
+    /// compactor took its bills over. Whoever is reading a deleted page finds it missing and
+    /// starts again from the new manifest.
+    async fn delete_unlisted(&self, pages: &[String]) {
+        let manifest = &self.manifest;
+        let listed = |key| manifest.state.contains(key) || manifest.bills.contains(key);
+        for key in pages.iter().filter(|key| !listed(key)) {
+            if let Err(error) = self.delete_page(key).await {
+                warn!("journal: page {key} is left for the export: {error}");
+            }
+        }
+    }
+
+    /// Deletes a page that no manifest lists any more.
+    pub(crate) async fn delete_page(&self, key: &str) -> Result<()> {
+        let stored = bounded(self.call_timeout, self.kv.get(key)).await?;
+        if let Some(entry) = stored {
+            let delete = self.kv.delete(key, entry.revision);
+            bounded(self.call_timeout, delete).await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/oatdale-journal/src/fold.rs
@@ -0,0 +1,302 @@
+//! What a shard's records add up to: pure, the same at every reader.
+//!
+//! Time in the fold is the journal's own: each segment carries its writer's clock, and the fold's
+//! clock follows the highest one seen by at most [`MAX_TICK`] a segment. So all readers forget at
+//! the same place of the log, and neither an outage nor one wrong clock makes them forget in a
+//! rush.
+
+use crate::record::{
+    BillRecord, ClaimKey, Closing, MicroUnits, Millis, Opening, Outcome, Pin, Record, RequestId,
+    SessionKey,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How far one segment may move the fold's clock, in milliseconds.
+pub const MAX_TICK: u64 = 2_000;
+
+/// How long the journal remembers, in milliseconds of its clock; the same for all nodes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct Retention {
+    /// A claim, from its record on.
+    pub claims: u64,
+    /// A pin, from its record on.
+    pub pins: u64,
+    /// Whether a request has a bill, from its opening on. Must exceed the longest request, unless
+    /// its opening is in the journal.
+    pub bills: u64,
+    /// How long a request whose opening is in the journal may lack a closing.
+    pub open: u64,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        const MINUTE: u64 = 60_000;
+        Retention {
+            claims: 24 * 60 * MINUTE,
+            pins: 25 * 60 * MINUTE,
+            bills: 15 * MINUTE,
+            open: 60 * MINUTE,
+        }
+    }
+}
+
+/// A claim that was won.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct Held {
+    /// The request that won it.
+    pub by: RequestId,
+    /// When, on the journal's clock.
+    pub at: Millis,
+    /// How the request ended, if its node said so.
+    pub finished: Option<Outcome>,
+}
+
+/// A session's pin and its place in time.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+pub(crate) struct Pinned {
+    pub(crate) pin: Pin,
+    pub(crate) at: Millis,
+}
+
+/// What became final when a segment was applied.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+pub enum Entry {
+    /// The one bill of a request.
+    Bill(Closing),
+    /// A closing that came after the journal forgot its request; no bill.
+    Late(Closing),
+}
+
+/// What a bill record would do.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum BillState {
+    /// The journal has it, or has a closing that came first.
+    Known,
+    /// It is news.
+    New,
+    /// The request may have been forgotten.
+    TooLate,
+}
+
+/// The state of one shard.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+pub struct Fold {
+    pub(crate) retention: Retention,
+    pub(crate) clock: Millis,
+    pub(crate) claims: BTreeMap<ClaimKey, Held>,
+    pub(crate) released: BTreeMap<RequestId, Millis>,
+    pub(crate) pins: BTreeMap<SessionKey, Pinned>,
+    pub(crate) open: BTreeMap<RequestId, (Opening, Millis)>,
+    /// The open requests by the time of their record, oldest first.
+    pub(crate) open_order: BTreeSet<(Millis, RequestId)>,
+    /// Requests that have their bill, with their opening times.
+    pub(crate) settled: BTreeMap<RequestId, Millis>,
+}
+
+impl Fold {
+    /// The state of an empty shard.
+    pub fn new(retention: Retention) -> Self {
+        Fold {
+            retention,
+            clock: Millis(0),
+            claims: BTreeMap::new(),
+            released: BTreeMap::new(),
+            pins: BTreeMap::new(),
+            open: BTreeMap::new(),
+            open_order: BTreeSet::new(),
+            settled: BTreeMap::new(),
+        }
+    }
+
+    /// Applies one segment that was written at `at` by its writer's clock.
+    pub fn apply(&mut self, at: Millis, records: &[Record]) -> Vec<Entry> {
+        self.tick(at);
+        let mut entries = self.close_overdue();
+        for record in records {
+            entries.extend(self.record(record));
+        }
+        entries
+    }
+
+    /// The journal's time.
+    pub fn clock(&self) -> Millis {
+        self.clock
+    }
+
+    /// Who holds a claim, unless it has expired.
+    pub fn claim(&self, key: ClaimKey) -> Option<Held> {
+        let held = self.claims.get(&key)?;
+        self.is_fresh(held.at, self.retention.claims)
+            .then_some(*held)
+    }
+
+    /// Whether a request gave its claim back.
+    pub fn is_released(&self, request: RequestId) -> bool {
+        let at = self.released.get(&request);
+        at.is_some_and(|at| self.is_fresh(*at, self.retention.claims))
+    }
+
+    /// A session's pin, unless it has expired.
+    pub fn pin(&self, session: SessionKey) -> Option<&Pin> {
+        let pinned = self.pins.get(&session)?;
+        self.is_fresh(pinned.at, self.retention.pins)
+            .then_some(&pinned.pin)
+    }
+
+    /// What a bill record would do if it were appended now.
+    pub fn bill_state(&self, record: &BillRecord) -> BillState {
+        let request = record.request();
+        let settled = self.settled.contains_key(&request);
+        let open = self.open.contains_key(&request);
+        let fresh = self.is_fresh(record.opened_at(), self.retention.bills);
+        match record {
+            // Once the time is over a request counts as forgotten, also where it is still held.
+            BillRecord::Open(_) if open => BillState::Known,
+            BillRecord::Close(_) if open => BillState::New,
+            _ if !fresh => BillState::TooLate,
+            _ if settled => BillState::Known,
+            _ => BillState::New,
+        }
+    }
+
+    /// Drops what has expired; every question has the same answer before and after.
+    pub fn purge(&mut self) {
+        let Retention {
+            claims,
+            pins,
+            bills,
+            ..
+        } = self.retention;
+        let clock = self.clock;
+        let fresh = |at: Millis, span: u64| clock.0 < at.0.saturating_add(span);
+        self.claims.retain(|_, held| fresh(held.at, claims));
+        self.released.retain(|_, at| fresh(*at, claims));
+        self.pins.retain(|_, pinned| fresh(pinned.at, pins));
+        self.settled.retain(|_, opened| fresh(*opened, bills));
+    }
+
+    fn is_fresh(&self, at: Millis, span: u64) -> bool {
+        self.clock.0 < at.0.saturating_add(span)
+    }
+
+    fn tick(&mut self, at: Millis) {
+        let first = self.clock == Millis(0);
+        let most = self.clock.0.saturating_add(MAX_TICK);
+        self.clock = match first {
+            true => at,
+            false => Millis(at.0.clamp(self.clock.0, most)),
+        };
+    }
+
+    /// Closes requests whose closing never came, so that an acknowledged opening gets its bill.
+    fn close_overdue(&mut self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        while let Some((at, request)) = self.open_order.first().copied() {
+            if self.is_fresh(at, self.retention.open) {
+                break;
+            }
+            let Some((opening, _)) = self.open.get(&request) else {
+                break;
+            };
+            let closing = interrupted(opening, self.clock);
+            entries.push(self.settle(&closing));
+        }
+        entries
+    }
+
+    fn record(&mut self, record: &Record) -> Option<Entry> {
+        match record {
+            Record::Claim { key, by } => {
+                self.take_claim(*key, *by);
+                None
+            }
+            Record::Release { key, by } => {
+                self.release(*key, *by);
+                None
+            }
+            Record::Finish { key, by, outcome } => {
+                let held = self.claims.get_mut(key).filter(|held| held.by == *by);
+                if let Some(held) = held {
+                    held.finished = held.finished.or(Some(*outcome));
+                }
+                None
+            }
+            Record::Pin { session, pin } => {
+                self.take_pin(*session, pin);
+                None
+            }
+            Record::Bill(bill) => self.bill(bill),
+        }
+    }
+
+    /// The first claim of a key wins. One whose request gave it back before is void: its write was
+    /// on its way when the request was refused, and nobody would ever use it.
+    fn take_claim(&mut self, key: ClaimKey, by: RequestId) {
+        if self.claim(key).is_some() || self.is_released(by) {
+            return;
+        }
+        let held = Held {
+            by,
+            at: self.clock,
+            finished: None,
+        };
+        self.claims.insert(key, held);
+    }
+
+    fn release(&mut self, key: ClaimKey, by: RequestId) {
+        self.released.insert(by, self.clock);
+        let held = self.claims.get(&key);
+        if held.is_some_and(|held| held.by == by) {
+            self.claims.remove(&key);
+        }
+    }
+
+    fn take_pin(&mut self, session: SessionKey, pin: &Pin) {
+        if self.pin(session).is_some() {
+            return;
+        }
+        let pinned = Pinned {
+            pin: pin.clone(),
+            at: self.clock,
+        };
+        self.pins.insert(session, pinned);
+    }
+
+    fn bill(&mut self, record: &BillRecord) -> Option<Entry> {
+        match (self.bill_state(record), record) {
+            (BillState::New, BillRecord::Open(opening)) => {
+                let value = (opening.clone(), self.clock);
+                self.open.insert(opening.request, value);
+                self.open_order.insert((self.clock, opening.request));
+                None
+            }
+            (BillState::New, BillRecord::Close(closing)) => Some(self.settle(closing)),
+            (BillState::TooLate, BillRecord::Close(closing)) => Some(Entry::Late(closing.clone())),
+            (BillState::TooLate, BillRecord::Open(_)) | (BillState::Known, _) => None,
+        }
+    }
+
+    fn settle(&mut self, closing: &Closing) -> Entry {
+        if let Some((_, at)) = self.open.remove(&closing.request) {
+            self.open_order.remove(&(at, closing.request));
+        }
+        self.settled.insert(closing.request, closing.opened_at);
+        Entry::Bill(closing.clone())
+    }
+}
+
+/// The bill of a request whose node and holders all vanished.
+fn interrupted(opening: &Opening, now: Millis) -> Closing {
+    Closing {
+        request: opening.request,
+        customer: opening.customer.clone(),
+        service: opening.service.clone(),
+        version: None,
+        input_tokens: 0,
+        output_tokens: 0,
+        price: MicroUnits(0),
+        outcome: Outcome::Interrupted,
+        opened_at: opening.opened_at,
+        closed_at: now,
+    }
+}
--- a/crates/oatdale-journal/src/lib.rs
+++ b/crates/oatdale-journal/src/lib.rs
@@ -1,1 +1,55 @@
-//! Claims, pins and bills as a log of create-if-absent segments.
+//! Claims, pins and bills, kept in the platform's key-value service as a log that nobody owns.
+//!
+//! Each shard is a log of segments; a segment is appended by compare-and-swap, and the first
+//! writer of a number wins. What the records add up to is computed by a pure [`Fold`], which is
+//! the same at every reader. docs/JOURNAL.md tells why it is so and how to run it.
+//!
+//! ```
+//! use oatdale_fakes::MemKv;
+//! use oatdale_journal::{Claim, ClaimKey, Millis, Preferred, RequestId, Settings, journal, run};
+//! use std::sync::Arc;
+//! use tokio::sync::watch;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() {
+//! let (_tx, preferred) = watch::channel(Preferred::default());
+//! let clock = Arc::new(|| Millis(1_000));
+//! let (handle, duty) = journal(MemKv::new(1), Settings::new(7), clock, preferred);
+//! let duty = tokio::spawn(run(duty));
+//!
+//! let key = ClaimKey([1; 32]);
+//! let first = handle.claim(key, RequestId(1)).await.unwrap();
+//! assert!(matches!(first, Claim::Won { .. }));
+//! let second = handle.claim(key, RequestId(2)).await.unwrap();
+//! assert!(matches!(second, Claim::Lost { by: RequestId(1), .. }));
+//!
+//! drop(handle);
+//! duty.await.unwrap();
+//! # }
+//! ```
+
+mod compact;
+mod duty;
+mod error;
+mod export;
+mod fold;
+mod handle;
+mod job;
+mod log;
+mod meta;
+mod page;
+mod record;
+mod shard;
+mod wire;
+
+pub use crate::compact::MAX_BILL_PAGES;
+pub use crate::duty::{Duty, Preferred, Settings, WallClock, journal, run};
+pub use crate::error::{JournalError, Result};
+pub use crate::export::{Exporter, Ledger};
+pub use crate::fold::{BillState, Entry, Fold, Held, MAX_TICK, Retention};
+pub use crate::handle::{Claim, JournalHandle, MAX_RECORD};
+pub use crate::meta::Meta;
+pub use crate::record::{
+    BillRecord, ClaimKey, Closing, MicroUnits, Millis, Opening, Outcome, Pin, Record, RequestId,
+    SessionKey, ShardId,
+};
--- /dev/null
+++ b/crates/oatdale-journal/src/log.rs
@@ -0,0 +1,264 @@
+//! One shard's log as one writer or reader follows it.
+//!
+//! The last segments lie in a ring of slots. Appending segment `n` replaces segment `n - slots`
+//! in its slot, on condition that the slot still has that segment's revision (or none, in the
+//! first round). Of several writers one wins, and a write that was on its way for however long
+//! loses, since a slot's revision never comes back. Deleting old segments and creating new keys
+//! if absent would not give that: a delayed create would succeed again on a deleted key.
+
+use crate::error::Result;
+use crate::fold::{Entry, Fold};
+use crate::meta::{Meta, manifest_key, slot_key, slot_prefix};
+use crate::page::unpack_state;
+use crate::record::{Millis, Record, ShardId};
+use crate::wire::{Manifest, WireRecord, WireSegment, decode, encode};
+use log::debug;
+use oatdale_platform::{Condition, Entry as KvEntry, Kv, KvError, ModRevision, Put};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// How many slots the first look at the tail asks for, and any further one.
+const FIRST_LOOK: usize = 2;
+const NEXT_LOOK: usize = 16;
+
+/// What is known of a slot.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Slot {
+    /// Nothing that an append could rely on.
+    Unknown,
+    /// It was never written.
+    Absent,
+    /// Its last segment has this revision.
+    Holds(ModRevision),
+}
+
+/// What became of an append.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Append {
+    /// The segment is in the log.
+    Stored,
+    /// Another segment took its place, or the answer was lost: read on, then look again.
+    Raced,
+}
+
+/// A shard as this process knows it.
+pub(crate) struct Log<K> {
+    pub(crate) kv: K,
+    pub(crate) shard: ShardId,
+    pub(crate) meta: Meta,
+    pub(crate) writer: u64,
+    /// How long any one call may take.
+    pub(crate) call_timeout: Duration,
+    pub(crate) fold: Fold,
+    /// The number that the next segment will have.
+    pub(crate) next: u64,
+    pub(crate) manifest: Manifest,
+    pub(crate) manifest_revision: Option<ModRevision>,
+    /// What became final since the manifest, with its segment's number.
+    pub(crate) entries: Vec<(u64, Entry)>,
+    /// Bytes of the segments since the manifest.
+    pub(crate) bytes: usize,
+    /// Counts this process's compactions, whatever became of them.
+    pub(crate) attempts: u64,
+    slots: Vec<Slot>,
+    loaded: bool,
+}
+
+impl<K: Kv> Log<K> {
+    pub(crate) fn new(
+        kv: K,
+        shard: ShardId,
+        meta: Meta,
+        writer: u64,
+        call_timeout: Duration,
+    ) -> Self {
+        Log {
+            kv,
+            shard,
+            meta,
+            writer,
+            call_timeout,
+            fold: Fold::new(meta.retention),
+            next: 0,
+            manifest: Manifest::default(),
+            manifest_revision: None,
+            entries: Vec::new(),
+            bytes: 0,
+            attempts: 0,
+            slots: vec![Slot::Unknown; meta.slots as usize],
+            loaded: false,
+        }
+    }
+
+    /// Reads everything up to the log's end.
+    pub(crate) async fn catch_up(&mut self) -> Result<()> {
+        loop {
+            while !self.loaded {
+                self.loaded = self.load().await?;
+            }
+            let mut look = FIRST_LOOK;
+            while !self.read_on(look).await? {
+                look = NEXT_LOOK;
+            }
+            if self.loaded {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Whether the next append needs no reading first.
+    pub(crate) fn is_at_end(&self) -> bool {
+        self.loaded && self.slots[self.slot()] != Slot::Unknown
+    }
+
+    /// Whether the ring has no slot whose segment is on a page.
+    pub(crate) fn is_full(&self) -> bool {
+        self.next >= self.manifest.next + self.meta.slots
+    }
+
+    /// Tries to write the next segment. The log must be at its end and the ring not full.
+    pub(crate) async fn append(&mut self, at: Millis, records: &[Record]) -> Result<Append> {
+        let slot = self.slot();
+        let cond = match self.slots[slot] {
+            Slot::Unknown => return Ok(Append::Raced),
+            Slot::Absent => Condition::Absent,
+            Slot::Holds(revision) => Condition::Is(revision),
+        };
+        let segment = WireSegment {
+            seq: self.next,
+            writer: self.writer,
+            at: at.0,
+            records: records.iter().map(WireRecord::from).collect(),
+        };
+        let value = encode(&segment);
+        let bytes = value.len();
+        let key = slot_key(self.shard, slot as u64);
+        // Until an answer says what the slot holds, nothing may be assumed of it: not even a
+        // dropped call is sure to be without effect.
+        self.slots[slot] = Slot::Unknown;
+        let put = self.kv.put(&key, value.into(), cond, None);
+        match bounded(self.call_timeout, put).await {
+            Ok(Put::Stored(revision)) => {
+                self.take(slot, revision, at, records, bytes);
+                Ok(Append::Stored)
+            }
+            Ok(Put::Conflict(_)) => Ok(Append::Raced),
+            Err(KvError::Unknown { message }) => {
+                debug!(
+                    "journal shard {}: segment {}: {message}",
+                    self.shard.0, self.next
+                );
+                Ok(Append::Raced)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Reads a manifest and its state; false if a compactor was faster.
+    async fn load(&mut self) -> Result<bool> {
+        let (manifest, revision) = self.read_manifest().await?;
+        let mut fold = Fold::new(self.meta.retention);
+        for key in &manifest.state {
+            let page = bounded(self.call_timeout, self.kv.get(key)).await?;
+            let Some(page) = page else { return Ok(false) };
+            unpack_state(&mut fold, key, &page.value)?;
+        }
+        self.fold = fold;
+        self.next = manifest.next;
+        self.manifest = manifest;
+        self.manifest_revision = revision;
+        self.entries.clear();
+        self.bytes = 0;
+        self.slots.fill(Slot::Unknown);
+        Ok(true)
+    }
+
+    pub(crate) async fn read_manifest(&self) -> Result<(Manifest, Option<ModRevision>)> {
+        let key = manifest_key(self.shard);
+        match bounded(self.call_timeout, self.kv.get(&key)).await? {
+            Some(entry) => Ok((decode(&key, &entry.value)?, Some(entry.revision))),
+            None => Ok((Manifest::default(), None)),
+        }
+    }
+
+    /// Reads some slots from the next one on; true at the log's end.
+    async fn read_on(&mut self, look: usize) -> Result<bool> {
+        let first = self.slot();
+        let prefix = slot_prefix(self.shard);
+        let after = first
+            .checked_sub(1)
+            .map(|slot| slot_key(self.shard, slot as u64));
+        let list = self.kv.list(&prefix, after.as_deref(), look);
+        let found = bounded(self.call_timeout, list).await?;
+        let mut found = found.into_iter();
+        for slot in first..(first + look).min(self.slots.len()) {
+            let wanted = slot_key(self.shard, slot as u64);
+            let Some(entry) = found.next().filter(|entry| entry.key == wanted) else {
+                self.slots[slot] = Slot::Absent;
+                return Ok(true);
+            };
+            if self.read_slot(slot, &entry)? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    /// Takes in one slot; true if the log ends before it.
+    fn read_slot(&mut self, slot: usize, entry: &KvEntry) -> Result<bool> {
+        let segment: WireSegment = decode(&entry.key, &entry.value)?;
+        match segment.seq {
+            seq if seq == self.next => {
+                let records: Vec<Record> = segment.records.into_iter().map(Record::from).collect();
+                let at = Millis(segment.at);
+                self.take(slot, entry.revision, at, &records, entry.value.len());
+                Ok(false)
+            }
+            seq if seq < self.next => {
+                self.slots[slot] = Slot::Holds(entry.revision);
+                Ok(true)
+            }
+            _ => {
+                // Others wrote a whole round meanwhile; the pages hold what was overwritten.
+                self.forget();
+                Ok(true)
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        slot: usize,
+        revision: ModRevision,
+        at: Millis,
+        records: &[Record],
+        bytes: usize,
+    ) {
+        let seq = self.next;
+        let entries = self.fold.apply(at, records);
+        self.entries.extend(entries.into_iter().map(|e| (seq, e)));
+        self.bytes += bytes;
+        self.slots[slot] = Slot::Holds(revision);
+        self.next += 1;
+    }
+
+    fn slot(&self) -> usize {
+        self.meta.slot(self.next) as usize
+    }
+
+    /// Forgets everything; the next [`catch_up`](Log::catch_up) starts from the pages.
+    pub(crate) fn forget(&mut self) {
+        self.loaded = false;
+    }
+}
+
+/// Bounds a call: one whose time runs out may have had an effect.
+pub(crate) async fn bounded<T>(
+    limit: Duration,
+    call: impl Future<Output = oatdale_platform::Result<T>>,
+) -> oatdale_platform::Result<T> {
+    let late = |_| KvError::Unknown {
+        message: format!("no answer within {} ms", limit.as_millis()),
+    };
+    timeout(limit, call).await.map_err(late)?
+}
--- /dev/null
+++ b/crates/oatdale-journal/src/wire.rs
@@ -0,0 +1,304 @@
+//! The journal's values as CBOR, with short names since every request writes some.
+
+use crate::error::{JournalError, Result};
+use crate::fold::{Entry, Held, Pinned};
+use crate::record::{
+    BillRecord, ClaimKey, Closing, MicroUnits, Millis, Opening, Outcome, Pin, Record, RequestId,
+    SessionKey,
+};
+use serde::{Deserialize, Serialize};
+
+type Key = (u128, u128);
+
+#[derive(Serialize, Deserialize)]
+pub(crate) struct WireSegment {
+    #[serde(rename = "n")]
+    pub(crate) seq: u64,
+    #[serde(rename = "w")]
+    pub(crate) writer: u64,
+    #[serde(rename = "t")]
+    pub(crate) at: u64,
+    #[serde(rename = "r")]
+    pub(crate) records: Vec<WireRecord>,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(crate) enum WireRecord {
+    #[serde(rename = "c")]
+    Claim(Key, u128),
+    #[serde(rename = "r")]
+    Release(Key, u128),
+    #[serde(rename = "f")]
+    Finish(Key, u128, bool),
+    #[serde(rename = "p")]
+    Pin(Key, Vec<String>, u64),
+    #[serde(rename = "o")]
+    Open(WireOpening),
+    #[serde(rename = "b")]
+    Close(WireClosing),
+}
+
+/// Request, customer, service, opened at.
+type WireOpening = (u128, String, String, u64);
+
+/// Request, customer, service, version, input tokens, output tokens, price, complete, opened at,
+/// closed at.
+type WireClosing = (
+    u128,
+    String,
+    String,
+    Option<String>,
+    u64,
+    u64,
+    u64,
+    bool,
+    u64,
+    u64,
+);
+
+/// One item of a page.
+#[derive(Serialize, Deserialize)]
+pub(crate) enum WireItem {
+    /// The fold's clock.
+    #[serde(rename = "t")]
+    Clock(u64),
+    #[serde(rename = "c")]
+    Claim(Key, u128, u64, Option<bool>),
+    #[serde(rename = "r")]
+    Released(u128, u64),
+    #[serde(rename = "p")]
+    Pin(Key, Vec<String>, u64, u64),
+    #[serde(rename = "o")]
+    Open(WireOpening, u64),
+    #[serde(rename = "s")]
+    Settled(u128, u64),
+    #[serde(rename = "b")]
+    Bill(WireClosing),
+    #[serde(rename = "l")]
+    Late(WireClosing),
+}
+
+/// The list of a shard's pages; the only value that says which pages count.
+#[derive(Clone, Serialize, Deserialize, PartialEq, Eq, Debug, Default)]
+pub(crate) struct Manifest {
+    /// Counts the manifest's writes.
+    #[serde(rename = "g")]
+    pub(crate) generation: u64,
+    /// Who wrote it; with the generation it tells a writer whether a lost answer was its own.
+    #[serde(rename = "w")]
+    pub(crate) writer: u64,
+    /// The first segment that the pages do not cover.
+    #[serde(rename = "n")]
+    pub(crate) next: u64,
+    /// Names of the pages of state.
+    #[serde(rename = "s")]
+    pub(crate) state: Vec<String>,
+    /// Names of the pages of bills that nobody took yet, oldest first.
+    #[serde(rename = "b")]
+    pub(crate) bills: Vec<String>,
+}
+
+/// What all nodes must agree on; the first node writes it.
+#[derive(Clone, Copy, Serialize, Deserialize, PartialEq, Eq, Debug)]
+pub(crate) struct WireMeta {
+    #[serde(rename = "s")]
+    pub(crate) shards: u16,
+    #[serde(rename = "k")]
+    pub(crate) slots: u64,
+    #[serde(rename = "c")]
+    pub(crate) claims: u64,
+    #[serde(rename = "p")]
+    pub(crate) pins: u64,
+    #[serde(rename = "b")]
+    pub(crate) bills: u64,
+    #[serde(rename = "o")]
+    pub(crate) open: u64,
+}
+
+pub(crate) fn encode(value: &impl Serialize) -> Vec<u8> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(value, &mut buf).expect("writing to memory can't fail");
+    buf
+}
+
+pub(crate) fn decode<T: for<'de> Deserialize<'de>>(key: &str, bytes: &[u8]) -> Result<T> {
+    ciborium::from_reader(bytes).map_err(|e| corrupt(key, e))
+}
+
+/// Reads the items of a page, which stand one after the other.
+pub(crate) fn decode_items(key: &str, mut bytes: &[u8]) -> Result<Vec<WireItem>> {
+    let mut items = Vec::new();
+    while !bytes.is_empty() {
+        let item = ciborium::from_reader(&mut bytes).map_err(|e| corrupt(key, e))?;
+        items.push(item);
+    }
+    Ok(items)
+}
+
+fn corrupt(key: &str, error: impl std::fmt::Display) -> JournalError {
+    JournalError::Corrupt {
+        key: key.to_owned(),
+        message: error.to_string(),
+    }
+}
+
+impl From<&Record> for WireRecord {
+    fn from(record: &Record) -> Self {
+        match record {
+            Record::Claim { key, by } => WireRecord::Claim(split(key.0), by.0),
+            Record::Release { key, by } => WireRecord::Release(split(key.0), by.0),
+            Record::Finish { key, by, outcome } => {
+                WireRecord::Finish(split(key.0), by.0, is_complete(*outcome))
+            }
+            Record::Pin { session, pin } => {
+                WireRecord::Pin(split(session.0), pin.versions.clone(), pin.opened_at.0)
+            }
+            Record::Bill(BillRecord::Open(opening)) => WireRecord::Open(opening.into()),
+            Record::Bill(BillRecord::Close(closing)) => WireRecord::Close(closing.into()),
+        }
+    }
+}
+
+impl From<WireRecord> for Record {
+    fn from(wire: WireRecord) -> Self {
+        match wire {
+            WireRecord::Claim(key, by) => Record::Claim {
+                key: ClaimKey(join(key)),
+                by: RequestId(by),
+            },
+            WireRecord::Release(key, by) => Record::Release {
+                key: ClaimKey(join(key)),
+                by: RequestId(by),
+            },
+            WireRecord::Finish(key, by, complete) => Record::Finish {
+                key: ClaimKey(join(key)),
+                by: RequestId(by),
+                outcome: outcome(complete),
+            },
+            WireRecord::Pin(session, versions, at) => Record::Pin {
+                session: SessionKey(join(session)),
+                pin: Pin {
+                    versions,
+                    opened_at: Millis(at),
+                },
+            },
+            WireRecord::Open(opening) => Record::Bill(BillRecord::Open(opening.into())),
+            WireRecord::Close(closing) => Record::Bill(BillRecord::Close(closing.into())),
+        }
+    }
+}
+
+impl From<&Opening> for WireOpening {
+    fn from(o: &Opening) -> Self {
+        (
+            o.request.0,
+            o.customer.clone(),
+            o.service.clone(),
+            o.opened_at.0,
+        )
+    }
+}
+
+impl From<WireOpening> for Opening {
+    fn from((request, customer, service, at): WireOpening) -> Self {
+        Opening {
+            request: RequestId(request),
+            customer,
+            service,
+            opened_at: Millis(at),
+        }
+    }
+}
+
+impl From<&Closing> for WireClosing {
+    fn from(c: &Closing) -> Self {
+        (
+            c.request.0,
+            c.customer.clone(),
+            c.service.clone(),
+            c.version.clone(),
+            c.input_tokens,
+            c.output_tokens,
+            c.price.0,
+            is_complete(c.outcome),
+            c.opened_at.0,
+            c.closed_at.0,
+        )
+    }
+}
+
+impl From<WireClosing> for Closing {
+    fn from(wire: WireClosing) -> Self {
+        let (request, customer, service, version, input, output, price, complete, opened, closed) =
+            wire;
+        Closing {
+            request: RequestId(request),
+            customer,
+            service,
+            version,
+            input_tokens: input,
+            output_tokens: output,
+            price: MicroUnits(price),
+            outcome: outcome(complete),
+            opened_at: Millis(opened),
+            closed_at: Millis(closed),
+        }
+    }
+}
+
+impl From<&Entry> for WireItem {
+    fn from(entry: &Entry) -> Self {
+        match entry {
+            Entry::Bill(closing) => WireItem::Bill(closing.into()),
+            Entry::Late(closing) => WireItem::Late(closing.into()),
+        }
+    }
+}
+
+impl WireItem {
+    pub(crate) fn claim(key: ClaimKey, held: &Held) -> Self {
+        let finished = held.finished.map(is_complete);
+        WireItem::Claim(split(key.0), held.by.0, held.at.0, finished)
+    }
+
+    pub(crate) fn pin(session: SessionKey, pinned: &Pinned) -> Self {
+        let Pin {
+            versions,
+            opened_at,
+        } = &pinned.pin;
+        WireItem::Pin(split(session.0), versions.clone(), opened_at.0, pinned.at.0)
+    }
+}
+
+pub(crate) fn held(by: u128, at: u64, finished: Option<bool>) -> Held {
+    Held {
+        by: RequestId(by),
+        at: Millis(at),
+        finished: finished.map(outcome),
+    }
+}
+
+/// Two numbers take 34 bytes in CBOR where a list of 32 bytes takes up to 66.
+fn split(bytes: [u8; 32]) -> Key {
+    let (high, low) = bytes.split_at(16);
+    let number = |half: &[u8]| half.iter().fold(0, |n, b| n << 8 | u128::from(*b));
+    (number(high), number(low))
+}
+
+pub(crate) fn join((high, low): Key) -> [u8; 32] {
+    let mut bytes = [0; 32];
+    bytes[..16].copy_from_slice(&high.to_be_bytes());
+    bytes[16..].copy_from_slice(&low.to_be_bytes());
+    bytes
+}
+
+fn is_complete(outcome: Outcome) -> bool {
+    outcome == Outcome::Complete
+}
+
+fn outcome(complete: bool) -> Outcome {
+    match complete {
+        true => Outcome::Complete,
+        false => Outcome::Interrupted,
+    }
+}
