--- a/crates/oatdale-fakes/src/lib.rs
+++ b/crates/oatdale-fakes/src/lib.rs
@@ -1,1 +1,18 @@
 //! Small stand-ins for the platform and the endpoints, with failure switches.
+//!
+//! Each is started on the runtime at hand, listens on a loopback port and is switched through its
+//! handle. Dropping a handle kills the stand-in; `stop` lets it finish what is under way.
+
+mod engine;
+mod kv_server;
+mod plain;
+mod reply;
+mod server;
+pub mod text;
+
+pub use crate::engine::{
+    Engine, EngineCall, EngineConfig, EngineHandle, EngineVersion, Fault, Speed,
+};
+pub use crate::kv_server::KvServer;
+pub use crate::plain::{Plain, PlainCall, PlainFault};
+pub use crate::server::{Body, CloseConnection, Reply, Server};
--- /dev/null
+++ b/crates/oatdale-fakes/src/server.rs
@@ -0,0 +1,178 @@
+//! A small HTTP server on a loopback port whose connections can be refused or cut.
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// A body that is sent whole or as a stream, which may break off.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Closes the connection in place of an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CloseConnection;
+
+impl std::fmt::Display for CloseConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the stand-in closes the connection")
+    }
+}
+
+impl std::error::Error for CloseConnection {}
+
+/// What a handler returns.
+pub type Reply = Result<Response<Body>, CloseConnection>;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Phase {
+    Serving,
+    Refusing,
+    Stopping,
+    Killed,
+}
+
+/// A running server; dropping it kills it.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    phase: watch::Sender<Phase>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Listens at `addr`, where port 0 takes a free one, and serves until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn start<F>(
+        addr: SocketAddr,
+        handler: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    ) -> io::Result<Self>
+    where
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let (phase, rx) = watch::channel(Phase::Serving);
+        let task = tokio::spawn(accept(listener, addr, handler, rx));
+        Ok(Server {
+            addr,
+            phase,
+            task: Some(task),
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Refuses connections and cuts the open ones, or listens again at the same address.
+    pub fn refuse(&self, refuse: bool) {
+        self.phase.send_replace(match refuse {
+            true => Phase::Refusing,
+            false => Phase::Serving,
+        });
+    }
+
+    /// Takes no new connection, finishes the requests under way and returns.
+    pub async fn stop(mut self) {
+        self.phase.send_replace(Phase::Stopping);
+        if let Some(task) = self.task.take() {
+            task.await.ok();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.phase.send_replace(Phase::Killed);
+    }
+}
+
+async fn accept<F>(
+    listener: TcpListener,
+    addr: SocketAddr,
+    handler: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    mut phase: watch::Receiver<Phase>,
+) where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let mut listener = Some(listener);
+    let (open, mut all_closed) = tokio::sync::mpsc::channel::<Infallible>(1);
+    loop {
+        let now = *phase.borrow_and_update();
+        match (now, &listener) {
+            (Phase::Stopping | Phase::Killed, _) => break,
+            (Phase::Refusing, Some(_)) => listener = None,
+            (Phase::Serving, None) => listener = TcpListener::bind(addr).await.ok(),
+            _ => {}
+        }
+        tokio::select! {
+            changed = phase.changed() => if changed.is_err() { break },
+            stream = next(listener.as_ref()) => {
+                let conn = serve(stream, handler.clone(), phase.clone(), open.clone());
+                tokio::spawn(conn);
+            }
+        }
+    }
+    drop((listener, open));
+    if *phase.borrow() == Phase::Stopping {
+        all_closed.recv().await;
+    }
+}
+
+/// The next connection; waits for ever without a listener.
+async fn next(listener: Option<&TcpListener>) -> TcpStream {
+    loop {
+        match listener {
+            None => std::future::pending::<()>().await,
+            Some(listener) => match listener.accept().await {
+                Ok((stream, _)) => return stream,
+                Err(err) => log::warn!("a connection was not accepted: {err}"),
+            },
+        }
+    }
+}
+
+/// Serves one connection; `_open` is held until it is closed.
+async fn serve<F>(
+    stream: TcpStream,
+    handler: impl Fn(Request<Incoming>) -> F,
+    mut phase: watch::Receiver<Phase>,
+    _open: tokio::sync::mpsc::Sender<Infallible>,
+) where
+    F: Future<Output = Reply>,
+{
+    stream.set_nodelay(true).ok();
+    let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(handler));
+    let mut conn = pin!(conn);
+    loop {
+        match *phase.borrow_and_update() {
+            Phase::Refusing | Phase::Killed => return,
+            Phase::Stopping => conn.as_mut().graceful_shutdown(),
+            Phase::Serving => {}
+        }
+        tokio::select! {
+            res = conn.as_mut() => {
+                if let Err(err) = res {
+                    log::debug!("a connection ended: {err}");
+                }
+                return;
+            }
+            changed = phase.changed() => if changed.is_err() { return },
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-platform/src/pool.rs
@@ -0,0 +1,265 @@
+//! HTTP/1.1 connections that are kept and used again, with an exact account of each failure.
+//!
+//! A request may be sent twice without anyone asking for it when a pool repeats a call after its
+//! idle connection turned out to be closed. This pool repeats only what the connection handed back
+//! unwritten; everything else is reported as [`SendError::Broken`].
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// How connections are made and kept.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PoolConfig {
+    /// Time a connection may take to open.
+    pub connect_timeout: Duration,
+    /// Time an unused connection is kept.
+    pub idle_timeout: Duration,
+    /// Unused connections kept for one address.
+    pub max_idle: usize,
+}
+
+impl Default for PoolConfig {
+    fn default() -> Self {
+        PoolConfig {
+            connect_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(30),
+            max_idle: 256,
+        }
+    }
+}
+
+/// Whether a call may go over a connection that served one before.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// It needs a new one. An endpoint may close an idle connection just as a request is written
+    /// to it; for a call that may not be repeated that failure would be final.
+    Never,
+}
+
+/// Why a request got no answer head.
+#[derive(Clone, PartialEq, Eq, Debug, Snafu)]
+pub enum SendError {
+    /// No byte of the request was written.
+    #[snafu(display("not sent: {message}"))]
+    NotSent {
+        /// What was seen.
+        message: String,
+    },
+    /// The connection failed after the request may have been written.
+    #[snafu(display("the connection broke: {message}"))]
+    Broken {
+        /// What was seen.
+        message: String,
+    },
+    /// The deadline passed after the request may have been written.
+    #[snafu(display("no answer before the deadline"))]
+    TimedOut,
+}
+
+/// A pool of HTTP/1.1 connections to any number of addresses; clones share it.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: PoolConfig,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    tx: SendRequest<Full<Bytes>>,
+    since: Instant,
+}
+
+/// What became of a request that was given to one connection.
+enum Attempt {
+    Answered(Response<Incoming>),
+    HandedBack(Request<Full<Bytes>>),
+    Failed(SendError),
+}
+
+impl Pool {
+    /// Makes an empty pool.
+    pub fn new(cfg: PoolConfig) -> Self {
+        Pool {
+            shared: Arc::new(Shared {
+                cfg,
+                idle: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Sends a request and waits for the answer's head until `deadline`.
+    ///
+    /// Dropping the future or the answer's body closes the connection, which tells the endpoint to
+    /// stop working on the request.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`] says whether the endpoint can have seen the request.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        mut req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, SendError> {
+        set_host(&mut req, addr);
+        while let Some(tx) = self.take_idle(addr, reuse) {
+            match self.attempt(addr, tx, req, deadline).await {
+                Attempt::Answered(res) => return Ok(res),
+                Attempt::HandedBack(unsent) => req = unsent,
+                Attempt::Failed(err) => return Err(err),
+            }
+        }
+        let tx = self.connect(addr, deadline).await?;
+        match self.attempt(addr, tx, req, deadline).await {
+            Attempt::Answered(res) => Ok(res),
+            Attempt::HandedBack(_) => Err(SendError::NotSent {
+                message: "the new connection closed at once".to_owned(),
+            }),
+            Attempt::Failed(err) => Err(err),
+        }
+    }
+
+    /// How many unused connections are open to `addr`.
+    pub fn idle(&self, addr: SocketAddr) -> usize {
+        self.lock().get(&addr).map_or(0, Vec::len)
+    }
+
+    /// Closes the unused connections to an address that is no longer served.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
+    async fn connect(
+        &self,
+        addr: SocketAddr,
+        deadline: Instant,
+    ) -> Result<SendRequest<Full<Bytes>>, SendError> {
+        let limit = deadline.min(Instant::now() + self.shared.cfg.connect_timeout);
+        let stream = match timeout_at(limit, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) => return Err(not_sent(&err)),
+            Err(_) => return Err(not_sent(&"the connection did not open in time")),
+        };
+        stream.set_nodelay(true).map_err(|err| not_sent(&err))?;
+        let (tx, conn) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| not_sent(&err))?;
+        tokio::spawn(async move {
+            if let Err(err) = conn.await {
+                log::debug!("connection to {addr} ended: {err}");
+            }
+        });
+        Ok(tx)
+    }
+
+    async fn attempt(
+        &self,
+        addr: SocketAddr,
+        mut tx: SendRequest<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Attempt {
+        match timeout_at(deadline, tx.try_send_request(req)).await {
+            Ok(Ok(res)) => {
+                self.keep(addr, tx);
+                Attempt::Answered(res)
+            }
+            Ok(Err(mut err)) => match err.take_message() {
+                Some(unsent) => Attempt::HandedBack(unsent),
+                None => Attempt::Failed(SendError::Broken {
+                    message: describe(err.error()),
+                }),
+            },
+            Err(_) => Attempt::Failed(SendError::TimedOut),
+        }
+    }
+
+    /// Puts the connection back once the answer has been read to its end.
+    fn keep(&self, addr: SocketAddr, mut tx: SendRequest<Full<Bytes>>) {
+        let pool = self.clone();
+        tokio::spawn(async move {
+            if tx.ready().await.is_ok() {
+                pool.put_idle(addr, tx);
+            }
+        });
+    }
+
+    fn put_idle(&self, addr: SocketAddr, tx: SendRequest<Full<Bytes>>) {
+        let now = Instant::now();
+        let cfg = self.shared.cfg;
+        let mut idle = self.lock();
+        let list = idle.entry(addr).or_default();
+        list.retain(|i| !i.tx.is_closed() && now - i.since < cfg.idle_timeout);
+        if list.len() < cfg.max_idle {
+            list.push(Idle { tx, since: now });
+        }
+    }
+
+    /// The connection used last, which is the least likely to have been closed meanwhile.
+    fn take_idle(&self, addr: SocketAddr, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
+        if reuse == Reuse::Never {
+            return None;
+        }
+        let now = Instant::now();
+        let mut idle = self.lock();
+        let list = idle.get_mut(&addr)?;
+        while let Some(i) = list.pop() {
+            if i.tx.is_ready() && now - i.since < self.shared.cfg.idle_timeout {
+                return Some(i.tx);
+            }
+        }
+        idle.remove(&addr);
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.shared
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Pool::new(PoolConfig::default())
+    }
+}
+
+fn set_host(req: &mut Request<Full<Bytes>>, addr: SocketAddr) {
+    if let Ok(host) = HeaderValue::try_from(addr.to_string()) {
+        req.headers_mut().insert(header::HOST, host);
+    }
+}
+
+fn not_sent(err: &dyn std::fmt::Display) -> SendError {
+    SendError::NotSent {
+        message: err.to_string(),
+    }
+}
+
+fn describe(err: &hyper::Error) -> String {
+    match std::error::Error::source(err) {
+        Some(source) => format!("{err}: {source}"),
+        None => err.to_string(),
+    }
+}
