--- a/crates/oatdale-fakes/src/server.rs
+++ b/crates/oatdale-fakes/src/server.rs
@@ -12,10 +12,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
+
 /// A body that is sent whole or as a stream, which may break off.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -48,6 +51,8 @@
     addr: SocketAddr,
     phase: watch::Sender<Phase>,
     task: Option<JoinHandle<()>>,
+    /// Never listens; it keeps others from taking the port while connections are refused.
+    _reserved: TcpSocket,
 }
 
 impl Server {
@@ -63,14 +68,16 @@
     where
         F: Future<Output = Reply> + Send + 'static,
     {
-        let listener = TcpListener::bind(addr).await?;
-        let addr = listener.local_addr()?;
+        let reserved = bind(addr)?;
+        let addr = reserved.local_addr()?;
+        let listener = bind(addr)?.listen(BACKLOG)?;
         let (phase, rx) = watch::channel(Phase::Serving);
         let task = tokio::spawn(accept(listener, addr, handler, rx));
         Ok(Server {
             addr,
             phase,
             task: Some(task),
+            _reserved: reserved,
         })
     }
 
@@ -117,7 +124,9 @@
         match (now, &listener) {
             (Phase::Stopping | Phase::Killed, _) => break,
             (Phase::Refusing, Some(_)) => listener = None,
-            (Phase::Serving, None) => listener = TcpListener::bind(addr).await.ok(),
+            (Phase::Serving, None) => {
+                listener = bind(addr).and_then(|socket| socket.listen(BACKLOG)).ok();
+            }
             _ => {}
         }
         tokio::select! {
@@ -134,6 +143,18 @@
     }
 }
 
+/// Binds a socket that shares its port with the one that reserves it.
+fn bind(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
 /// The next connection; waits for ever without a listener.
 async fn next(listener: Option<&TcpListener>) -> TcpStream {
     loop {
