--- /dev/null
+++ b/crates/oatdale-journal/examples/rates.rs
@@ -0,0 +1,202 @@
+//! Calls a second at the key-value service against requests and appenders, on a paused clock.
+//!
+//! Each request writes one bill; one in a hundred also claims a key. "Forwarded" gives every
+//! record to the node that is preferred for its shard, as nodes do over the mesh; "direct" lets
+//! each node append for itself, as nodes do that can't reach one another. The stand-in answers in
+//! 4 ms and takes 300 writes and 2,000 reads a second. Same seed, same table.
+
+use oatdale_fakes::{KvFaults, KvLimits, MemKv};
+use oatdale_journal::{
+    BillRecord, Claim, ClaimKey, Closing, JournalHandle, MicroUnits, Millis, Outcome, Preferred,
+    RequestId, Settings, ShardId, journal, run,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+const EPOCH: u64 = 1_800_000_000_000;
+const SECONDS: u64 = 20;
+
+/// How records find an appender.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Mode {
+    Forwarded,
+    Direct,
+}
+
+/// What one run showed.
+#[derive(Default)]
+struct Seen {
+    bills: u64,
+    claims: u64,
+    refused: u64,
+    claim_ms: Vec<u64>,
+    bill_ms: Vec<u64>,
+}
+
+fn main() {
+    println!(
+        "mode       nodes  req/s  writes/s  reads/s  throttled  refused  claim p50/p99 ms  bill p50/p99 ms"
+    );
+    for mode in [Mode::Forwarded, Mode::Direct] {
+        for nodes in [8, 16, 32, 64] {
+            for rate in [100, 1_000, 3_400] {
+                let rt = tokio::runtime::Builder::new_current_thread()
+                    .enable_time()
+                    .start_paused(true)
+                    .build()
+                    .expect("a runtime with a clock only");
+                rt.block_on(measure(mode, nodes, rate));
+            }
+        }
+    }
+}
+
+async fn measure(mode: Mode, nodes: usize, rate: u64) {
+    let kv = MemKv::new(1);
+    kv.set_limits(KvLimits {
+        writes: 300.0,
+        reads: 2_000.0,
+    });
+    kv.set_faults(KvFaults {
+        slow: Duration::from_millis(4),
+        ..KvFaults::default()
+    });
+    let start = Instant::now();
+    let handles = start_nodes(&kv, mode, nodes, start);
+    sleep(Duration::from_secs(3)).await;
+    let before = kv.counters();
+    let seen = drive(&handles, mode, rate, start).await;
+    let after = kv.counters();
+    let reads = after.reads + after.watches - before.reads - before.watches;
+    println!(
+        "{:<10} {:>5}  {:>5}  {:>8.1}  {:>7.1}  {:>9}  {:>7}  {:>16}  {:>15}",
+        format!("{mode:?}").to_lowercase(),
+        nodes,
+        rate,
+        (after.writes - before.writes) as f64 / SECONDS as f64,
+        reads as f64 / SECONDS as f64,
+        after.throttled - before.throttled,
+        seen.refused,
+        quantiles(seen.claim_ms),
+        quantiles(seen.bill_ms),
+    );
+}
+
+fn start_nodes(kv: &MemKv, mode: Mode, nodes: usize, start: Instant) -> Vec<JournalHandle> {
+    let clock = Arc::new(move || Millis(EPOCH + start.elapsed().as_millis() as u64));
+    let shards = Settings::new(0).meta.shards;
+    (0..nodes)
+        .map(|n| {
+            let own = |s: &u16| mode == Mode::Forwarded && usize::from(*s) % nodes == n;
+            let preferred = Preferred((0..shards).filter(own).map(ShardId).collect());
+            let (_, preferred) = watch::channel(preferred);
+            let settings = Settings::new(n as u64 + 1);
+            let name = format!("node-{n}");
+            let (handle, duty) = journal(kv.client(&name), settings, clock.clone(), preferred);
+            tokio::spawn(run(duty));
+            handle
+        })
+        .collect()
+}
+
+async fn drive(handles: &[JournalHandle], mode: Mode, rate: u64, start: Instant) -> Seen {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let first = Instant::now();
+    let mut tasks = Vec::new();
+    for n in 0..rate * SECONDS {
+        sleep_until(first + Duration::from_secs_f64(n as f64 / rate as f64)).await;
+        let at = Millis(EPOCH + start.elapsed().as_millis() as u64);
+        let record = BillRecord::Close(closing(rng.random(), at));
+        let own = rng.random_range(0..handles.len());
+        let shard = handles[own].shard_of_bill(&record).unwrap_or(ShardId(0));
+        let to = handles[target(mode, own, shard, handles.len())].clone();
+        let key = (n % 100 == 0).then(|| ClaimKey(rng.random()));
+        let claim_to = key.map(|key| {
+            let shard = handles[own].shard_of_claim(key).unwrap_or(ShardId(0));
+            handles[target(mode, own, shard, handles.len())].clone()
+        });
+        tasks.push(tokio::spawn(request(to, record, key.zip(claim_to))));
+    }
+    let mut seen = Seen::default();
+    for task in tasks {
+        let (claim, bill) = task.await.expect("requests don't panic");
+        seen.add(claim, bill);
+    }
+    seen
+}
+
+fn target(mode: Mode, own: usize, shard: ShardId, nodes: usize) -> usize {
+    match mode {
+        Mode::Forwarded => usize::from(shard.0) % nodes,
+        Mode::Direct => own,
+    }
+}
+
+/// One request: its claim, if it has a key, and its bill, each with the time until it was durable.
+async fn request(
+    to: JournalHandle,
+    record: BillRecord,
+    claim: Option<(ClaimKey, JournalHandle)>,
+) -> (Option<Result<u64, ()>>, Result<u64, ()>) {
+    let since = Instant::now();
+    let claimed = match claim {
+        Some((key, handle)) => {
+            let result = handle.claim(key, record.request()).await;
+            let won = matches!(result, Ok(Claim::Won { .. }));
+            Some(won.then(|| since.elapsed().as_millis() as u64).ok_or(()))
+        }
+        None => None,
+    };
+    let since = Instant::now();
+    let billed = to.bill(vec![record]).await;
+    let took = since.elapsed().as_millis() as u64;
+    (claimed, billed.map(|()| took).map_err(|_| ()))
+}
+
+impl Seen {
+    fn add(&mut self, claim: Option<Result<u64, ()>>, bill: Result<u64, ()>) {
+        match claim {
+            Some(Ok(ms)) => {
+                self.claims += 1;
+                self.claim_ms.push(ms);
+            }
+            Some(Err(())) => self.refused += 1,
+            None => {}
+        }
+        match bill {
+            Ok(ms) => {
+                self.bills += 1;
+                self.bill_ms.push(ms);
+            }
+            Err(()) => self.refused += 1,
+        }
+    }
+}
+
+fn quantiles(mut ms: Vec<u64>) -> String {
+    ms.sort_unstable();
+    let at = |q: f64| ms.get((ms.len() as f64 * q) as usize).copied();
+    match (at(0.5), at(0.99)) {
+        (Some(p50), Some(p99)) => format!("{p50}/{p99}"),
+        _ => "-".to_owned(),
+    }
+}
+
+fn closing(request: u128, at: Millis) -> Closing {
+    Closing {
+        request: RequestId(request),
+        customer: "hanoi-cubesat".to_owned(),
+        service: "planner".to_owned(),
+        version: Some("planner/2026-11".to_owned()),
+        input_tokens: 900,
+        output_tokens: 400,
+        price: MicroUnits(1_234),
+        outcome: Outcome::Complete,
+        opened_at: at,
+        closed_at: at,
+    }
+}
