Reach engines, plain services, ratings, hosts and weights

The data path needs to know of each failure whether the endpoint can have run the request.

hyper-util's pooled client was weighed and left: it hides whether a request was still unwritten when its connection failed, which is what 'not run' rests on.

--- a/crates/oatdale-fakes/src/engine.rs
+++ b/crates/oatdale-fakes/src/engine.rs
@@ -1,38 +1,48 @@
-//! A model engine: continuous batching, prefix cache, priorities, load reports with a lag.
+//! A model engine: continuous batching, prefix cache, priorities, load reports with a lag, orders.
 
 mod batch;
 mod chat;
+mod core;
+mod orders;
+mod prefix;
 
-use crate::engine::batch::{Batch, Job};
+use crate::engine::core::Core;
 use crate::reply;
-use crate::server::{Body, Reply, Server};
-use crate::text;
-use http::{Method, Request, Response, StatusCode};
+use crate::server::{Body, CloseConnection, Reply, Server};
+use crate::weights::WeightStore;
+use bytes::Bytes;
+use futures::stream;
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use oatdale_platform::wire::Load;
-use std::collections::BTreeMap;
+use oatdale_platform::wire::Order;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
 
 pub use crate::engine::batch::Speed;
+pub use crate::engine::prefix::CacheConfig;
 
 /// How an engine is set up.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, Debug)]
 pub struct EngineConfig {
     /// Where it listens; port 0 takes a free one.
     pub addr: SocketAddr,
-    /// Versions that it can hold, and those that it holds from the start.
+    /// Versions that it knows. One that it is ordered to load without being named here answers
+    /// every prompt well.
     pub versions: Vec<EngineVersion>,
     /// How fast it works.
     pub speed: Speed,
     /// How old its load reports are.
     pub load_lag: Duration,
+    /// How it caches prompts.
+    pub cache: CacheConfig,
+    /// Whether it refuses an order with an older fencing number than it has seen.
+    pub checks_fencing: bool,
+    /// Where it loads versions from; without a store they are there at once.
+    pub weights: Option<WeightStore>,
 }
 
-/// A version that an engine can hold.
+/// A version that an engine knows.
 #[derive(Clone, PartialEq, Debug)]
 pub struct EngineVersion {
     /// Its full name, such as `planner/2026-11`.
@@ -50,8 +60,10 @@
     Errors,
     /// Each gets a poor answer.
     LowQuality,
-    /// Each stream stops without its terminator.
+    /// Each answer ends before its last word and without its terminator, as if it were whole.
     Cut,
+    /// The connection of each breaks before the answer's last word.
+    Break,
     /// None gets any byte.
     Hang,
     /// The connection of each is closed without an answer.
@@ -67,37 +79,16 @@
     pub version: String,
 }
 
+/// Starts engines.
+pub struct Engine;
+
 /// A running engine; dropping it kills it.
 #[derive(Debug)]
 pub struct EngineHandle {
-    engine: Engine,
+    core: Core,
     server: Server,
 }
 
-/// The engine's state; clones share it.
-#[derive(Clone, Debug)]
-pub struct Engine {
-    shared: Arc<Shared>,
-}
-
-#[derive(Debug)]
-struct Shared {
-    versions: Vec<EngineVersion>,
-    load_lag: Duration,
-    state: Mutex<State>,
-    work: Notify,
-}
-
-#[derive(Debug)]
-struct State {
-    batch: Batch,
-    held: Vec<String>,
-    faults: BTreeMap<String, Fault>,
-    fault: Option<Fault>,
-    leaving: bool,
-    calls: Vec<EngineCall>,
-}
-
 impl Default for EngineConfig {
     fn default() -> Self {
         EngineConfig {
@@ -105,6 +96,9 @@
             versions: Vec::new(),
             speed: Speed::default(),
             load_lag: Duration::ZERO,
+            cache: CacheConfig::default(),
+            checks_fencing: true,
+            weights: None,
         }
     }
 }
@@ -127,134 +121,16 @@
     ///
     /// The address can't be bound.
     pub async fn start(cfg: EngineConfig) -> io::Result<EngineHandle> {
-        let held = cfg.versions.iter().filter(|v| v.held);
-        let state = State {
-            batch: Batch::new(cfg.speed),
-            held: held.map(|v| v.name.clone()).collect(),
-            faults: BTreeMap::new(),
-            fault: None,
-            leaving: false,
-            calls: Vec::new(),
-        };
-        let engine = Engine {
-            shared: Arc::new(Shared {
-                versions: cfg.versions,
-                load_lag: cfg.load_lag,
-                state: Mutex::new(state),
-                work: Notify::new(),
-            }),
-        };
-        let steps = Arc::downgrade(&engine.shared);
-        tokio::spawn(run(steps));
-        let handler = engine.clone();
-        let server = Server::start(cfg.addr, move |req| {
-            let engine = handler.clone();
-            async move { engine.handle(req).await }
+        let addr = cfg.addr;
+        let core = Core::new(cfg);
+        core.start_steps();
+        let handler = core.clone();
+        let server = Server::start(addr, move |req| {
+            let core = handler.clone();
+            async move { handle(&core, req).await }
         })
         .await?;
-        Ok(EngineHandle { engine, server })
-    }
-
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
-        match (req.method().clone(), req.uri().path()) {
-            (Method::POST, "/v1/chat/completions") => chat::chat(self, req).await,
-            (Method::GET, "/v1/load") => Ok(reply::json(StatusCode::OK, &self.load())),
-            (Method::DELETE, path) if path.starts_with("/v1/requests/") => {
-                let id = reply::decode(&path["/v1/requests/".len()..]);
-                Ok(self.cancel(&id))
-            }
-            _ => reply::unknown(&req),
-        }
-    }
-
-    fn cancel(&self, request: &str) -> Response<Body> {
-        match self.state().batch.cancel(request) {
-            true => reply::with(StatusCode::NO_CONTENT, ""),
-            false => reply::error(StatusCode::NOT_FOUND, "no such request"),
-        }
-    }
-
-    /// Why a request for this version is not begun, if so.
-    fn refusal(&self, version: &str) -> Option<Response<Body>> {
-        let state = self.state();
-        match state.held.iter().any(|h| h == version) {
-            _ if state.leaving => Some(reply::not_started(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the engine is leaving",
-                None,
-            )),
-            false => Some(reply::not_started(
-                StatusCode::NOT_FOUND,
-                &format!("the engine does not hold {version}"),
-                None,
-            )),
-            true => None,
-        }
-    }
-
-    fn note_call(&self, request: &str, version: &str) {
-        self.state().calls.push(EngineCall {
-            request: request.to_owned(),
-            version: version.to_owned(),
-        });
-    }
-
-    fn fault(&self, version: &str) -> Option<Fault> {
-        let state = self.state();
-        state.faults.get(version).copied().or(state.fault)
-    }
-
-    fn quality(&self, version: &str) -> f64 {
-        let known = self.shared.versions.iter().find(|v| v.name == version);
-        known.map_or(1.0, |v| v.quality)
-    }
-
-    /// Tokens of the prompt that the engine must read.
-    fn uncached(&self, _version: &str, prompt: &str) -> u32 {
-        text::tokens(prompt)
-    }
-
-    fn submit(&self, job: Job) -> Result<(), Job> {
-        self.state().batch.push(job)?;
-        self.shared.work.notify_one();
-        Ok(())
-    }
-
-    fn load(&self) -> Load {
-        let mut state = self.state();
-        let sample = state.batch.load(self.shared.load_lag);
-        Load {
-            running: u32::try_from(sample.running).unwrap_or(u32::MAX),
-            waiting: u32::try_from(sample.waiting).unwrap_or(u32::MAX),
-            tokens: sample.tokens as u64,
-            age_ms: u64::try_from(sample.at.elapsed().as_millis()).unwrap_or(u64::MAX),
-            leaving: state.leaving,
-            versions: state.held.clone(),
-        }
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        lock(&self.shared)
-    }
-}
-
-fn lock(shared: &Shared) -> MutexGuard<'_, State> {
-    shared.state.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Takes step after step until the engine is dropped.
-async fn run(shared: std::sync::Weak<Shared>) {
-    while let Some(shared) = shared.upgrade() {
-        let step = lock(&shared).batch.begin_step();
-        match step {
-            Some(Duration::ZERO) => tokio::task::yield_now().await,
-            Some(step) => tokio::time::sleep(step).await,
-            None => {
-                shared.work.notified().await;
-                continue;
-            }
-        }
-        lock(&shared).batch.end_step();
+        Ok(EngineHandle { core, server })
     }
 }
 
@@ -266,26 +142,26 @@
 
     /// Makes every step take `factor` times as long; 1 is usual.
     pub fn set_slow(&self, factor: f64) {
-        self.engine.state().batch.set_slow(factor);
+        self.core.state().batch.set_slow(factor);
     }
 
     /// Breaks all requests, or none.
     pub fn set_fault(&self, fault: Option<Fault>) {
-        self.engine.state().fault = fault;
+        self.core.state().fault = fault;
     }
 
     /// Breaks the requests of one version, or none of them.
     pub fn set_version_fault(&self, version: &str, fault: Option<Fault>) {
-        let mut state = self.engine.state();
+        let mut state = self.core.state();
         match fault {
-            Some(fault) => state.faults.insert(version.to_owned(), fault),
-            None => state.faults.remove(version),
+            Some(fault) => state.version_faults.insert(version.to_owned(), fault),
+            None => state.version_faults.remove(version),
         };
     }
 
     /// Refuses new requests as not begun, or takes them again.
     pub fn set_leaving(&self, leaving: bool) {
-        self.engine.state().leaving = leaving;
+        self.core.state().leaving = leaving;
     }
 
     /// Refuses connections and cuts the open ones, or listens again.
@@ -295,15 +171,17 @@
 
     /// All requests that were begun, in order.
     pub fn calls(&self) -> Vec<EngineCall> {
-        self.engine.state().calls.clone()
+        self.core.state().calls.clone()
+    }
+
+    /// All orders that were followed, in order.
+    pub fn orders(&self) -> Vec<Order> {
+        self.core.state().holdings.log().to_vec()
     }
 
     /// Requests that run and that wait, without lag.
     pub fn under_way(&self) -> (u32, u32) {
-        let mut state = self.engine.state();
-        let now = state.batch.load(Duration::ZERO);
-        let count = |n| u32::try_from(n).unwrap_or(u32::MAX);
-        (count(now.running), count(now.waiting))
+        self.core.state().under_way()
     }
 
     /// Takes no new connection, finishes the requests under way and returns.
@@ -311,3 +189,44 @@
         self.server.stop().await;
     }
 }
+
+async fn handle(core: &Core, req: Request<Incoming>) -> Reply {
+    match (req.method().clone(), req.uri().path()) {
+        (Method::POST, "/v1/chat/completions") => chat::chat(core, req).await,
+        (Method::GET, "/v1/load") => Ok(reply::json(StatusCode::OK, &core.load())),
+        (Method::GET, "/v1/orders") => {
+            let held = core.state().holdings.report();
+            Ok(reply::json(StatusCode::OK, &held))
+        }
+        (Method::POST, "/v1/orders") => order(core, req).await,
+        (Method::GET, "/v1/cache-events") => Ok(cache_events(core, &req)),
+        (Method::DELETE, path) if path.starts_with("/v1/requests/") => {
+            let id = reply::decode(&path["/v1/requests/".len()..]);
+            Ok(core.cancel(&id))
+        }
+        _ => reply::unknown(&req),
+    }
+}
+
+async fn order(core: &Core, req: Request<Incoming>) -> Reply {
+    let body = reply::read(req).await.map_err(|_| CloseConnection)?;
+    match serde_json::from_slice(&body) {
+        Ok(order) => Ok(core.order(order)),
+        Err(err) => Ok(reply::error(StatusCode::BAD_REQUEST, &err.to_string())),
+    }
+}
+
+/// Streams cache events after the number in the query, for as long as the reader stays.
+fn cache_events(core: &Core, req: &Request<Incoming>) -> Response<Body> {
+    let after = reply::query(req, "after").and_then(|n| n.parse().ok());
+    let start = (core.clone(), after.unwrap_or(0));
+    let events = stream::unfold(start, |(core, after)| async move {
+        let event = core.next_event(after).await;
+        let json = serde_json::to_string(&event).expect("wire types have string keys");
+        let piece = Bytes::from(format!("data: {json}\n\n"));
+        Some((Ok(piece), (core, event.seq)))
+    });
+    let mut res = Response::new(reply::stream(events));
+    reply::set(&mut res, header::CONTENT_TYPE.as_str(), "text/event-stream");
+    res
+}
--- a/crates/oatdale-fakes/src/engine/batch.rs
+++ b/crates/oatdale-fakes/src/engine/batch.rs
@@ -43,8 +43,10 @@
     Token(String),
     /// The answer is whole.
     Done,
-    /// The answer breaks off here.
+    /// The answer ends here as if it were whole.
     Cut,
+    /// The connection breaks here.
+    Break,
 }
 
 /// One request.
@@ -160,6 +162,12 @@
         self.loads[0]
     }
 
+    /// The load at this moment.
+    pub(crate) fn load_now(&mut self) -> Sample {
+        self.drop_cancelled();
+        self.now()
+    }
+
     fn has_room(&self) -> bool {
         self.running.len() < self.speed.max_running
     }
@@ -169,14 +177,18 @@
         self.waiting.retain(|_, j| !j.tx.is_closed());
     }
 
-    fn sample(&mut self) {
-        const KEPT: usize = 100_000;
-        let sample = Sample {
+    fn now(&self) -> Sample {
+        Sample {
             at: Instant::now(),
             running: self.running.len(),
             waiting: self.waiting.len(),
             tokens: self.running.iter().map(|j| j.answer.len()).sum(),
-        };
+        }
+    }
+
+    fn sample(&mut self) {
+        const KEPT: usize = 100_000;
+        let sample = self.now();
         match self.loads.back_mut() {
             Some(last) if last.at == sample.at => *last = sample,
             _ => self.loads.push_back(sample),
@@ -197,11 +209,12 @@
         if self.hangs() || self.tx.capacity() == 0 {
             return !self.tx.is_closed();
         }
-        let cut = self.fault == Some(Fault::Cut) && self.answer.len() <= 1;
-        match (cut, self.answer.pop_front()) {
-            (true, _) => self.end(Event::Cut),
-            (false, None) => self.end(Event::Done),
-            (false, Some(token)) => self.tx.try_send(Event::Token(token)).is_ok(),
+        let near_end = self.answer.len() <= 1;
+        match (self.fault, self.answer.pop_front()) {
+            (Some(Fault::Cut), _) if near_end => self.end(Event::Cut),
+            (Some(Fault::Break), _) if near_end => self.end(Event::Break),
+            (_, None) => self.end(Event::Done),
+            (_, Some(token)) => self.tx.try_send(Event::Token(token)).is_ok(),
         }
     }
 
--- a/crates/oatdale-fakes/src/engine/chat.rs
+++ b/crates/oatdale-fakes/src/engine/chat.rs
@@ -1,11 +1,12 @@
 //! Chat completions: the request is checked, queued and answered whole or as events.
 
+use crate::engine::Fault;
 use crate::engine::batch::{Event, Job, READER_LAG};
-use crate::engine::{Engine, Fault};
+use crate::engine::core::Core;
 use crate::server::{Body, CloseConnection, Reply};
 use crate::{reply, text};
 use bytes::Bytes;
-use futures::{Stream, StreamExt, stream};
+use futures::{Stream, stream};
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use oatdale_platform::chat::{
@@ -35,7 +36,7 @@
     include_usage: bool,
 }
 
-pub(crate) async fn chat(engine: &Engine, req: Request<Incoming>) -> Reply {
+pub(crate) async fn chat(core: &Core, req: Request<Incoming>) -> Reply {
     let request_id = reply::header_text(&req, wire::REQUEST_ID)
         .unwrap_or("unnamed")
         .to_owned();
@@ -45,11 +46,11 @@
         Ok(ask) => ask,
         Err(err) => return Ok(reply::error(StatusCode::BAD_REQUEST, &err.to_string())),
     };
-    if let Some(refusal) = engine.refusal(&ask.model) {
+    if let Some(refusal) = core.refusal(&ask.model) {
         return Ok(refusal);
     }
-    engine.note_call(&request_id, &ask.model);
-    let fault = engine.fault(&ask.model);
+    core.note_call(&request_id, &ask.model);
+    let fault = core.fault(&ask.model);
     match fault {
         Some(Fault::Errors) => {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
@@ -58,20 +59,20 @@
         Some(Fault::Reset) => return Err(CloseConnection),
         _ => {}
     }
-    let (job, answer, rx) = prepare(engine, &ask, request_id, priority, fault);
-    if engine.submit(job).is_err() {
+    let (job, answer, rx) = prepare(core, &ask, request_id, priority, fault);
+    if core.submit(job).is_err() {
         return Ok(queue_full());
     }
     let mut res = match ask.stream {
         true => streamed(answer, rx),
         false => whole(answer, rx).await?,
     };
-    reply::set(&mut res, wire::LOAD, &engine.load().to_header());
+    reply::set(&mut res, wire::LOAD, &core.load().to_header());
     Ok(res)
 }
 
 fn prepare(
-    engine: &Engine,
+    core: &Core,
     ask: &ChatRequest,
     request_id: String,
     priority: Option<u8>,
@@ -81,15 +82,16 @@
     let tokens = ask.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
     let quality = match fault {
         Some(Fault::LowQuality) => 0.0,
-        _ => engine.quality(&ask.model),
+        _ => core.quality(&ask.model),
     };
     let words = text::answer(&ask.model, &prompt, quality, tokens);
     let prompt_tokens = text::tokens(&prompt);
+    let cached = core.read_prompt(&ask.model, &prompt);
     let (tx, rx) = mpsc::channel(READER_LAG);
     let job = Job {
         request: request_id,
         priority: priority.unwrap_or(DEFAULT_PRIORITY),
-        prefill: engine.uncached(&ask.model, &prompt),
+        prefill: prompt_tokens.saturating_sub(cached),
         answer: words.into(),
         fault,
         tx,
@@ -98,7 +100,7 @@
         id: format!("chatcmpl-{:016x}", text::hash((&job.request, &prompt))),
         created: unix_seconds(),
         model: ask.model.clone(),
-        usage: Usage::new(prompt_tokens, tokens),
+        usage: Usage::new(prompt_tokens, tokens).with_cached(cached),
         include_usage: ask.stream_options.is_some_and(|o| o.include_usage),
     };
     (job, answer, rx)
@@ -131,7 +133,7 @@
         match rx.recv().await {
             Some(Event::Token(token)) => text.push_str(&token),
             Some(Event::Done) => break,
-            Some(Event::Cut) | None => return Err(CloseConnection),
+            Some(Event::Cut | Event::Break) | None => return Err(CloseConnection),
         }
     }
     let response = ChatResponse {
@@ -168,11 +170,13 @@
                 Some((Ok(event(&piece)), Some((answer, rx))))
             }
             Some(Event::Done) => Some((Ok(answer.end()), None)),
-            // The head promised a whole answer; a cut is a body that just stops.
-            Some(Event::Cut) | None => Some((Ok(Bytes::new()), None)),
+            Some(Event::Cut) => None,
+            Some(Event::Break) | None => {
+                let err = io::Error::other("the stand-in breaks the stream");
+                Some((Err(err), None))
+            }
         }
     })
-    .filter(|piece| std::future::ready(!matches!(piece, Ok(b) if b.is_empty())))
 }
 
 impl Answer {
--- a/crates/oatdale-platform/src/chat.rs
+++ b/crates/oatdale-platform/src/chat.rs
@@ -68,6 +68,17 @@
     pub completion_tokens: u32,
     /// Both together.
     pub total_tokens: u32,
+    /// What the engine says of the prompt's tokens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prompt_tokens_details: Option<PromptTokensDetails>,
+}
+
+/// What an engine says of a prompt's tokens.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct PromptTokensDetails {
+    /// Tokens that were in the engine's prefix cache.
+    #[serde(default)]
+    pub cached_tokens: u32,
 }
 
 /// A whole answer.
@@ -193,6 +204,15 @@
             prompt_tokens,
             completion_tokens,
             total_tokens: prompt_tokens.saturating_add(completion_tokens),
+            prompt_tokens_details: None,
+        }
+    }
+
+    /// Adds how many of the prompt's tokens were in the engine's prefix cache.
+    pub fn with_cached(self, cached_tokens: u32) -> Self {
+        Usage {
+            prompt_tokens_details: Some(PromptTokensDetails { cached_tokens }),
+            ..self
         }
     }
 }
--- a/crates/oatdale-platform/src/wire.rs
+++ b/crates/oatdale-platform/src/wire.rs
@@ -5,6 +5,7 @@
 use base64::engine::general_purpose::STANDARD;
 use http::{HeaderMap, header};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Header in milliseconds that is finer than `Retry-After`, which counts seconds.
@@ -86,6 +87,172 @@
     }
 }
 
+/// What an engine does in a pool that splits prompts from generation.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Reads prompts and generates.
+    #[default]
+    Both,
+    /// Reads prompts only.
+    Prefill,
+    /// Generates only.
+    Decode,
+}
+
+/// An order to an engine: a wanted state, not a step towards it.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct Order {
+    /// The fencing number of the lease under which it is given.
+    pub fencing: u64,
+    /// The configuration's revision that it follows from.
+    pub revision: u64,
+    /// Full names of the versions to hold, and no others.
+    pub versions: Vec<String>,
+    /// The role to take.
+    #[serde(default)]
+    pub role: Role,
+}
+
+/// What an engine was last ordered and what it holds.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct Held {
+    /// The fencing number of the last order.
+    pub fencing: u64,
+    /// The configuration's revision of the last order.
+    pub revision: u64,
+    /// Versions that it holds.
+    pub versions: Vec<String>,
+    /// Versions that it is loading.
+    #[serde(default)]
+    pub loading: Vec<String>,
+    /// Its role.
+    #[serde(default)]
+    pub role: Role,
+}
+
+/// What became of an order.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Ordered {
+    /// The engine follows it.
+    Accepted(Held),
+    /// The engine has seen a newer fencing number.
+    Stale {
+        /// The newest that it has seen.
+        newest: u64,
+    },
+}
+
+/// The body of a refused order.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct StaleFencing {
+    /// The newest fencing number that the engine has seen.
+    pub newest: u64,
+}
+
+/// A change of an engine's prefix cache.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Counts the engine's events from 1; a number that is left out is an event that was lost.
+    pub seq: u64,
+    /// What happened.
+    pub change: CacheChange,
+    /// The block's hash, which covers all blocks before it, in hexadecimal.
+    pub block: String,
+}
+
+/// What happened to a block of a prefix cache.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CacheChange {
+    /// It was added.
+    Stored,
+    /// It made room for others.
+    Removed,
+}
+
+/// A question to the rating service.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Rating {
+    /// The service that the caller named.
+    pub service: String,
+    /// The conversation.
+    pub prompt: String,
+    /// The answer to judge.
+    pub answer: String,
+}
+
+/// The rating service's verdict.
+#[derive(Clone, Copy, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Score {
+    /// From 0 (useless) to 1 (perfect).
+    pub score: f64,
+}
+
+/// One line of the host list.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Host {
+    /// The host's name.
+    pub host: String,
+    /// Where its process listens.
+    pub address: SocketAddr,
+    /// The failure domain it runs in.
+    pub domain: String,
+    /// What runs on it.
+    pub role: HostRole,
+    /// Whether it stays.
+    pub state: HostState,
+}
+
+/// What runs on a host.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HostRole {
+    /// A node of oatdale.
+    Entry,
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// Whether a host stays.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HostState {
+    /// It stays.
+    Live,
+    /// It is about to stop and takes no new work.
+    Leaving,
+}
+
+/// The host list as it is sent.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct HostList {
+    /// All hosts that are known, in the order of their names.
+    pub hosts: Vec<Host>,
+}
+
+/// A version in the weight store.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Weights {
+    /// Its full name, such as `planner/2026-11`.
+    pub version: String,
+    /// Its size.
+    pub bytes: u64,
+}
+
+/// The weight store's contents and how busy it is.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct WeightList {
+    /// Versions, in the order of their names.
+    pub weights: Vec<Weights>,
+    /// Bytes that it sends in a second, over all engines.
+    pub bytes_per_second: u64,
+    /// Milliseconds until it has sent all that was asked for so far.
+    pub backlog_ms: u64,
+}
+
 impl From<Entry> for ListedEntry {
     fn from(entry: Entry) -> Self {
         ListedEntry {
@@ -134,3 +301,8 @@
         .map(Duration::from_millis)
         .or_else(|| number(header::RETRY_AFTER.as_str()).map(Duration::from_secs))
 }
+
+/// Whether an endpoint says that it refused a request before it began.
+pub fn is_not_started(headers: &HeaderMap) -> bool {
+    headers.get(NOT_STARTED).is_some_and(|v| v == "true")
+}
