Slow appenders down by what they meet, and learn the slots ahead

Change: one look learns the slots ahead; waits after races are short, drawn and double; the pace halves up to three times under races and throttling and recovers; a bill waits five times as long as a claim; patience ends on time. Ruled out: doubling the pace's base, which made the quiet case slow.

a_claim_is_refused_when_its_patience_ends failed first: the claim was answered after 60 s.

--- a/crates/oatdale-journal/src/duty.rs
+++ b/crates/oatdale-journal/src/duty.rs
@@ -36,7 +36,7 @@
     pub other_pace: Duration,
     /// How long a call to the service may take.
     pub call_timeout: Duration,
-    /// How long a job may wait in all.
+    /// How long a claim or pin may wait in all; a bill waits five times as long.
     pub patience: Duration,
     /// How many jobs may wait, over all shards and for each.
     pub queue: usize,
--- a/crates/oatdale-journal/src/job.rs
+++ b/crates/oatdale-journal/src/job.rs
@@ -4,6 +4,7 @@
 use crate::fold::{BillState, Fold};
 use crate::handle::Claim;
 use crate::record::{Pin, Record};
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -56,6 +57,15 @@
         !matches!(self.reply, Reply::None)
     }
 
+    /// How long the job waits where a claim waits for `claim`. Nobody but a holder waits for a
+    /// bill, and giving one up only means that it is written again.
+    pub(crate) fn patience(&self, claim: Duration) -> Duration {
+        match self.record {
+            Record::Bill(_) => claim * 5,
+            _ => claim,
+        }
+    }
+
     /// Looks the answer up in a fold.
     pub(crate) fn verdict(&self, fold: &Fold) -> Verdict {
         match &self.record {
--- a/crates/oatdale-journal/src/log.rs
+++ b/crates/oatdale-journal/src/log.rs
@@ -17,9 +17,12 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// How many slots the first look at the tail asks for, and any further one.
-const FIRST_LOOK: usize = 2;
-const NEXT_LOOK: usize = 16;
+/// How many slots a look at the log's end asks for when nothing suggests that there is more.
+const SHORT_LOOK: usize = 2;
+
+/// How many it asks for when there is more to read, or when this process writes one segment after
+/// the other and so profits from knowing the slots ahead.
+const LONG_LOOK: usize = 16;
 
 /// What is known of a slot.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -62,6 +65,8 @@
     pub(crate) attempts: u64,
     slots: Vec<Slot>,
     loaded: bool,
+    /// Whether the last segment is this process's.
+    wrote_last: bool,
 }
 
 impl<K: Kv> Log<K> {
@@ -87,6 +92,7 @@
             attempts: 0,
             slots: vec![Slot::Unknown; meta.slots as usize],
             loaded: false,
+            wrote_last: false,
         }
     }
 
@@ -96,9 +102,12 @@
             while !self.loaded {
                 self.loaded = self.load().await?;
             }
-            let mut look = FIRST_LOOK;
+            let mut look = match self.wrote_last {
+                true => LONG_LOOK,
+                false => SHORT_LOOK,
+            };
             while !self.read_on(look).await? {
-                look = NEXT_LOOK;
+                look = LONG_LOOK;
             }
             if self.loaded {
                 return Ok(());
@@ -140,6 +149,7 @@
         match bounded(self.call_timeout, put).await {
             Ok(Put::Stored(revision)) => {
                 self.take(slot, revision, at, records, bytes);
+                self.wrote_last = true;
                 Ok(Append::Stored)
             }
             Ok(Put::Conflict(_)) => Ok(Append::Raced),
@@ -190,18 +200,22 @@
             .map(|slot| slot_key(self.shard, slot as u64));
         let list = self.kv.list(&prefix, after.as_deref(), look);
         let found = bounded(self.call_timeout, list).await?;
-        let mut found = found.into_iter();
+        let mut found = found.into_iter().peekable();
+        let mut at_end = false;
         for slot in first..(first + look).min(self.slots.len()) {
             let wanted = slot_key(self.shard, slot as u64);
-            let Some(entry) = found.next().filter(|entry| entry.key == wanted) else {
-                self.slots[slot] = Slot::Absent;
-                return Ok(true);
-            };
-            if self.read_slot(slot, &entry)? {
-                return Ok(true);
+            let entry = found.next_if(|entry| entry.key == wanted);
+            match entry {
+                // Past the end, slots still hold the round before, which the next appends replace.
+                Some(entry) if at_end => self.slots[slot] = Slot::Holds(entry.revision),
+                Some(entry) => at_end = self.read_slot(slot, &entry)?,
+                None => {
+                    self.slots[slot] = Slot::Absent;
+                    at_end = true;
+                }
             }
         }
-        Ok(false)
+        Ok(at_end)
     }
 
     /// Takes in one slot; true if the log ends before it.
@@ -212,6 +226,7 @@
                 let records: Vec<Record> = segment.records.into_iter().map(Record::from).collect();
                 let at = Millis(segment.at);
                 self.take(slot, entry.revision, at, &records, entry.value.len());
+                self.wrote_last = segment.writer == self.writer;
                 Ok(false)
             }
             seq if seq < self.next => {
--- a/crates/oatdale-journal/src/shard.rs
+++ b/crates/oatdale-journal/src/shard.rs
@@ -16,6 +16,15 @@
 /// A segment's records hold at most this many bytes.
 const MAX_SEGMENT: usize = 256_000;
 
+/// The longest wait after the first lost race for a segment; it doubles with each further one.
+const BACK_OFF: Duration = Duration::from_millis(10);
+
+/// Stands for "never" where a clock needs a time.
+const FAR_OFF: Duration = Duration::from_secs(365 * 24 * 3600);
+
+/// How often the pace may be halved.
+const MAX_STRAIN: u32 = 3;
+
 /// How far the journal's clock may be ahead of this host's, in milliseconds, before a log line
 /// says so.
 const MAX_SKEW: u64 = 60_000;
@@ -30,8 +39,12 @@
     rng: Pcg64Mcg,
     /// The next append may start then.
     next_append: Instant,
+    /// How often the pace is halved because others append, or the service asks to wait.
+    strain: u32,
     /// Until then the service is taken to be down, and jobs are refused at once.
     down_until: Instant,
+    /// No later than the first moment at which a job has waited too long.
+    impatience: Instant,
     open: bool,
 }
 
@@ -54,7 +67,9 @@
             preferred,
             rng: Pcg64Mcg::seed_from_u64(seed),
             next_append: now,
+            strain: 0,
             down_until: now,
+            impatience: now + FAR_OFF,
             open: true,
         }
     }
@@ -64,7 +79,7 @@
             self.next_append = Instant::now() + self.pace();
             match self.settle().await {
                 Ok(()) => {}
-                Err(JournalError::Throttled { retry_after }) => sleep(retry_after).await,
+                Err(JournalError::Throttled { retry_after }) => self.slow_down(retry_after),
                 Err(error) => {
                     self.give_up(&error);
                     if !self.open {
@@ -95,6 +110,9 @@
                         None => self.open = false,
                     }
                 }
+                () = sleep_until(self.impatience), if self.impatience < start => {
+                    self.drop_impatient();
+                }
                 () = sleep_until(start) => break,
             }
         }
@@ -109,12 +127,24 @@
                 retry_after: self.down_until - now,
                 message: "no answer a moment ago".to_owned(),
             }),
-            false => self.jobs.push(job),
+            false => {
+                self.impatience = self.impatience.min(self.end_of_patience(&job));
+                self.jobs.push(job);
+            }
+        }
+    }
+
+    /// When a job is given up; never for one that nobody waits for.
+    fn end_of_patience(&self, job: &Job) -> Instant {
+        match job.has_caller() {
+            true => job.since + job.patience(self.settings.patience),
+            false => job.since + FAR_OFF,
         }
     }
 
     /// Answers what can be answered and appends the rest, until one append is through.
     async fn settle(&mut self) -> Result<()> {
+        let mut lost = 0;
         loop {
             let must_look = self.answer_known();
             if self.jobs.is_empty() {
@@ -132,11 +162,13 @@
             let now = (self.clock)();
             if self.log.append(now, &batch).await? == Append::Stored {
                 self.answer_known();
+                self.ease(lost);
                 return Ok(());
             }
             self.look().await?;
             self.answer_known();
-            self.back_off().await;
+            lost += 1;
+            self.back_off(lost).await;
         }
     }
 
@@ -202,27 +234,47 @@
         jobs.map(|job| job.record.clone()).collect()
     }
 
-    /// Waits a drawn time after a lost race, so that appenders don't meet again.
-    async fn back_off(&mut self) {
-        let pace = self.pace();
-        let wait = pace.mul_f64(self.rng.random());
+    /// Waits a drawn time after the `lost`th lost race in a row, so that appenders don't meet
+    /// again. The wait grows, since many that lose at once are too many for the log's pace.
+    async fn back_off(&mut self, lost: u32) {
+        if self.jobs.is_empty() {
+            return;
+        }
+        let most = BACK_OFF.saturating_mul(2_u32.saturating_pow(lost - 1));
+        let wait = most.min(self.pace()).mul_f64(self.rng.random());
         debug!(
-            "journal shard {}: lost a race, waits {} ms",
+            "journal shard {}: lost {lost} races, waits {} ms",
             self.log.shard.0,
             wait.as_millis()
         );
-        if !self.jobs.is_empty() {
-            sleep(wait).await;
-        }
+        sleep(wait).await;
         self.drop_impatient();
     }
 
+    /// Puts the next append off because the service asked to wait. The time is drawn, since many
+    /// were told the same.
+    fn slow_down(&mut self, retry_after: Duration) {
+        self.strain = (self.strain + 1).min(MAX_STRAIN);
+        let drawn = self.pace().mul_f64(self.rng.random());
+        self.next_append = Instant::now() + retry_after + drawn;
+    }
+
+    /// Follows how many others append: races mean that all of them ask too often.
+    fn ease(&mut self, lost: u32) {
+        self.strain = match lost {
+            0 => self.strain.saturating_sub(1),
+            1 => self.strain,
+            _ => (self.strain + 1).min(MAX_STRAIN),
+        };
+    }
+
     fn pace(&self) -> Duration {
         let preferred = self.preferred.borrow().0.contains(&self.log.shard);
-        match preferred {
+        let pace = match preferred {
             true => self.settings.preferred_pace,
             false => self.settings.other_pace,
-        }
+        };
+        pace * 2_u32.pow(self.strain)
     }
 
     /// Refuses everything that a caller waits for, and everything that comes within a while.
@@ -240,7 +292,9 @@
             message: format!("no room in the log within {} ms", patience.as_millis()),
         };
         let now = Instant::now();
-        self.fail(&error, |job| now >= job.since + patience);
+        self.fail(&error, |job| now >= job.since + job.patience(patience));
+        let ends = self.jobs.iter().map(|job| self.end_of_patience(job));
+        self.impatience = ends.min().unwrap_or(now + FAR_OFF);
     }
 
     fn fail(&mut self, error: &JournalError, pred: impl Fn(&Job) -> bool) {
--- a/crates/oatdale-journal/tests/journal.rs
+++ b/crates/oatdale-journal/tests/journal.rs
@@ -120,6 +120,21 @@
     assert!(is_won(&claim));
 }
 
+// The service throttles one node after the other, so appends are put off. A caller that has waited
+// its time gets its refusal at that time, not when the next append happens to be due.
+#[tokio::test(start_paused = true)]
+async fn a_claim_is_refused_when_its_patience_ends() {
+    let (kv, start) = (MemKv::new(1), Instant::now());
+    let mut slow = settings(1, small_meta(1, 8));
+    slow.other_pace = 60 * SECOND;
+    let a = node(&kv, slow, start);
+    a.handle.pin(session(1), pin("planner/1")).await.unwrap();
+    let asked = Instant::now();
+    let refused = a.handle.claim(key(1), RequestId(1)).await;
+    assert!(refused.unwrap_err().retry_after().is_some());
+    assert!(asked.elapsed() <= 2 * SECOND, "{:?}", asked.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn bills_are_exported_once_and_only_what_was_taken_goes() {
     let (kv, start) = (MemKv::new(1), Instant::now());
