--- a/crates/oatdale-platform/src/engine.rs
+++ b/crates/oatdale-platform/src/engine.rs
@@ -6,7 +6,7 @@
 use crate::sse::{Scanner, Summary};
 use crate::wire::{self, Held, Load, Order, Ordered, StaleFencing};
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use std::net::SocketAddr;
@@ -15,6 +15,9 @@
 /// Bytes that the answer to an order may have.
 const MAX_ORDER: usize = 1 << 20;
 
+/// The highest number of RFC 9218's urgencies.
+const LEAST_URGENT: u8 = 7;
+
 /// Talks to engines; clones share their connections.
 #[derive(Clone, Debug, Default)]
 pub struct EngineClient {
@@ -50,7 +53,7 @@
         body: Bytes,
     ) -> Result<Answer, CallError> {
         let mut req = call::request(Method::POST, "/v1/chat/completions", Some(body));
-        name(&mut req, call);
+        name(&mut req, call)?;
         let answer = call::send(&self.pool, addr, req, Reuse::Allowed, call.deadline).await?;
         call::no_server_error(answer, call.deadline).await
     }
@@ -192,17 +195,28 @@
 }
 
 /// Adds the headers that name an attempt.
-pub(crate) fn name(req: &mut Request<Full<Bytes>>, call: &Call) {
-    let set = [
-        (wire::REQUEST_ID, call.request.clone()),
-        (wire::ATTEMPT, call.attempt.to_string()),
-        ("priority", format!("u={}", call.urgency.min(7))),
-    ];
-    for (name, value) in set {
-        if let Ok(value) = HeaderValue::try_from(value) {
-            req.headers_mut()
-                .insert(HeaderName::from_static(name), value);
-        }
+///
+/// Without its id an answer could not be told from others, so a request whose id no header can
+/// hold is not sent.
+pub(crate) fn name(req: &mut Request<Full<Bytes>>, call: &Call) -> Result<(), CallError> {
+    let Some(id) = id_header(&call.request) else {
+        return Err(CallError::NotSent {
+            message: format!("{:?} is no request id", call.request),
+        });
+    };
+    let urgency = call.urgency.min(LEAST_URGENT);
+    let headers = req.headers_mut();
+    headers.insert(wire::REQUEST_ID, id);
+    headers.insert(wire::ATTEMPT, call.attempt.into());
+    let priority = HeaderValue::try_from(format!("u={urgency}"));
+    headers.insert("priority", priority.expect("a digit is a header value"));
+    Ok(())
+}
+
+fn id_header(id: &str) -> Option<HeaderValue> {
+    match id.is_ascii() && !id.is_empty() {
+        true => HeaderValue::try_from(id).ok(),
+        false => None,
     }
 }
 
--- a/crates/oatdale-platform/src/plain.rs
+++ b/crates/oatdale-platform/src/plain.rs
@@ -52,7 +52,7 @@
         let mut req = req.map(Full::new);
         strip(req.headers_mut());
         req.headers_mut().remove(header::CONTENT_LENGTH);
-        name(&mut req, call);
+        name(&mut req, call)?;
         let mut answer = call::send(&self.pool, addr, req, reuse, call.deadline).await?;
         strip(&mut answer.head.headers);
         Ok(answer)
