--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chat;
 mod engine;
 mod hosts;
+mod config_store;
 mod http_kv;
 mod kv;
 mod plain;
@@ -18,6 +19,9 @@
 pub use crate::call::{Answer, Call, CallError};
 pub use crate::engine::{ChatStream, EngineClient};
 pub use crate::hosts::HostListClient;
+pub use crate::config_store::{
+    Applied, CURRENT_KEY, ConfigStore, Proposal, StoreError, StoreResult, Stored,
+};
 pub use crate::http_kv::{HttpKv, HttpKvConfig};
 pub use crate::kv::{Condition, Entry, Kv, KvError, LeaseId, ModRevision, Put, Result};
 pub use crate::plain::{PlainClient, strip};
