--- a/crates/oatdale-journal/src/fold.rs
+++ b/crates/oatdale-journal/src/fold.rs
@@ -143,6 +143,11 @@
             .then_some(&pinned.pin)
     }
 
+    /// Whether a request was opened and has no bill yet.
+    pub fn is_open(&self, request: RequestId) -> bool {
+        self.open.contains_key(&request)
+    }
+
     /// What a bill record would do if it were appended now.
     pub fn bill_state(&self, record: &BillRecord) -> BillState {
         let request = record.request();
