--- a/crates/oatdale-journal/src/compact.rs
+++ b/crates/oatdale-journal/src/compact.rs
@@ -136,12 +136,12 @@
         let (manifest, revision) = self.read_manifest().await?;
         if manifest.next > self.next {
             self.forget();
-            return Ok(());
         }
         if manifest.next != self.manifest.next {
             self.bytes = 0;
         }
         self.entries.retain(|(seq, _)| *seq >= manifest.next);
+        // Also where all else is forgotten: which pages may be deleted is judged by it.
         self.manifest = manifest;
         self.manifest_revision = revision;
         Ok(())
@@ -186,8 +186,7 @@
     /// starts again from the new manifest.
     async fn delete_unlisted(&self, pages: &[String]) {
         let manifest = &self.manifest;
-        let listed = |key| manifest.state.contains(key) || manifest.bills.contains(key);
-        for key in pages.iter().filter(|key| !listed(key)) {
+        for key in pages.iter().filter(|key| manifest.is_over(self.shard, key)) {
             if let Err(error) = self.delete_page(key).await {
                 warn!("journal: page {key} is left for the export: {error}");
             }
--- a/crates/oatdale-journal/src/duty.rs
+++ b/crates/oatdale-journal/src/duty.rs
@@ -120,6 +120,7 @@
             let again = Instant::now() + crate::error::RETRY_AFTER;
             loop {
                 tokio::select! {
+                    biased;
                     () = sleep_until(again) => break,
                     job = self.jobs.recv() => job?.fail(error.clone()),
                 }
--- a/crates/oatdale-journal/src/export.rs
+++ b/crates/oatdale-journal/src/export.rs
@@ -3,7 +3,7 @@
 use crate::error::{JournalError, Result};
 use crate::fold::Entry;
 use crate::log::{Log, bounded};
-use crate::meta::{Meta, page_generation, page_prefix};
+use crate::meta::{Meta, page_prefix};
 use crate::page::unpack_bills;
 use crate::record::{Closing, Millis, ShardId};
 use crate::wire::Manifest;
@@ -149,7 +149,7 @@
             let found = bounded(CALL_TIMEOUT, list).await?;
             let (manifest, _) = log.read_manifest().await?;
             for page in &found {
-                if is_leftover(&manifest, log.shard, &page.key) {
+                if manifest.is_over(log.shard, &page.key) {
                     let delete = self.kv.delete(&page.key, page.revision);
                     bounded(CALL_TIMEOUT, delete).await?;
                 }
@@ -170,12 +170,6 @@
     rest
 }
 
-fn is_leftover(manifest: &Manifest, shard: ShardId, key: &str) -> bool {
-    let listed = manifest.state.iter().chain(&manifest.bills);
-    let old = page_generation(shard, key).is_some_and(|g| g <= manifest.generation);
-    old && !listed.into_iter().any(|have| have == key)
-}
-
 fn raced() -> JournalError {
     JournalError::Unavailable {
         retry_after: crate::error::RETRY_AFTER,
--- a/crates/oatdale-journal/src/meta.rs
+++ b/crates/oatdale-journal/src/meta.rs
@@ -3,7 +3,7 @@
 use crate::error::Result;
 use crate::fold::Retention;
 use crate::record::ShardId;
-use crate::wire::{WireMeta, decode, encode};
+use crate::wire::{Manifest, WireMeta, decode, encode};
 use oatdale_platform::{Condition, Kv, KvError};
 
 /// The key of what all nodes agree on.
@@ -91,12 +91,22 @@
 }
 
 /// The generation in a page's name.
-pub(crate) fn page_generation(shard: ShardId, key: &str) -> Option<u64> {
+fn page_generation(shard: ShardId, key: &str) -> Option<u64> {
     let name = key.strip_prefix(&page_prefix(shard))?;
     let (generation, _) = name.split_once('-')?;
     u64::from_str_radix(generation, 16).ok()
 }
 
+impl Manifest {
+    /// Whether a page is not listed now and never will be again, so that it may be deleted. A
+    /// page of a later generation may be on its way to be listed.
+    pub(crate) fn is_over(&self, shard: ShardId, page: &str) -> bool {
+        let old = page_generation(shard, page).is_some_and(|g| g <= self.generation);
+        let mut listed = self.state.iter().chain(&self.bills);
+        old && !listed.any(|key| key == page)
+    }
+}
+
 impl From<Meta> for WireMeta {
     fn from(meta: Meta) -> Self {
         WireMeta {
--- a/crates/oatdale-journal/tests/common/mod.rs
+++ b/crates/oatdale-journal/tests/common/mod.rs
@@ -49,8 +49,12 @@
 
 pub(crate) fn node(kv: &MemKv, settings: Settings, start: Instant) -> Node {
     let name = format!("node-{}", settings.writer);
+    node_over(kv.client(&name), settings, start)
+}
+
+pub(crate) fn node_over(kv: MemKv, settings: Settings, start: Instant) -> Node {
     let (preferred, rx) = watch::channel(Preferred::default());
-    let (handle, duty) = journal(kv.client(&name), settings, wall_clock(start), rx);
+    let (handle, duty) = journal(kv, settings, wall_clock(start), rx);
     let task = tokio::spawn(run(duty));
     Node {
         handle,
