Learn the cascade that meets the quality target at least cost

Change: a learner for each service keeps, by class and version, how often answers are accepted, by themselves and after a rejected one, and a price of quality that rises while accepted answers are missing. For each request the sequence of up to three versions with the greatest worth is taken.

--- /dev/null
+++ b/crates/oatdale-policy/examples/measure/report.rs
@@ -0,0 +1,204 @@
+//! Figures by condition, policy, metric and seed; printed as a table, written as CSV and SVG.
+
+use plotters::prelude::*;
+use std::error::Error;
+use std::fmt::Write as _;
+use std::path::Path;
+
+/// One seed's figure.
+struct Figure {
+    condition: String,
+    policy: String,
+    metric: &'static str,
+    seed: u64,
+    value: f64,
+}
+
+/// All figures of one round.
+pub(crate) struct Report {
+    title: String,
+    /// The metric that is plotted.
+    plotted: &'static str,
+    figures: Vec<Figure>,
+}
+
+/// A figure over all seeds.
+#[derive(Clone, Copy)]
+struct Spread {
+    mean: f64,
+    least: f64,
+    most: f64,
+}
+
+impl Report {
+    pub(crate) fn new(title: impl Into<String>, plotted: &'static str) -> Self {
+        Report {
+            title: title.into(),
+            plotted,
+            figures: Vec::new(),
+        }
+    }
+
+    pub(crate) fn add(
+        &mut self,
+        condition: impl Into<String>,
+        policy: impl Into<String>,
+        seed: u64,
+        values: &[(&'static str, f64)],
+    ) {
+        let (condition, policy) = (condition.into(), policy.into());
+        self.figures
+            .extend(values.iter().map(|&(metric, value)| Figure {
+                condition: condition.clone(),
+                policy: policy.clone(),
+                metric,
+                seed,
+                value,
+            }));
+    }
+
+    /// A table in Markdown: mean over the seeds, and the least and greatest.
+    pub(crate) fn table(&self) -> String {
+        let metrics = distinct(self.figures.iter().map(|f| f.metric));
+        let mut text = format!("## {}\n\n| condition | policy |", self.title);
+        for metric in &metrics {
+            let _ = write!(text, " {metric} |");
+        }
+        let _ = write!(text, "\n|---|---|{}", "---|".repeat(metrics.len()));
+        for (condition, policy) in self.rows() {
+            let _ = write!(text, "\n| {condition} | {policy} |");
+            for metric in &metrics {
+                let cell = self.spread(condition, policy, metric);
+                let _ = write!(text, " {} |", cell.map_or(String::new(), show));
+            }
+        }
+        text.push('\n');
+        text
+    }
+
+    /// Writes `<name>.csv` and `<name>.svg` into a folder.
+    pub(crate) fn write(&self, out: &Path, name: &str) -> Result<(), Box<dyn Error>> {
+        std::fs::create_dir_all(out)?;
+        let mut csv = csv::Writer::from_path(out.join(format!("{name}.csv")))?;
+        csv.write_record(["condition", "policy", "metric", "seed", "value"])?;
+        for f in &self.figures {
+            let (seed, value) = (f.seed.to_string(), format!("{:.6}", f.value));
+            csv.write_record([&f.condition, &f.policy, f.metric, &seed, &value])?;
+        }
+        csv.flush()?;
+        self.plot(&out.join(format!("{name}.svg")))
+    }
+
+    fn plot(&self, path: &Path) -> Result<(), Box<dyn Error>> {
+        let conditions = distinct(self.figures.iter().map(|f| f.condition.as_str()));
+        let policies = distinct(self.figures.iter().map(|f| f.policy.as_str()));
+        let most = self
+            .figures
+            .iter()
+            .filter(|f| f.metric == self.plotted)
+            .map(|f| f.value)
+            .fold(1e-9, f64::max);
+        let area = SVGBackend::new(path, (1200, 500)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let caption = format!("{}: {}", self.title, self.plotted);
+        let width = conditions.len() as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(caption, ("sans-serif", 18))
+            .margin(10)
+            .x_label_area_size(40)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..width, 0.0..most * 1.05)?;
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .x_labels(conditions.len() * 2 + 1)
+            .x_label_formatter(&|x| label(&conditions, *x))
+            .draw()?;
+        for (at, policy) in policies.iter().enumerate() {
+            let colour = Palette99::pick(at).to_rgba();
+            let place = (at as f64 + 1.0) / (policies.len() as f64 + 1.0);
+            let points: Vec<(f64, Spread)> = conditions
+                .iter()
+                .enumerate()
+                .filter_map(|(x, condition)| {
+                    let spread = self.spread(condition, policy, self.plotted)?;
+                    Some((x as f64 + place, spread))
+                })
+                .collect();
+            chart.draw_series(points.iter().map(|&(x, s)| {
+                PathElement::new([(x, s.least), (x, s.most)], colour.stroke_width(2))
+            }))?;
+            chart
+                .draw_series(
+                    points
+                        .iter()
+                        .map(|&(x, s)| Circle::new((x, s.mean), 4, colour.filled())),
+                )?
+                .label(*policy)
+                .legend(move |(x, y)| Circle::new((x + 10, y), 4, colour.filled()));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        area.present()?;
+        Ok(())
+    }
+
+    fn rows(&self) -> Vec<(&str, &str)> {
+        distinct(
+            self.figures
+                .iter()
+                .map(|f| (f.condition.as_str(), f.policy.as_str())),
+        )
+    }
+
+    fn spread(&self, condition: &str, policy: &str, metric: &str) -> Option<Spread> {
+        let values: Vec<f64> = self
+            .figures
+            .iter()
+            .filter(|f| f.condition == condition && f.policy == policy && f.metric == metric)
+            .map(|f| f.value)
+            .collect();
+        let n = values.len() as f64;
+        (!values.is_empty()).then(|| Spread {
+            mean: values.iter().sum::<f64>() / n,
+            least: values.iter().copied().fold(f64::MAX, f64::min),
+            most: values.iter().copied().fold(f64::MIN, f64::max),
+        })
+    }
+}
+
+fn label(conditions: &[&str], x: f64) -> String {
+    let is_middle = (x.fract() - 0.5).abs() < 1e-6;
+    let condition = conditions.get(x as usize).filter(|_| is_middle);
+    condition.map_or(String::new(), |c| (*c).to_owned())
+}
+
+fn show(s: Spread) -> String {
+    format!(
+        "{} ({}–{})",
+        digits(s.mean),
+        digits(s.least),
+        digits(s.most)
+    )
+}
+
+fn digits(x: f64) -> String {
+    match x.abs() {
+        x if x >= 100.0 || x == 0.0 => format!("{x:.0}"),
+        x if x >= 10.0 => format!("{x:.1}"),
+        _ => format!("{x:.3}"),
+    }
+}
+
+fn distinct<T: PartialEq>(items: impl Iterator<Item = T>) -> Vec<T> {
+    let mut seen = Vec::new();
+    for item in items {
+        if !seen.contains(&item) {
+            seen.push(item);
+        }
+    }
+    seen
+}
--- /dev/null
+++ b/crates/oatdale-policy/examples/measure/world.rs
@@ -0,0 +1,195 @@
+//! Configurations in the shapes of the two users, and seeded draws.
+
+use oatdale_config::{
+    Arena, Config, Customer, CustomerKey, Digest, Domain, DomainKey, Endpoint, EndpointKey, Key,
+    Limits, Model, ModelKey, Pool, PoolKey, PoolKind, Price, Service, ServiceKey, ServiceKind,
+    Version, VersionKey, VersionState,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Seeded draws.
+pub(crate) struct Draw(Pcg64Mcg);
+
+impl Draw {
+    pub(crate) fn new(seed: u64) -> Self {
+        Draw(Pcg64Mcg::seed_from_u64(seed))
+    }
+
+    pub(crate) fn bits(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+
+    /// Uniform from 0 to 1.
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.bits() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Log-normal by its median and the standard deviation of its logarithm.
+    pub(crate) fn log_normal(&mut self, median: f64, sigma: f64) -> f64 {
+        let radius = (-2.0 * (1.0 - self.unit()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.unit()).cos();
+        median * (sigma * normal).exp()
+    }
+}
+
+/// A model service of a configuration.
+#[derive(Clone, Debug)]
+pub(crate) struct ModelService {
+    pub(crate) name: &'static str,
+    pub(crate) quality: f64,
+    pub(crate) latency_weight: f64,
+    pub(crate) deadline: f64,
+}
+
+/// A configuration of model services on one pool of workers, and one plain service beside it.
+#[derive(Clone, Debug)]
+pub(crate) struct Site {
+    /// Prices of the versions for a million tokens of prompt and of answer; a model for each.
+    pub(crate) prices: Vec<(f64, f64)>,
+    pub(crate) services: Vec<ModelService>,
+    pub(crate) workers: usize,
+    pub(crate) worker_concurrency: u32,
+    pub(crate) hosts: usize,
+    pub(crate) host_concurrency: u32,
+    pub(crate) customers: usize,
+    pub(crate) plain_deadline: f64,
+}
+
+impl Site {
+    /// Three models of unlike cost, 9 workers, 3 plain hosts, 10 customers.
+    pub(crate) fn of_today(services: Vec<ModelService>) -> Self {
+        Site {
+            prices: vec![(0.15, 0.6), (0.8, 3.2), (2.5, 10.0)],
+            services,
+            workers: 9,
+            worker_concurrency: 16,
+            hosts: 3,
+            host_concurrency: 16,
+            customers: 10,
+            plain_deadline: 2.0,
+        }
+    }
+
+    pub(crate) fn config(&self) -> Config {
+        Config {
+            domains: arena((0..3).map(|i| Domain {
+                name: format!("d{i}"),
+                region: "r".to_owned(),
+            })),
+            models: arena((0..self.prices.len()).map(|i| Model {
+                name: format!("m{i}"),
+                versions: vec![VersionKey::from_index(i)],
+            })),
+            versions: arena(self.prices.iter().enumerate().map(|(i, &price)| Version {
+                name: "1".to_owned(),
+                model: ModelKey::from_index(i),
+                state: VersionState::Serving,
+                price: Price {
+                    input: price.0,
+                    output: price.1,
+                },
+            })),
+            pools: self.pools(),
+            endpoints: arena((0..self.workers + self.hosts).map(|i| self.endpoint(i))),
+            services: arena(self.services()),
+            customers: arena((0..self.customers).map(|i| self.customer(i))),
+        }
+    }
+
+    fn pools(&self) -> Arena<PoolKey, Pool> {
+        let endpoints = |from: usize, to: usize| -> Vec<EndpointKey> {
+            (from..to).map(EndpointKey::from_index).collect()
+        };
+        let workers = Pool {
+            name: "workers".to_owned(),
+            kind: PoolKind::Engines { fencing: true },
+            endpoints: endpoints(0, self.workers),
+        };
+        let hosts = Pool {
+            name: "hosts".to_owned(),
+            kind: PoolKind::Plain,
+            endpoints: endpoints(self.workers, self.workers + self.hosts),
+        };
+        arena([workers, hosts])
+    }
+
+    fn endpoint(&self, i: usize) -> Endpoint {
+        let is_worker = i < self.workers;
+        Endpoint {
+            name: format!("e{i}"),
+            address: SocketAddr::from(([127, 0, 0, 1], 10_000 + i as u16)),
+            domain: DomainKey::from_index(i % 3),
+            pool: PoolKey::from_index(usize::from(!is_worker)),
+            versions: match is_worker {
+                true => (0..self.prices.len()).map(VersionKey::from_index).collect(),
+                false => Vec::new(),
+            },
+            concurrency: match is_worker {
+                true => self.worker_concurrency,
+                false => self.host_concurrency,
+            },
+        }
+    }
+
+    fn services(&self) -> Vec<Service> {
+        let models: Vec<_> = (0..self.prices.len()).map(ModelKey::from_index).collect();
+        let mut services: Vec<Service> = self
+            .services
+            .iter()
+            .map(|s| Service {
+                name: s.name.to_owned(),
+                kind: ServiceKind::Model {
+                    models: models.clone(),
+                    quality: s.quality,
+                    latency_weight: s.latency_weight,
+                },
+                pool: PoolKey::from_index(0),
+                depends_on: Vec::new(),
+                deadline: Duration::from_secs_f64(s.deadline),
+                non_idempotent: Vec::new(),
+            })
+            .collect();
+        services.push(Service {
+            name: "plain".to_owned(),
+            kind: ServiceKind::Plain,
+            pool: PoolKey::from_index(1),
+            depends_on: Vec::new(),
+            deadline: Duration::from_secs_f64(self.plain_deadline),
+            non_idempotent: Vec::new(),
+        });
+        services
+    }
+
+    fn customer(&self, i: usize) -> Customer {
+        Customer {
+            name: format!("c{i}"),
+            keys: vec![Digest([i as u8; 32])],
+            services: (0..=self.services.len())
+                .map(ServiceKey::from_index)
+                .collect(),
+            versions: (0..self.prices.len()).map(VersionKey::from_index).collect(),
+            limits: Limits {
+                requests_per_second: 1e9,
+                concurrent: 1_000_000,
+            },
+            weight: 1.0,
+        }
+    }
+}
+
+/// The customer of a request: a few large ones and many small ones.
+pub(crate) fn customer(draw: &mut Draw, customers: usize) -> CustomerKey {
+    let skewed = draw.unit().powi(2) * customers as f64;
+    CustomerKey::from_index((skewed as usize).min(customers - 1))
+}
+
+fn arena<K: Key, T>(items: impl IntoIterator<Item = T>) -> Arena<K, T> {
+    let mut arena = Arena::default();
+    for item in items {
+        arena.push(item);
+    }
+    arena
+}
--- a/crates/oatdale-policy/src/choice.rs
+++ b/crates/oatdale-policy/src/choice.rs
@@ -9,6 +9,9 @@
 /// Versions in some order.
 pub(crate) type Versions = SmallVec<[VersionKey; 8]>;
 
+/// Plans in the order of preference.
+pub(crate) type Plans = SmallVec<[Plan; 4]>;
+
 /// Versions to ask one after the other until an answer is good enough.
 #[derive(Clone, PartialEq, Debug)]
 pub(crate) struct Plan {
@@ -36,6 +39,19 @@
     }
 }
 
+/// What may serve a request.
+#[derive(Clone, PartialEq, Debug)]
+pub(crate) enum Candidates {
+    /// Any endpoint of a plain service.
+    Plain,
+    /// The session's version.
+    Pinned(VersionKey),
+    /// A canary whose share the request falls into, where nothing else takes new work.
+    Canary(VersionKey),
+    /// Serving versions, cheapest first; never empty.
+    Serving(Versions),
+}
+
 /// Versions of each service, cheapest first, and which of them are stopped.
 pub(crate) struct Catalogue {
     by_price: Vec<Versions>,
@@ -157,23 +173,37 @@
             .all(|versions| versions.iter().any(|&v| is_other(v)))
     }
 
-    /// The version of a pinned request.
+    /// What may serve a request now.
     ///
     /// # Errors
     ///
-    /// Says why the session can't go on.
-    pub(crate) fn pinned(
+    /// Says why nothing may.
+    pub(crate) fn candidates(&self, cfg: &Config, ask: &Ask) -> Result<Candidates, RefusalReason> {
+        if let ServiceKind::Plain = cfg.services[ask.service].kind {
+            return Ok(Candidates::Plain);
+        }
+        if let Session::Pinned { version, .. } = ask.session {
+            return self.pinned(cfg, ask, version);
+        }
+        let serving = self.serving(cfg, ask);
+        match serving.is_empty() {
+            false => Ok(Candidates::Serving(serving)),
+            true => self
+                .canary(cfg, ask, None)
+                .map(Candidates::Canary)
+                .ok_or(RefusalReason::NoVersion),
+        }
+    }
+
+    fn pinned(
         &self,
         cfg: &Config,
         ask: &Ask,
         version: VersionKey,
-    ) -> Result<Plan, RefusalReason> {
-        let state = cfg.versions.get(version).map(|v| v.state);
-        match state {
+    ) -> Result<Candidates, RefusalReason> {
+        match cfg.versions.get(version).map(|v| v.state) {
             Some(VersionState::Withdrawn) => Err(RefusalReason::SessionVersionWithdrawn),
-            Some(_) if self.permits(cfg, ask, version) => {
-                Ok(Plan::single(version, VersionReason::Pinned))
-            }
+            Some(_) if self.permits(cfg, ask, version) => Ok(Candidates::Pinned(version)),
             Some(_) | None => Err(RefusalReason::NoVersion),
         }
     }
--- a/crates/oatdale-policy/src/lib.rs
+++ b/crates/oatdale-policy/src/lib.rs
@@ -6,9 +6,11 @@
 mod average;
 mod bucket;
 mod budget;
+mod cascade;
 mod choice;
 mod endpoint;
 mod endpoints;
+mod estimate;
 mod evidence;
 mod limit;
 mod queue;
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -6,6 +6,7 @@
 mod start;
 mod turn;
 
+use self::finish::Held;
 use crate::choice::Catalogue;
 use crate::endpoints::Endpoints;
 use crate::evidence::{Evidence, VersionCounters};
@@ -114,7 +115,7 @@
             retry_after: None,
         };
         self.check_names(&ask).map_err(refused)?;
-        let plans = self.plans(&ask).map_err(refused)?;
+        let (plans, _) = self.plans(&ask).map_err(refused)?;
         let first = plans.first().and_then(|p| Some((*p.steps.first()?, p.why)));
         first.ok_or(refused(RefusalReason::NoVersion))
     }
@@ -137,7 +138,21 @@
         rating: f64,
     ) {
         self.now = self.now.max(now);
-        self.learn_rating(service, class, version, false, rating);
+        self.learn_rating(service, class, version, false, rating, Held::No);
+    }
+
+    /// Takes in a late rating of an answer whose attempt was an escalation
+    /// ([`VersionReason::Escalated`]); these answers are to harder requests and count apart.
+    pub fn observe_escalated_rating(
+        &mut self,
+        now: Duration,
+        service: ServiceKey,
+        class: u8,
+        version: VersionKey,
+        rating: f64,
+    ) {
+        self.now = self.now.max(now);
+        self.learn_rating(service, class, version, true, rating, Held::No);
     }
 
     /// Notes that an endpoint leaves, so that it gets nothing new, or that it is back.
--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -3,7 +3,7 @@
 use super::Router;
 use crate::request::{Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Ticket};
 use crate::state::{Attempt, Stage};
-use oatdale_config::{Key, ServiceKey, VersionKey};
+use oatdale_config::{Key, ServiceKey, ServiceKind, VersionKey};
 use std::time::Duration;
 
 /// An answer is good enough from this rating on.
@@ -15,6 +15,13 @@
 /// An answer counts as slow from this multiple of the usual time to its first byte.
 const SLOW: f64 = 3.0;
 
+/// Whether an answer was kept back until its rating came.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Held {
+    Yes,
+    No,
+}
+
 impl Router {
     /// Takes in the end of an attempt and says what follows.
     ///
@@ -35,6 +42,9 @@
         self.count_end(&ask, attempt);
         self.learn(&ask, attempt, outcome);
         let next = self.follow(ticket, &ask, attempt, outcome);
+        if next == Next::Done {
+            self.learn_delivery(&ask, attempt, outcome);
+        }
         if !matches!(next, Next::Run(_)) {
             self.forget(ticket);
         }
@@ -121,13 +131,27 @@
             return;
         };
         match outcome.result {
-            AttemptResult::Complete { rating, .. } => {
+            AttemptResult::Complete {
+                rating,
+                output_tokens,
+            } => {
+                let learner = &mut self.services[ask.service.index()].learner;
+                let first_byte = outcome.first_byte.map(|t| t.as_secs_f64());
+                let total = outcome.total.as_secs_f64();
+                learner.answered(ask.class, version, output_tokens, first_byte, total);
                 self.evidence.record(version, |c| {
                     c.requests += 1;
                     c.slow += u64::from(slow);
                 });
                 if let Some(rating) = rating {
-                    self.learn_rating(ask.service, ask.class, version, false, rating);
+                    self.learn_rating(
+                        ask.service,
+                        ask.class,
+                        version,
+                        attempt.after,
+                        rating,
+                        Held::Yes,
+                    );
                 }
             }
             AttemptResult::Broken | AttemptResult::TimedOut => {
@@ -142,19 +166,56 @@
         }
     }
 
+    fn learn_delivery(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
+        let kind = &self.cfg.services[ask.service].kind;
+        let (
+            ServiceKind::Model { quality, .. },
+            AttemptResult::Complete { rating, .. },
+            Some(version),
+        ) = (kind, outcome.result, attempt.version)
+        else {
+            return;
+        };
+        let rating = rating.map(|r| f64::from(u8::from(r >= ACCEPTED)));
+        self.services[ask.service.index()].learner.delivered(
+            *quality,
+            ask.class,
+            version,
+            attempt.after,
+            rating,
+        );
+    }
+
     /// Takes in a rating; `after` says that the request's answer before it was rejected.
     pub(super) fn learn_rating(
         &mut self,
-        _service: ServiceKey,
-        _class: u8,
+        service: ServiceKey,
+        class: u8,
         version: VersionKey,
-        _after: bool,
+        after: bool,
         rating: f64,
+        held: Held,
     ) {
-        self.evidence.record(version, |c| {
-            c.rated += 1;
-            c.low += u64::from(rating < ACCEPTED);
-        });
+        if self.cfg.versions.get(version).is_none() {
+            return;
+        }
+        let Some(state) = self.services.get_mut(service.index()) else {
+            return;
+        };
+        let accepted = rating >= ACCEPTED;
+        let value = f64::from(u8::from(accepted));
+        match held {
+            Held::Yes => state.learner.rated(class, version, after, value),
+            Held::No => state.learner.rated_late(class, version, after, value),
+        }
+        // Answers after a rejected one are to the harder requests and would speak against the
+        // version that got them.
+        if !after {
+            self.evidence.record(version, |c| {
+                c.rated += 1;
+                c.low += u64::from(!accepted);
+            });
+        }
     }
 
     fn follow(&mut self, ticket: Ticket, ask: &Ask, attempt: Attempt, outcome: &Outcome) -> Next {
--- a/crates/oatdale-policy/src/router/offer.rs
+++ b/crates/oatdale-policy/src/router/offer.rs
@@ -1,11 +1,11 @@
 //! A new request: limits, room and the decision to run, wait or refuse.
 
 use super::Router;
-use crate::choice::Plan;
+use crate::choice::{Candidates, Plan};
 use crate::queue::Waiting;
-use crate::request::{Ask, Offer, Refusal, RefusalReason, Session, Ticket, VersionReason};
+use crate::request::{Ask, Offer, Refusal, RefusalReason, Ticket};
 use crate::state::{Request, Stage};
-use oatdale_config::{Key, ServiceKind};
+use oatdale_config::Key;
 use rand::Rng;
 use smallvec::SmallVec;
 use std::time::Duration;
@@ -48,8 +48,8 @@
         if ask.deadline <= self.now {
             return Err(final_refusal(RefusalReason::Deadline));
         }
-        let plans = self.plans(ask).map_err(final_refusal)?;
-        self.check_reach(ask, &plans)?;
+        let candidates = self.candidates(ask).map_err(final_refusal)?;
+        self.check_reach(ask, &candidates)?;
         self.check_dependencies(ask)
     }
 
@@ -75,12 +75,14 @@
         }
     }
 
-    fn check_reach(&self, ask: &Ask, plans: &[Plan]) -> Result<(), Refusal> {
+    fn check_reach(&self, ask: &Ask, candidates: &Candidates) -> Result<(), Refusal> {
         let pool = self.cfg.services[ask.service].pool;
-        let reachable = plans.iter().any(|plan| {
-            let version = plan.steps.first().copied();
-            self.endpoints.any_live(self.now, pool, version)
-        });
+        let live = |version| self.endpoints.any_live(self.now, pool, version);
+        let reachable = match candidates {
+            Candidates::Plain => live(None),
+            Candidates::Pinned(version) | Candidates::Canary(version) => live(Some(*version)),
+            Candidates::Serving(versions) => versions.iter().any(|&v| live(Some(v))),
+        };
         match reachable {
             true => Ok(()),
             false => Err(Refusal {
@@ -228,29 +230,6 @@
         let spread = 0.75 + 0.5 * (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
         Duration::from_secs_f64((wait * spread).clamp(RETRY_AFTER.0, RETRY_AFTER.1))
     }
-
-    /// The plans that may serve a request, the preferred one first; never empty.
-    pub(super) fn plans(&mut self, ask: &Ask) -> Result<Vec<Plan>, RefusalReason> {
-        if let ServiceKind::Plain = self.cfg.services[ask.service].kind {
-            return Ok(vec![Plan::plain()]);
-        }
-        if let Session::Pinned { version, .. } = ask.session {
-            return Ok(vec![self.catalogue.pinned(&self.cfg, ask, version)?]);
-        }
-        let serving = self.catalogue.serving(&self.cfg, ask);
-        let first = serving.first().copied();
-        if let Some(canary) = self.catalogue.canary(&self.cfg, ask, first) {
-            return Ok(vec![Plan::single(canary, VersionReason::Canary)]);
-        }
-        let plans: Vec<Plan> = serving
-            .iter()
-            .map(|&v| Plan::single(v, VersionReason::Cheapest))
-            .collect();
-        match plans.is_empty() {
-            true => Err(RefusalReason::NoVersion),
-            false => Ok(plans),
-        }
-    }
 }
 
 fn final_refusal(reason: RefusalReason) -> Refusal {
--- a/crates/oatdale-policy/src/router/reconfigure.rs
+++ b/crates/oatdale-policy/src/router/reconfigure.rs
@@ -107,6 +107,7 @@
             service.queue = crate::queue::FairQueue::default();
             service.set_running(now, 0);
             service.virtual_time = 0.0;
+            service.learner.rekey(|v| rekey.version(v));
         }
         self.services = services;
     }
--- a/crates/oatdale-policy/src/router/start.rs
+++ b/crates/oatdale-policy/src/router/start.rs
@@ -1,16 +1,19 @@
 //! Starting a request: room in its pool, a version, an endpoint.
 
 use super::Router;
-use crate::choice::Plan;
+use crate::choice::{Candidates, Plan, Plans};
 use crate::endpoints::{Pick, Wish};
-use crate::request::{Dispatch, Refusal, Ticket, VersionReason};
+use crate::request::{Ask, Dispatch, Refusal, RefusalReason, Ticket, VersionReason};
 use crate::state::{Attempt, Stage};
-use oatdale_config::{EndpointKey, Key, PoolKey, ServiceKey, VersionKey};
+use oatdale_config::{EndpointKey, Key, PoolKey, ServiceKey, ServiceKind, VersionKey};
 use std::time::Duration;
 
 /// The reserve of a service covers its usual use and this many standard deviations.
 const RESERVE_SPREAD: f64 = 1.5;
 
+/// From this latency weight on, a version with room goes before a cheaper one without.
+const LATENCY_FIRST: f64 = 0.5;
+
 impl Router {
     /// Whether a service may start one more request in its pool.
     ///
@@ -78,24 +81,90 @@
         };
         let ask = request.ask;
         let tried = request.tried.clone();
-        let plans = self.plans(&ask).map_err(|reason| Refusal {
+        let (plans, quality) = self.plans(&ask).map_err(|reason| Refusal {
             reason,
             retry_after: None,
         })?;
         for plan in plans {
             let version = plan.steps.first().copied();
             if let Some(pick) = self.pick(&ask, version, &tried) {
+                self.note_plan(&ask, quality);
                 return Ok(Some(self.dispatch(ticket, plan, 0, pick)));
             }
+            if self.should_wait_for(&ask, &plan) {
+                break;
+            }
         }
         Ok(None)
     }
 
+    /// Whether a plan whose endpoints are full is worth waiting for: a dearer version with room
+    /// is taken only where latency counts more than cost.
+    fn should_wait_for(&self, ask: &Ask, plan: &Plan) -> bool {
+        let service = &self.cfg.services[ask.service];
+        let latency_first = match service.kind {
+            ServiceKind::Model { latency_weight, .. } => latency_weight >= LATENCY_FIRST,
+            ServiceKind::Plain => false,
+        };
+        let version = plan.steps.first().copied();
+        let usual = plan.why != VersionReason::Explore;
+        usual && !latency_first && self.endpoints.any_live(self.now, service.pool, version)
+    }
+
+    /// Lets the service's price of quality follow what this request is expected to get.
+    fn note_plan(&mut self, ask: &Ask, quality: Option<f64>) {
+        let kind = &self.cfg.services[ask.service].kind;
+        if let (
+            ServiceKind::Model {
+                quality: target, ..
+            },
+            Some(quality),
+        ) = (kind, quality)
+        {
+            self.services[ask.service.index()]
+                .learner
+                .planned(*target, quality);
+        }
+    }
+
+    /// What may serve a request now.
+    pub(super) fn candidates(&self, ask: &Ask) -> Result<Candidates, RefusalReason> {
+        self.catalogue.candidates(&self.cfg, ask)
+    }
+
+    /// The plans that may serve a request, the preferred one first, with its expected quality;
+    /// never empty.
+    pub(super) fn plans(&mut self, ask: &Ask) -> Result<(Plans, Option<f64>), RefusalReason> {
+        let candidates = self.candidates(ask)?;
+        let learner = &mut self.services[ask.service.index()].learner;
+        let (version, why) = match candidates {
+            Candidates::Plain => return Ok((Plans::from_iter([Plan::plain()]), None)),
+            Candidates::Pinned(version) => (version, VersionReason::Pinned),
+            Candidates::Canary(version) => (version, VersionReason::Canary),
+            Candidates::Serving(versions) => {
+                let (mut plans, mut quality) =
+                    learner.plans(&self.cfg, ask, &versions, &mut self.rng);
+                let first = plans.first().map(|p| p.steps[0]);
+                if let Some(canary) = self.catalogue.canary(&self.cfg, ask, first) {
+                    plans[0].steps[0] = canary;
+                    plans[0].why = VersionReason::Canary;
+                    quality = learner.quality(&self.cfg, ask, canary);
+                }
+                return Ok((plans, Some(quality)));
+            }
+        };
+        let quality = learner.quality(&self.cfg, ask, version);
+        Ok((
+            Plans::from_iter([Plan::single(version, why)]),
+            Some(quality),
+        ))
+    }
+
     /// An endpoint with room, or else the least loaded live one: a request that has come this far
     /// is not put back into the queue, since what it used so far would be lost.
     pub(super) fn pick_crowded(
         &mut self,
-        ask: &crate::request::Ask,
+        ask: &Ask,
         version: Option<VersionKey>,
         tried: &[EndpointKey],
     ) -> Option<Pick> {
@@ -108,7 +177,7 @@
 
     pub(super) fn pick(
         &mut self,
-        ask: &crate::request::Ask,
+        ask: &Ask,
         version: Option<VersionKey>,
         tried: &[EndpointKey],
     ) -> Option<Pick> {
@@ -147,6 +216,7 @@
             endpoint: Some(pick.endpoint),
             version,
             judge,
+            after: step > 0,
         });
         let attempt = request.attempts;
         let service = request.ask.service;
--- a/crates/oatdale-policy/src/state.rs
+++ b/crates/oatdale-policy/src/state.rs
@@ -3,6 +3,7 @@
 use crate::average::{Level, Mean, Rate};
 use crate::bucket::Bucket;
 use crate::budget::Budget;
+use crate::cascade::Learner;
 use crate::choice::Plan;
 use crate::limit::Limit;
 use crate::queue::FairQueue;
@@ -56,6 +57,8 @@
     pub(crate) endpoint: Option<EndpointKey>,
     pub(crate) version: Option<VersionKey>,
     pub(crate) judge: bool,
+    /// Whether an answer before it was rejected.
+    pub(crate) after: bool,
 }
 
 /// A service's queue, pace and budget.
@@ -68,6 +71,7 @@
     pub(crate) total: Mean,
     pub(crate) first_byte: Mean,
     pub(crate) budget: Budget,
+    pub(crate) learner: Learner,
     /// Its place among the services of its pool.
     pub(crate) virtual_time: f64,
 }
@@ -82,6 +86,7 @@
             total: Mean::new(100.0),
             first_byte: Mean::new(100.0),
             budget: Budget::new(),
+            learner: Learner::new(),
             virtual_time: 0.0,
         }
     }
