--- /dev/null
+++ b/crates/oatdale-policy/examples/measure/endpoints.rs
@@ -0,0 +1,105 @@
+//! Choice of an endpoint: time to the first token under lagging reports, a slow endpoint and
+//! prefix caches.
+
+use crate::Seeds;
+use crate::report::{Report, quantile};
+use crate::sim::{Flow, Job, Policy, Setup, Sim};
+use crate::world::{ModelService, Site};
+use oatdale_config::{Key, ServiceKey};
+
+/// Seconds of a run; the first few are not counted.
+const LENGTH: f64 = 60.0;
+const WARM_UP: f64 = 10.0;
+
+/// Requests a second, about 70% of what the workers can do.
+const RATE: f64 = 19.0;
+
+/// Nodes that share the workers.
+const NODES: usize = 8;
+
+const POLICIES: [Policy; 4] = [
+    Policy::Random,
+    Policy::RoundRobin,
+    Policy::LeastReported,
+    Policy::Oatdale,
+];
+
+pub(crate) fn run(seeds: Seeds) -> Report {
+    let mut report = Report::new("Endpoint choice: time to the first token", "p99 ms");
+    let slow = vec![(4, 5.0, 0.0)];
+    let conditions = [
+        ("lag 0 ms", 0.0, Vec::new(), 0),
+        ("lag 100 ms", 0.1, Vec::new(), 0),
+        ("lag 1000 ms", 1.0, Vec::new(), 0),
+        ("slow endpoint, lag 100 ms", 0.1, slow.clone(), 0),
+        ("slow endpoint, lag 1000 ms", 1.0, slow, 0),
+        ("prefix caches, lag 100 ms", 0.1, Vec::new(), 60),
+    ];
+    for (name, lag, faults, prefixes) in conditions {
+        for policy in POLICIES {
+            for seed in seeds.clone() {
+                let sim = Sim::run(Setup {
+                    site: site(),
+                    flows: flows(prefixes),
+                    policy,
+                    nodes: NODES,
+                    lag,
+                    length: LENGTH,
+                    faults: faults.clone(),
+                    seed,
+                });
+                report.add(name, policy.name(), seed, &figures(&sim));
+            }
+        }
+    }
+    report
+}
+
+fn site() -> Site {
+    let mut site = Site::of_today(vec![ModelService {
+        name: "model",
+        quality: 0.1,
+        latency_weight: 0.0,
+        deadline: 60.0,
+    }]);
+    // One version, so that only the choice of an endpoint differs.
+    site.prices.truncate(1);
+    site
+}
+
+/// Short, middling and long requests; `prefixes` beginnings each, or all different for 0.
+fn flows(prefixes: usize) -> Vec<Flow> {
+    let flow = |share: f64, input: f64, output: f64| Flow {
+        service: ServiceKey::from_index(0),
+        rate: RATE * share,
+        surge: None,
+        input,
+        output,
+        prefixes: if prefixes == 0 { 1 << 30 } else { prefixes },
+        deadline: 60.0,
+        customer: None,
+    };
+    vec![
+        flow(0.5, 200.0, 20.0),
+        flow(0.3, 1500.0, 200.0),
+        flow(0.2, 6000.0, 500.0),
+    ]
+}
+
+fn figures(sim: &Sim) -> [(&'static str, f64); 4] {
+    let mut times: Vec<f64> = sim
+        .jobs
+        .iter()
+        .filter(|j| j.arrived >= WARM_UP)
+        .filter_map(Job::first_byte_after)
+        .collect();
+    let counted = sim.jobs.iter().filter(|j| j.arrived >= WARM_UP).count();
+    let hits: u64 = sim.engines.iter().map(|e| e.hits).sum();
+    let lookups: u64 = sim.engines.iter().map(|e| e.lookups).sum();
+    [
+        ("p50 ms", 1000.0 * quantile(&mut times, 0.5)),
+        ("p99 ms", 1000.0 * quantile(&mut times, 0.99)),
+        ("cache hits", hits as f64 / lookups.max(1) as f64),
+        ("answered", times.len() as f64 / counted as f64),
+    ]
+}
--- a/crates/oatdale-policy/examples/measure/main.rs
+++ b/crates/oatdale-policy/examples/measure/main.rs
@@ -6,7 +6,10 @@
 //! seed: the same command writes the same bytes.
 
 mod cascade;
+mod endpoints;
+mod engine;
 mod report;
+mod sim;
 mod world;
 
 use report::Report;
@@ -23,7 +26,7 @@
 type Round = (&'static str, fn(Seeds) -> Report);
 
 /// All rounds.
-const ROUNDS: [Round; 1] = [("cascade", cascade::run)];
+const ROUNDS: [Round; 2] = [("cascade", cascade::run), ("endpoints", endpoints::run)];
 
 /// What the command line asks for.
 struct Args {
--- a/crates/oatdale-policy/examples/measure/report.rs
+++ b/crates/oatdale-policy/examples/measure/report.rs
@@ -170,6 +170,16 @@
     }
 }
 
+/// The value below which a share of the sorted values lies; 0 of none.
+pub(crate) fn quantile(values: &mut [f64], share: f64) -> f64 {
+    values.sort_unstable_by(f64::total_cmp);
+    let at = (values.len() as f64 * share) as usize;
+    values
+        .get(at.min(values.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0.0)
+}
+
 fn label(conditions: &[&str], x: f64) -> String {
     let is_middle = (x.fract() - 0.5).abs() < 1e-6;
     let condition = conditions.get(x as usize).filter(|_| is_middle);
--- a/crates/oatdale-policy/examples/measure/world.rs
+++ b/crates/oatdale-policy/examples/measure/world.rs
@@ -27,6 +27,15 @@
         (self.bits() >> 11) as f64 / (1_u64 << 53) as f64
     }
 
+    pub(crate) fn below(&mut self, n: usize) -> usize {
+        (self.bits() % n as u64) as usize
+    }
+
+    /// Exponential with a mean.
+    pub(crate) fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+
     /// Log-normal by its median and the standard deviation of its logarithm.
     pub(crate) fn log_normal(&mut self, median: f64, sigma: f64) -> f64 {
         let radius = (-2.0 * (1.0 - self.unit()).ln()).sqrt();
--- a/crates/oatdale-policy/src/average.rs
+++ b/crates/oatdale-policy/src/average.rs
@@ -92,4 +92,9 @@
             false => default,
         }
     }
+
+    /// How many samples it rests on.
+    pub(crate) fn samples(&self) -> f64 {
+        self.samples
+    }
 }
--- a/crates/oatdale-policy/src/cascade.rs
+++ b/crates/oatdale-policy/src/cascade.rs
@@ -47,6 +47,9 @@
 /// The share of requests that try a version to learn its quality.
 const EXPLORE: f64 = 0.01;
 
+/// Answers from which the usual time to the first byte can be told.
+const TIMED: f64 = 10.0;
+
 /// A version may always have become better by this much since it was last rated.
 const LEAST_HOPE: f64 = 0.1;
 
@@ -264,6 +267,12 @@
         known.first_byte.add(first_byte.unwrap_or(total));
     }
 
+    /// The usual time to the first byte in a class, in seconds, once enough answers came.
+    pub(crate) fn usual_first_byte(&self, class: u8, version: VersionKey) -> Option<f64> {
+        let known = self.known(class, version);
+        (known.first_byte.samples() >= TIMED).then(|| known.first_byte.get_or(0.0))
+    }
+
     /// Moves what was learned to a new configuration's keys.
     pub(crate) fn rekey(&mut self, map: impl Fn(VersionKey) -> Option<VersionKey>) {
         for class in self.classes.values_mut() {
--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -79,39 +79,51 @@
     }
 
     fn learn(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
-        let slow = self.learn_times(ask, outcome);
-        self.learn_endpoint(ask, attempt, outcome);
+        let relative = self.relative_first_byte(ask, attempt, outcome);
+        let slow = relative.is_some_and(|r| r > SLOW);
+        self.learn_times(ask, outcome);
+        self.learn_endpoint(ask, attempt, outcome, relative);
         self.learn_version(ask, attempt, outcome, slow);
     }
 
-    /// Takes in an answer's times; true if its first byte came late.
-    fn learn_times(&mut self, ask: &Ask, outcome: &Outcome) -> bool {
-        let service = &mut self.services[ask.service.index()];
+    /// The time to the first byte over the usual one of the request's class and version, since a
+    /// long prompt would else speak against its endpoint.
+    fn relative_first_byte(&self, ask: &Ask, attempt: Attempt, outcome: &Outcome) -> Option<f64> {
+        let first_byte = outcome.first_byte?.as_secs_f64();
+        let service = &self.services[ask.service.index()];
+        let usual = match attempt.version {
+            Some(version) => service.learner.usual_first_byte(ask.class, version)?,
+            None => service.first_byte.get_or(first_byte),
+        };
+        Some(first_byte / usual.max(1e-6))
+    }
+
+    fn learn_times(&mut self, ask: &Ask, outcome: &Outcome) {
         let AttemptResult::Complete { .. } = outcome.result else {
-            return false;
+            return;
         };
+        let service = &mut self.services[ask.service.index()];
         service.pace.add(self.now);
         service.total.add(outcome.total.as_secs_f64());
-        let Some(first_byte) = outcome.first_byte.map(|t| t.as_secs_f64()) else {
-            return false;
-        };
-        let usual = service.first_byte.get_or(first_byte);
-        service.first_byte.add(first_byte);
-        first_byte > SLOW * usual
+        if let Some(first_byte) = outcome.first_byte {
+            service.first_byte.add(first_byte.as_secs_f64());
+        }
     }
 
-    fn learn_endpoint(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
+    fn learn_endpoint(
+        &mut self,
+        ask: &Ask,
+        attempt: Attempt,
+        outcome: &Outcome,
+        relative: Option<f64>,
+    ) {
         let now = self.now;
-        let usual = self.services[ask.service.index()].first_byte.get_or(1.0);
         let Some(key) = attempt.endpoint else { return };
         let state = &mut self.endpoints.states[key.index()];
         let queued = state.queued;
         let mut congested = queued;
         match outcome.result {
-            AttemptResult::Complete { .. } => {
-                let first_byte = outcome.first_byte.map(|t| t.as_secs_f64());
-                state.answered(first_byte.map(|t| t / usual.max(1e-6)));
-            }
+            AttemptResult::Complete { .. } => state.answered(relative),
             AttemptResult::NotSent | AttemptResult::Broken => state.failed(now),
             AttemptResult::TimedOut => {
                 state.failed(now);
