Serve requests in nodes: the whole path, thin, in separate processes

Cause: the crates for decisions, records, membership and clients stood apart; nothing served a caller.

A request runs as a task of its own that ends in order even when its caller goes away: endpoint cancelled, router told, bill closed. The last bytes of an answer wait until its bill is held elsewhere.

Ruled out: crossed answers (each answer names its request; a mismatch was the router trying another version, which the test now reads off the answer).

--- a/crates/oatdale-journal/src/wire.rs
+++ b/crates/oatdale-journal/src/wire.rs
@@ -302,3 +302,26 @@
         false => Outcome::Interrupted,
     }
 }
+
+impl BillRecord {
+    /// Writes the record as CBOR, for another node to hold.
+    pub fn to_vec(&self) -> Vec<u8> {
+        encode(&WireRecord::from(&Record::Bill(self.clone())))
+    }
+
+    /// Reads what [`to_vec`](Self::to_vec) wrote.
+    ///
+    /// # Errors
+    ///
+    /// [`Corrupt`](JournalError::Corrupt) if it is anything else.
+    pub fn from_slice(bytes: &[u8]) -> Result<Self> {
+        const HELD: &str = "a held bill";
+        match Record::from(decode::<WireRecord>(HELD, bytes)?) {
+            Record::Bill(record) => Ok(record),
+            _ => Err(JournalError::Corrupt {
+                key: HELD.to_owned(),
+                message: "it is another record".to_owned(),
+            }),
+        }
+    }
+}
--- a/crates/oatdale-node/src/lib.rs
+++ b/crates/oatdale-node/src/lib.rs
@@ -1,1 +1,56 @@
-//! One oatdale node and its binary oatdaled.
+//! One oatdale node and its binary `oatdaled`.
+//!
+//! A node stands between callers and endpoints. Each of its duties runs on a thread of its own and
+//! they are joined by bounded channels:
+//!
+//! | duty | its job |
+//! |---|---|
+//! | front (several) | callers' connections and their requests |
+//! | route | every routing decision; owns the router |
+//! | bill | bills into the journal, held by other nodes meanwhile |
+//! | journal | claims, pins and bills in the key-value service |
+//! | rate | ratings of answers |
+//! | config | the operators' text, never an older one |
+//! | stops | versions that were stopped as bad |
+//! | hosts | leaving endpoints, engines' loads |
+//! | mesh, member | other nodes |
+//! | admin | health, metrics, status |
+//! | log | writes log lines |
+//!
+//! ```no_run
+//! use oatdale_node::{Dropped, Node};
+//!
+//! let text = std::fs::read_to_string("node.yaml").unwrap();
+//! let settings = oatdale_config::node_settings_from_str(&text).unwrap();
+//! let node = Node::start(settings, Dropped::default()).unwrap();
+//! println!("callers may come to {}", node.addresses().callers);
+//! ```
+
+mod admin;
+mod adopt;
+mod api;
+mod auth;
+mod bill;
+mod call;
+mod cx;
+mod duty;
+mod error;
+mod front;
+mod hosts;
+mod live;
+mod logging;
+mod member;
+mod metrics;
+mod node;
+mod pins;
+mod prefer;
+mod problem;
+mod rate;
+mod reply;
+mod route;
+mod session;
+mod stops;
+
+pub use crate::error::{Error, Result};
+pub use crate::logging::{Dropped, start as start_logging};
+pub use crate::node::{Bound, Node};
--- /dev/null
+++ b/crates/oatdale-node/src/live.rs
@@ -0,0 +1,113 @@
+//! The configuration in force, as one immutable value that requests hold on to.
+
+use bytes::Bytes;
+use oatdale_config::{
+    Config, CustomerKey, Digest, EndpointKey, Key, Revision, ServiceKey, VersionKey,
+};
+use oatdale_policy::{Ask, Session};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// One revision of the configuration with the look-ups that requests need.
+pub(crate) struct Live {
+    /// The revision.
+    pub(crate) revision: Revision,
+    /// The checked text.
+    pub(crate) cfg: Arc<Config>,
+    /// The stored document, for other nodes.
+    pub(crate) document: Bytes,
+    customers: HashMap<Digest, CustomerKey>,
+    services: HashMap<String, ServiceKey>,
+    versions: HashMap<String, VersionKey>,
+    spoken: HashMap<String, Revision>,
+}
+
+impl Live {
+    /// What is in force before any text was heard of: nobody may do anything.
+    pub(crate) fn none() -> Arc<Live> {
+        Live::new(Revision(0), Arc::default(), Bytes::new())
+    }
+
+    /// Prepares a revision.
+    pub(crate) fn new(revision: Revision, cfg: Arc<Config>, document: Bytes) -> Arc<Live> {
+        let customers = cfg
+            .customers
+            .iter()
+            .flat_map(|(key, customer)| customer.keys.iter().map(move |digest| (*digest, key)))
+            .collect();
+        let services = cfg
+            .services
+            .iter()
+            .map(|(key, service)| (service.name.clone(), key))
+            .collect();
+        let versions = cfg
+            .versions
+            .keys()
+            .map(|key| (cfg.version_name(key), key))
+            .collect();
+        Arc::new(Live {
+            revision,
+            cfg,
+            document,
+            customers,
+            services,
+            versions,
+            spoken: HashMap::new(),
+        })
+    }
+
+    /// The customer that a caller's key belongs to.
+    pub(crate) fn customer(&self, digest: Digest) -> Option<CustomerKey> {
+        self.customers.get(&digest).copied()
+    }
+
+    /// The service of a name.
+    pub(crate) fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.services.get(name).copied()
+    }
+
+    /// The version of a name such as `planner/2026-11`.
+    pub(crate) fn version(&self, name: &str) -> Option<VersionKey> {
+        self.versions.get(name).copied()
+    }
+
+    /// Finds the items of `ask`, whose keys belong to `from`, in this revision.
+    ///
+    /// A request may be read under one revision and routed under the next. Keys are places in a
+    /// text, so an old key used with a new text would name another customer or version without
+    /// any sign of it; going by name makes that impossible.
+    pub(crate) fn translate(&self, from: &Live, ask: &Ask) -> Option<Ask> {
+        if from.revision == self.revision {
+            return Some(*ask);
+        }
+        let customer = &from.cfg.customers[ask.customer].name;
+        let session = match ask.session {
+            Session::Pinned { version, step } => Session::Pinned {
+                version: self.version(&from.cfg.version_name(version))?,
+                step,
+            },
+            other => other,
+        };
+        Some(Ask {
+            customer: self.cfg.customers.find(|c| c.name == *customer)?,
+            service: self.service(&from.cfg.services[ask.service].name)?,
+            session,
+            ..*ask
+        })
+    }
+
+    /// The newest revision known that changed what the text says of a version.
+    pub(crate) fn spoken_at(&self, version: &str) -> Revision {
+        self.spoken.get(version).copied().unwrap_or_default()
+    }
+
+    /// The endpoint of a name.
+    pub(crate) fn endpoint(&self, name: &str) -> Option<EndpointKey> {
+        self.cfg.endpoints.find(|endpoint| endpoint.name == name)
+    }
+
+    /// Whether a key belongs to this revision's arenas; used to drop reports about old texts.
+    pub(crate) fn knows(&self, key: EndpointKey) -> bool {
+        key.index() < self.cfg.endpoints.len()
+    }
+}
--- /dev/null
+++ b/crates/oatdale-node/src/stops.rs
@@ -0,0 +1,179 @@
+//! Versions that were stopped as bad: kept beside the operators' text, spread by the mesh, and
+//! recorded in the key-value service so that they outlast every node.
+
+use crate::live::Live;
+use crate::route::{RouteHandle, StopNotice};
+use bytes::Bytes;
+use log::{info, warn};
+use oatdale_config::Revision;
+use oatdale_mesh::Stop;
+use oatdale_platform::{Condition, HttpKv, Kv, KvError, Put};
+use oatdale_policy::stop_holds;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::sleep;
+
+/// What precedes a version's name in the key of its stop.
+const PREFIX: &str = "stops/";
+
+/// Stops read at the start; there are as many as versions at most.
+const MAX_STOPS: usize = 1000;
+
+/// Pause after the service failed.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Attempts to record a stop; the mesh spreads it in any case.
+const MAX_ATTEMPTS: u32 = 30;
+
+/// The stops that this node knows of; clones share them.
+#[derive(Clone, Default)]
+pub(crate) struct StopList {
+    stops: Arc<Mutex<BTreeMap<String, Stop>>>,
+    changed: Arc<Notify>,
+}
+
+impl StopList {
+    /// Takes in stops that others decided.
+    pub(crate) fn heard(&self, stops: Vec<Stop>) {
+        let mut known = self.lock();
+        let mut changed = false;
+        for stop in stops {
+            let newer = known
+                .get(&stop.version)
+                .is_none_or(|held| held.revision < stop.revision);
+            if newer {
+                known.insert(stop.version.clone(), stop);
+                changed = true;
+            }
+        }
+        if changed {
+            self.changed.notify_one();
+        }
+    }
+
+    /// All stops, for other nodes.
+    pub(crate) fn to_tell(&self) -> Vec<Stop> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Names of versions whose stop holds under `live`.
+    ///
+    /// A stop ends only by a newer revision that speaks of the version. A node that still has the
+    /// older text keeps the stop, and one that heard of the stop late can't end it, so no stale
+    /// node starts a bad version again.
+    fn holding(&self, live: &Live) -> Vec<String> {
+        self.lock()
+            .values()
+            .filter(|stop| {
+                let spoken = live.spoken_at(&stop.version);
+                stop_holds(Revision(stop.revision), spoken)
+            })
+            .map(|stop| stop.version.clone())
+            .collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Stop>> {
+        self.stops.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What the stop duty reads and writes.
+pub(crate) struct Duty {
+    pub(crate) kv: HttpKv,
+    pub(crate) notices: mpsc::Receiver<StopNotice>,
+    pub(crate) list: StopList,
+    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) route: RouteHandle,
+    pub(crate) stop: watch::Receiver<bool>,
+}
+
+/// Runs the duty until `stop`.
+pub(crate) async fn run(mut duty: Duty) {
+    let mut stop = duty.stop.clone();
+    tokio::select! {
+        () = duty.read_recorded() => {}
+        _ = stop.wait_for(|stop| *stop) => return,
+    }
+    loop {
+        let live = duty.live.borrow_and_update().clone();
+        duty.route.stopped(duty.list.holding(&live)).await;
+        tokio::select! {
+            Some(notice) = duty.notices.recv() => duty.record(notice).await,
+            () = duty.list.changed.notified() => {}
+            Ok(()) = duty.live.changed() => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+impl Duty {
+    /// Reads what was recorded before this node started.
+    async fn read_recorded(&self) {
+        loop {
+            match self.kv.list(PREFIX, None, MAX_STOPS).await {
+                Ok(entries) => {
+                    let stops = entries.iter().filter_map(|e| decode(&e.value)).collect();
+                    return self.list.heard(stops);
+                }
+                Err(err) => {
+                    warn!(target: "stops", "event=service_failed error={:?}", err.to_string());
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Spreads a stop at once and records it as soon as the service takes it.
+    async fn record(&self, notice: StopNotice) {
+        let stop = Stop {
+            version: notice.version,
+            revision: notice.revision.0,
+            reason: notice.reason,
+        };
+        info!(
+            target: "stops",
+            "event=stopped version={:?} revision={} reason={:?}",
+            stop.version, stop.revision, stop.reason
+        );
+        self.list.heard(vec![stop.clone()]);
+        let kv = self.kv.clone();
+        tokio::spawn(async move { write(&kv, &stop).await });
+    }
+}
+
+/// Writes a stop unless one of the same or a newer revision is recorded.
+async fn write(kv: &HttpKv, stop: &Stop) {
+    let key = format!("{PREFIX}{}", stop.version);
+    for _ in 0..MAX_ATTEMPTS {
+        match write_once(kv, &key, stop).await {
+            Ok(true) => return,
+            Ok(false) => {}
+            Err(err) => {
+                warn!(target: "stops", "event=not_recorded version={:?} error={:?}", stop.version, err.to_string());
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// `false` if another writer came first, so that the key must be read again.
+async fn write_once(kv: &HttpKv, key: &str, stop: &Stop) -> Result<bool, KvError> {
+    let cond = match kv.get(key).await? {
+        None => Condition::Absent,
+        Some(entry) => match decode(&entry.value) {
+            Some(held) if held.revision >= stop.revision => return Ok(true),
+            _ => Condition::Is(entry.revision),
+        },
+    };
+    let value = serde_json::to_vec(stop).expect("a stop is strings and a number");
+    match kv.put(key, Bytes::from(value), cond, None).await? {
+        Put::Stored(_) => Ok(true),
+        Put::Conflict(_) => Ok(false),
+    }
+}
+
+fn decode(value: &[u8]) -> Option<Stop> {
+    serde_json::from_slice(value).ok()
+}
--- a/crates/oatdale-platform/src/engine.rs
+++ b/crates/oatdale-platform/src/engine.rs
@@ -6,7 +6,7 @@
 use crate::sse::{Scanner, Summary};
 use crate::wire::{self, Held, Load, Order, Ordered, StaleFencing};
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode, response};
 use http_body_util::Full;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use std::net::SocketAddr;
@@ -166,6 +166,11 @@
         }
     }
 
+    /// The answer's status and headers.
+    pub fn head(&self) -> &response::Parts {
+        &self.answer.head
+    }
+
     /// The next piece, exactly as the engine wrote it; `None` once the whole answer has come.
     ///
     /// # Errors
