--- a/crates/oatdale-node/tests/whole_path.rs
+++ b/crates/oatdale-node/tests/whole_path.rs
@@ -8,8 +8,10 @@
 use site::{DESK_KEY, Site, bearer, until};
 
 #[tokio::test]
-async fn a_chat_is_answered_by_the_cheapest_version_and_billed_once() {
-    let site = Site::start(1).await;
+async fn a_chat_is_answered_by_the_version_that_takes_work_and_billed_once() {
+    let mut states = site::usual_states();
+    states.insert("large/1", "{ state: draining");
+    let site = Site::with(1, &states, 0.5).await;
     let got = site.chat(0, "tag this mail", &[]).await;
     assert_eq!(got.status, StatusCode::OK, "{}", got.text());
     assert_eq!(got.headers["x-version"], "small/1");
