--- a/crates/oatdale-config/src/check/value.rs
+++ b/crates/oatdale-config/src/check/value.rs
@@ -3,6 +3,7 @@
 use crate::check::problems::{Problems, shorten};
 use crate::config::{CallPattern, Digest};
 use crate::error::Category;
+use crate::ratio::{ParseRatioError, Ratio};
 use crate::wire::Word;
 use serde_saphyr::Spanned;
 use std::net::SocketAddr;
@@ -17,26 +18,17 @@
 
 /// Reads a part of a whole, `5%` or `0.05`, from 0 to 1.
 pub(crate) fn ratio(p: &mut Problems, what: &str, word: &Word) -> Option<f64> {
-    let (digits, scale) = match word.value.strip_suffix('%') {
-        Some(digits) => (digits.trim_end(), 100.0),
-        None => (word.value.as_str(), 1.0),
+    let wrong = match word.value.parse::<Ratio>() {
+        Ok(ratio) => return Some(ratio.0),
+        Err(ParseRatioError::TooLarge) => "over 100%",
+        Err(ParseRatioError::NoRatio) => "not a part of a whole",
     };
-    let value = digits.parse::<f64>().ok().map(|v| v / scale);
-    match value {
-        Some(v) if (0.0..=1.0).contains(&v) => return Some(v),
-        Some(v) if v > 1.0 => p.add(
-            word.referenced,
-            Category::Value,
-            format!("{what} `{}` is over 100%", shorten(&word.value)),
-            "write a percentage such as `5%`, or a part of 1 such as `0.05`",
-        ),
-        _ => p.add(
-            word.referenced,
-            Category::Value,
-            format!("{what} `{}` is not a part of a whole", shorten(&word.value)),
-            "write a percentage such as `5%`, or a part of 1 such as `0.05`",
-        ),
-    }
+    p.add(
+        word.referenced,
+        Category::Value,
+        format!("{what} `{}` is {wrong}", shorten(&word.value)),
+        "write a percentage such as `5%`, or a part of 1 such as `0.05`",
+    );
     None
 }
 
--- a/crates/oatdale-config/src/lib.rs
+++ b/crates/oatdale-config/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod key;
 mod node;
+mod ratio;
 mod suggest;
 mod wire;
 
@@ -32,3 +33,4 @@
     Addresses, LogLevel, MeshKey, NodeLimits, NodeSettings, PlatformAddresses, Secret,
     node_settings_from_str,
 };
+pub use crate::ratio::{ParseRatioError, Ratio};
