--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -3,7 +3,6 @@
 mod cache_events;
 mod call;
 pub mod chat;
-mod config_store;
 mod engine;
 mod hosts;
 mod config_store;
@@ -18,9 +17,6 @@
 
 pub use crate::cache_events::{CacheEvents, Seen};
 pub use crate::call::{Answer, Call, CallError};
-pub use crate::config_store::{
-    Applied, CURRENT_KEY, ConfigStore, Proposal, StoreError, StoreResult, Stored,
-};
 pub use crate::engine::{ChatStream, EngineClient};
 pub use crate::hosts::HostListClient;
 pub use crate::config_store::{
