--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -3,9 +3,9 @@
 mod cache_events;
 mod call;
 pub mod chat;
+mod config_store;
 mod engine;
 mod hosts;
-mod config_store;
 mod http_kv;
 mod kv;
 mod plain;
@@ -17,11 +17,11 @@
 
 pub use crate::cache_events::{CacheEvents, Seen};
 pub use crate::call::{Answer, Call, CallError};
-pub use crate::engine::{ChatStream, EngineClient};
-pub use crate::hosts::HostListClient;
 pub use crate::config_store::{
     Applied, CURRENT_KEY, ConfigStore, Proposal, StoreError, StoreResult, Stored,
 };
+pub use crate::engine::{ChatStream, EngineClient};
+pub use crate::hosts::HostListClient;
 pub use crate::http_kv::{HttpKv, HttpKvConfig};
 pub use crate::kv::{Condition, Entry, Kv, KvError, LeaseId, ModRevision, Put, Result};
 pub use crate::plain::{PlainClient, strip};
