Count nodes that only others tell of

Change: of a node that can't be asked, what the others heard counts, with the highest revision, as revisions only rise; one that said goodbye is not waited for.

--- a/crates/oatdale-cli/src/command/status.rs
+++ b/crates/oatdale-cli/src/command/status.rs
@@ -21,6 +21,8 @@
 const POLL: Duration = Duration::from_millis(200);
 /// Nodes of an answer that are named one by one.
 const NAMED: usize = 5;
+/// The state of a node that said goodbye, so nobody waits for it.
+const LEFT: &str = "left";
 
 /// A node's word on itself and on others.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -39,16 +41,30 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct PeerStatus {
     host: String,
+    /// The revision that it was last heard to have.
+    #[serde(default)]
+    revision: Revision,
+    #[serde(default)]
+    state: String,
     /// Where to ask it, if it said so.
     #[serde(default)]
     admin: Option<SocketAddr>,
 }
 
-/// One node that was asked.
+/// One node and what is known of it.
 struct Line {
-    address: SocketAddr,
     host: String,
-    answer: Result<NodeStatus, String>,
+    word: Word,
+}
+
+/// How something is known of a node.
+enum Word {
+    /// It said so itself.
+    Own(NodeStatus),
+    /// Another node said so.
+    Heard { peer: PeerStatus, from: String },
+    /// It was asked and gave no answer.
+    Silent(String),
 }
 
 pub(crate) async fn run(cx: &Cx) -> Result<()> {
@@ -59,7 +75,7 @@
     }
     let reports: Vec<serde_json::Value> = lines.iter().map(line_report).collect();
     cx.print(&text, &reports)?;
-    match lines.iter().any(|line| line.answer.is_ok()) {
+    match lines.iter().any(|line| matches!(line.word, Word::Own(_))) {
         true => Ok(()),
         false => Err(CliError::NoNode),
     }
@@ -93,18 +109,12 @@
 }
 
 fn missing(lines: &[Line], revision: Revision) -> Vec<String> {
-    let lacks = |line: &&Line| match &line.answer {
-        Ok(status) => status.revision < revision,
-        Err(_) => true,
-    };
-    lines
-        .iter()
-        .filter(lacks)
-        .map(|line| match &line.answer {
-            Ok(status) => format!("{} ({})", line.host, status.revision),
-            Err(_) => format!("{} (no answer)", line.host),
-        })
-        .collect()
+    let lacking = lines.iter().filter_map(|line| match line.word.revision() {
+        Some(has) if has >= revision => None,
+        Some(has) => Some(format!("{} ({has})", line.host)),
+        None => Some(format!("{} (no answer)", line.host)),
+    });
+    lacking.collect()
 }
 
 fn name(missing: &[String]) -> String {
@@ -115,44 +125,62 @@
     }
 }
 
-/// Asks the given nodes, then all that they tell of.
+/// Asks the given nodes, then those that they tell of; of nodes that can't be asked, what the
+/// others heard counts.
 async fn ask_all(given: &[SocketAddr]) -> Vec<Line> {
     let pool = Pool::new(PoolConfig::default());
     let mut asked: BTreeSet<SocketAddr> = BTreeSet::new();
-    let mut names: BTreeMap<SocketAddr, String> = BTreeMap::new();
-    let mut lines: BTreeMap<String, Line> = BTreeMap::new();
-    let mut next: Vec<SocketAddr> = given.to_vec();
+    let mut words: BTreeMap<String, Word> = BTreeMap::new();
+    let mut next: Vec<(String, SocketAddr)> =
+        given.iter().map(|addr| (addr.to_string(), *addr)).collect();
     while !next.is_empty() {
-        next.retain(|addr| asked.insert(*addr));
-        let answers = join_all(next.iter().map(|addr| ask(&pool, *addr))).await;
-        let mut heard = Vec::new();
-        for (addr, answer) in next.iter().zip(answers) {
-            let line = line(*addr, names.get(addr), answer);
-            for peer in line.answer.iter().flat_map(|s| &s.peers) {
-                names.extend(peer.admin.map(|admin| (admin, peer.host.clone())));
-                heard.extend(peer.admin);
-            }
-            // Two addresses may lead to one node; one that answered counts.
-            let better = line.answer.is_ok() || !lines.contains_key(&line.host);
-            if better {
-                lines.insert(line.host.clone(), line);
+        next.retain(|(_, addr)| asked.insert(*addr));
+        let answers = join_all(next.iter().map(|(_, addr)| ask(&pool, *addr))).await;
+        let mut heard_of = Vec::new();
+        for ((name, _), answer) in next.into_iter().zip(answers) {
+            match answer {
+                Ok(status) => {
+                    heard_of.extend(to_ask(&status));
+                    hear(&mut words, &status);
+                    words.insert(status.host.clone(), Word::Own(status));
+                }
+                Err(e) => learn(&mut words, name, Word::Silent(e)),
             }
         }
-        next = heard;
+        next = heard_of;
     }
-    lines.into_values().collect()
+    let line = |(host, word)| Line { host, word };
+    words.into_iter().map(line).collect()
 }
 
-fn line(address: SocketAddr, name: Option<&String>, answer: Result<NodeStatus, String>) -> Line {
-    let host = match (&answer, name) {
-        (Ok(status), _) => status.host.clone(),
-        (Err(_), Some(name)) => name.clone(),
-        (Err(_), None) => address.to_string(),
+fn to_ask(status: &NodeStatus) -> impl Iterator<Item = (String, SocketAddr)> {
+    let present = status.peers.iter().filter(|peer| peer.state != LEFT);
+    present.filter_map(|peer| Some((peer.host.clone(), peer.admin?)))
+}
+
+fn hear(words: &mut BTreeMap<String, Word>, status: &NodeStatus) {
+    for peer in status.peers.iter().filter(|peer| peer.state != LEFT) {
+        let word = Word::Heard {
+            peer: peer.clone(),
+            from: status.host.clone(),
+        };
+        learn(words, peer.host.clone(), word);
+    }
+}
+
+/// Keeps the better of two words on a node: its own, then silence, as that was seen here and now,
+/// then the highest revision heard of, since revisions only rise.
+fn learn(words: &mut BTreeMap<String, Word>, host: String, word: Word) {
+    let rank = |word: &Word| match word {
+        Word::Own(_) => (2, Revision(0)),
+        Word::Silent(_) => (1, Revision(0)),
+        Word::Heard { peer, .. } => (0, peer.revision),
     };
-    Line {
-        address,
-        host,
-        answer,
+    match words.get(&host) {
+        Some(known) if rank(known) >= rank(&word) => {}
+        _ => {
+            words.insert(host, word);
+        }
     }
 }
 
@@ -175,28 +203,45 @@
 }
 
 fn describe(line: &Line) -> String {
-    let status = match &line.answer {
-        Ok(status) => status,
-        Err(e) => return format!("{:<20} no answer: {e}\n", line.host),
-    };
-    let age = humantime::format_duration(Duration::from_millis(status.revision_age_ms));
-    format!(
-        "{:<20} {:<12} {:<10} revision {:<8} {:>8} old, {} peers\n",
-        status.host,
-        status.domain,
-        status.state,
-        status.revision.0,
-        age.to_string(),
-        status.peers.len()
-    )
+    match &line.word {
+        Word::Own(status) => {
+            let age = Duration::from_millis(status.revision_age_ms);
+            format!(
+                "{:<20} {:<12} {:<10} revision {:<8} {:>8} old, {} peers\n",
+                status.host,
+                status.domain,
+                status.state,
+                status.revision.0,
+                humantime::format_duration(age).to_string(),
+                status.peers.len()
+            )
+        }
+        Word::Heard { peer, from } => format!(
+            "{:<20} {:<12} {:<10} revision {:<8} as {from} heard\n",
+            peer.host, "", peer.state, peer.revision.0
+        ),
+        Word::Silent(error) => format!("{:<20} no answer: {error}\n", line.host),
+    }
 }
 
 fn line_report(line: &Line) -> serde_json::Value {
-    let address = line.address;
-    match &line.answer {
-        Ok(status) => serde_json::json!({ "address": address, "status": status }),
-        Err(error) => {
-            serde_json::json!({ "address": address, "host": line.host, "error": error })
+    let host = &line.host;
+    match &line.word {
+        Word::Own(status) => serde_json::json!({ "host": host, "status": status }),
+        Word::Heard { peer, from } => {
+            serde_json::json!({ "host": host, "heard": peer, "from": from })
+        }
+        Word::Silent(error) => serde_json::json!({ "host": host, "error": error }),
+    }
+}
+
+impl Word {
+    /// The revision that the node has in force, if anything is known.
+    fn revision(&self) -> Option<Revision> {
+        match self {
+            Word::Own(status) => Some(status.revision),
+            Word::Heard { peer, .. } => Some(peer.revision),
+            Word::Silent(_) => None,
         }
     }
 }
--- a/crates/oatdale-cli/tests/cli/main.rs
+++ b/crates/oatdale-cli/tests/cli/main.rs
@@ -292,6 +292,31 @@
     assert_eq!(report.as_array().map(Vec::len), Some(2));
 }
 
+// The operator names one node. A second one, of which that node only heard, still has the old text;
+// a third one has said goodbye and will never have the new one.
+#[tokio::test]
+async fn waiting_counts_nodes_that_others_tell_of() {
+    let mut site = Site::start("heard").await;
+    let peers = r#"{"host":"entry-b1","revision":0,"state":"alive"},
+        {"host":"entry-c1","revision":0,"state":"left"}"#;
+    let _first = site.add_node_with_peers("entry-a1", 1, 0, peers).await;
+    let file = example("skyward.yaml");
+    let run = site
+        .run(&["--timeout", "1s", "apply", &file, "--wait"])
+        .await;
+    assert_eq!(run.code, 6, "{run:?}");
+    assert!(
+        run.err
+            .contains("on 1 of 2 nodes, not yet on entry-b1 (0)\n"),
+        "{run:?}"
+    );
+    let run = site.run(&["status"]).await;
+    assert!(
+        run.out.contains("as entry-a1 heard") && !run.out.contains("entry-c1"),
+        "{run:?}"
+    );
+}
+
 #[tokio::test]
 async fn throttling_is_waited_out() {
     let site = Site::start("throttle").await;
--- a/crates/oatdale-cli/tests/cli/site.rs
+++ b/crates/oatdale-cli/tests/cli/site.rs
@@ -96,6 +96,17 @@
         host: &'static str,
         revision: u64,
         late: u64,
+    ) -> Server {
+        self.add_node_with_peers(host, revision, late, "").await
+    }
+
+    /// As above, and the node tells of `peers`, in JSON.
+    pub(crate) async fn add_node_with_peers(
+        &mut self,
+        host: &'static str,
+        revision: u64,
+        late: u64,
+        peers: &'static str,
     ) -> Server {
         let asked = Arc::new(AtomicU64::new(0));
         let server = Server::start(loopback(), move |_req| {
@@ -103,7 +114,7 @@
             let has = revision.saturating_sub(u64::from(count < late));
             let body = format!(
                 r#"{{"host":"{host}","domain":"hcm-a","incarnation":1,"revision":{has},
-                "revision_age_ms":40,"state":"serving","peers":[]}}"#
+                "revision_age_ms":40,"state":"serving","peers":[{peers}]}}"#
             );
             let body = Full::new(Bytes::from(body)).map_err(|never| match never {});
             async move { Ok(Response::new(body.boxed_unsync())) }
