Roll versions out in mangled texts, from fixed seeds

Cause: set_state works on byte ranges; a byte order mark, letters beyond ASCII or odd layout could shift them and spoil another version's line.

Change: a test over sound but mutated texts with such beginnings: each change touches the one version or is refused. It passed at once; nothing was mended.

--- a/crates/oatdale-config/tests/mutations.rs
+++ b/crates/oatdale-config/tests/mutations.rs
@@ -1,6 +1,6 @@
 //! Whatever a text has become, reading it gives a checked form or an error, never a panic.
 
-use oatdale_config::Error;
+use oatdale_config::{Error, VersionState, changes, from_str, set_state};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -101,3 +101,36 @@
         oatdale_config::from_str(text).expect_err("refused");
     }
 }
+
+// A roll-out of a text that some editor has mangled, though it is still sound, must change the one
+// version or refuse; anything else would be found out by callers.
+#[test]
+fn roll_outs_of_mutated_texts_change_one_version_or_nothing() {
+    let sound = example("skyward.yaml");
+    let (mut changed, mut refused) = (0, 0);
+    for seed in 0..TEXTS as u64 / 5 {
+        let text = mutate(&sound, &mut Pcg64::seed_from_u64(seed));
+        let text = match seed % 3 {
+            0 => text,
+            1 => format!("\u{feff}{text}"),
+            _ => format!("# Trạm mặt đất \u{1f6f0}\r\n{text}"),
+        };
+        let Ok(before) = from_str(&text) else {
+            continue;
+        };
+        for version in before.versions.keys() {
+            let name = before.version_name(version);
+            let state = VersionState::Canary { share: 0.5 };
+            let Ok(edited) = set_state(&text, &name, state) else {
+                refused += 1;
+                continue;
+            };
+            let after = from_str(&edited).expect("sound");
+            let found = changes(&before, &after);
+            assert_eq!(found.len(), 1, "{found:?}");
+            assert_eq!(found[0].subject, format!("version {name}"));
+            changed += 1;
+        }
+    }
+    assert!(changed > 100, "{changed} changed, {refused} refused");
+}
