Show stopped versions in the status

Cause: a version that was stopped for what it did takes no new session whatever the text says; operators saw that only in the nodes' own answers.

Change: oatdale status lists the stops that nodes tell of, each once.

--- a/crates/oatdale-cli/src/command/status.rs
+++ b/crates/oatdale-cli/src/command/status.rs
@@ -33,10 +33,22 @@
     revision: Revision,
     revision_age_ms: u64,
     state: String,
+    /// Versions that were stopped for what they did, without an operator.
+    #[serde(default)]
+    stops: Vec<StopStatus>,
     #[serde(default)]
     peers: Vec<PeerStatus>,
 }
 
+/// A version that takes no new session, whatever the text says.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct StopStatus {
+    version: String,
+    /// The revision whose word the stop overrules; a newer one on this version ends it.
+    revision: Revision,
+    reason: String,
+}
+
 /// What a node knows of another one.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct PeerStatus {
@@ -73,6 +85,7 @@
     for line in &lines {
         text.push_str(&describe(line));
     }
+    text.push_str(&describe_stops(&lines));
     let reports: Vec<serde_json::Value> = lines.iter().map(line_report).collect();
     cx.print(&text, &reports)?;
     match lines.iter().any(|line| matches!(line.word, Word::Own(_))) {
@@ -224,6 +237,21 @@
     }
 }
 
+/// Stops are the same on all nodes but for the time that the word takes to spread.
+fn describe_stops(lines: &[Line]) -> String {
+    let stops = lines.iter().flat_map(|line| match &line.word {
+        Word::Own(status) => status.stops.as_slice(),
+        Word::Heard { .. } | Word::Silent(_) => &[],
+    });
+    let texts = stops.map(|stop| {
+        format!(
+            "stopped: {} since revision {}: {}\n",
+            stop.version, stop.revision, stop.reason
+        )
+    });
+    texts.collect::<BTreeSet<_>>().into_iter().collect()
+}
+
 fn line_report(line: &Line) -> serde_json::Value {
     let host = &line.host;
     match &line.word {
--- a/crates/oatdale-cli/tests/cli/site.rs
+++ b/crates/oatdale-cli/tests/cli/site.rs
@@ -114,7 +114,8 @@
             let has = revision.saturating_sub(u64::from(count < late));
             let body = format!(
                 r#"{{"host":"{host}","domain":"hcm-a","incarnation":1,"revision":{has},
-                "revision_age_ms":40,"state":"serving","peers":[{peers}]}}"#
+                "revision_age_ms":40,"state":"serving","peers":[{peers}],"stops":
+                [{{"version":"orbit-mini/2026-11","revision":1,"reason":"errors"}}]}}"#
             );
             let body = Full::new(Bytes::from(body)).map_err(|never| match never {});
             async move { Ok(Response::new(body.boxed_unsync())) }
