--- a/crates/oatdale-journal/src/log.rs
+++ b/crates/oatdale-journal/src/log.rs
@@ -6,7 +6,7 @@
 //! loses, since a slot's revision never comes back. Deleting old segments and creating new keys
 //! if absent would not give that: a delayed create would succeed again on a deleted key.
 
-use crate::error::Result;
+use crate::error::{JournalError, RETRY_AFTER, Result};
 use crate::fold::{Entry, Fold};
 use crate::meta::{Meta, manifest_key, slot_key, slot_prefix};
 use crate::page::unpack_state;
@@ -24,6 +24,9 @@
 /// the other and so profits from knowing the slots ahead.
 const LONG_LOOK: usize = 16;
 
+/// How often a look starts again from the pages because compactors were faster.
+const MAX_RESTARTS: usize = 16;
+
 /// What is known of a slot.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Slot {
@@ -98,9 +101,9 @@
 
     /// Reads everything up to the log's end.
     pub(crate) async fn catch_up(&mut self) -> Result<()> {
-        loop {
-            while !self.loaded {
-                self.loaded = self.load().await?;
+        for _ in 0..MAX_RESTARTS {
+            if !self.loaded && !self.load().await? {
+                continue;
             }
             let mut look = match self.wrote_last {
                 true => LONG_LOOK,
@@ -113,6 +116,10 @@
                 return Ok(());
             }
         }
+        Err(JournalError::Unavailable {
+            retry_after: RETRY_AFTER,
+            message: "others write faster than this process reads".to_owned(),
+        })
     }
 
     /// Whether the next append needs no reading first.
@@ -180,6 +187,7 @@
         self.entries.clear();
         self.bytes = 0;
         self.slots.fill(Slot::Unknown);
+        self.loaded = true;
         Ok(true)
     }
 
