--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -3,6 +3,7 @@
 mod cache_events;
 mod call;
 pub mod chat;
+mod config_store;
 mod engine;
 mod hosts;
 mod http_kv;
@@ -16,6 +17,9 @@
 
 pub use crate::cache_events::{CacheEvents, Seen};
 pub use crate::call::{Answer, Call, CallError};
+pub use crate::config_store::{
+    Applied, CURRENT_KEY, ConfigStore, Proposal, StoreError, StoreResult, Stored,
+};
 pub use crate::engine::{ChatStream, EngineClient};
 pub use crate::hosts::HostListClient;
 pub use crate::http_kv::{HttpKv, HttpKvConfig};
