--- a/crates/oatdale-fakes/src/drive.rs
+++ b/crates/oatdale-fakes/src/drive.rs
@@ -3,10 +3,14 @@
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How far the clock moves at once.
 const STEP: Duration = Duration::from_millis(1);
 
+/// How far the clock moves before a test counts as hung.
+const LIMIT: Duration = Duration::from_secs(300);
+
 /// Rounds of the runtime's queue and sockets between two steps.
 const ROUNDS: usize = 48;
 
@@ -21,7 +25,7 @@
 ///
 /// # Panics
 ///
-/// Panics if the clock is not paused.
+/// Panics if the clock is not paused, or if the future has not ended after five minutes on it.
 pub async fn drive<F: Future>(fut: F) -> F::Output {
     // A blocking task keeps the runtime from moving its clock by itself.
     let (hold, held) = std::sync::mpsc::channel::<()>();
@@ -34,7 +38,8 @@
 
 async fn steps<F: Future>(fut: F) -> F::Output {
     let mut fut = pin!(fut);
-    loop {
+    let end = Instant::now() + LIMIT;
+    while Instant::now() < end {
         for _ in 0..ROUNDS {
             tokio::select! {
                 biased;
@@ -44,4 +49,5 @@
         }
         tokio::time::advance(STEP).await;
     }
+    panic!("the test has not ended after {LIMIT:?}");
 }
