--- /dev/null
+++ b/crates/oatdale-policy/src/router/start.rs
@@ -0,0 +1,268 @@
+//! Starting a request: room in its pool, a version, an endpoint.
+
+use super::Router;
+use crate::choice::{Candidates, Plan, Plans};
+use crate::endpoints::{Pick, Wish};
+use crate::request::{Ask, Dispatch, Refusal, RefusalReason, Ticket, VersionReason};
+use crate::state::{Attempt, Stage};
+use oatdale_config::{EndpointKey, Key, PoolKey, ServiceKey, ServiceKind, VersionKey};
+use std::time::Duration;
+
+/// The reserve of a service covers its usual use and this many standard deviations.
+const RESERVE_SPREAD: f64 = 1.5;
+
+/// From this latency weight on, a version with room goes before a cheaper one without.
+const LATENCY_FIRST: f64 = 0.5;
+
+impl Router {
+    /// Whether a service may start one more request in its pool.
+    ///
+    /// A service that uses more than its usual part must leave free what the others usually use.
+    /// Without this reserve a surge fills the pool in the moment when the others are quiet, and
+    /// their next requests wait for the surge's long ones to end.
+    pub(super) fn has_room(&self, service: ServiceKey) -> bool {
+        let pool = self.cfg.services[service].pool;
+        let state = &self.pools[pool.index()];
+        let free = state.limit.get() - f64::from(state.running);
+        if free < 1.0 {
+            return false;
+        }
+        let own = f64::from(self.services[service.index()].running);
+        own < self.reserve(service) || free - 1.0 >= self.reserved_by_others(pool, service)
+    }
+
+    fn reserved_by_others(&self, pool: PoolKey, service: ServiceKey) -> f64 {
+        self.cfg
+            .services
+            .iter()
+            .filter(|(other, item)| *other != service && item.pool == pool)
+            .map(|(other, _)| {
+                let running = f64::from(self.services[other.index()].running);
+                (self.reserve(other) - running).max(0.0)
+            })
+            .sum()
+    }
+
+    /// What a service usually uses of its pool, at most an even part.
+    fn reserve(&self, service: ServiceKey) -> f64 {
+        let pool = self.cfg.services[service].pool;
+        let sharers = self.sharers(pool);
+        let even = self.pools[pool.index()].limit.get() / sharers.max(1) as f64;
+        let need = self.services[service.index()].need.get(self.now);
+        (need + RESERVE_SPREAD * need.sqrt()).min(even)
+    }
+
+    /// How many services the pool serves.
+    fn sharers(&self, pool: PoolKey) -> usize {
+        self.cfg
+            .services
+            .iter()
+            .filter(|(_, s)| s.pool == pool)
+            .count()
+    }
+
+    /// How many services of the pool have requests waiting.
+    pub(super) fn sharing(&self, pool: PoolKey) -> usize {
+        self.cfg
+            .services
+            .iter()
+            .filter(|(key, s)| s.pool == pool && self.services[key.index()].queue.len() > 0)
+            .count()
+    }
+
+    /// Starts a request if an endpoint has room; `None` leaves it waiting.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if no version may serve it any more.
+    pub(super) fn start(&mut self, ticket: Ticket) -> Result<Option<Dispatch>, Refusal> {
+        let Some(request) = self.requests.get(ticket) else {
+            return Ok(None);
+        };
+        let ask = request.ask;
+        let tried = request.tried.clone();
+        let (plans, quality) = self.plans(&ask).map_err(|reason| Refusal {
+            reason,
+            retry_after: None,
+        })?;
+        for plan in plans {
+            let version = plan.steps.first().copied();
+            if let Some(pick) = self.pick(&ask, version, &tried) {
+                self.note_plan(&ask, quality);
+                return Ok(Some(self.dispatch(ticket, plan, 0, pick)));
+            }
+            if self.should_wait_for(&ask, &plan) {
+                break;
+            }
+        }
+        Ok(None)
+    }
+
+    /// Whether a plan whose endpoints are full is worth waiting for: a dearer version with room
+    /// is taken only where latency counts more than cost.
+    fn should_wait_for(&self, ask: &Ask, plan: &Plan) -> bool {
+        let service = &self.cfg.services[ask.service];
+        let latency_first = match service.kind {
+            ServiceKind::Model { latency_weight, .. } => latency_weight >= LATENCY_FIRST,
+            ServiceKind::Plain => false,
+        };
+        let version = plan.steps.first().copied();
+        let usual = plan.why != VersionReason::Explore;
+        usual && !latency_first && self.endpoints.any_live(self.now, service.pool, version)
+    }
+
+    /// Lets the service's price of quality follow what this request is expected to get.
+    fn note_plan(&mut self, ask: &Ask, quality: Option<f64>) {
+        let kind = &self.cfg.services[ask.service].kind;
+        if let (
+            ServiceKind::Model {
+                quality: target, ..
+            },
+            Some(quality),
+        ) = (kind, quality)
+        {
+            self.services[ask.service.index()]
+                .learner
+                .planned(*target, quality);
+        }
+    }
+
+    /// What may serve a request now.
+    pub(super) fn candidates(&self, ask: &Ask) -> Result<Candidates, RefusalReason> {
+        self.catalogue.candidates(&self.cfg, ask)
+    }
+
+    /// The plans that may serve a request, the preferred one first, with its expected quality;
+    /// never empty.
+    pub(super) fn plans(&mut self, ask: &Ask) -> Result<(Plans, Option<f64>), RefusalReason> {
+        let candidates = self.candidates(ask)?;
+        let learner = &mut self.services[ask.service.index()].learner;
+        let (version, why) = match candidates {
+            Candidates::Plain => return Ok((Plans::from_iter([Plan::plain()]), None)),
+            Candidates::Pinned(version) => (version, VersionReason::Pinned),
+            Candidates::Canary(version) => (version, VersionReason::Canary),
+            Candidates::Serving(versions) => {
+                let (mut plans, mut quality) =
+                    learner.plans(&self.cfg, ask, &versions, &mut self.rng);
+                let first = plans.first().map(|p| p.steps[0]);
+                if let Some(canary) = self.catalogue.canary(&self.cfg, ask, first) {
+                    plans[0].steps[0] = canary;
+                    plans[0].why = VersionReason::Canary;
+                    quality = learner.quality(&self.cfg, ask, canary);
+                }
+                return Ok((plans, Some(quality)));
+            }
+        };
+        let quality = learner.quality(&self.cfg, ask, version);
+        Ok((
+            Plans::from_iter([Plan::single(version, why)]),
+            Some(quality),
+        ))
+    }
+
+    /// An endpoint with room, or else the least loaded live one: a request that has come this far
+    /// is not put back into the queue, since what it used so far would be lost.
+    pub(super) fn pick_crowded(
+        &mut self,
+        ask: &Ask,
+        version: Option<VersionKey>,
+        tried: &[EndpointKey],
+    ) -> Option<Pick> {
+        let pool = self.cfg.services[ask.service].pool;
+        self.pick(ask, version, tried).or_else(|| {
+            self.endpoints
+                .least_loaded(self.now, &self.cfg, pool, version, tried)
+        })
+    }
+
+    pub(super) fn pick(
+        &mut self,
+        ask: &Ask,
+        version: Option<VersionKey>,
+        tried: &[EndpointKey],
+    ) -> Option<Pick> {
+        let wish = Wish {
+            pool: self.cfg.services[ask.service].pool,
+            version,
+            prefix: (ask.input_tokens > 0).then_some(ask.prefix),
+            tried,
+        };
+        self.endpoints
+            .pick(self.now, &self.cfg, wish, &mut self.rng)
+    }
+
+    /// Records an attempt and says what to send.
+    pub(super) fn dispatch(
+        &mut self,
+        ticket: Ticket,
+        plan: Plan,
+        step: usize,
+        pick: Pick,
+    ) -> Dispatch {
+        let request = self.requests.get_mut(ticket).expect("the caller found it");
+        let version = plan.steps.get(step).copied();
+        let judge = plan.steps.len() > step + 1;
+        let why_version = match step {
+            0 => plan.why,
+            _ => VersionReason::Escalated,
+        };
+        if let Stage::Waiting { give_up } = request.stage {
+            self.give_ups.remove(&(give_up, ticket));
+        }
+        request.attempts += 1;
+        request.plan = plan;
+        request.step = step;
+        request.stage = Stage::Running(Attempt {
+            endpoint: Some(pick.endpoint),
+            version,
+            judge,
+            after: step > 0,
+        });
+        let attempt = request.attempts;
+        let service = request.ask.service;
+        self.count_start(service, pick.endpoint, attempt == 1);
+        Dispatch {
+            ticket,
+            attempt,
+            endpoint: pick.endpoint,
+            version,
+            judge,
+            why_version,
+            why_endpoint: pick.why,
+            considered: pick.considered,
+        }
+    }
+
+    fn count_start(&mut self, service: ServiceKey, endpoint: EndpointKey, first: bool) {
+        let now = self.now;
+        let pool = self.cfg.services[service].pool;
+        self.pools[pool.index()].running += 1;
+        self.endpoints.states[endpoint.index()].sent(now);
+        let state = &mut self.services[service.index()];
+        state.set_running(now, state.running + 1);
+        if first {
+            state.budget.deposit();
+        }
+    }
+
+    /// Drops a request and its customer's claim on concurrency.
+    pub(super) fn forget(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.remove(ticket) else {
+            return;
+        };
+        if let Stage::Waiting { give_up } = request.stage {
+            self.give_ups.remove(&(give_up, ticket));
+        }
+        if request.void {
+            return;
+        }
+        let customer = &mut self.customers[request.ask.customer.index()];
+        customer.under_way = customer.under_way.saturating_sub(1);
+    }
+
+    /// The time left to a request, if any.
+    pub(super) fn has_time(&self, deadline: Duration, service: ServiceKey) -> bool {
+        let runs = self.services[service.index()].first_byte.get_or(0.0);
+        deadline.saturating_sub(self.now).as_secs_f64() > runs
+    }
+}
