--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -6,7 +6,6 @@
 mod config_store;
 mod engine;
 mod hosts;
-mod config_store;
 mod http_kv;
 mod kv;
 mod plain;
@@ -23,9 +22,6 @@
 };
 pub use crate::engine::{ChatStream, EngineClient};
 pub use crate::hosts::HostListClient;
-pub use crate::config_store::{
-    Applied, CURRENT_KEY, ConfigStore, Proposal, StoreError, StoreResult, Stored,
-};
 pub use crate::http_kv::{HttpKv, HttpKvConfig};
 pub use crate::kv::{Condition, Entry, Kv, KvError, LeaseId, ModRevision, Put, Result};
 pub use crate::plain::{PlainClient, strip};
