Run the socket tests on the plain paused clock

So drive() goes. What it did for tests that hang, a limit of a minute on the clock does in the tests of the pool.

--- a/crates/oatdale-fakes/src/lib.rs
+++ b/crates/oatdale-fakes/src/lib.rs
@@ -4,8 +4,6 @@
 //! handle. Dropping a handle kills the stand-in; `stop` lets it finish what is under way.
 
 mod command;
-#[cfg(feature = "test-util")]
-mod drive;
 mod engine;
 mod hosts;
 mod kv;
@@ -22,8 +20,6 @@
     Command, EngineCommand, HELP, HostCommand, KvCommand, NoCommand, PlainCommand, RatingCommand,
     Switch,
 };
-#[cfg(feature = "test-util")]
-pub use crate::drive::drive;
 pub use crate::engine::{
     CacheConfig, Engine, EngineCall, EngineConfig, EngineHandle, EngineVersion, Fault, Speed,
 };
--- a/crates/oatdale-fakes/tests/stand_ins.rs
+++ b/crates/oatdale-fakes/tests/stand_ins.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use oatdale_fakes::{
     CallCounts, Command, EngineCommand, EngineConfig, EngineVersion, Fault, KvCommand,
-    RatingConfig, StandIns, StandInsConfig, Switch, WeightStore, drive,
+    RatingConfig, StandIns, StandInsConfig, Switch, WeightStore,
 };
 use oatdale_platform::chat::ChatRequest;
 use oatdale_platform::wire::HostState;
@@ -63,57 +63,48 @@
 /// The key-value service is down for a while and comes back by itself, with what it held.
 #[tokio::test(start_paused = true)]
 async fn a_timed_outage_ends_by_itself() {
-    drive(async {
-        let stand_ins = start().await;
-        let kv = HttpKv::new(HttpKvConfig {
-            addresses: vec![address(&stand_ins, "kv")],
-            timeout: Duration::from_millis(200),
-        });
+    let stand_ins = start().await;
+    let kv = HttpKv::new(HttpKvConfig {
+        addresses: vec![address(&stand_ins, "kv")],
+        timeout: Duration::from_millis(200),
+    });
+    assert_eq!(kv.get("config").await, Ok(None));
+    for outage in ["kv outage 2s", "kv refuse 2s"] {
+        run(&stand_ins, outage);
+        sleep(Duration::from_millis(1900)).await;
+        let down = kv.get("config").await;
+        assert!(matches!(down, Err(KvError::Unavailable { .. })), "{down:?}");
+        sleep(Duration::from_millis(200)).await;
         assert_eq!(kv.get("config").await, Ok(None));
-        for outage in ["kv outage 2s", "kv refuse 2s"] {
-            run(&stand_ins, outage);
-            sleep(Duration::from_millis(1900)).await;
-            let down = kv.get("config").await;
-            assert!(matches!(down, Err(KvError::Unavailable { .. })), "{down:?}");
-            sleep(Duration::from_millis(200)).await;
-            assert_eq!(kv.get("config").await, Ok(None));
-        }
-    })
-    .await;
+    }
 }
 
 #[tokio::test(start_paused = true)]
 async fn commands_reach_the_endpoint_that_they_name() {
-    drive(async {
-        let stand_ins = start().await;
-        let second = address(&stand_ins, "engine-2");
-        run(&stand_ins, "engine 2 bad errors planner/v1");
-        assert!(chat(second, "r-1").await.is_err());
-        chat(address(&stand_ins, "engine-1"), "r-2").await.unwrap();
-        run(&stand_ins, "engine 2 good planner/v1");
-        chat(second, "r-3").await.unwrap();
-        let counts = run(&stand_ins, "engine 2 calls").unwrap();
-        let begun: Vec<(String, u32)> = counts.begun.into_iter().collect();
-        assert_eq!(begun, [("r-1".to_owned(), 1), ("r-3".to_owned(), 1)]);
-        let refused = stand_ins.run(Command::Engine(4, EngineCommand::Calls));
-        assert!(refused.unwrap_err().contains("there are 3"));
-    })
-    .await;
+    let stand_ins = start().await;
+    let second = address(&stand_ins, "engine-2");
+    run(&stand_ins, "engine 2 bad errors planner/v1");
+    assert!(chat(second, "r-1").await.is_err());
+    chat(address(&stand_ins, "engine-1"), "r-2").await.unwrap();
+    run(&stand_ins, "engine 2 good planner/v1");
+    chat(second, "r-3").await.unwrap();
+    let counts = run(&stand_ins, "engine 2 calls").unwrap();
+    let begun: Vec<(String, u32)> = counts.begun.into_iter().collect();
+    assert_eq!(begun, [("r-1".to_owned(), 1), ("r-3".to_owned(), 1)]);
+    let refused = stand_ins.run(Command::Engine(4, EngineCommand::Calls));
+    assert!(refused.unwrap_err().contains("there are 3"));
 }
 
 #[tokio::test(start_paused = true)]
 async fn the_host_list_names_the_endpoints_and_who_leaves() {
-    drive(async {
-        let stand_ins = start().await;
-        let client = HostListClient::new(Pool::default(), address(&stand_ins, "hosts"));
-        run(&stand_ins, "hosts leaving engine-2");
-        sleep(Duration::from_millis(110)).await;
-        let hosts = client.hosts(after(1000)).await.unwrap();
-        let leaving = |h: &&oatdale_platform::wire::Host| h.state == HostState::Leaving;
-        let names: Vec<&str> = hosts.iter().filter(leaving).map(|h| &*h.host).collect();
-        assert_eq!((hosts.len(), names), (4, vec!["engine-2"]));
-    })
-    .await;
+    let stand_ins = start().await;
+    let client = HostListClient::new(Pool::default(), address(&stand_ins, "hosts"));
+    run(&stand_ins, "hosts leaving engine-2");
+    sleep(Duration::from_millis(110)).await;
+    let hosts = client.hosts(after(1000)).await.unwrap();
+    let leaving = |h: &&oatdale_platform::wire::Host| h.state == HostState::Leaving;
+    let names: Vec<&str> = hosts.iter().filter(leaving).map(|h| &*h.host).collect();
+    assert_eq!((hosts.len(), names), (4, vec!["engine-2"]));
 }
 
 #[test]
--- a/crates/oatdale-platform/tests/pool.rs
+++ b/crates/oatdale-platform/tests/pool.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use oatdale_fakes::drive;
 use oatdale_platform::{Pool, PoolConfig, Reuse, SendError};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -19,6 +18,12 @@
     (listener, addr)
 }
 
+/// Runs a test that waits for a connection, which never comes if the pool is wrong.
+async fn bounded(test: impl Future<Output = ()>) {
+    let ended = tokio::time::timeout(Duration::from_secs(60), test).await;
+    ended.expect("the test waits for something that never comes");
+}
+
 fn soon() -> Instant {
     Instant::now() + Duration::from_secs(1)
 }
@@ -65,7 +70,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_connection_is_used_again_once_its_answer_was_read() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         let mut stream = warm(&pool, &listener, addr).await;
@@ -83,7 +88,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_idle_connection_is_dropped_after_its_time() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::new(PoolConfig {
             idle_timeout: Duration::from_millis(50),
@@ -101,7 +106,7 @@
 /// and the endpoint sees the booking once.
 #[tokio::test(start_paused = true)]
 async fn a_connection_closed_before_the_call_is_not_used() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         drop(warm(&pool, &listener, addr).await);
@@ -117,7 +122,7 @@
 /// unknown; it must never be written a second time after the first may have arrived.
 #[tokio::test(start_paused = true)]
 async fn a_connection_closed_just_as_the_call_goes_out_never_doubles_it() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         // The close is on the socket, but the pool's task has had no turn to see it.
@@ -150,7 +155,7 @@
 /// could book twice, so the call ends as broken and nothing goes over a new connection.
 #[tokio::test(start_paused = true)]
 async fn a_call_read_by_a_dying_endpoint_is_not_sent_again() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         let mut stream = warm(&pool, &listener, addr).await;
@@ -173,7 +178,7 @@
 /// new connection although an idle one is there.
 #[tokio::test(start_paused = true)]
 async fn a_call_that_may_not_be_repeated_gets_a_connection_of_its_own() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         let _idle = warm(&pool, &listener, addr).await;
@@ -186,7 +191,7 @@
 /// Nothing listens at the endpoint. The caller is told that its booking was not run.
 #[tokio::test(start_paused = true)]
 async fn a_refused_connection_sent_nothing() {
-    drive(async {
+    bounded(async {
         // A bound socket that does not listen keeps the port from others.
         let socket = tokio::net::TcpSocket::new_v4().unwrap();
         socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
@@ -204,7 +209,7 @@
 /// was on its way by then, so nobody can say that it was not run.
 #[tokio::test(start_paused = true)]
 async fn an_answer_cut_off_in_its_head_is_broken() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         let serve = async {
@@ -225,7 +230,7 @@
 /// connection tells the endpoint to stop.
 #[tokio::test(start_paused = true)]
 async fn a_call_without_answer_ends_at_its_deadline_and_closes() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         let begun = Instant::now();
@@ -247,7 +252,7 @@
 /// on that connection nor go on costing the endpoint's time.
 #[tokio::test(start_paused = true)]
 async fn an_answer_dropped_half_read_closes_its_connection() {
-    drive(async {
+    bounded(async {
         let (listener, addr) = listen().await;
         let pool = Pool::default();
         let serve = async {
