--- a/crates/oatdale-fakes/src/reply.rs
+++ b/crates/oatdale-fakes/src/reply.rs
@@ -63,9 +63,11 @@
 
 /// Says when to come back, in whole seconds and in milliseconds.
 pub(crate) fn set_retry_after(res: &mut Response<Body>, wait: Duration) {
-    let seconds = wait.as_millis().div_ceil(1000);
+    // Rounded up: a client that comes back a moment early is refused again.
+    let ms = wait.as_micros().div_ceil(1000);
+    let seconds = ms.div_ceil(1000);
     set(res, header::RETRY_AFTER.as_str(), &seconds.to_string());
-    set(res, wire::RETRY_AFTER_MS, &wait.as_millis().to_string());
+    set(res, wire::RETRY_AFTER_MS, &ms.to_string());
 }
 
 /// Sets a header.
--- a/crates/oatdale-platform/src/wire.rs
+++ b/crates/oatdale-platform/src/wire.rs
@@ -14,6 +14,15 @@
 /// Set to `true` on a refusal by an endpoint that did not begin the request.
 pub const NOT_STARTED: &str = "x-not-started";
 
+/// The longest time that a service may ask to wait; a longer one is cut to this.
+pub const MAX_PAUSE: Duration = Duration::from_secs(3600);
+
+/// The shortest; without it a client that obeys would ask again without end.
+const MIN_PAUSE: Duration = Duration::from_millis(1);
+
+/// The greatest age that a load report is taken to have.
+const MAX_AGE: Duration = Duration::from_secs(3600);
+
 /// Names a request; the same for all its attempts.
 pub const REQUEST_ID: &str = "x-request-id";
 
@@ -60,6 +69,11 @@
 }
 
 impl Load {
+    /// How old the figures were when they were sent; an hour at most.
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms).min(MAX_AGE)
+    }
+
     /// Writes a header such as `running=3, waiting=1, tokens=90, age=40`; `leaving` is added when
     /// it is so.
     pub fn to_header(&self) -> String {
@@ -294,12 +308,14 @@
     parse_etag(headers.get(header::ETAG)?.to_str().ok()?)
 }
 
-/// How long an answer asks to wait, by [`RETRY_AFTER_MS`] or else `Retry-After` in seconds.
+/// How long an answer asks to wait, by [`RETRY_AFTER_MS`] or else `Retry-After` in seconds; from a
+/// millisecond to [`MAX_PAUSE`].
 pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let number = |name: &str| headers.get(name)?.to_str().ok()?.trim().parse().ok();
     number(RETRY_AFTER_MS)
         .map(Duration::from_millis)
         .or_else(|| number(header::RETRY_AFTER.as_str()).map(Duration::from_secs))
+        .map(|pause| pause.clamp(MIN_PAUSE, MAX_PAUSE))
 }
 
 /// Whether an endpoint says that it refused a request before it began.
--- a/crates/oatdale-platform/tests/http_kv.rs
+++ b/crates/oatdale-platform/tests/http_kv.rs
@@ -224,3 +224,27 @@
     stored(create(&kv, "a", b"v").await.unwrap());
     assert_eq!(mem.counters().writes, 1);
 }
+
+/// The service asks to wait for less than a millisecond. Cut down to whole milliseconds that is no
+/// pause at all, and the client would ask again, and be refused again, without end.
+#[tokio::test(start_paused = true)]
+async fn a_very_short_pause_is_never_cut_to_none() {
+    let (mem, _server, kv) = start().await;
+    mem.set_limits(KvLimits {
+        writes: 3000.0,
+        reads: 3000.0,
+    });
+    let mut pauses = Vec::new();
+    for i in 0..400 {
+        match create(&kv, &format!("k{i}"), b"v").await {
+            Ok(_) => {}
+            Err(KvError::Throttled { retry_after }) => pauses.push(retry_after),
+            Err(err) => panic!("{err}"),
+        }
+    }
+    assert!(!pauses.is_empty());
+    assert!(
+        pauses.iter().all(|p| *p >= Duration::from_millis(1)),
+        "{pauses:?}"
+    );
+}
