Keep room for the quiet services while one surges

Cause: the reserve was counted against each node's own limit, which is the whole pool's, so it never bound; callers were refused only when their deadline ran out, since the wait was worked out from a pool that other nodes use too; and work was begun that could not end in time.

Change: a service above an even part of its pool leaves an eighth of each endpoint free and takes only its node's part of reported free room; the wait follows Little's law from what this node really runs; work that can't end in time is not begun; nearly full endpoints are left out while others have room; the limit falls by 2% at most once a second.

--- a/crates/oatdale-policy/examples/measure/engine.rs
+++ b/crates/oatdale-policy/examples/measure/engine.rs
@@ -135,3 +135,9 @@
         at.is_some()
     }
 }
+
+/// The seconds that work takes on an endpoint that runs a full batch, without a cache.
+pub(crate) fn full_time(input: f64, output: f64, slots: u32) -> f64 {
+    let crowding = 1.0 + BATCHING * (f64::from(slots) - 1.0);
+    (OVERHEAD + input / READ + output * TOKEN) * crowding
+}
--- a/crates/oatdale-policy/examples/measure/main.rs
+++ b/crates/oatdale-policy/examples/measure/main.rs
@@ -8,6 +8,7 @@
 mod cascade;
 mod endpoints;
 mod engine;
+mod overload;
 mod report;
 mod sim;
 mod world;
@@ -26,7 +27,11 @@
 type Round = (&'static str, fn(Seeds) -> Report);
 
 /// All rounds.
-const ROUNDS: [Round; 2] = [("cascade", cascade::run), ("endpoints", endpoints::run)];
+const ROUNDS: [Round; 3] = [
+    ("cascade", cascade::run),
+    ("endpoints", endpoints::run),
+    ("overload", overload::run),
+];
 
 /// What the command line asks for.
 struct Args {
--- a/crates/oatdale-policy/examples/measure/sim.rs
+++ b/crates/oatdale-policy/examples/measure/sim.rs
@@ -91,6 +91,11 @@
 }
 
 impl Job {
+    /// Whether the whole answer came in time.
+    pub(crate) fn is_good(&self) -> bool {
+        self.done.is_some_and(|at| at <= self.deadline)
+    }
+
     /// Seconds to the first byte.
     pub(crate) fn first_byte_after(&self) -> Option<f64> {
         self.first_byte.map(|at| at - self.arrived)
@@ -207,6 +212,13 @@
         sim
     }
 
+    /// Jobs of a flow that arrived in a span of time.
+    pub(crate) fn arrived(&self, flow: usize, from: f64, to: f64) -> impl Iterator<Item = &Job> {
+        self.jobs
+            .iter()
+            .filter(move |j| j.flow == flow && j.arrived >= from && j.arrived < to)
+    }
+
     fn push(&mut self, at: f64, event: Event) {
         self.made += 1;
         let order = self.made;
--- a/crates/oatdale-policy/src/average.rs
+++ b/crates/oatdale-policy/src/average.rs
@@ -30,38 +30,6 @@
     }
 }
 
-/// A level that changes in steps, averaged over a time constant.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Level {
-    average: f64,
-    level: f64,
-    at: Duration,
-    tau: f64,
-}
-
-impl Level {
-    pub(crate) fn new(now: Duration, tau: Duration) -> Self {
-        Level {
-            average: 0.0,
-            level: 0.0,
-            at: now,
-            tau: tau.as_secs_f64(),
-        }
-    }
-
-    pub(crate) fn set(&mut self, now: Duration, level: f64) {
-        self.average = self.get(now);
-        self.at = self.at.max(now);
-        self.level = level;
-    }
-
-    pub(crate) fn get(&self, now: Duration) -> f64 {
-        let spent = now.saturating_sub(self.at).as_secs_f64();
-        let kept = (-spent / self.tau).exp();
-        self.level + (self.average - self.level) * kept
-    }
-}
-
 /// A mean over samples that forgets old ones; the first samples count in full.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Mean {
--- a/crates/oatdale-policy/src/endpoint.rs
+++ b/crates/oatdale-policy/src/endpoint.rs
@@ -33,6 +33,10 @@
     others: f64,
     /// Whether the last report told of requests waiting there.
     pub(crate) queued: bool,
+    /// Requests of this node that ran there when the last report was made.
+    own_then: Option<u32>,
+    /// Rounds this node's part of free room up or down, anew with each report; from 0 to 1.
+    dither: f64,
     history: VecDeque<(Duration, u32)>,
     failures: u32,
     paused_until: Duration,
@@ -41,11 +45,31 @@
 }
 
 impl EndpointState {
+    /// Requests of other nodes there, by the last report.
+    pub(crate) fn others(&self) -> f64 {
+        self.others
+    }
+
     /// Whether it may get one more request now.
     pub(crate) fn is_fit(&self, now: Duration, concurrency: u32) -> bool {
         self.is_live(now) && self.load() + 1.0 <= f64::from(concurrency)
     }
 
+    /// Whether a request that must leave room for others may go there.
+    ///
+    /// `share` is this node's part of all the load on the pool. Every node sees the same free
+    /// room in a report; if each filled it, the endpoint would get as many requests too many as
+    /// there are nodes. So a node refills what it frees itself and takes its part of the rest.
+    pub(crate) fn is_fit_for_surge(&self, now: Duration, places: u32, share: f64) -> bool {
+        let Some(own_then) = self.own_then else {
+            return self.is_fit(now, places);
+        };
+        let reported = self.others + f64::from(own_then);
+        let part = (f64::from(places) - reported) * share + self.dither;
+        let allowed = f64::from(own_then) + part.floor();
+        self.is_fit(now, places) && f64::from(self.running + 1) <= allowed
+    }
+
     /// Whether it is worth asking at all; after a pause a single request tries it.
     pub(crate) fn is_live(&self, now: Duration) -> bool {
         !self.leaving
@@ -110,12 +134,14 @@
     ///
     /// A report that counted this node's own requests twice, or requests that have ended since,
     /// would make each node flee and return to an endpoint in step with the reports.
-    pub(crate) fn report(&mut self, now: Duration, report: LoadReport) {
+    pub(crate) fn report(&mut self, now: Duration, report: LoadReport, dither: f64) {
         let made = now.saturating_sub(report.age);
         let own = self.running_at(made);
         let total = f64::from(report.running + report.waiting);
         self.others = (total - f64::from(own)).max(0.0);
         self.queued = report.waiting > 0;
+        self.own_then = Some(own);
+        self.dither = dither;
     }
 
     fn running_at(&self, time: Duration) -> u32 {
--- a/crates/oatdale-policy/src/endpoints.rs
+++ b/crates/oatdale-policy/src/endpoints.rs
@@ -17,6 +17,15 @@
 /// An endpoint chosen by its prefix cache may be this much worse than the other choice.
 const AFFINITY_SLACK: f64 = 2.0;
 
+/// A surging service leaves one place in this many free at each endpoint.
+const ROOM_PART: u32 = 8;
+
+/// An endpoint is nearly full from this part of its places on.
+const NEARLY_FULL: f64 = 0.9;
+
+/// Some of the endpoints that this node uses.
+type Keys = SmallVec<[EndpointKey; SUBSET]>;
+
 /// What a choice has to heed.
 #[derive(Clone, Copy)]
 pub(crate) struct Wish<'a> {
@@ -26,6 +35,9 @@
     pub(crate) prefix: Option<u64>,
     /// Endpoints that have failed this request.
     pub(crate) tried: &'a [EndpointKey],
+    /// This node's part of the pool's load, if the request has to leave room for other services
+    /// at each endpoint.
+    pub(crate) leave_room: Option<f64>,
 }
 
 /// A chosen endpoint.
@@ -97,6 +109,14 @@
             .any(|e| self.states[e.index()].is_live(now))
     }
 
+    /// This node's part of all requests at the pool's endpoints.
+    pub(crate) fn share(&self, pool: PoolKey, running: u32) -> f64 {
+        let used = self.used(pool, None).iter();
+        let others: f64 = used.map(|e| self.states[e.index()].others()).sum();
+        let own = f64::from(running) + 1.0;
+        own / (own + others)
+    }
+
     /// The earliest end of a pause after failures.
     pub(crate) fn next_pause_end(&self, now: Duration, pool: PoolKey) -> Option<Duration> {
         self.used(pool, None)
@@ -117,30 +137,13 @@
         wish: Wish<'_>,
         rng: &mut Pcg64Mcg,
     ) -> Option<Pick> {
-        let used = self.used(wish.pool, wish.version);
-        let mut fit: SmallVec<[EndpointKey; SUBSET]> = SmallVec::new();
-        let mut near: SmallVec<[EndpointKey; SUBSET]> = SmallVec::new();
-        for &e in used {
-            let endpoint = &cfg.endpoints[e];
-            let is_fit = self.states[e.index()].is_fit(now, endpoint.concurrency);
-            if !is_fit || wish.tried.contains(&e) {
-                continue;
-            }
-            fit.push(e);
-            if Some(endpoint.domain) == self.domain {
-                near.push(e);
-            }
-        }
-        let considered = fit.len() as u16;
+        let (fit, considered) = self.fit(now, cfg, wish);
+        let near = filtered(&fit, |e| Some(cfg.endpoints[e].domain) == self.domain);
         let failed_in = wish.tried.last().map(|e| cfg.endpoints[*e].domain);
-        let elsewhere: SmallVec<[EndpointKey; SUBSET]> = fit
-            .iter()
-            .copied()
-            .filter(|&e| Some(cfg.endpoints[e].domain) != failed_in)
-            .collect();
+        let elsewhere = filtered(&fit, |e| Some(cfg.endpoints[e].domain) != failed_in);
         let (from, why): (&[EndpointKey], _) = match () {
             () if fit.is_empty() => return None,
-            () if fit.len() == 1 => (&fit, EndpointReason::Only),
+            () if considered == 1 => (&fit, EndpointReason::Only),
             () if failed_in.is_some() && !elsewhere.is_empty() => {
                 (&elsewhere, EndpointReason::Retry)
             }
@@ -158,6 +161,40 @@
         })
     }
 
+    /// Endpoints with room and how many there are; those that are nearly full are left out while
+    /// there are others, and all but the least loaded if there are none, since by now another
+    /// node may have taken their last places.
+    fn fit(&self, now: Duration, cfg: &Config, wish: Wish<'_>) -> (Keys, u16) {
+        let used = self.used(wish.pool, wish.version);
+        let mut fit = Keys::new();
+        let mut easy = Keys::new();
+        for &e in used {
+            let state = &self.states[e.index()];
+            let places = cfg.endpoints[e].concurrency;
+            let is_fit = match wish.leave_room {
+                Some(share) => {
+                    let room = places.div_ceil(ROOM_PART).min(places - 1);
+                    state.is_fit_for_surge(now, places - room, share)
+                }
+                None => state.is_fit(now, places),
+            };
+            if !is_fit || wish.tried.contains(&e) {
+                continue;
+            }
+            fit.push(e);
+            if state.load() + 1.0 <= NEARLY_FULL * f64::from(places) {
+                easy.push(e);
+            }
+        }
+        let considered = fit.len() as u16;
+        if !easy.is_empty() {
+            return (easy, considered);
+        }
+        let load = |e: EndpointKey| self.states[e.index()].load();
+        let least = fit.iter().map(|&e| load(e)).fold(f64::MAX, f64::min);
+        (filtered(&fit, |e| load(e) < least + 1.0), considered)
+    }
+
     /// The live endpoint with the best score, whether or not it has room.
     pub(crate) fn least_loaded(
         &self,
@@ -237,6 +274,10 @@
     }
 }
 
+fn filtered(keys: &[EndpointKey], keep: impl Fn(EndpointKey) -> bool) -> Keys {
+    keys.iter().copied().filter(|&e| keep(e)).collect()
+}
+
 /// Spreads a number over all 64 bits (the finishing step of splitmix64).
 pub(crate) fn mix(x: u64) -> u64 {
     let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/oatdale-policy/src/limit.rs
+++ b/crates/oatdale-policy/src/limit.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 /// What a congested answer leaves of the limit.
-const DECREASE: f64 = 0.9;
+const DECREASE: f64 = 0.98;
 
 /// The least time between two decreases, so that one burst of bad news counts once.
-const DECREASE_EVERY: Duration = Duration::from_millis(250);
+const DECREASE_EVERY: Duration = Duration::from_millis(1000);
 
 /// The limit never falls below this.
 const FLOOR: f64 = 2.0;
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -18,7 +18,7 @@
 use crate::tickets::Tickets;
 use crate::trial::{StopDecision, Trials};
 use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -62,11 +62,7 @@
             requests: Tickets::new(),
             arrivals: 0,
             give_ups: BTreeSet::new(),
-            services: cfg
-                .services
-                .keys()
-                .map(|_| ServiceState::new(now))
-                .collect(),
+            services: cfg.services.keys().map(|_| ServiceState::new()).collect(),
             pools: Vec::new(),
             customers: cfg
                 .customers
@@ -124,7 +120,8 @@
     pub fn observe_load(&mut self, now: Duration, endpoint: EndpointKey, report: LoadReport) {
         self.now = self.now.max(now);
         if let Some(state) = self.endpoints.states.get_mut(endpoint.index()) {
-            state.report(now, report);
+            let dither = (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+            state.report(now, report, dither);
         }
     }
 
--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -72,7 +72,7 @@
         let pool = &mut self.pools[pool.index()];
         pool.running = pool.running.saturating_sub(1);
         let service = &mut self.services[ask.service.index()];
-        service.set_running(now, service.running.saturating_sub(1));
+        service.running = service.running.saturating_sub(1);
         if let Some(endpoint) = attempt.endpoint {
             self.endpoints.states[endpoint.index()].over(now);
         }
@@ -103,8 +103,7 @@
             return;
         };
         let service = &mut self.services[ask.service.index()];
-        service.pace.add(self.now);
-        service.total.add(outcome.total.as_secs_f64());
+        service.took(ask.class, outcome.total.as_secs_f64());
         if let Some(first_byte) = outcome.first_byte {
             service.first_byte.add(first_byte.as_secs_f64());
         }
--- a/crates/oatdale-policy/src/router/offer.rs
+++ b/crates/oatdale-policy/src/router/offer.rs
@@ -127,7 +127,7 @@
         }
         let wait = self.expected_wait(ask.service, Some(ask));
         let left = ask.deadline.saturating_sub(self.now).as_secs_f64();
-        let runs = self.services[service].first_byte.get_or(0.0);
+        let runs = self.services[service].expected_total(ask.class);
         if wait > (left - runs) * PATIENCE {
             self.forget(ticket);
             return Offer::Refuse(Refusal {
@@ -165,7 +165,7 @@
         };
         let ask = request.ask;
         let service = &mut self.services[ask.service.index()];
-        let runs = Duration::from_secs_f64(service.first_byte.get_or(0.0).max(0.0));
+        let runs = Duration::from_secs_f64(service.expected_total(ask.class));
         let give_up = ask.deadline.saturating_sub(runs).max(self.now);
         request.stage = Stage::Waiting { give_up };
         self.give_ups.insert((give_up, ticket));
@@ -195,13 +195,15 @@
         if queued == 0 && self.has_room(service) {
             return 0.0;
         }
+        // By Little's law: what runs now, divided by how long it runs, is how fast places come
+        // free. What runs is the node's real part of a pool that other nodes use too.
         let pool = self.cfg.services[service].pool;
-        let limit = self.pools[pool.index()].limit.get();
-        let sharing = self.sharing(pool).max(1);
-        let total = state.total.get_or(0.05).max(1e-4);
-        let pace = (limit / sharing as f64 / total).max(state.pace.get(self.now));
+        let running = f64::from(self.pools[pool.index()].running);
+        let part = running / self.sharing(pool).max(1) as f64;
+        let places = part.max(f64::from(state.running)).max(1.0);
+        let pace = places / state.total.get_or(0.05).max(1e-4);
         let ahead = match ask {
-            Some(ask) => self.ahead(service, ask).min(queued as f64),
+            Some(ask) => self.ahead(service, ask),
             None => queued as f64,
         };
         (ahead + 1.0) / pace
--- a/crates/oatdale-policy/src/router/reconfigure.rs
+++ b/crates/oatdale-policy/src/router/reconfigure.rs
@@ -91,21 +91,20 @@
     }
 
     fn move_services(&mut self, old: &Config, rekey: &Rekey) {
-        let now = self.now;
         let mut services: Vec<ServiceState> = self
             .cfg
             .services
             .keys()
-            .map(|_| ServiceState::new(now))
+            .map(|_| ServiceState::new())
             .collect();
         for (key, state) in old.services.keys().zip(&mut self.services) {
             if let Some(new) = rekey.service(key) {
-                services[new.index()] = std::mem::replace(state, ServiceState::new(now));
+                services[new.index()] = std::mem::replace(state, ServiceState::new());
             }
         }
         for service in &mut services {
             service.queue = crate::queue::FairQueue::default();
-            service.set_running(now, 0);
+            service.running = 0;
             service.virtual_time = 0.0;
             service.learner.rekey(|v| rekey.version(v));
         }
@@ -174,8 +173,7 @@
                     attempt.version = attempt.version.and_then(|v| rekey.version(v));
                     let pool = self.cfg.services[service].pool;
                     self.pools[pool.index()].running += 1;
-                    let state = &mut self.services[service.index()];
-                    state.set_running(self.now, state.running + 1);
+                    self.services[service.index()].running += 1;
                 }
             }
         }
--- a/crates/oatdale-policy/src/router/start.rs
+++ b/crates/oatdale-policy/src/router/start.rs
@@ -8,48 +8,37 @@
 use oatdale_config::{EndpointKey, Key, PoolKey, ServiceKey, ServiceKind, VersionKey};
 use std::time::Duration;
 
-/// The reserve of a service covers its usual use and this many standard deviations.
-const RESERVE_SPREAD: f64 = 1.5;
+/// A service surges from this multiple of its even part on; chance alone carries a quiet one a
+/// little above it.
+const SURGE: f64 = 1.25;
 
 /// From this latency weight on, a version with room goes before a cheaper one without.
 const LATENCY_FIRST: f64 = 0.5;
 
 impl Router {
-    /// Whether a service may start one more request in its pool.
-    ///
-    /// A service that uses more than its usual part must leave free what the others usually use.
-    /// Without this reserve a surge fills the pool in the moment when the others are quiet, and
-    /// their next requests wait for the surge's long ones to end.
+    /// Whether the pool's limit lets a service start one more request; one that uses less than
+    /// an even part is not held back for what the others do.
     pub(super) fn has_room(&self, service: ServiceKey) -> bool {
-        let pool = self.cfg.services[service].pool;
-        let state = &self.pools[pool.index()];
-        let free = state.limit.get() - f64::from(state.running);
-        if free < 1.0 {
-            return false;
-        }
-        let own = f64::from(self.services[service.index()].running);
-        own < self.reserve(service) || free - 1.0 >= self.reserved_by_others(pool, service)
+        let pool = &self.pools[self.cfg.services[service].pool.index()];
+        let free = pool.limit.get() - f64::from(pool.running);
+        free >= 1.0 || (self.shares_pool(service) && !self.is_surging(service))
     }
 
-    fn reserved_by_others(&self, pool: PoolKey, service: ServiceKey) -> f64 {
-        self.cfg
-            .services
-            .iter()
-            .filter(|(other, item)| *other != service && item.pool == pool)
-            .map(|(other, _)| {
-                let running = f64::from(self.services[other.index()].running);
-                (self.reserve(other) - running).max(0.0)
-            })
-            .sum()
+    fn shares_pool(&self, service: ServiceKey) -> bool {
+        self.sharers(self.cfg.services[service].pool) > 1
     }
 
-    /// What a service usually uses of its pool, at most an even part.
-    fn reserve(&self, service: ServiceKey) -> f64 {
+    /// Whether a service uses more of its pool than an even part.
+    ///
+    /// Such a service must leave a little room at each endpoint. Without this a surge fills the
+    /// pool in a moment when the others are quiet, and their next requests, however short, wait
+    /// for the surge's long ones to end.
+    fn is_surging(&self, service: ServiceKey) -> bool {
         let pool = self.cfg.services[service].pool;
         let sharers = self.sharers(pool);
-        let even = self.pools[pool.index()].limit.get() / sharers.max(1) as f64;
-        let need = self.services[service.index()].need.get(self.now);
-        (need + RESERVE_SPREAD * need.sqrt()).min(even)
+        let even = f64::from(self.pools[pool.index()].running) / sharers.max(1) as f64;
+        let running = f64::from(self.services[service.index()].running);
+        sharers > 1 && running >= (SURGE * even).max(1.0)
     }
 
     /// How many services the pool serves.
@@ -61,12 +50,14 @@
             .count()
     }
 
-    /// How many services of the pool have requests waiting.
+    /// How many services of the pool have requests waiting or under way.
     pub(super) fn sharing(&self, pool: PoolKey) -> usize {
         self.cfg
             .services
             .iter()
-            .filter(|(key, s)| s.pool == pool && self.services[key.index()].queue.len() > 0)
+            .filter(|(_, s)| s.pool == pool)
+            .map(|(key, _)| &self.services[key.index()])
+            .filter(|state| state.running > 0 || state.queue.len() > 0)
             .count()
     }
 
@@ -181,11 +172,15 @@
         version: Option<VersionKey>,
         tried: &[EndpointKey],
     ) -> Option<Pick> {
+        let pool = self.cfg.services[ask.service].pool;
         let wish = Wish {
-            pool: self.cfg.services[ask.service].pool,
+            pool,
             version,
             prefix: (ask.input_tokens > 0).then_some(ask.prefix),
             tried,
+            leave_room: self
+                .is_surging(ask.service)
+                .then(|| self.endpoints.share(pool, self.pools[pool.index()].running)),
         };
         self.endpoints
             .pick(self.now, &self.cfg, wish, &mut self.rng)
@@ -234,12 +229,11 @@
     }
 
     fn count_start(&mut self, service: ServiceKey, endpoint: EndpointKey, first: bool) {
-        let now = self.now;
         let pool = self.cfg.services[service].pool;
         self.pools[pool.index()].running += 1;
-        self.endpoints.states[endpoint.index()].sent(now);
+        self.endpoints.states[endpoint.index()].sent(self.now);
         let state = &mut self.services[service.index()];
-        state.set_running(now, state.running + 1);
+        state.running += 1;
         if first {
             state.budget.deposit();
         }
--- a/crates/oatdale-policy/src/state.rs
+++ b/crates/oatdale-policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the router keeps of requests, services, pools and customers.
 
-use crate::average::{Level, Mean, Rate};
+use crate::average::{Mean, Rate};
 use crate::bucket::Bucket;
 use crate::budget::Budget;
 use crate::cascade::Learner;
@@ -10,14 +10,9 @@
 use crate::request::Ask;
 use oatdale_config::{EndpointKey, VersionKey};
 use smallvec::SmallVec;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How long a service's use of a pool is remembered for the reserve.
-const NEED_MEMORY: Duration = Duration::from_secs(20);
-
-/// How long a service's pace of finished requests is remembered.
-const PACE_MEMORY: Duration = Duration::from_secs(5);
-
 /// How long a customer's demand is remembered.
 const DEMAND_MEMORY: Duration = Duration::from_secs(5);
 
@@ -66,9 +61,10 @@
     /// One flow for each customer.
     pub(crate) queue: FairQueue,
     pub(crate) running: u32,
-    pub(crate) need: Level,
-    pub(crate) pace: Rate,
+    /// Seconds that an attempt takes.
     pub(crate) total: Mean,
+    /// The same by class of requests.
+    pub(crate) totals: BTreeMap<u8, Mean>,
     pub(crate) first_byte: Mean,
     pub(crate) budget: Budget,
     pub(crate) learner: Learner,
@@ -77,13 +73,12 @@
 }
 
 impl ServiceState {
-    pub(crate) fn new(now: Duration) -> Self {
+    pub(crate) fn new() -> Self {
         ServiceState {
             queue: FairQueue::default(),
             running: 0,
-            need: Level::new(now, NEED_MEMORY),
-            pace: Rate::new(now, PACE_MEMORY),
             total: Mean::new(100.0),
+            totals: BTreeMap::new(),
             first_byte: Mean::new(100.0),
             budget: Budget::new(),
             learner: Learner::new(),
@@ -91,9 +86,19 @@
         }
     }
 
-    pub(crate) fn set_running(&mut self, now: Duration, running: u32) {
-        self.running = running;
-        self.need.set(now, f64::from(running));
+    /// Seconds that an attempt of a class is expected to take.
+    pub(crate) fn expected_total(&self, class: u8) -> f64 {
+        let service = self.total.get_or(0.0);
+        self.totals
+            .get(&class)
+            .map_or(service, |t| t.get_or(service))
+    }
+
+    /// Takes in how long an attempt took.
+    pub(crate) fn took(&mut self, class: u8, seconds: f64) {
+        self.total.add(seconds);
+        let memory = || Mean::new(100.0);
+        self.totals.entry(class).or_insert_with(memory).add(seconds);
     }
 }
 
