Stop bad versions by a test that compares with their siblings

Change: tolerances of 0.3% for errors and 1% for low ratings and slowness, one standard deviation for the siblings' own chance, slowness by the siblings' usual time.

--- a/crates/oatdale-policy/examples/measure/endpoints.rs
+++ b/crates/oatdale-policy/examples/measure/endpoints.rs
@@ -6,6 +6,7 @@
 use crate::sim::{Flow, Job, Policy, Setup, Sim};
 use crate::world::{ModelService, Site};
 use oatdale_config::{Key, ServiceKey};
+use oatdale_policy::Tuning;
 
 /// Seconds of a run; the first few are not counted.
 const LENGTH: f64 = 60.0;
@@ -46,6 +47,9 @@
                     lag,
                     length: LENGTH,
                     faults: faults.clone(),
+                    tuning: Tuning::default(),
+                    attempts: 1,
+                    comes_back: None,
                     seed,
                 });
                 report.add(name, policy.name(), seed, &figures(&sim));
@@ -78,6 +82,8 @@
         prefixes: if prefixes == 0 { 1 << 30 } else { prefixes },
         deadline: 60.0,
         customer: None,
+        steps: 0,
+        until: None,
     };
     vec![
         flow(0.5, 200.0, 20.0),
--- a/crates/oatdale-policy/examples/measure/main.rs
+++ b/crates/oatdale-policy/examples/measure/main.rs
@@ -8,8 +8,11 @@
 mod cascade;
 mod endpoints;
 mod engine;
+mod exposure;
 mod overload;
+mod progress;
 mod report;
+mod retries;
 mod sim;
 mod world;
 
@@ -27,10 +30,13 @@
 type Round = (&'static str, fn(Seeds) -> Report);
 
 /// All rounds.
-const ROUNDS: [Round; 3] = [
+const ROUNDS: [Round; 6] = [
     ("cascade", cascade::run),
     ("endpoints", endpoints::run),
     ("overload", overload::run),
+    ("exposure", exposure::run),
+    ("retries", retries::run),
+    ("progress", progress::run),
 ];
 
 /// What the command line asks for.
--- a/crates/oatdale-policy/examples/measure/overload.rs
+++ b/crates/oatdale-policy/examples/measure/overload.rs
@@ -9,6 +9,7 @@
 use crate::sim::{Flow, Job, Policy, Setup, Sim};
 use crate::world::{ModelService, Site};
 use oatdale_config::{CustomerKey, Key, ServiceKey};
+use oatdale_policy::Tuning;
 
 /// Seconds of a run, and from when to when the surge lasts.
 const LENGTH: f64 = 120.0;
@@ -66,6 +67,9 @@
         lag: 0.1,
         length: LENGTH,
         faults: Vec::new(),
+        tuning: Tuning::default(),
+        attempts: 1,
+        comes_back: None,
         seed,
     })
 }
@@ -109,6 +113,8 @@
         prefixes: 1 << 30,
         deadline: DEADLINES[index],
         customer: None,
+        steps: 0,
+        until: None,
     }
 }
 
--- a/crates/oatdale-policy/examples/measure/sim.rs
+++ b/crates/oatdale-policy/examples/measure/sim.rs
@@ -2,9 +2,10 @@
 
 use crate::engine::{Engine, Started, Work};
 use crate::world::{Draw, Site, customer};
-use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey};
+use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
 use oatdale_policy::{
-    Ask, AttemptResult, LoadReport, Next, Offer, Outcome, Place, Router, Session, Ticket, Turn,
+    Ask, AttemptResult, LoadReport, Next, Offer, Outcome, Place, Refusal, Router, Session, Ticket,
+    Tuning, Turn,
 };
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -14,6 +15,9 @@
 /// Seconds between two reports of an engine's load.
 const REPORT_EVERY: f64 = 0.1;
 
+/// Seconds between a session's answer and its next request.
+const THINKING: f64 = 0.2;
+
 /// How a node decides.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Policy {
@@ -54,6 +58,10 @@
     pub(crate) deadline: f64,
     /// The only customer, or `None` for all.
     pub(crate) customer: Option<CustomerKey>,
+    /// Requests of one session that follow one another; 0 for requests outside sessions.
+    pub(crate) steps: u32,
+    /// When the flow stops, if before the run's end.
+    pub(crate) until: Option<f64>,
 }
 
 /// What a run is given.
@@ -69,6 +77,11 @@
     pub(crate) length: f64,
     /// Slowness and share of failures by endpoint.
     pub(crate) faults: Vec<(usize, f64, f64)>,
+    pub(crate) tuning: Tuning,
+    /// Attempts of one request by the simple policies.
+    pub(crate) attempts: u32,
+    /// When a refused session's caller comes back: as told, or after this many seconds.
+    pub(crate) comes_back: Option<f64>,
     pub(crate) seed: u64,
 }
 
@@ -86,6 +99,8 @@
     /// When the whole answer had come.
     pub(crate) done: Option<f64>,
     pub(crate) refused: Option<f64>,
+    /// The session and how many of its requests went before.
+    pub(crate) session: Option<(usize, u32)>,
     node: usize,
     ticket: Option<Ticket>,
 }
@@ -102,11 +117,23 @@
     }
 }
 
+/// A caller's session.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Dialog {
+    flow: usize,
+    customer: CustomerKey,
+    pub(crate) completed: Option<f64>,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Arrive {
         flow: usize,
     },
+    Step {
+        session: usize,
+        step: u32,
+    },
     End {
         endpoint: usize,
         started: Started,
@@ -165,6 +192,7 @@
     turn: usize,
     draw: Draw,
     pub(crate) jobs: Vec<Job>,
+    pub(crate) sessions: Vec<Dialog>,
 }
 
 impl Sim {
@@ -176,7 +204,7 @@
                 domain: Some(DomainKey::from_index(node % 3)),
                 seed: setup.seed * 64 + node as u64 + 1,
             };
-            Router::new(cfg.clone(), place)
+            Router::with_tuning(cfg.clone(), place, setup.tuning)
         };
         let mut engines: Vec<Engine> = cfg
             .endpoints
@@ -199,6 +227,7 @@
             engines,
             turn: 0,
             jobs: Vec::new(),
+            sessions: Vec::new(),
             setup,
         };
         for flow in 0..sim.setup.flows.len() {
@@ -235,6 +264,7 @@
                 self.arrive(flow);
                 self.next_arrival(flow);
             }
+            Event::Step { session, step } => self.step(session, step),
             Event::End {
                 endpoint,
                 started,
@@ -261,23 +291,69 @@
                 break;
             }
         }
-        if at < self.setup.length {
+        let until = self.setup.flows[flow].until.unwrap_or(self.setup.length);
+        if at < until {
             self.push(at, Event::Arrive { flow });
         }
     }
 
     fn arrive(&mut self, flow: usize) {
+        let kind = &self.setup.flows[flow];
+        let (only, steps) = (kind.customer, kind.steps);
+        let any = customer(&mut self.draw, self.setup.site.customers);
+        let customer = only.unwrap_or(any);
+        if steps == 0 {
+            self.request(flow, customer, None);
+            return;
+        }
+        self.sessions.push(Dialog {
+            flow,
+            customer,
+            completed: None,
+        });
+        self.step(self.sessions.len() - 1, 0);
+    }
+
+    fn step(&mut self, session: usize, step: u32) {
+        let Dialog { flow, customer, .. } = self.sessions[session];
+        if self.now < self.setup.length {
+            self.request(flow, customer, Some((session, step)));
+        }
+    }
+
+    /// A session's request was answered in time, or was not: then the session begins again.
+    fn step_over(&mut self, job: usize, retry_after: Option<Duration>) {
+        let Some((session, step)) = self.jobs[job].session else {
+            return;
+        };
+        let dialog = self.sessions[session];
+        let is_good = self.jobs[job].is_good();
+        match is_good {
+            true if step + 1 == self.setup.flows[dialog.flow].steps => {
+                self.sessions[session].completed = Some(self.now);
+            }
+            true => {
+                let step = step + 1;
+                self.push(self.now + THINKING, Event::Step { session, step });
+            }
+            false => {
+                let told = retry_after.map_or(1.0, |d| d.as_secs_f64());
+                let at = self.now + self.setup.comes_back.unwrap_or(told);
+                self.push(at, Event::Step { session, step: 0 });
+            }
+        }
+    }
+
+    fn request(&mut self, flow: usize, customer: CustomerKey, session: Option<(usize, u32)>) {
         let kind = self.setup.flows[flow].clone();
         let input = self.draw.log_normal(kind.input.max(1.0), 0.4) as u32;
         let output = self.draw.log_normal(kind.output, 0.4).max(1.0) as u32;
         let prefix = self.draw.below(kind.prefixes.max(1)) as u64;
-        let customers = self.setup.site.customers;
-        let any = customer(&mut self.draw, customers);
         let node = self.draw.below(self.setup.nodes);
         let job = self.jobs.len();
         self.jobs.push(Job {
             flow,
-            customer: kind.customer.unwrap_or(any),
+            customer,
             arrived: self.now,
             deadline: self.now + kind.deadline,
             work: Work {
@@ -291,6 +367,7 @@
             first_byte: None,
             done: None,
             refused: None,
+            session,
             node,
             ticket: None,
         });
@@ -329,7 +406,14 @@
             customer: j.customer,
             service: self.setup.flows[j.flow].service,
             idempotent: true,
-            session: Session::None,
+            session: match j.session {
+                None => Session::None,
+                Some((_, 0)) => Session::Opens,
+                Some((_, step)) => Session::Pinned {
+                    version: VersionKey::from_index(0),
+                    step,
+                },
+            },
             deadline: Duration::from_secs_f64(j.deadline),
             input_tokens: j.work.input,
             output_tokens: j.work.output,
@@ -348,7 +432,7 @@
                 self.jobs[job].ticket = Some(ticket);
                 self.wake_later(node);
             }
-            Offer::Refuse(_) => self.jobs[job].refused = Some(self.now),
+            Offer::Refuse(refusal) => self.refuse(job, refusal),
         }
     }
 
@@ -365,10 +449,7 @@
             let job = self.job_of(node, ticket);
             match turn {
                 Turn::Run(d) => self.send(job, d.attempt, d.endpoint.index()),
-                Turn::Refuse(_) => {
-                    self.jobs[job].refused = Some(self.now);
-                    self.jobs[job].ticket = None;
-                }
+                Turn::Refuse(refusal) => self.refuse(job, refusal),
             }
         }
     }
@@ -415,6 +496,10 @@
             self.jobs[job].first_byte = Some(started.first_byte);
             self.jobs[job].done = Some(self.now);
         }
+        if self.setup.policy != Policy::Oatdale {
+            self.simple_end(job, started.work.attempt, is_whole);
+            return;
+        }
         let (node, Some(ticket)) = (self.jobs[job].node, self.jobs[job].ticket) else {
             return;
         };
@@ -427,15 +512,29 @@
         let now = self.time();
         match self.routers[node].finish(now, ticket, &outcome) {
             Next::Run(d) => self.send(job, d.attempt, d.endpoint.index()),
-            Next::Done => self.jobs[job].ticket = None,
-            Next::Refuse(_) => {
+            Next::Done => {
                 self.jobs[job].ticket = None;
-                self.jobs[job].refused = Some(self.now);
+                self.step_over(job, None);
             }
+            Next::Refuse(refusal) => self.refuse(job, refusal),
         }
         self.turns(node);
     }
 
+    fn refuse(&mut self, job: usize, refusal: Refusal) {
+        self.jobs[job].ticket = None;
+        self.jobs[job].refused = Some(self.now);
+        self.step_over(job, refusal.retry_after);
+    }
+
+    /// The end of an attempt under a simple policy, which tries again at once.
+    fn simple_end(&mut self, job: usize, attempt: u16, is_whole: bool) {
+        if !is_whole && u32::from(attempt) < self.setup.attempts {
+            let endpoint = self.simple_choice(job);
+            self.send(job, attempt + 1, endpoint);
+        }
+    }
+
     fn measure(&mut self) {
         let age = Duration::from_secs_f64(self.setup.lag);
         for endpoint in 0..self.engines.len() {
--- a/crates/oatdale-policy/src/lib.rs
+++ b/crates/oatdale-policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod state;
 mod tickets;
 mod trial;
+mod tuning;
 mod version_rule;
 
 pub use crate::evidence::VersionCounters;
@@ -30,4 +31,5 @@
 };
 pub use crate::router::Router;
 pub use crate::trial::{Fault, StopDecision};
+pub use crate::tuning::{Order, Retries, Tuning};
 pub use crate::version_rule::{Work, admits, stop_holds};
--- a/crates/oatdale-policy/src/queue.rs
+++ b/crates/oatdale-policy/src/queue.rs
@@ -38,9 +38,12 @@
         self.len
     }
 
-    /// How many requests of one flow wait.
-    pub(crate) fn flow_len(&self, flow: usize) -> usize {
-        self.flows.get(flow).map_or(0, |f| f.waiting.len())
+    /// How many requests of one flow would go before one more of this priority.
+    pub(crate) fn ahead_in(&self, flow: usize, priority: u32) -> usize {
+        let Some(flow) = self.flows.get(flow) else {
+            return 0;
+        };
+        flow.waiting.partition_point(|w| w.priority >= priority)
     }
 
     /// Adds a request to a flow.
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -17,6 +17,7 @@
 use crate::state::{CustomerState, PoolState, Request, ServiceState};
 use crate::tickets::Tickets;
 use crate::trial::{StopDecision, Trials};
+use crate::tuning::Tuning;
 use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -50,11 +51,17 @@
     catalogue: Catalogue,
     evidence: Evidence,
     trials: Trials,
+    tuning: Tuning,
 }
 
 impl Router {
     /// A router that has seen nothing yet.
     pub fn new(cfg: Arc<Config>, place: Place) -> Self {
+        Router::with_tuning(cfg, place, Tuning::default())
+    }
+
+    /// A router that has seen nothing yet and decides by other rules, for measurements.
+    pub fn with_tuning(cfg: Arc<Config>, place: Place, tuning: Tuning) -> Self {
         let now = Duration::ZERO;
         let mut router = Router {
             now,
@@ -73,6 +80,7 @@
             catalogue: Catalogue::new(&cfg),
             evidence: Evidence::new(cfg.versions.keys()),
             trials: Trials::new(&cfg),
+            tuning,
             cfg,
         };
         router.pools = router.new_pools();
--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -3,6 +3,8 @@
 use super::Router;
 use crate::request::{Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Ticket};
 use crate::state::{Attempt, Stage};
+use crate::trial::references;
+use crate::tuning::Retries;
 use oatdale_config::{Key, ServiceKey, ServiceKind, VersionKey};
 use std::time::Duration;
 
@@ -80,7 +82,7 @@
 
     fn learn(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
         let relative = self.relative_first_byte(ask, attempt, outcome);
-        let slow = relative.is_some_and(|r| r > SLOW);
+        let slow = self.is_slow_for_model(ask, attempt, outcome);
         self.learn_times(ask, outcome);
         self.learn_endpoint(ask, attempt, outcome, relative);
         self.learn_version(ask, attempt, outcome, slow);
@@ -98,6 +100,19 @@
         Some(first_byte / usual.max(1e-6))
     }
 
+    /// Whether the first byte came late by what the model's other serving versions take; by its
+    /// own usual time a version that is always slow would never seem so.
+    fn is_slow_for_model(&self, ask: &Ask, attempt: Attempt, outcome: &Outcome) -> bool {
+        let (Some(first_byte), Some(version)) = (outcome.first_byte, attempt.version) else {
+            return false;
+        };
+        let learner = &self.services[ask.service.index()].learner;
+        let usual = references(version, &self.cfg)
+            .find_map(|other| learner.usual_first_byte(ask.class, other))
+            .or_else(|| learner.usual_first_byte(ask.class, version));
+        usual.is_some_and(|usual| first_byte.as_secs_f64() > SLOW * usual)
+    }
+
     fn learn_times(&mut self, ask: &Ask, outcome: &Outcome) {
         let AttemptResult::Complete { .. } = outcome.result else {
             return;
@@ -292,7 +307,8 @@
         let Some(pick) = self.pick_crowded(ask, attempt.version, &tried) else {
             return refuse(retry_after);
         };
-        if !self.services[ask.service.index()].budget.withdraw() {
+        let budget = &mut self.services[ask.service.index()].budget;
+        if self.tuning.retries == Retries::Budget && !budget.withdraw() {
             return refuse(retry_after);
         }
         Next::Run(self.dispatch(ticket, plan, step, pick))
--- a/crates/oatdale-policy/src/router/offer.rs
+++ b/crates/oatdale-policy/src/router/offer.rs
@@ -3,8 +3,9 @@
 use super::Router;
 use crate::choice::{Candidates, Plan};
 use crate::queue::Waiting;
-use crate::request::{Ask, Offer, Refusal, RefusalReason, Ticket};
+use crate::request::{Ask, Offer, Refusal, RefusalReason, Session, Ticket};
 use crate::state::{Request, Stage};
+use crate::tuning::Order;
 use oatdale_config::Key;
 use rand::Rng;
 use smallvec::SmallVec;
@@ -164,6 +165,7 @@
             return;
         };
         let ask = request.ask;
+        let priority = priority(self.tuning.order, &ask);
         let service = &mut self.services[ask.service.index()];
         let runs = Duration::from_secs_f64(service.expected_total(ask.class));
         let give_up = ask.deadline.saturating_sub(runs).max(self.now);
@@ -175,7 +177,7 @@
         }
         let item = Waiting {
             ticket,
-            priority: 0,
+            priority,
             cost: cost(&ask),
         };
         service.queue.push(ask.customer.index(), item);
@@ -212,7 +214,7 @@
     /// Requests that are served before one more of this customer.
     fn ahead(&self, service: oatdale_config::ServiceKey, ask: &Ask) -> f64 {
         let queue = &self.services[service.index()].queue;
-        let own = queue.flow_len(ask.customer.index());
+        let own = queue.ahead_in(ask.customer.index(), priority(self.tuning.order, ask));
         let weight = |flow: usize| {
             let key = oatdale_config::CustomerKey::from_index(flow);
             self.cfg.customers[key].weight
@@ -245,3 +247,11 @@
 fn cost(ask: &Ask) -> f64 {
     1.0 + (f64::from(ask.output_tokens) + 0.1 * f64::from(ask.input_tokens)) / 64.0
 }
+
+/// Requests of a higher priority go first among their customer's.
+fn priority(order: Order, ask: &Ask) -> u32 {
+    match (order, ask.session) {
+        (Order::Progress, Session::Pinned { step, .. }) => step,
+        (Order::Progress | Order::Arrival, _) => 0,
+    }
+}
--- a/crates/oatdale-policy/src/trial.rs
+++ b/crates/oatdale-policy/src/trial.rs
@@ -22,7 +22,7 @@
 const REFERENCE: u64 = 100;
 
 /// Standard deviations by which the other versions' share may be underestimated.
-const CAUTION: f64 = 2.5;
+const CAUTION: f64 = 1.0;
 
 /// Requests after which a trial begins anew, so that a long good past does not hide a change.
 const LENGTH: u64 = 4_000;
@@ -53,8 +53,8 @@
     /// The share of bad cases by which a version may exceed the others and still be healthy.
     fn tolerance(self) -> f64 {
         match self {
-            Fault::Errors => 0.01,
-            Fault::LowRatings | Fault::Slow => 0.03,
+            Fault::Errors => 0.003,
+            Fault::LowRatings | Fault::Slow => 0.01,
         }
     }
 
@@ -212,7 +212,11 @@
         .fold(VersionCounters::zero(version), |sum, c| sum.plus(&c))
 }
 
-fn references(version: VersionKey, cfg: &Config) -> impl Iterator<Item = VersionKey> {
+/// The versions that a version is compared with: the model's other serving ones.
+pub(crate) fn references(
+    version: VersionKey,
+    cfg: &Config,
+) -> impl Iterator<Item = VersionKey> + '_ {
     let model = &cfg.models[cfg.versions[version].model];
     model
         .versions
