--- a/crates/oatdale-policy/examples/measure/progress.rs
+++ b/crates/oatdale-policy/examples/measure/progress.rs
@@ -28,7 +28,7 @@
     );
     let callers = [("as told", None), ("after 1 s", Some(1.0))];
     let orders = [("arrival", Order::Arrival), ("progress", Order::Progress)];
-    for times in [2.0, 3.0, 6.0] {
+    for times in [0.8, 2.0, 3.0, 6.0] {
         for (back, comes_back) in callers {
             for (name, order) in orders {
                 for seed in seeds.clone() {
