Let sessions that have come further go first

Cause: in arrival order, callers that are refused halfway begin again, and at six times capacity almost no session reaches its fourth request.

Fairness between customers stays as it was.

The new test fails with arrival order and passes with this one.

--- a/crates/oatdale-policy/src/tuning.rs
+++ b/crates/oatdale-policy/src/tuning.rs
@@ -23,8 +23,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Order {
     /// The one that came first.
-    #[default]
     Arrival,
     /// The one whose session has come furthest.
+    #[default]
     Progress,
 }
--- a/crates/oatdale-policy/tests/router/admission.rs
+++ b/crates/oatdale-policy/tests/router/admission.rs
@@ -1,9 +1,11 @@
 //! Limits, queues and refusals.
 
-use crate::fixture::{Shape, ask, complete, customer, endpoint, outcome, refused, run, secs, wait};
+use crate::fixture::{
+    Shape, ask, complete, customer, endpoint, outcome, refused, run, secs, version, wait,
+};
 use oatdale_config::Limits;
 use oatdale_policy::{
-    Ask, AttemptResult, Next, Offer, Outcome, RefusalReason, Router, Ticket, Turn,
+    Ask, AttemptResult, Next, Offer, Outcome, RefusalReason, Router, Session, Ticket, Turn,
 };
 
 fn limited(requests_per_second: f64, concurrent: u32) -> Router {
@@ -190,3 +192,33 @@
     let next = router.finish(secs(0.3), new.ticket, &outcome(AttemptResult::Broken));
     assert!(matches!(next, Next::Run(_)), "{next:?}");
 }
+
+/// Callers open sessions faster than the service can serve them. If requests went in the order of
+/// their arrival, few sessions would reach their last request: callers would be refused halfway,
+/// begin again and add to the load. So a session that has come further goes first.
+#[test]
+fn a_session_that_has_come_further_goes_first() {
+    let mut router = Shape::default().router();
+    let mut running = Vec::new();
+    while let Offer::Run(dispatch) = router.offer(secs(0.0), &ask(secs(0.0), 1)) {
+        running.push(dispatch.ticket);
+    }
+    let step = |step| Ask {
+        session: Session::Pinned {
+            version: version(0),
+            step,
+        },
+        ..ask(secs(0.0), 2)
+    };
+    let first = wait(router.offer(secs(0.0), &step(1)));
+    let third = wait(router.offer(secs(0.0), &step(3)));
+    let mut turns = Vec::new();
+    for ticket in running {
+        router.finish(secs(0.2), ticket, &complete(None));
+        while let Some((ticket, _)) = router.next_turn(secs(0.2)) {
+            turns.push(ticket);
+        }
+    }
+    let place = |ticket| turns.iter().position(|&t| t == ticket);
+    assert!(place(third) < place(first), "{turns:?}");
+}
