--- /dev/null
+++ b/crates/oatdale-policy/benches/decision.rs
@@ -0,0 +1,167 @@
+//! The cost of one decision at the target size: 2,100 endpoints, 40 versions.
+//!
+//! `cargo bench -p oatdale-policy` prints nanoseconds for a decision (offer) and for a whole
+//! request (offer and finish), as the median and the worst of several rounds.
+
+use oatdale_config::{
+    Arena, Config, Customer, CustomerKey, Digest, Domain, DomainKey, Endpoint, EndpointKey, Key,
+    Limits, Model, ModelKey, Pool, PoolKey, PoolKind, Price, Service, ServiceKey, ServiceKind,
+    Version, VersionKey, VersionState,
+};
+use oatdale_policy::{Ask, AttemptResult, Offer, Outcome, Place, Router, Session};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const ENDPOINTS: usize = 2_100;
+const VERSIONS: usize = 40;
+const DOMAINS: usize = 16;
+const CUSTOMERS: usize = 50;
+const SERVICES: usize = 10;
+const REQUESTS: u64 = 200_000;
+const ROUNDS: usize = 7;
+
+fn main() {
+    let cfg = Arc::new(config());
+    let place = Place {
+        domain: Some(DomainKey::from_index(0)),
+        seed: 1,
+    };
+    let mut router = Router::new(cfg, place);
+    let mut offers = Vec::new();
+    let mut requests = Vec::new();
+    for round in 0..ROUNDS as u64 {
+        let (offer, whole) = measure(&mut router, round);
+        offers.push(offer);
+        requests.push(whole);
+    }
+    print("offer", offers);
+    print("offer and finish", requests);
+}
+
+/// Nanoseconds of an offer and of a whole request.
+fn measure(router: &mut Router, round: u64) -> (u64, u64) {
+    let mut offers = Duration::ZERO;
+    let began = Instant::now();
+    for i in 0..REQUESTS {
+        let n = round * REQUESTS + i;
+        let now = Duration::from_micros(300 * n);
+        let before = Instant::now();
+        let offer = router.offer(now, &ask(now, n));
+        offers += before.elapsed();
+        let Offer::Run(dispatch) = offer else {
+            panic!("an idle fleet refuses nothing: {offer:?}");
+        };
+        router.finish(now, dispatch.ticket, &outcome(n));
+    }
+    let each = |time: Duration| (time.as_nanos() / u128::from(REQUESTS)) as u64;
+    (each(offers), each(began.elapsed()))
+}
+
+fn print(what: &str, mut nanoseconds: Vec<u64>) {
+    nanoseconds.sort_unstable();
+    let (median, worst) = (nanoseconds[ROUNDS / 2], nanoseconds[ROUNDS - 1]);
+    println!(
+        "{what}: {median} ns (worst round {worst} ns) at {ENDPOINTS} endpoints, {VERSIONS} versions"
+    );
+}
+
+fn ask(now: Duration, n: u64) -> Ask {
+    let draw = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Ask {
+        customer: CustomerKey::from_index((n % CUSTOMERS as u64) as usize),
+        service: ServiceKey::from_index((draw >> 40) as usize % SERVICES),
+        idempotent: true,
+        session: Session::None,
+        deadline: now + Duration::from_secs(30),
+        input_tokens: 1000,
+        output_tokens: 400,
+        prefix: draw >> 32,
+        draw,
+        stream: true,
+        class: (n % 8) as u8,
+    }
+}
+
+fn outcome(n: u64) -> Outcome {
+    Outcome {
+        result: AttemptResult::Complete {
+            rating: (!n.is_multiple_of(3)).then_some(1.0),
+            output_tokens: 400,
+        },
+        forwarded: false,
+        first_byte: Some(Duration::from_millis(200)),
+        total: Duration::from_secs(6),
+    }
+}
+
+/// One pool; each endpoint holds four of the versions; every service may use all of them.
+fn config() -> Config {
+    let versions = || (0..VERSIONS).map(VersionKey::from_index);
+    Config {
+        domains: arena((0..DOMAINS).map(|i| Domain {
+            name: format!("d{i}"),
+            region: format!("r{}", i % 5),
+        })),
+        models: arena((0..VERSIONS).map(|i| Model {
+            name: format!("m{i}"),
+            versions: vec![VersionKey::from_index(i)],
+        })),
+        versions: arena((0..VERSIONS).map(|i| Version {
+            name: "1".to_owned(),
+            model: ModelKey::from_index(i),
+            state: VersionState::Serving,
+            price: Price {
+                input: 0.1 + i as f64,
+                output: 0.4 + 4.0 * i as f64,
+            },
+        })),
+        pools: arena([Pool {
+            name: "workers".to_owned(),
+            kind: PoolKind::Engines { fencing: true },
+            endpoints: (0..ENDPOINTS).map(EndpointKey::from_index).collect(),
+        }]),
+        endpoints: arena((0..ENDPOINTS).map(|i| {
+            Endpoint {
+                name: format!("e{i}"),
+                address: std::net::SocketAddr::from(([127, 0, 0, 1], 10_000 + i as u16)),
+                domain: DomainKey::from_index(i % DOMAINS),
+                pool: PoolKey::from_index(0),
+                versions: (0..4)
+                    .map(|k| VersionKey::from_index((i + 10 * k) % VERSIONS))
+                    .collect(),
+                concurrency: 32,
+            }
+        })),
+        services: arena((0..SERVICES).map(|i| Service {
+            name: format!("s{i}"),
+            kind: ServiceKind::Model {
+                models: (0..VERSIONS).map(ModelKey::from_index).collect(),
+                quality: 0.9,
+                latency_weight: 0.3,
+            },
+            pool: PoolKey::from_index(0),
+            depends_on: Vec::new(),
+            deadline: Duration::from_secs(30),
+            non_idempotent: Vec::new(),
+        })),
+        customers: arena((0..CUSTOMERS).map(|i| Customer {
+            name: format!("c{i}"),
+            keys: vec![Digest([i as u8; 32])],
+            services: (0..SERVICES).map(ServiceKey::from_index).collect(),
+            versions: versions().collect(),
+            limits: Limits {
+                requests_per_second: 1e9,
+                concurrent: 1_000_000,
+            },
+            weight: 1.0,
+        })),
+    }
+}
+
+fn arena<K: Key, T>(items: impl IntoIterator<Item = T>) -> Arena<K, T> {
+    let mut arena = Arena::default();
+    for item in items {
+        arena.push(item);
+    }
+    arena
+}
