--- a/crates/oatdale-policy/examples/measure/main.rs
+++ b/crates/oatdale-policy/examples/measure/main.rs
@@ -8,7 +8,11 @@
 mod cascade;
 mod endpoints;
 mod engine;
+mod exposure;
+mod overload;
+mod progress;
 mod report;
+mod retries;
 mod sim;
 mod world;
 
@@ -26,7 +30,14 @@
 type Round = (&'static str, fn(Seeds) -> Report);
 
 /// All rounds.
-const ROUNDS: [Round; 2] = [("cascade", cascade::run), ("endpoints", endpoints::run)];
+const ROUNDS: [Round; 6] = [
+    ("cascade", cascade::run),
+    ("endpoints", endpoints::run),
+    ("overload", overload::run),
+    ("exposure", exposure::run),
+    ("retries", retries::run),
+    ("progress", progress::run),
+];
 
 /// What the command line asks for.
 struct Args {
