Let a node that can't start say so and end

Cause: the log thread held the lock of standard error for ever, so the message of a failed start waited for it and the program hung, saying nothing. Seen with a taken admin port.

Change: the lock is taken for each line.

--- a/crates/oatdale-node/src/logging.rs
+++ b/crates/oatdale-node/src/logging.rs
@@ -64,9 +64,10 @@
 }
 
 fn write_lines(rx: &Receiver<String>) {
-    let mut out = io::stderr().lock();
     while let Ok(line) = rx.recv() {
-        // Nowhere is left to report to when standard error itself fails.
-        let _ = out.write_all(line.as_bytes());
+        // The lock is held for one line only: the program's last words at a failed start go to
+        // standard error as well and would wait for it for ever. Nowhere is left to report to
+        // when standard error itself fails.
+        let _ = io::stderr().lock().write_all(line.as_bytes());
     }
 }
