Never hold up a withdrawal; spread and remember what a text changes

Three matters of the configuration, found while the parts were put together.

A text in which a customer's only version is draining or withdrawn was refused. Cause: the rule against leaving a customer without a version read the version's state as well as the permission. An operator who withdraws a version because it does harm would have been held up. A customer that may use no version at all, or canaries only, is refused as before.

Stored documents were binary with the head first, and nodes spread the bytes between their common ends. A new head changes the first bytes, so the delta was all text before the edit. Documents are now a line of JSON and the text, and the mesh spreads changed lines by the same code as the history. Ruled out: the head at the end (the text behind the edit would still be sent).

A restarted node could not know whether operators had spoken of a version since its stop: the head now names, for each version, the revision that last changed its state, share or price, and stops end by that.

--- a/crates/oatdale-cli/src/command/apply.rs
+++ b/crates/oatdale-cli/src/command/apply.rs
@@ -4,7 +4,7 @@
 use crate::cx::{Cx, other, read_text};
 use crate::error::{CliError, ConflictSnafu, RefusedSnafu, Result, usage};
 use crate::flags::Apply;
-use oatdale_config::{Change, ChangeId, Document, Revision, changes, unified};
+use oatdale_config::{Change, ChangeId, Config, Document, Revision, changes, unified, unserved};
 use oatdale_platform::{Applied, ConfigStore, HttpKv, Proposal, StoreError};
 use rand::Rng;
 use serde::Serialize;
@@ -94,6 +94,9 @@
     if wish.wait {
         cx.nodes()?;
     }
+    if let Ok(cfg) = oatdale_config::from_str(&wish.text) {
+        eprint!("{}", warnings(&cfg));
+    }
     let applied = match store.apply(proposal, cx.deadline()).await {
         Ok(applied) => applied,
         Err(StoreError::Conflict { seen, theirs }) => {
@@ -181,6 +184,20 @@
     ConflictSnafu { report }.fail()
 }
 
+/// What a sound text leaves callers without, a line for each.
+pub(crate) fn warnings(cfg: &Config) -> String {
+    unserved(cfg)
+        .into_iter()
+        .map(|(customer, service)| {
+            format!(
+                "warning: new requests of customer `{}` to `{}` are refused: every version it may \
+                 use is draining or withdrawn\n",
+                cfg.customers[customer].name, cfg.services[service].name
+            )
+        })
+        .collect()
+}
+
 /// The differences in meaning of two texts.
 pub(crate) fn meaning(old: &str, new: &str) -> Result<Vec<Change>> {
     let old = oatdale_config::from_str(old).map_err(|e| other(&e))?;
--- a/crates/oatdale-cli/src/command/check.rs
+++ b/crates/oatdale-cli/src/command/check.rs
@@ -1,5 +1,6 @@
 //! `oatdale check`.
 
+use crate::command::apply::warnings;
 use crate::cx::{Cx, read_text};
 use crate::error::{RefusedSnafu, Result, usage};
 use crate::flags::Check;
@@ -56,7 +57,12 @@
     match settings {
         true => oatdale_config::node_settings_from_str(text)
             .map(|node| format!("sound: node {} in {}", node.host, node.domain)),
-        false => oatdale_config::from_str(text).map(|cfg| summary(&cfg)),
+        false => oatdale_config::from_str(text).map(|cfg| {
+            let warnings = warnings(&cfg);
+            format!("{}\n{warnings}", summary(&cfg))
+                .trim_end()
+                .to_owned()
+        }),
     }
 }
 
--- a/crates/oatdale-config/src/check.rs
+++ b/crates/oatdale-config/src/check.rs
@@ -8,6 +8,8 @@
 mod services;
 pub(crate) mod value;
 
+pub use crate::check::customers::unserved;
+
 use crate::check::problems::Problems;
 use crate::config::{Config, Domain};
 use crate::error::{Category, Error, Result};
--- a/crates/oatdale-config/src/check/customers.rs
+++ b/crates/oatdale-config/src/check/customers.rs
@@ -106,8 +106,11 @@
 }
 
 /// Each model service that a customer may call needs one version that the customer may use, that
-/// takes every new session and that the service's pool holds. Without it new requests would be
-/// refused, which operators would learn from their customers only.
+/// is no partial canary and that the service's pool holds. Without it new requests would be refused,
+/// which operators would learn from their customers only.
+///
+/// A version that is draining or withdrawn counts here: an operator who withdraws the only version
+/// because it does harm must not be held up. [`unserved`] tells what that means.
 pub(super) fn check_served(cfg: &Config, p: &mut Problems, customers: &Entries<wire::Customer>) {
     for ((key, _), (_, wire)) in cfg.customers.iter().zip(&customers.0) {
         for word in &wire.services {
@@ -126,7 +129,7 @@
     let customer = &cfg.customers[customer];
     let allowed = customer.versions.iter().copied();
     let mut allowed = allowed.filter(|v| models.contains(&cfg.versions[*v].model));
-    let serves = |v| takes_all(cfg, v) && is_held(cfg, service.pool, v);
+    let serves = |v| !is_partial_canary(cfg, v) && is_held(cfg, service.pool, v);
     if allowed.clone().any(serves) {
         return;
     }
@@ -143,7 +146,7 @@
         ),
         Some(version) => (
             format!(
-                "no version that customer `{}` may use takes all new sessions of `{}`",
+                "no version that customer `{}` may use can take all new sessions of `{}`",
                 customer.name, service.name
             ),
             format!(
@@ -157,6 +160,43 @@
     p.add(word.referenced, Category::Rule, message, help);
 }
 
+fn is_partial_canary(cfg: &Config, version: VersionKey) -> bool {
+    matches!(cfg.versions[version].state, VersionState::Canary { share } if share < 1.0)
+}
+
+/// Customers and model services of a checked text whose new requests are refused, since every
+/// version that could answer them is draining or withdrawn.
+///
+/// # Examples
+///
+/// ```
+/// let text = include_str!("../../../../examples/skyward.yaml");
+/// let cfg = oatdale_config::from_str(text)?;
+/// assert!(oatdale_config::unserved(&cfg).is_empty());
+/// # Ok::<(), oatdale_config::Error>(())
+/// ```
+pub fn unserved(cfg: &Config) -> Vec<(CustomerKey, ServiceKey)> {
+    let pairs = cfg
+        .customers
+        .iter()
+        .flat_map(|(key, customer)| customer.services.iter().map(move |service| (key, *service)));
+    pairs
+        .filter(|(customer, service)| !is_served(cfg, *customer, *service))
+        .collect()
+}
+
+fn is_served(cfg: &Config, customer: CustomerKey, service: ServiceKey) -> bool {
+    let service = &cfg.services[service];
+    let ServiceKind::Model { models, .. } = &service.kind else {
+        return true;
+    };
+    let mut allowed = cfg.customers[customer].versions.iter().copied();
+    allowed.any(|v| {
+        let fits = models.contains(&cfg.versions[v].model);
+        fits && takes_all(cfg, v) && is_held(cfg, service.pool, v)
+    })
+}
+
 fn takes_all(cfg: &Config, version: VersionKey) -> bool {
     match cfg.versions[version].state {
         VersionState::Serving => true,
--- a/crates/oatdale-config/src/lib.rs
+++ b/crates/oatdale-config/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`from_str`] turns the text into a [`Config`], whose items are reached by small `Copy` keys, or
 //! into an [`Error`] that names every problem with its place. An accepted text is kept as a
-//! [`Document`]; nodes tell each other a [`DocumentDelta`]. [`changes`] and [`unified`] show people
+//! [`Document`]; nodes tell each other a [`Delta`] of its bytes. [`changes`] and [`unified`] show people
 //! what differs, and [`set_state`] changes one version's state while comments and layout stay.
 //! [`node_settings_from_str`] reads a node's own settings.
 //!
@@ -38,6 +38,7 @@
 mod suggest;
 mod wire;
 
+pub use crate::check::unserved;
 pub use crate::config::{
     CallPattern, Config, Customer, Digest, Domain, Endpoint, Limits, Model, Pool, PoolKind, Price,
     Revision, Service, ServiceKind, Version, VersionState,
--- a/crates/oatdale-mesh/src/member/spread.rs
+++ b/crates/oatdale-mesh/src/member/spread.rs
@@ -158,14 +158,17 @@
                 return false;
             }
             Some(h) => {
-                let delta = delta::between(&h.document, &document);
                 let from = h.digest;
-                self.remember(Step {
-                    from,
-                    revision,
-                    digest,
-                    delta,
-                });
+                match delta::between(&h.document, &document) {
+                    Some(delta) => self.remember(Step {
+                        from,
+                        revision,
+                        digest,
+                        delta,
+                    }),
+                    // Peers with the former document get the whole one.
+                    None => self.steps.clear(),
+                }
             }
             None => {}
         }
@@ -181,7 +184,7 @@
     fn remember(&mut self, step: Step) {
         self.steps.push_back(step);
         let size =
-            |steps: &VecDeque<Step>| -> usize { steps.iter().map(|s| s.delta.middle.len()).sum() };
+            |steps: &VecDeque<Step>| -> usize { steps.iter().map(|s| delta::size(&s.delta)).sum() };
         while self.steps.len() > MAX_STEPS || size(&self.steps) > MAX_STEP_BYTES {
             self.steps.pop_front();
         }
--- a/crates/oatdale-mesh/src/wire.rs
+++ b/crates/oatdale-mesh/src/wire.rs
@@ -1,6 +1,6 @@
 //! Messages between nodes and their CBOR form: arrays of numbers, no field names.
 
-use crate::delta::Delta;
+use crate::delta::{self, Delta};
 use crate::error::{MalformedSnafu, Result};
 use crate::types::{HostId, Stop};
 use bytes::Bytes;
@@ -133,7 +133,7 @@
     fn weight(&self) -> usize {
         match self {
             Message::Cards(cards) => cards.len() * 120,
-            Message::Steps(steps) => steps.iter().map(|s| 40 + s.delta.middle.len()).sum(),
+            Message::Steps(steps) => steps.iter().map(|s| 40 + delta::size(&s.delta)).sum(),
             Message::Chunk(chunk) => 40 + chunk.bytes.len(),
             Message::Hold(records) => records.iter().map(|r| 64 + r.record.len()).sum(),
             Message::Forward(payload) => payload.len(),
--- a/crates/oatdale-node/src/adopt.rs
+++ b/crates/oatdale-node/src/adopt.rs
@@ -138,11 +138,9 @@
         if revision <= current {
             return;
         }
-        match oatdale_config::from_str(&document.text) {
-            Ok(cfg) => {
-                let bytes = Bytes::from(document.encode());
-                self.live
-                    .send_replace(Live::new(revision, Arc::new(cfg), bytes));
+        match Live::of(document) {
+            Ok(live) => {
+                self.live.send_replace(live);
                 self.metrics
                     .revision
                     .set(i64::try_from(revision.0).unwrap_or(i64::MAX));
--- a/crates/oatdale-node/src/live.rs
+++ b/crates/oatdale-node/src/live.rs
@@ -2,10 +2,10 @@
 
 use bytes::Bytes;
 use oatdale_config::{
-    Config, CustomerKey, Digest, EndpointKey, Key, Revision, ServiceKey, VersionKey,
+    Config, CustomerKey, Digest, Document, EndpointKey, Key, Revision, ServiceKey, VersionKey,
 };
 use oatdale_policy::{Ask, Session};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// One revision of the configuration with the look-ups that requests need.
@@ -19,17 +19,36 @@
     customers: HashMap<Digest, CustomerKey>,
     services: HashMap<String, ServiceKey>,
     versions: HashMap<String, VersionKey>,
-    spoken: HashMap<String, Revision>,
+    spoken: BTreeMap<String, Revision>,
 }
 
 impl Live {
     /// What is in force before any text was heard of: nobody may do anything.
     pub(crate) fn none() -> Arc<Live> {
-        Live::new(Revision(0), Arc::default(), Bytes::new())
+        Live::new(Revision(0), Arc::default(), Bytes::new(), BTreeMap::new())
     }
 
-    /// Prepares a revision.
-    pub(crate) fn new(revision: Revision, cfg: Arc<Config>, document: Bytes) -> Arc<Live> {
+    /// Checks and prepares a stored document.
+    ///
+    /// # Errors
+    ///
+    /// The text is not sound; only a newer release can have stored it.
+    pub(crate) fn of(document: &Document) -> oatdale_config::Result<Arc<Live>> {
+        let cfg = oatdale_config::from_str(&document.text)?;
+        Ok(Live::new(
+            document.head.revision,
+            Arc::new(cfg),
+            Bytes::from(document.encode()),
+            document.head.spoken.clone(),
+        ))
+    }
+
+    fn new(
+        revision: Revision,
+        cfg: Arc<Config>,
+        document: Bytes,
+        spoken: BTreeMap<String, Revision>,
+    ) -> Arc<Live> {
         let customers = cfg
             .customers
             .iter()
@@ -52,7 +71,7 @@
             customers,
             services,
             versions,
-            spoken: HashMap::new(),
+            spoken,
         })
     }
 
--- a/crates/oatdale-platform/src/config_store/apply.rs
+++ b/crates/oatdale-platform/src/config_store/apply.rs
@@ -85,7 +85,9 @@
             text,
             ..
         } = proposal;
-        let ours = Document::new(Revision(newest.0 + 1), change, operator, time, text);
+        let before = current.as_ref().map(|stored| &stored.document);
+        let ours =
+            Document::new(Revision(newest.0 + 1), change, operator, time, text).after(before);
         let applied = self.swap(current.as_ref(), ours, deadline).await?;
         if let Applied::Accepted(ours) = &applied {
             let before = current.map(|stored| stored.document);
