End connections to dead hosts, and idle ones that nothing looks at

Idle connections to an endpoint that gets no more calls were kept for ever, since only a call to the same address looked at them; they would add up with each replaced host. A test that first failed holds it; the pool now looks through all of them at most twice in each idle time.

A host whose network is gone left its calls waiting for their deadline, which is ten minutes for a long register. Connections now probe.

--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
+use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,6 +19,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+/// A silent connection is probed after this time, this often, and is ended when none of so many
+/// probes is answered.
+const PROBE_AFTER: Duration = Duration::from_secs(4);
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+const PROBES: u32 = 3;
+
 /// How connections are made and kept.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PoolConfig {
@@ -78,7 +85,14 @@
 #[derive(Debug)]
 struct Shared {
     cfg: PoolConfig,
-    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    kept: Mutex<Kept>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    idle: HashMap<SocketAddr, Vec<Idle>>,
+    /// When connections were last looked through.
+    swept: Instant,
 }
 
 #[derive(Debug)]
@@ -100,7 +114,10 @@
         Pool {
             shared: Arc::new(Shared {
                 cfg,
-                idle: Mutex::default(),
+                kept: Mutex::new(Kept {
+                    idle: HashMap::new(),
+                    swept: Instant::now(),
+                }),
             }),
         }
     }
@@ -140,12 +157,12 @@
 
     /// How many unused connections are open to `addr`.
     pub fn idle(&self, addr: SocketAddr) -> usize {
-        self.lock().get(&addr).map_or(0, Vec::len)
+        self.lock().idle.get(&addr).map_or(0, Vec::len)
     }
 
     /// Closes the unused connections to an address that is no longer served.
     pub fn forget(&self, addr: SocketAddr) {
-        self.lock().remove(&addr);
+        self.lock().idle.remove(&addr);
     }
 
     async fn connect(
@@ -160,6 +177,7 @@
             Err(_) => return Err(not_sent(&"the connection did not open in time")),
         };
         stream.set_nodelay(true).map_err(|err| not_sent(&err))?;
+        notice_dead_host(&stream).map_err(|err| not_sent(&err))?;
         let (tx, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(&err))?;
@@ -206,9 +224,9 @@
     fn put_idle(&self, addr: SocketAddr, tx: SendRequest<Full<Bytes>>) {
         let now = Instant::now();
         let cfg = self.shared.cfg;
-        let mut idle = self.lock();
-        let list = idle.entry(addr).or_default();
-        list.retain(|i| !i.tx.is_closed() && now - i.since < cfg.idle_timeout);
+        let mut kept = self.lock();
+        kept.sweep(now, cfg.idle_timeout);
+        let list = kept.idle.entry(addr).or_default();
         if list.len() < cfg.max_idle {
             list.push(Idle { tx, since: now });
         }
@@ -220,31 +238,62 @@
             return None;
         }
         let now = Instant::now();
-        let mut idle = self.lock();
-        let list = idle.get_mut(&addr)?;
-        while let Some(i) = list.pop() {
-            if i.tx.is_ready() && now - i.since < self.shared.cfg.idle_timeout {
-                return Some(i.tx);
+        let mut kept = self.lock();
+        let list = kept.idle.get_mut(&addr)?;
+        while let Some(idle) = list.pop() {
+            if idle.tx.is_ready() && now - idle.since < self.shared.cfg.idle_timeout {
+                return Some(idle.tx);
             }
         }
-        idle.remove(&addr);
+        kept.idle.remove(&addr);
         None
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, Kept> {
         self.shared
-            .idle
+            .kept
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Kept {
+    /// Closes what has been idle for too long, also to addresses that get no calls any more.
+    ///
+    /// It looks at most twice in each `idle_timeout`, so that a call does not pay for all.
+    fn sweep(&mut self, now: Instant, idle_timeout: Duration) {
+        if now - self.swept < idle_timeout / 2 {
+            return;
+        }
+        self.swept = now;
+        for list in self.idle.values_mut() {
+            list.retain(|i| !i.tx.is_closed() && now - i.since < idle_timeout);
+        }
+        self.idle.retain(|_, list| !list.is_empty());
+    }
+}
+
 impl Default for Pool {
     fn default() -> Self {
         Pool::new(PoolConfig::default())
     }
 }
 
+/// Ends the connection about ten seconds after its host is gone.
+///
+/// A host that loses its power or its network says nothing. Without this, a call to it would wait
+/// for its whole deadline, which for a long register is minutes, and no other endpoint would be
+/// tried before. A process that is only paused is not noticed: its host still answers.
+fn notice_dead_host(stream: &TcpStream) -> std::io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(PROBE_AFTER + PROBE_INTERVAL * PROBES))
+}
+
 fn set_host(req: &mut Request<Full<Bytes>>, addr: SocketAddr) {
     if let Ok(host) = HeaderValue::try_from(addr.to_string()) {
         req.headers_mut().insert(header::HOST, host);
--- a/crates/oatdale-platform/tests/pool.rs
+++ b/crates/oatdale-platform/tests/pool.rs
@@ -102,6 +102,26 @@
     .await;
 }
 
+/// An endpoint left the configuration and gets no more calls, so nothing looks at its idle
+/// connections again. Kept for ever, they would add up with each host that is replaced.
+#[tokio::test(start_paused = true)]
+async fn idle_connections_to_endpoints_without_calls_are_closed_too() {
+    bounded(async {
+        let (gone, gone_addr) = listen().await;
+        let (other, other_addr) = listen().await;
+        let pool = Pool::new(PoolConfig {
+            idle_timeout: Duration::from_millis(50),
+            ..PoolConfig::default()
+        });
+        let mut stream = warm(&pool, &gone, gone_addr).await;
+        sleep(Duration::from_millis(60)).await;
+        let _other = warm(&pool, &other, other_addr).await;
+        assert_eq!(pool.idle(gone_addr), 0);
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0, "it is closed");
+    })
+    .await;
+}
+
 /// The endpoint closed its idle connection a while ago. The pool has noticed and takes a new one,
 /// and the endpoint sees the booking once.
 #[tokio::test(start_paused = true)]
