--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -17,8 +17,9 @@
 use crate::state::{CustomerState, PoolState, Request, ServiceState};
 use crate::tickets::Tickets;
 use crate::trial::{StopDecision, Trials};
+use crate::tuning::Tuning;
 use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -50,11 +51,17 @@
     catalogue: Catalogue,
     evidence: Evidence,
     trials: Trials,
+    tuning: Tuning,
 }
 
 impl Router {
     /// A router that has seen nothing yet.
     pub fn new(cfg: Arc<Config>, place: Place) -> Self {
+        Router::with_tuning(cfg, place, Tuning::default())
+    }
+
+    /// A router that has seen nothing yet and decides by other rules, for measurements.
+    pub fn with_tuning(cfg: Arc<Config>, place: Place, tuning: Tuning) -> Self {
         let now = Duration::ZERO;
         let mut router = Router {
             now,
@@ -62,11 +69,7 @@
             requests: Tickets::new(),
             arrivals: 0,
             give_ups: BTreeSet::new(),
-            services: cfg
-                .services
-                .keys()
-                .map(|_| ServiceState::new(now))
-                .collect(),
+            services: cfg.services.keys().map(|_| ServiceState::new()).collect(),
             pools: Vec::new(),
             customers: cfg
                 .customers
@@ -77,6 +80,7 @@
             catalogue: Catalogue::new(&cfg),
             evidence: Evidence::new(cfg.versions.keys()),
             trials: Trials::new(&cfg),
+            tuning,
             cfg,
         };
         router.pools = router.new_pools();
@@ -124,7 +128,8 @@
     pub fn observe_load(&mut self, now: Duration, endpoint: EndpointKey, report: LoadReport) {
         self.now = self.now.max(now);
         if let Some(state) = self.endpoints.states.get_mut(endpoint.index()) {
-            state.report(now, report);
+            let dither = (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+            state.report(now, report, dither);
         }
     }
 
--- a/crates/oatdale-policy/src/router/offer.rs
+++ b/crates/oatdale-policy/src/router/offer.rs
@@ -3,8 +3,9 @@
 use super::Router;
 use crate::choice::{Candidates, Plan};
 use crate::queue::Waiting;
-use crate::request::{Ask, Offer, Refusal, RefusalReason, Ticket};
+use crate::request::{Ask, Offer, Refusal, RefusalReason, Session, Ticket};
 use crate::state::{Request, Stage};
+use crate::tuning::Order;
 use oatdale_config::Key;
 use rand::Rng;
 use smallvec::SmallVec;
@@ -127,7 +128,7 @@
         }
         let wait = self.expected_wait(ask.service, Some(ask));
         let left = ask.deadline.saturating_sub(self.now).as_secs_f64();
-        let runs = self.services[service].first_byte.get_or(0.0);
+        let runs = self.services[service].expected_total(ask.class);
         if wait > (left - runs) * PATIENCE {
             self.forget(ticket);
             return Offer::Refuse(Refusal {
@@ -164,8 +165,9 @@
             return;
         };
         let ask = request.ask;
+        let priority = priority(self.tuning.order, &ask);
         let service = &mut self.services[ask.service.index()];
-        let runs = Duration::from_secs_f64(service.first_byte.get_or(0.0).max(0.0));
+        let runs = Duration::from_secs_f64(service.expected_total(ask.class));
         let give_up = ask.deadline.saturating_sub(runs).max(self.now);
         request.stage = Stage::Waiting { give_up };
         self.give_ups.insert((give_up, ticket));
@@ -175,7 +177,7 @@
         }
         let item = Waiting {
             ticket,
-            priority: 0,
+            priority,
             cost: cost(&ask),
         };
         service.queue.push(ask.customer.index(), item);
@@ -195,13 +197,15 @@
         if queued == 0 && self.has_room(service) {
             return 0.0;
         }
+        // By Little's law: what runs now, divided by how long it runs, is how fast places come
+        // free. What runs is the node's real part of a pool that other nodes use too.
         let pool = self.cfg.services[service].pool;
-        let limit = self.pools[pool.index()].limit.get();
-        let sharing = self.sharing(pool).max(1);
-        let total = state.total.get_or(0.05).max(1e-4);
-        let pace = (limit / sharing as f64 / total).max(state.pace.get(self.now));
+        let running = f64::from(self.pools[pool.index()].running);
+        let part = running / self.sharing(pool).max(1) as f64;
+        let places = part.max(f64::from(state.running)).max(1.0);
+        let pace = places / state.total.get_or(0.05).max(1e-4);
         let ahead = match ask {
-            Some(ask) => self.ahead(service, ask).min(queued as f64),
+            Some(ask) => self.ahead(service, ask),
             None => queued as f64,
         };
         (ahead + 1.0) / pace
@@ -210,7 +214,7 @@
     /// Requests that are served before one more of this customer.
     fn ahead(&self, service: oatdale_config::ServiceKey, ask: &Ask) -> f64 {
         let queue = &self.services[service.index()].queue;
-        let own = queue.flow_len(ask.customer.index());
+        let own = queue.ahead_in(ask.customer.index(), priority(self.tuning.order, ask));
         let weight = |flow: usize| {
             let key = oatdale_config::CustomerKey::from_index(flow);
             self.cfg.customers[key].weight
@@ -243,3 +247,11 @@
 fn cost(ask: &Ask) -> f64 {
     1.0 + (f64::from(ask.output_tokens) + 0.1 * f64::from(ask.input_tokens)) / 64.0
 }
+
+/// Requests of a higher priority go first among their customer's.
+fn priority(order: Order, ask: &Ask) -> u32 {
+    match (order, ask.session) {
+        (Order::Progress, Session::Pinned { step, .. }) => step,
+        (Order::Progress | Order::Arrival, _) => 0,
+    }
+}
