--- a/crates/oatdale-fakes/src/engine/chat.rs
+++ b/crates/oatdale-fakes/src/engine/chat.rs
@@ -49,20 +49,24 @@
     if let Some(refusal) = core.refusal(&ask.model) {
         return Ok(refusal);
     }
-    core.note_call(&request_id, &ask.model);
     let fault = core.fault(&ask.model);
     match fault {
         Some(Fault::Errors) => {
+            core.note_call(&request_id, &ask.model);
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(reply::error(status, "the engine failed"));
         }
-        Some(Fault::Reset) => return Err(CloseConnection),
+        Some(Fault::Reset) => {
+            core.note_call(&request_id, &ask.model);
+            return Err(CloseConnection);
+        }
         _ => {}
     }
-    let (job, answer, rx) = prepare(core, &ask, request_id, priority, fault);
+    let (job, answer, rx) = prepare(core, &ask, request_id.clone(), priority, fault);
     if core.submit(job).is_err() {
         return Ok(queue_full());
     }
+    core.note_call(&request_id, &ask.model);
     let mut res = match ask.stream {
         true => streamed(answer, rx),
         false => whole(answer, rx).await?,
--- a/crates/oatdale-fakes/src/server.rs
+++ b/crates/oatdale-fakes/src/server.rs
@@ -129,7 +129,9 @@
             }
             _ => {}
         }
+        // In a fixed order, so that a run from one seed goes the same way each time.
         tokio::select! {
+            biased;
             changed = phase.changed() => if changed.is_err() { break },
             stream = next(listener.as_ref()) => {
                 let conn = serve(stream, handler.clone(), phase.clone(), open.clone());
@@ -187,13 +189,14 @@
             Phase::Serving => {}
         }
         tokio::select! {
+            biased;
+            changed = phase.changed() => if changed.is_err() { return },
             res = conn.as_mut() => {
                 if let Err(err) = res {
                     log::debug!("a connection ended: {err}");
                 }
                 return;
             }
-            changed = phase.changed() => if changed.is_err() { return },
         }
     }
 }
