--- a/crates/oatdale-fakes/src/engine/chat.rs
+++ b/crates/oatdale-fakes/src/engine/chat.rs
@@ -20,6 +20,9 @@
 /// Tokens of an answer when the request sets no limit.
 const DEFAULT_TOKENS: u32 = 32;
 
+/// Tokens that an answer has at most, whatever the request asks for.
+const MAX_TOKENS: u32 = 100_000;
+
 /// Priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 3;
 
@@ -83,7 +86,8 @@
     fault: Option<Fault>,
 ) -> (Job, Answer, mpsc::Receiver<Event>) {
     let prompt = ask.prompt();
-    let tokens = ask.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
+    let tokens = ask.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let tokens = tokens.clamp(1, MAX_TOKENS);
     let quality = match fault {
         Some(Fault::LowQuality) => 0.0,
         _ => core.quality(&ask.model),
--- a/crates/oatdale-fakes/src/lib.rs
+++ b/crates/oatdale-fakes/src/lib.rs
@@ -1,7 +1,26 @@
 //! Small stand-ins for the platform and the endpoints, with failure switches.
 //!
 //! Each is started on the runtime at hand, listens on a loopback port and is switched through its
-//! handle. Dropping a handle kills the stand-in; `stop` lets it finish what is under way.
+//! handle. Dropping a handle kills the stand-in; `stop` lets it finish what is under way. Times are
+//! on the runtime's clock, so a test that pauses the clock runs through minutes at once, and faults
+//! are drawn from seeds.
+//!
+//! ```
+//! use oatdale_fakes::{Plain, PlainFault};
+//! use std::net::Ipv4Addr;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> std::io::Result<()> {
+//! let desk = Plain::start((Ipv4Addr::LOCALHOST, 0).into()).await?;
+//! // From now on calls run, but their answers are lost.
+//! desk.set_fault(Some(PlainFault::LostAnswer));
+//! println!("the booking desk listens at {}", desk.addr());
+//! assert_eq!(desk.runs("0f6c2a"), 0);
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! `examples/stand-ins.rs` runs a whole set as a process of its own.
 
 mod command;
 mod engine;
--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -1,4 +1,39 @@
 //! Clients for the platform's services, engines and plain services.
+//!
+//! Each client says of a failure whether the endpoint can have run the call: only
+//! [`CallError::NotSent`] and [`CallError::NotStarted`] ever become "not run" towards a caller.
+//! `docs/PLATFORM.md` tells what each interface is expected to speak.
+//!
+//! ```
+//! use oatdale_fakes::{Engine, EngineConfig, EngineVersion};
+//! use oatdale_platform::chat::{ChatRequest, ChatResponse};
+//! use oatdale_platform::{Call, EngineClient};
+//! use std::time::Duration;
+//! use tokio::time::Instant;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let engine = Engine::start(EngineConfig {
+//!     versions: vec![EngineVersion::held("orbit-mini/2026-09", 1.0)],
+//!     ..EngineConfig::default()
+//! })
+//! .await?;
+//!
+//! let call = Call {
+//!     request: "0f6c2a".to_owned(),
+//!     attempt: 1,
+//!     urgency: 3,
+//!     deadline: Instant::now() + Duration::from_secs(10),
+//! };
+//! let ask = ChatRequest::new("orbit-mini/2026-09", "Tag this mail: please confirm H-20461.");
+//! let body = serde_json::to_vec(&ask)?;
+//! let answer = EngineClient::default().chat(engine.addr(), &call, body.into()).await?;
+//! let whole = answer.collect(1 << 20, call.deadline).await?;
+//! let response: ChatResponse = serde_json::from_slice(&whole)?;
+//! assert_eq!(response.usage.unwrap().completion_tokens, 32);
+//! # Ok(())
+//! # }
+//! ```
 
 mod cache_events;
 mod call;
