--- a/crates/oatdale-fakes/src/engine/chat.rs
+++ b/crates/oatdale-fakes/src/engine/chat.rs
@@ -20,6 +20,9 @@
 /// Tokens of an answer when the request sets no limit.
 const DEFAULT_TOKENS: u32 = 32;
 
+/// Tokens that an answer has at most, whatever the request asks for.
+const MAX_TOKENS: u32 = 100_000;
+
 /// Priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 3;
 
@@ -49,20 +52,24 @@
     if let Some(refusal) = core.refusal(&ask.model) {
         return Ok(refusal);
     }
-    core.note_call(&request_id, &ask.model);
     let fault = core.fault(&ask.model);
     match fault {
         Some(Fault::Errors) => {
+            core.note_call(&request_id, &ask.model);
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Ok(reply::error(status, "the engine failed"));
         }
-        Some(Fault::Reset) => return Err(CloseConnection),
+        Some(Fault::Reset) => {
+            core.note_call(&request_id, &ask.model);
+            return Err(CloseConnection);
+        }
         _ => {}
     }
-    let (job, answer, rx) = prepare(core, &ask, request_id, priority, fault);
+    let (job, answer, rx) = prepare(core, &ask, request_id.clone(), priority, fault);
     if core.submit(job).is_err() {
         return Ok(queue_full());
     }
+    core.note_call(&request_id, &ask.model);
     let mut res = match ask.stream {
         true => streamed(answer, rx),
         false => whole(answer, rx).await?,
@@ -79,7 +86,8 @@
     fault: Option<Fault>,
 ) -> (Job, Answer, mpsc::Receiver<Event>) {
     let prompt = ask.prompt();
-    let tokens = ask.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
+    let tokens = ask.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let tokens = tokens.clamp(1, MAX_TOKENS);
     let quality = match fault {
         Some(Fault::LowQuality) => 0.0,
         _ => core.quality(&ask.model),
