Place pools under a lease with a fencing number

A few candidates for each pool; the holder of placer/<pool> reads the engines back every 3 s and orders the whole wanted state where it differs, at most two loads at once. The lease is counted from before it was asked for, and what is left of it is looked at right before each send. Ruled out: a step order such as "load this", which does harm when it comes late or twice, and remembering what was ordered in place of reading back, which never notices a late order.

Tests: eight on the paused clock (lapse, pause, lost answers, an order that arrives after the lease, with engines that check and engines that do not).

--- /dev/null
+++ b/crates/oatdale-placement/src/orders.rs
@@ -0,0 +1,40 @@
+//! How orders reach engines: the edge of the process.
+
+use oatdale_platform::wire::{Held, Order, Ordered};
+use oatdale_platform::{CallError, EngineClient};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Reads engines back and sends them orders.
+pub trait Orders: Clone + Send + Sync + 'static {
+    /// What an engine holds and was last ordered.
+    fn held(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Held, CallError>> + Send;
+
+    /// Sends an order; after an error it may have taken effect, now or later.
+    fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Ordered, CallError>> + Send;
+}
+
+impl Orders for EngineClient {
+    async fn held(&self, address: SocketAddr, limit: Duration) -> Result<Held, CallError> {
+        EngineClient::held(self, address, Instant::now() + limit).await
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+        limit: Duration,
+    ) -> Result<Ordered, CallError> {
+        EngineClient::order(self, address, order, Instant::now() + limit).await
+    }
+}
--- /dev/null
+++ b/crates/oatdale-placement/tests/placer.rs
@@ -0,0 +1,367 @@
+//! A pool's placers over an in-process service and engines that check fencing numbers or don't.
+
+use oatdale_config::{Config, Domain, Endpoint, EndpointKey, Key, Model, Pool, PoolKey, PoolKind};
+use oatdale_config::{Price, Revision, Version, VersionState};
+use oatdale_fakes::{KvFault, MemKv};
+use oatdale_placement::{Live, Orders, PauseClock, Placer, Settings, run};
+use oatdale_platform::CallError;
+use oatdale_platform::wire::{Held, Order, Ordered};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// What one engine is and saw.
+#[derive(Clone, Default)]
+struct Engine {
+    held: Held,
+    /// Orders that arrived, with whether they were followed.
+    seen: Vec<(Order, bool)>,
+}
+
+/// All engines of a pool as one client reaches them; an order may be held up on its way.
+#[derive(Clone)]
+struct Engines {
+    engines: Arc<Mutex<BTreeMap<SocketAddr, Engine>>>,
+    fencing: bool,
+    /// How long this client's orders are under way, whether or not it waits for them.
+    delay: Arc<Mutex<Duration>>,
+    /// How long a load takes.
+    load: Duration,
+    /// The most engines that ever loaded at once.
+    most: Arc<Mutex<usize>>,
+    loses_answers: bool,
+}
+
+impl Engines {
+    fn new(fencing: bool) -> Self {
+        Engines {
+            engines: Arc::default(),
+            fencing,
+            delay: Arc::default(),
+            load: SECOND,
+            most: Arc::default(),
+            loses_answers: false,
+        }
+    }
+
+    /// The same engines by a way of its own.
+    fn other_way(&self) -> Self {
+        Engines {
+            delay: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    fn held_by(&self, index: u16) -> Held {
+        let engines = self.engines.lock().unwrap();
+        engines
+            .get(&address(index))
+            .cloned()
+            .unwrap_or_default()
+            .held
+    }
+
+    fn seen_by(&self, index: u16) -> Vec<(Order, bool)> {
+        let engines = self.engines.lock().unwrap();
+        engines
+            .get(&address(index))
+            .cloned()
+            .unwrap_or_default()
+            .seen
+    }
+
+    fn arrive(&self, to: SocketAddr, order: &Order) -> Ordered {
+        let mut engines = self.engines.lock().unwrap();
+        let engine = engines.entry(to).or_default();
+        let stale = self.fencing && order.fencing < engine.held.fencing;
+        engine.seen.push((order.clone(), !stale));
+        if stale {
+            let newest = engine.held.fencing;
+            return Ordered::Stale { newest };
+        }
+        let have = |v: &String| engine.held.versions.contains(v);
+        let (kept, loading) = order.versions.iter().cloned().partition(have);
+        engine.held = Held {
+            fencing: order.fencing,
+            revision: order.revision,
+            versions: kept,
+            loading,
+            role: order.role,
+        };
+        let held = engine.held.clone();
+        let loads = engines.values().filter(|e| !e.held.loading.is_empty());
+        let mut most = self.most.lock().unwrap();
+        *most = (*most).max(loads.count());
+        Ordered::Accepted(held)
+    }
+
+    fn loaded(&self, at: SocketAddr) {
+        let mut engines = self.engines.lock().unwrap();
+        let engine = engines.entry(at).or_default();
+        let loading = std::mem::take(&mut engine.held.loading);
+        engine.held.versions.extend(loading);
+        engine.held.versions.sort();
+    }
+}
+
+impl Orders for Engines {
+    async fn held(&self, address: SocketAddr, _limit: Duration) -> Result<Held, CallError> {
+        let mut engines = self.engines.lock().unwrap();
+        Ok(engines.entry(address).or_default().held.clone())
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+        limit: Duration,
+    ) -> Result<Ordered, CallError> {
+        let delay = *self.delay.lock().unwrap();
+        let (engines, order, load) = (self.clone(), order.clone(), self.load);
+        let travel = tokio::spawn(async move {
+            sleep(delay).await;
+            let ordered = engines.arrive(address, &order);
+            tokio::spawn(async move {
+                sleep(load).await;
+                engines.loaded(address);
+            });
+            ordered
+        });
+        match tokio::time::timeout(limit, travel).await {
+            Ok(ordered) if !self.loses_answers => Ok(ordered.unwrap()),
+            Ok(_) | Err(_) => Err(CallError::TimedOut),
+        }
+    }
+}
+
+fn address(index: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + index))
+}
+
+/// A pool of `engines` that should hold `version` of one model and nothing else.
+fn live(revision: u64, engines: u16, version: &str) -> Live {
+    let mut cfg = Config::default();
+    let domain = cfg.domains.push(Domain {
+        name: "hcm-1".to_owned(),
+        region: "hcm".to_owned(),
+    });
+    let model = cfg.models.push(Model {
+        name: "planner".to_owned(),
+        versions: Vec::new(),
+    });
+    let version = cfg.versions.push(Version {
+        name: version.to_owned(),
+        model,
+        state: VersionState::Serving,
+        price: Price {
+            input: 1.0,
+            output: 2.0,
+        },
+    });
+    let endpoints: Vec<EndpointKey> = (0..engines)
+        .map(|index| {
+            cfg.endpoints.push(Endpoint {
+                name: format!("engine-{index}"),
+                address: address(index),
+                domain,
+                pool: PoolKey::from_index(0),
+                versions: vec![version],
+                concurrency: 8,
+            })
+        })
+        .collect();
+    cfg.pools.push(Pool {
+        name: "language".to_owned(),
+        kind: PoolKind::Engines { fencing: true },
+        endpoints,
+    });
+    Arc::new((Revision(revision), cfg))
+}
+
+/// A node that stands for the pool; its clock can be offset, as one that jumps.
+struct Node {
+    live: watch::Sender<Live>,
+    candidate: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+fn node(kv: &MemKv, name: &str, engines: &Engines, live: Live, start: Instant) -> Node {
+    let clock: PauseClock = Arc::new(move || start.elapsed());
+    let (live, live_rx) = watch::channel(live);
+    let (candidate, candidate_rx) = watch::channel(true);
+    let placer = Placer {
+        kv: kv.client(name),
+        orders: engines.clone(),
+        settings: Settings::new("language", name, 1),
+        clock,
+        live: live_rx,
+        candidate: candidate_rx,
+    };
+    let task = tokio::spawn(run(placer));
+    Node {
+        live,
+        candidate,
+        task,
+    }
+}
+
+fn full(version: &str) -> Vec<String> {
+    vec![format!("planner/{version}")]
+}
+
+#[tokio::test(start_paused = true)]
+async fn engines_get_what_the_text_wants_and_only_some_load_at_once() {
+    let (kv, start, mut engines) = (MemKv::new(1), Instant::now(), Engines::new(true));
+    engines.load = 10 * SECOND;
+    let node = node(&kv, "a", &engines, live(1, 9, "1"), start);
+    sleep(100 * SECOND).await;
+    for index in 0..9 {
+        assert_eq!(engines.held_by(index).versions, full("1"));
+    }
+    assert_eq!(*engines.most.lock().unwrap(), 2);
+    node.live.send_replace(live(2, 9, "2"));
+    sleep(100 * SECOND).await;
+    for index in 0..9 {
+        assert_eq!(engines.held_by(index).versions, full("2"));
+        assert_eq!(engines.held_by(index).revision, 2);
+    }
+    assert_eq!(*engines.most.lock().unwrap(), 2);
+}
+
+// Another node takes over when the holder's lease lapses, with a higher fencing number.
+#[tokio::test(start_paused = true)]
+async fn a_cut_off_holder_is_followed_by_another() {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(true));
+    let _a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(SECOND).await;
+    let _b = node(&kv, "b", &engines, live(1, 1, "1"), start);
+    let first = engines.held_by(0).fencing;
+    kv.cut("a");
+    sleep(40 * SECOND).await;
+    assert!(engines.held_by(0).fencing > first);
+    assert!(kv.counters().cuts > 0 && kv.counters().lapsed > 0);
+}
+
+// The holder sends an order, which is held up in the network while the holder is away. The lease
+// lapses, another node places a newer version, and only then the order arrives. An engine that
+// checks refuses it. One that doesn't drops the new version, and callers find it gone until the
+// new holder reads the engine back and orders again.
+async fn late_order(fencing: bool) -> (Engines, Duration) {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(fencing));
+    let a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(10 * SECOND).await;
+    assert_eq!(engines.held_by(0).versions, full("1"));
+    *engines.delay.lock().unwrap() = 60 * SECOND;
+    a.live.send_replace(live(2, 1, "old"));
+    sleep(4 * SECOND).await;
+    kv.cut("a");
+    let other = engines.other_way();
+    let _b = node(&kv, "b", &other, live(3, 1, "new"), start);
+    sleep(50 * SECOND).await;
+    assert_eq!(engines.held_by(0).versions, full("new"));
+    let seen = engines.seen_by(0).len();
+    while engines.seen_by(0).len() == seen {
+        sleep(Duration::from_millis(100)).await;
+    }
+    let arrived = Instant::now();
+    assert_eq!(engines.seen_by(0)[seen].0.versions, full("old"));
+    while engines.held_by(0).versions != full("new") {
+        sleep(Duration::from_millis(100)).await;
+    }
+    let harmed = arrived.elapsed();
+    sleep(60 * SECOND).await;
+    assert_eq!(engines.held_by(0).versions, full("new"));
+    (engines, harmed)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_order_is_refused_by_an_engine_that_checks() {
+    let (engines, harmed) = late_order(true).await;
+    assert_eq!(harmed, Duration::ZERO);
+    let refused = engines.seen_by(0).iter().filter(|(_, ok)| !ok).count();
+    assert!(refused > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_order_is_undone_at_an_engine_that_ignores_fencing() {
+    let (engines, harmed) = late_order(false).await;
+    assert!(
+        harmed > Duration::ZERO,
+        "the engine followed the late order"
+    );
+    assert!(
+        harmed <= 5 * SECOND,
+        "one round and one load, not {harmed:?}"
+    );
+    let refused = engines.seen_by(0).iter().filter(|(_, ok)| !ok).count();
+    assert_eq!(refused, 0);
+}
+
+// The holder is held up at the service for longer than its lease lasts. When it comes back it must
+// notice before it sends anything.
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_was_paused_sends_nothing() {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(false));
+    let a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(10 * SECOND).await;
+    kv.pause("a");
+    sleep(4 * SECOND).await;
+    let _b = node(&kv, "b", &engines, live(3, 1, "new"), start);
+    sleep(40 * SECOND).await;
+    a.live.send_replace(live(2, 1, "old"));
+    let before = engines.seen_by(0).len();
+    kv.resume("a");
+    sleep(40 * SECOND).await;
+    let old = engines.seen_by(0)[before..].to_vec();
+    assert!(old.iter().all(|(order, _)| order.versions == full("new")));
+    assert_eq!(engines.held_by(0).versions, full("new"));
+}
+
+// The answers to the lease's key and to all orders are lost. The placer must neither think that
+// another holds the lease nor order for ever what the engine holds already.
+#[tokio::test(start_paused = true)]
+async fn lost_answers_do_no_harm() {
+    let (kv, start, mut engines) = (MemKv::new(1), Instant::now(), Engines::new(true));
+    engines.loses_answers = true;
+    kv.script("a", [KvFault::Pass, KvFault::LostAnswer]);
+    let _a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(60 * SECOND).await;
+    assert_eq!(kv.counters().lost_answers, 1);
+    assert_eq!(engines.held_by(0).versions, full("1"));
+    assert_eq!(engines.seen_by(0).len(), 1);
+}
+
+// A node that is behind with its configuration gets the lease. It must not take engines back to
+// what it knows.
+#[tokio::test(start_paused = true)]
+async fn a_holder_with_an_older_text_orders_nothing() {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(false));
+    let a = node(&kv, "a", &engines, live(5, 1, "5"), start);
+    sleep(10 * SECOND).await;
+    a.candidate.send_replace(false);
+    sleep(10 * SECOND).await;
+    let b = node(&kv, "b", &engines, live(4, 1, "4"), start);
+    sleep(30 * SECOND).await;
+    assert_eq!(engines.held_by(0).versions, full("5"));
+    b.live.send_replace(live(6, 1, "6"));
+    sleep(10 * SECOND).await;
+    assert_eq!(engines.held_by(0).versions, full("6"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_placer_ends_with_its_node() {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(true));
+    let a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(5 * SECOND).await;
+    drop(a.candidate);
+    sleep(5 * SECOND).await;
+    assert!(a.task.is_finished());
+    let key = oatdale_platform::Kv::get(&kv, "placer/language").await;
+    assert_eq!(key.unwrap(), None, "the lease was given back");
+}
