--- a/crates/oatdale-placement/tests/placer.rs
+++ b/crates/oatdale-placement/tests/placer.rs
@@ -36,6 +36,8 @@
     /// The most engines that ever loaded at once.
     most: Arc<Mutex<usize>>,
     loses_answers: bool,
+    /// How long reading an engine back takes; stands for a pause of the process there.
+    pause: Arc<Mutex<Duration>>,
 }
 
 impl Engines {
@@ -47,6 +49,7 @@
             load: SECOND,
             most: Arc::default(),
             loses_answers: false,
+            pause: Arc::default(),
         }
     }
 
@@ -54,6 +57,7 @@
     fn other_way(&self) -> Self {
         Engines {
             delay: Arc::default(),
+            pause: Arc::default(),
             ..self.clone()
         }
     }
@@ -112,6 +116,8 @@
 
 impl Orders for Engines {
     async fn held(&self, address: SocketAddr, _limit: Duration) -> Result<Held, CallError> {
+        let pause = *self.pause.lock().unwrap();
+        sleep(pause).await;
         let mut engines = self.engines.lock().unwrap();
         Ok(engines.entry(address).or_default().held.clone())
     }
@@ -323,6 +329,40 @@
     assert_eq!(engines.held_by(0).versions, full("new"));
 }
 
+// The holder loses the service and goes on with what is left of its lease. After that it may have
+// been followed by another, so it must not send even what its text now wants.
+#[tokio::test(start_paused = true)]
+async fn a_holder_orders_nothing_once_its_lease_may_be_over() {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(false));
+    let a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(10 * SECOND).await;
+    kv.cut("a");
+    a.live.send_replace(live(2, 1, "2"));
+    sleep(5 * SECOND).await;
+    assert_eq!(engines.held_by(0).revision, 2, "there was enough left");
+    sleep(10 * SECOND).await;
+    a.live.send_replace(live(3, 1, "3"));
+    sleep(20 * SECOND).await;
+    assert_eq!(engines.held_by(0).revision, 2);
+    kv.mend("a");
+    sleep(20 * SECOND).await;
+    assert_eq!(engines.held_by(0).revision, 3);
+}
+
+// The process is paused after it decided and before it sends. Its decision is stale by then, and
+// an engine that ignores fencing numbers would follow it.
+#[tokio::test(start_paused = true)]
+async fn a_pause_between_reading_and_ordering_is_noticed() {
+    let (kv, start, engines) = (MemKv::new(1), Instant::now(), Engines::new(false));
+    *engines.pause.lock().unwrap() = 14 * SECOND;
+    let _a = node(&kv, "a", &engines, live(1, 1, "1"), start);
+    sleep(40 * SECOND).await;
+    assert_eq!(engines.seen_by(0), []);
+    *engines.pause.lock().unwrap() = Duration::ZERO;
+    sleep(40 * SECOND).await;
+    assert_eq!(engines.held_by(0).versions, full("1"));
+}
+
 // The answers to the lease's key and to all orders are lost. The placer must neither think that
 // another holds the lease nor order for ever what the engine holds already.
 #[tokio::test(start_paused = true)]
