--- a/crates/oatdale-journal/examples/rates.rs
+++ b/crates/oatdale-journal/examples/rates.rs
@@ -10,6 +10,7 @@
     BillRecord, Claim, ClaimKey, Closing, JournalHandle, MicroUnits, Millis, Outcome, Preferred,
     RequestId, Settings, ShardId, journal, run,
 };
+use oatdale_platform::Kv;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
@@ -71,6 +72,7 @@
     let before = kv.counters();
     let seen = drive(&handles, mode, rate, start).await;
     let after = kv.counters();
+    let seen_counts = (seen.bills, seen.claims);
     let reads = after.reads + after.watches - before.reads - before.watches;
     println!(
         "{:<10} {:>5}  {:>5}  {:>8.1}  {:>7.1}  {:>9}  {:>7}  {:>16}  {:>15}",
@@ -84,6 +86,29 @@
         quantiles(seen.claim_ms),
         quantiles(seen.bill_ms),
     );
+    if mode == Mode::Forwarded && nodes == 8 {
+        print_sizes(&kv, &seen_counts).await;
+    }
+}
+
+/// What lies at the service after a run in which nobody exported.
+async fn print_sizes(kv: &MemKv, counts: &(u64, u64)) {
+    let stored = kv.list("journal/", None, usize::MAX).await;
+    let stored = stored.expect("no fault is switched on");
+    let sum = |part: &str| -> (usize, usize) {
+        let values = stored.iter().filter(|entry| entry.key.contains(part));
+        let sizes = values.map(|entry| entry.value.len());
+        sizes.fold((0, 0), |(n, bytes), size| (n + 1, bytes + size))
+    };
+    let (slots, ring) = sum("/slot/");
+    let (pages, paged) = sum("/page/");
+    println!(
+        "           stored: {slots} segments of {} bytes on average, {pages} pages of {paged} bytes \
+         in all; {} bills, {} claims",
+        ring / slots.max(1),
+        counts.0,
+        counts.1
+    );
 }
 
 fn start_nodes(kv: &MemKv, mode: Mode, nodes: usize, start: Instant) -> Vec<JournalHandle> {
