Write claims before bills, and end dispatch by the retention that all agreed on

Two faults of the duty, each with a test that failed first: - a claim waited behind a backlog of bills, as holders bring them after an outage, and was refused after 2 s although the service was well. Claims and pins now come first in a batch. - dispatch_by came from the node's own settings, while expiry follows what the first node stored; with a longer setting of its own a node could dispatch after another had won the key. It now follows the fold's retention.

--- a/crates/oatdale-journal/src/duty.rs
+++ b/crates/oatdale-journal/src/duty.rs
@@ -79,7 +79,6 @@
     let handle = JournalHandle {
         jobs,
         meta: meta_rx,
-        claim_use: Duration::from_millis(settings.meta.retention.claims / 4),
     };
     let duty = Duty {
         kv,
--- a/crates/oatdale-journal/src/handle.rs
+++ b/crates/oatdale-journal/src/handle.rs
@@ -8,7 +8,6 @@
 };
 use crate::wire::{WireRecord, encode};
 use futures::future::join_all;
-use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -38,8 +37,6 @@
 pub struct JournalHandle {
     pub(crate) jobs: mpsc::Sender<Job>,
     pub(crate) meta: watch::Receiver<Option<Meta>>,
-    /// A claim may be used for this long after it was asked for.
-    pub(crate) claim_use: Duration,
 }
 
 impl JournalHandle {
@@ -50,10 +47,8 @@
     /// After any error the request must not be dispatched and should be [released](Self::release),
     /// since its record may still arrive.
     pub async fn claim(&self, key: ClaimKey, by: RequestId) -> Result<Claim> {
-        let dispatch_by = Instant::now() + self.claim_use;
         let (tx, rx) = oneshot::channel();
-        let reply = Reply::Claim { tx, dispatch_by };
-        self.submit(Record::Claim { key, by }, reply)?;
+        self.submit(Record::Claim { key, by }, Reply::Claim(tx))?;
         rx.await.unwrap_or(Err(JournalError::Stopped))
     }
 
--- a/crates/oatdale-journal/src/job.rs
+++ b/crates/oatdale-journal/src/job.rs
@@ -10,10 +10,7 @@
 
 /// Whom to tell.
 pub(crate) enum Reply {
-    Claim {
-        tx: oneshot::Sender<Result<Claim>>,
-        dispatch_by: Instant,
-    },
+    Claim(oneshot::Sender<Result<Claim>>),
     Pin(oneshot::Sender<Result<Pin>>),
     Done(oneshot::Sender<Result<()>>),
     /// Nobody; the job stays until the log has it.
@@ -52,6 +49,11 @@
         }
     }
 
+    /// Whether a caller waits for the job before it can go on; bills only wait to be kept.
+    pub(crate) fn is_urgent(&self) -> bool {
+        !matches!(self.record, Record::Bill(_))
+    }
+
     /// Whether the job may be given up with an error; one that nobody waits for may not.
     pub(crate) fn has_caller(&self) -> bool {
         !matches!(self.reply, Reply::None)
@@ -98,7 +100,7 @@
         by: crate::record::RequestId,
     ) -> Verdict {
         match held {
-            Some(held) if held.by == by => Verdict::Claim(Ok(self.won())),
+            Some(held) if held.by == by => Verdict::Claim(Ok(self.won(fold))),
             // The holder may have given the key back since this process last read the log.
             Some(_) if !self.checked => Verdict::Look,
             Some(held) => Verdict::Claim(Ok(Claim::Lost {
@@ -112,11 +114,10 @@
         }
     }
 
-    fn won(&self) -> Claim {
-        let dispatch_by = match &self.reply {
-            Reply::Claim { dispatch_by, .. } => *dispatch_by,
-            Reply::Pin(_) | Reply::Done(_) | Reply::None => self.since,
-        };
+    /// A claim may be used for a quarter of its retention, counted from before it was written.
+    fn won(&self, fold: &Fold) -> Claim {
+        let usable = Duration::from_millis(fold.retention.claims / 4);
+        let dispatch_by = self.since + usable;
         Claim::Won { dispatch_by }
     }
 
@@ -124,7 +125,7 @@
     pub(crate) fn answer(self, verdict: Verdict) {
         // A caller that has gone needs no answer; its record is in the log all the same.
         let _ = match (self.reply, verdict) {
-            (Reply::Claim { tx, .. }, Verdict::Claim(result)) => tx.send(result).is_ok(),
+            (Reply::Claim(tx), Verdict::Claim(result)) => tx.send(result).is_ok(),
             (Reply::Pin(tx), Verdict::Pin(pin)) => tx.send(Ok(pin)).is_ok(),
             (Reply::Done(tx), Verdict::Done(result)) => tx.send(result).is_ok(),
             _ => false,
@@ -134,7 +135,7 @@
     /// Answers the caller with an error.
     pub(crate) fn fail(self, error: JournalError) {
         let _ = match self.reply {
-            Reply::Claim { tx, .. } => tx.send(Err(error)).is_ok(),
+            Reply::Claim(tx) => tx.send(Err(error)).is_ok(),
             Reply::Pin(tx) => tx.send(Err(error)).is_ok(),
             Reply::Done(tx) => tx.send(Err(error)).is_ok(),
             Reply::None => false,
--- a/crates/oatdale-journal/src/shard.rs
+++ b/crates/oatdale-journal/src/shard.rs
@@ -229,14 +229,16 @@
         }
     }
 
-    /// The oldest jobs' records, as many as a segment holds.
+    /// The oldest jobs' records, urgent ones first, as many as a segment holds.
     fn batch(&self) -> Vec<Record> {
         let mut bytes = 0;
         let fits = |job: &&Job| {
             bytes += job.bytes;
             bytes <= MAX_SEGMENT
         };
-        let jobs = self.jobs.iter().take_while(fits);
+        let urgent = self.jobs.iter().filter(|job| job.is_urgent());
+        let bills = self.jobs.iter().filter(|job| !job.is_urgent());
+        let jobs = urgent.chain(bills).take_while(fits);
         jobs.map(|job| job.record.clone()).collect()
     }
 
--- a/crates/oatdale-journal/tests/journal.rs
+++ b/crates/oatdale-journal/tests/journal.rs
@@ -135,6 +135,46 @@
     assert!(asked.elapsed() <= 2 * SECOND, "{:?}", asked.elapsed());
 }
 
+// After an outage every holder brings its bills. A booking that waited behind all of them would be
+// refused although the service is well.
+#[tokio::test(start_paused = true)]
+async fn a_claim_does_not_wait_behind_a_backlog_of_bills() {
+    let (kv, start) = (MemKv::new(1), Instant::now());
+    let mut wide = settings(1, small_meta(1, 64));
+    wide.queue = 50_000;
+    let a = node(&kv, wide, start);
+    a.handle.pin(session(1), pin("planner/1")).await.unwrap();
+    let at = now(start);
+    let backlog: Vec<_> = (0..30_000).map(|n| bill(n, at, 1)).collect();
+    let holder = a.handle.clone();
+    let backlog = tokio::spawn(async move { holder.bill(backlog).await });
+    sleep(std::time::Duration::from_millis(10)).await;
+    let asked = Instant::now();
+    let claim = a.handle.claim(key(1), RequestId(1)).await.unwrap();
+    assert!(is_won(&claim));
+    assert!(asked.elapsed() < SECOND, "{:?}", asked.elapsed());
+    assert!(!backlog.is_finished());
+    backlog.await.unwrap().unwrap();
+}
+
+// The first node of all stored a shorter retention than a later node's settings name. Were that
+// node to go by its own, its request could be dispatched after another won the key.
+#[tokio::test(start_paused = true)]
+async fn dispatch_ends_by_what_all_nodes_agreed_on() {
+    let (kv, start) = (MemKv::new(1), Instant::now());
+    let mut short = small_meta(1, 8);
+    short.retention.claims = 8_000;
+    let a = node(&kv, settings(1, short), start);
+    a.handle.pin(session(1), pin("planner/1")).await.unwrap();
+    let b = node(&kv, settings(2, small_meta(1, 8)), start);
+    let asked = Instant::now();
+    let claim = b.handle.claim(key(1), RequestId(1)).await.unwrap();
+    let Claim::Won { dispatch_by } = claim else {
+        panic!("nobody else claims");
+    };
+    assert!(dispatch_by <= asked + 2 * SECOND);
+}
+
 #[tokio::test(start_paused = true)]
 async fn bills_are_exported_once_and_only_what_was_taken_goes() {
     let (kv, start) = (MemKv::new(1), Instant::now());
