Test learning, evidence and what outlives a configuration; retry elsewhere

A lone request whose version no endpoint can serve any more now goes to another serving version; one in a session never does.

--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -1,11 +1,15 @@
 //! The end of an attempt: what is learned, and whether another attempt follows.
 
 use super::Router;
-use crate::request::{Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Ticket};
+use crate::choice::Plan;
+use crate::endpoints::Pick;
+use crate::request::{
+    Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Session, Ticket, VersionReason,
+};
 use crate::state::{Attempt, Stage};
 use crate::trial::references;
 use crate::tuning::Retries;
-use oatdale_config::{Key, ServiceKey, ServiceKind, VersionKey};
+use oatdale_config::{EndpointKey, Key, ServiceKey, ServiceKind, VersionKey};
 use std::time::Duration;
 
 /// An answer is good enough from this rating on.
@@ -298,13 +302,20 @@
         request.tried.extend(attempt.endpoint);
         let (plan, step, tried) = (request.plan.clone(), request.step, request.tried.clone());
         let attempts = request.attempts;
+        if attempts >= MOST_ATTEMPTS || !self.has_time(ask.deadline, ask.service) {
+            return refuse(retry_after);
+        }
         let permitted = attempt
             .version
             .is_none_or(|v| self.catalogue.permits(&self.cfg, ask, v));
-        if attempts >= MOST_ATTEMPTS || !permitted || !self.has_time(ask.deadline, ask.service) {
-            return refuse(retry_after);
-        }
-        let Some(pick) = self.pick_crowded(ask, attempt.version, &tried) else {
+        let same = match permitted {
+            true => self.pick_crowded(ask, attempt.version, &tried),
+            false => None,
+        };
+        let found = same
+            .map(|pick| (plan, step, pick))
+            .or_else(|| self.pick_other_version(ask, attempt.version, &tried));
+        let Some((plan, step, pick)) = found else {
             return refuse(retry_after);
         };
         let budget = &mut self.services[ask.service.index()].budget;
@@ -313,6 +324,26 @@
         }
         Next::Run(self.dispatch(ticket, plan, step, pick))
     }
+
+    /// Another version for a request outside any session whose version no endpoint can serve.
+    fn pick_other_version(
+        &mut self,
+        ask: &Ask,
+        failed: Option<VersionKey>,
+        tried: &[EndpointKey],
+    ) -> Option<(Plan, usize, Pick)> {
+        if ask.session != Session::None || failed.is_none() {
+            return None;
+        }
+        let serving = self.catalogue.serving(&self.cfg, ask);
+        serving
+            .into_iter()
+            .filter(|&v| Some(v) != failed)
+            .find_map(|v| {
+                let pick = self.pick_crowded(ask, Some(v), tried)?;
+                Some((Plan::single(v, VersionReason::Cheapest), 0, pick))
+            })
+    }
 }
 
 fn refuse(retry_after: Option<Duration>) -> Next {
--- /dev/null
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -0,0 +1,228 @@
+//! Cascades, evidence against bad versions and what outlives a new configuration.
+
+use crate::fixture::{
+    Shape, ask, complete, customer, desk, outcome, planner, run, secs, version, wait,
+};
+use oatdale_config::VersionState;
+use oatdale_policy::{
+    Ask, AttemptResult, Fault, Next, Offer, RefusalReason, Router, Session, Turn, VersionCounters,
+    VersionReason,
+};
+
+const CANARY: VersionState = VersionState::Canary { share: 0.5 };
+
+fn with_canary() -> Router {
+    Shape {
+        states: [VersionState::Serving, CANARY, VersionState::Withdrawn],
+        ..Shape::default()
+    }
+    .router()
+}
+
+/// Counts of a node that saw a version fail in `errors` of 400 requests.
+fn failed(index: usize, errors: u64) -> VersionCounters {
+    VersionCounters {
+        requests: 400,
+        errors,
+        ..VersionCounters::zero(version(index))
+    }
+}
+
+#[test]
+fn a_rejected_answer_is_followed_by_a_better_version() {
+    let mut router = Shape {
+        quality: 0.95,
+        ..Shape::default()
+    }
+    .router();
+    let mut escalated = 0;
+    for i in 0..200_u32 {
+        let now = secs(f64::from(i));
+        let mut dispatch = run(router.offer(now, &ask(now, i.into())));
+        let is_good = |d: &oatdale_policy::Dispatch| d.version == Some(version(2));
+        loop {
+            let rating = f64::from(u8::from(is_good(&dispatch)));
+            match router.finish(now, dispatch.ticket, &complete(Some(rating))) {
+                Next::Run(next) => {
+                    assert!(dispatch.judge);
+                    assert_eq!(next.why_version, VersionReason::Escalated);
+                    escalated += 1;
+                    dispatch = next;
+                }
+                Next::Done => break,
+                Next::Refuse(refusal) => panic!("{refusal:?}"),
+            }
+        }
+    }
+    assert!(escalated > 0);
+}
+
+/// A licence summary must not run twice, so its first answer is its last, however it is rated.
+#[test]
+fn a_non_idempotent_request_never_cascades() {
+    let mut router = Shape {
+        quality: 0.95,
+        ..Shape::default()
+    }
+    .router();
+    for i in 0..200_u32 {
+        let now = secs(f64::from(i));
+        let asked = Ask {
+            idempotent: false,
+            ..ask(now, i.into())
+        };
+        let dispatch = run(router.offer(now, &asked));
+        assert!(!dispatch.judge);
+        let next = router.finish(now, dispatch.ticket, &complete(Some(0.0)));
+        assert_eq!(next, Next::Done);
+    }
+}
+
+/// A canary fails in a third of its requests at two other nodes while this one has seen nothing.
+/// Callers there get errors; no operator is awake. The nodes' counts together must stop it.
+#[test]
+fn counts_of_other_nodes_stop_a_bad_canary() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    let stops = router.take_stops(secs(1.0));
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    assert_eq!(
+        (stops[0].version, stops[0].fault),
+        (version(1), Fault::Errors)
+    );
+    for i in 0..100 {
+        let opened = router.open_session(secs(1.0), customer(0), planner(), i);
+        assert_eq!(opened.map(|(v, _)| v), Ok(version(0)));
+    }
+    assert!(router.take_stops(secs(2.0)).is_empty());
+}
+
+/// Everything fails alike because a rack is down. Stopping the canary would blame the wrong cause
+/// and hold up a healthy roll-out.
+#[test]
+fn a_canary_that_fails_no_more_than_the_others_goes_on() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 120), failed(1, 130)]);
+    assert!(router.take_stops(secs(1.0)).is_empty());
+}
+
+/// Gossip delivers a report twice and an older one last. Counting them again would double the
+/// errors and stop a healthy version.
+#[test]
+fn repeated_and_late_reports_change_nothing() {
+    let mut router = with_canary();
+    for _ in 0..100 {
+        router.merge_evidence(1, &[failed(0, 4), failed(1, 6)]);
+        router.merge_evidence(1, &[failed(1, 2)]);
+        assert!(router.take_stops(secs(1.0)).is_empty());
+    }
+}
+
+/// The only version that customer 1 may use turns bad. Stopping it would leave that customer
+/// without any answer, so it stays until an operator decides.
+#[test]
+fn a_customers_last_version_is_not_stopped() {
+    let mut router = Shape::default().router();
+    router.merge_evidence(1, &[failed(0, 200), failed(1, 4)]);
+    assert!(router.take_stops(secs(1.0)).is_empty());
+}
+
+#[test]
+fn requests_under_way_outlive_a_new_configuration() {
+    let mut router = Shape::default().router();
+    let mut running = Vec::new();
+    let waiting = loop {
+        match router.offer(secs(0.0), &ask(secs(0.0), 1)) {
+            Offer::Run(dispatch) => running.push(dispatch.ticket),
+            other => break wait(other),
+        }
+    };
+    router.reconfigure(secs(0.1), Shape::default().config());
+    assert_eq!(router.next_turn(secs(0.1)), None);
+    let next = router.finish(secs(0.2), running[0], &complete(None));
+    assert_eq!(next, Next::Done);
+    let turn = router.next_turn(secs(0.2));
+    assert!(
+        matches!(turn, Some((t, Turn::Run(_))) if t == waiting),
+        "{turn:?}"
+    );
+}
+
+/// An operator removes a service while requests wait for it. They must get their answer now and
+/// not wait for a turn that never comes.
+#[test]
+fn requests_of_a_removed_service_are_refused() {
+    let mut router = Shape::default().router();
+    let waiting = loop {
+        if let Offer::Wait(ticket) = router.offer(secs(0.0), &ask(secs(0.0), 1)) {
+            break ticket;
+        }
+    };
+    let mut cfg = (*Shape::default().config()).clone();
+    let mut services = oatdale_config::Arena::default();
+    let mut kept = cfg.services[desk()].clone();
+    kept.name = "other".to_owned();
+    services.push(kept);
+    cfg.services = services;
+    router.reconfigure(secs(0.1), cfg.into());
+    let turn = router.next_turn(secs(0.1));
+    let Some((ticket, Turn::Refuse(refusal))) = turn else {
+        panic!("{turn:?}");
+    };
+    assert_eq!(
+        (ticket, refusal.reason),
+        (waiting, RefusalReason::NoVersion)
+    );
+    assert_eq!(router.next_turn(secs(0.1)), None);
+}
+
+/// Nothing finishes for a while and callers keep coming. Whoever could not be served in time is
+/// told at once when to come back, while the queue stays short enough to be served.
+#[test]
+fn callers_who_cannot_be_served_in_time_are_refused_at_once() {
+    let mut router = Shape::default().router();
+    let warm = run(router.offer(secs(0.0), &ask(secs(0.0), 0)));
+    let slow = oatdale_policy::Outcome {
+        total: secs(2.0),
+        ..complete(None)
+    };
+    router.finish(secs(2.0), warm.ticket, &slow);
+    let mut waiting = 0;
+    for draw in 0..500 {
+        match router.offer(secs(2.0), &ask(secs(2.0), draw)) {
+            Offer::Run(_) => {}
+            Offer::Wait(_) => waiting += 1,
+            Offer::Refuse(refusal) => {
+                assert_eq!(refusal.reason, RefusalReason::Overload);
+                assert!(refusal.retry_after.is_some());
+                assert!((12..60).contains(&waiting), "{waiting} wait");
+                return;
+            }
+        }
+    }
+    panic!("{waiting} wait and none was refused");
+}
+
+/// All endpoints of the session's version fail it. The session must not go on with another
+/// version, not even to save the request.
+#[test]
+fn a_failed_session_request_does_not_change_its_version() {
+    let mut router = Shape::default().router();
+    let asked = Ask {
+        session: Session::Pinned {
+            version: version(0),
+            step: 2,
+        },
+        ..ask(secs(0.0), 1)
+    };
+    let mut dispatch = run(router.offer(secs(0.0), &asked));
+    loop {
+        assert_eq!(dispatch.version, Some(version(0)));
+        let broken = outcome(AttemptResult::Broken);
+        match router.finish(secs(0.1), dispatch.ticket, &broken) {
+            Next::Run(next) => dispatch = next,
+            Next::Refuse(_) => return,
+            Next::Done => panic!("a broken answer is not whole"),
+        }
+    }
+}
--- a/crates/oatdale-policy/tests/router/main.rs
+++ b/crates/oatdale-policy/tests/router/main.rs
@@ -2,4 +2,5 @@
 
 mod admission;
 mod fixture;
+mod learning;
 mod states;
