--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -112,7 +112,7 @@
 fn repeated_and_late_reports_change_nothing() {
     let mut router = with_canary();
     for _ in 0..100 {
-        router.merge_evidence(1, &[failed(0, 4), failed(1, 6)]);
+        router.merge_evidence(1, &[failed(0, 4), failed(1, 18)]);
         router.merge_evidence(1, &[failed(1, 2)]);
         assert!(router.take_stops(secs(1.0)).is_empty());
     }
