--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -113,7 +113,11 @@
     let mut router = with_canary();
     for _ in 0..100 {
         router.merge_evidence(1, &[failed(0, 4), failed(1, 18)]);
-        router.merge_evidence(1, &[failed(1, 2)]);
+        let older = VersionCounters {
+            requests: 100,
+            ..failed(1, 5)
+        };
+        router.merge_evidence(1, &[older]);
         assert!(router.take_stops(secs(1.0)).is_empty());
     }
 }
