--- a/crates/oatdale-mesh/examples/slopes.rs
+++ b/crates/oatdale-mesh/examples/slopes.rs
@@ -2,7 +2,8 @@
 //!
 //! `cargo run --release -p oatdale-mesh --example slopes` prints two tables (`core` or `sockets`
 //! after `--` prints one, and a number of nodes after that only its row, as memory needs: a row
-//! reuses what the one before has freed): the pure core on a counted clock, which is the same at each run but for
+//! reuses what the one before has freed): the pure core on a counted clock, which is the same at each
+//! run but for
 //! the processor's time, and the duty over loopback sockets, where all nodes share one thread.
 
 #[path = "../tests/support/in_memory.rs"]
--- a/crates/oatdale-mesh/src/wire.rs
+++ b/crates/oatdale-mesh/src/wire.rs
@@ -25,6 +25,7 @@
 pub(crate) use self::record::{HeldId, Record};
 pub(crate) use self::summary::{Fraction, HostCounters, Report, ReportMember};
 
+use crate::delta;
 use crate::error::{MalformedSnafu, Result};
 use crate::types::{HostId, Stop};
 use bytes::Bytes;
@@ -157,7 +158,7 @@
     fn weight(&self) -> usize {
         match self {
             Message::Cards(cards) => cards.len() * 120,
-            Message::Steps(steps) => steps.iter().map(|s| 40 + s.delta.middle.len()).sum(),
+            Message::Steps(steps) => steps.iter().map(|s| 40 + delta::size(&s.delta)).sum(),
             Message::Chunk(chunk) => 40 + chunk.bytes.len(),
             Message::Hold(records) => records.iter().map(|r| 64 + r.record.len()).sum(),
             Message::Forward(payload) => payload.len(),
--- /dev/null
+++ b/crates/oatdale-policy/tests/router/main.rs
@@ -0,0 +1,6 @@
+//! The router's decisions, by subject.
+
+mod admission;
+mod fixture;
+mod learning;
+mod states;
