--- a/crates/oatdale-mesh/examples/slopes.rs
+++ b/crates/oatdale-mesh/examples/slopes.rs
@@ -1,10 +1,10 @@
 //! Measures what control traffic costs a node as the fleet grows.
 //!
-//! `cargo run --release -p oatdale-mesh --example slopes` prints two tables (`core` or `sockets`
-//! after `--` prints one, and a number of nodes after that only its row, as memory needs: a row
-//! reuses what the one before has freed): the pure core on a counted clock, which is the same at each
-//! run but for
-//! the processor's time, and the duty over loopback sockets, where all nodes share one thread.
+//! `cargo run --release -p oatdale-mesh --example slopes` prints two tables: the pure core on a
+//! counted clock, which is the same at each run but for the processor's time, and the duty over
+//! loopback sockets, where all nodes share one thread. After `--`, `core`, `sockets` or `rest`
+//! prints one part, and a number of nodes after that only its row, as the column for memory needs:
+//! a row reuses what the one before has freed.
 
 #[path = "../tests/support/in_memory.rs"]
 mod in_memory;
@@ -30,11 +30,14 @@
     let only = std::env::args()
         .nth(2)
         .and_then(|n| n.parse::<usize>().ok());
-    if part.as_deref() != Some("sockets") {
+    if part.is_none() || part.as_deref() == Some("core") {
         core_table(only);
+    }
+    if part.is_none() || part.as_deref() == Some("rest") {
         bills();
+        outages();
     }
-    if part.as_deref() != Some("core") {
+    if part.is_none() || part.as_deref() == Some("sockets") {
         sockets_table(only);
     }
 }
@@ -210,6 +213,36 @@
     println!("({frames} frames in 30 s with {count} bills, heartbeats included)\n");
 }
 
+/// How long a change takes at today's size when one node alone reaches the service, from the
+/// moment at which the others fail to, and once that node is found.
+fn outages() {
+    for (name, settle) in [("just now", ms(0)), ("10 s ago", Duration::from_secs(10))] {
+        let mut spread: Vec<Duration> = (0..20).map(|seed| outage(seed, settle)).collect();
+        spread.sort_unstable();
+        println!(
+            "9 nodes, service lost to all but one {name}: median {} ms, worst {} ms, 20 seeds",
+            spread[10].as_millis(),
+            spread[19].as_millis()
+        );
+    }
+    println!();
+}
+
+fn outage(seed: u64, settle: Duration) -> Duration {
+    let mut fleet = Fleet::new(seed, 3, 3);
+    fleet.start_all();
+    fleet.run(Duration::from_secs(10));
+    fleet.write(text(0));
+    fleet.run(Duration::from_secs(5));
+    let only = fleet.random(9) as usize;
+    fleet.service_for(|i| i == only);
+    fleet.run(settle);
+    let revision = fleet.write(text(1));
+    fleet
+        .run_until(Duration::from_secs(60), |f| f.all_hold(revision))
+        .unwrap_or(Duration::MAX)
+}
+
 fn sockets_table(only: Option<usize>) {
     println!("duty over loopback sockets, all nodes on one thread, 30 s");
     println!(
