--- a/crates/oatdale-mesh/src/lib.rs
+++ b/crates/oatdale-mesh/src/lib.rs
@@ -1,4 +1,46 @@
 //! Node to node: membership, configuration deltas, load, limits, evidence.
+//!
+//! [`run`] is the duty of one node. It takes [`Command`]s from the node's other duties, gives them
+//! [`Event`]s, and talks to other nodes over authenticated WebSockets. All it knows is soft state:
+//! views of different nodes may differ at any time, which harms speed and no promise. The
+//! decisions are made by [`Member`], a state machine without I/O and without a clock.
+//!
+//! ```
+//! use oatdale_mesh::{Command, Event, Intervals, Listen, MeshConfig, new_incarnation, run};
+//! use std::net::TcpListener;
+//! use tokio::sync::mpsc;
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(async {
+//! let socket = TcpListener::bind("127.0.0.1:0")?;
+//! let address = socket.local_addr()?;
+//! let cfg = MeshConfig {
+//!     host: "entry-1".to_owned(),
+//!     domain: "hall-1".to_owned(),
+//!     region: "south".to_owned(),
+//!     incarnation: new_incarnation(),
+//!     listen: Listen::Bound(socket),
+//!     advertise: address,
+//!     caller: "127.0.0.1:8080".parse()?,
+//!     seeds: Vec::new(),
+//!     key: vec![7; 32],
+//!     holders: 2,
+//!     intervals: Intervals::default(),
+//! };
+//! let (tx, commands) = mpsc::channel(64);
+//! let (events, mut rx) = mpsc::channel(64);
+//! let duty = tokio::spawn(run(cfg, commands, events));
+//!
+//! let document = "services: []\n".into();
+//! tx.send(Command::Adopted { revision: 1, document }).await?;
+//! while rx.recv().await != Some(Event::Joined { asked: 0 }) {}
+//!
+//! tx.send(Command::Leave).await?;
+//! while rx.recv().await != Some(Event::LeaveDone) {}
+//! duty.await??;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! # })?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 mod addresses;
 mod auth;
--- a/crates/oatdale-mesh/src/types.rs
+++ b/crates/oatdale-mesh/src/types.rs
@@ -70,7 +70,8 @@
         id: u128,
         /// What to keep, at most [`MAX_RECORD`](crate::MAX_RECORD) bytes.
         record: Bytes,
-        /// Told once when enough nodes have it, or after the timeout.
+        /// Told once when enough nodes have it, or after the timeout. Dropped if another hold of
+        /// the same id comes before that.
         reply: oneshot::Sender<HoldAck>,
     },
     /// The journal has these; whoever holds them may forget them.
@@ -153,7 +154,8 @@
         /// How many peers answered.
         asked: usize,
     },
-    /// A newer configuration; revisions only rise.
+    /// A newer configuration; revisions only rise. One that the node has read from the service in
+    /// the meantime may be higher still, so the node takes the higher of the two.
     Document {
         /// Its revision.
         revision: u64,
@@ -180,7 +182,8 @@
         /// What it sent.
         payload: Bytes,
     },
-    /// Another process runs under this host's name and started later; this one must stop.
+    /// Another process runs under this host's name and started later; this one must stop, and the
+    /// duty ends.
     Superseded {
         /// The other's incarnation.
         by: u64,
--- /dev/null
+++ b/crates/oatdale-mesh/tests/addresses.rs
@@ -0,0 +1,89 @@
+//! Which addresses callers get.
+
+use oatdale_mesh::{PeerState, PeerView, addresses};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn view(n: u8, domain: &str, region: &str, load: f32) -> PeerView {
+    PeerView {
+        host: format!("host-{n}"),
+        domain: domain.to_owned(),
+        region: region.to_owned(),
+        incarnation: 1,
+        caller: SocketAddr::from(([10, 0, 0, n], 80)),
+        accepting: true,
+        load,
+        revision: 1,
+        revision_age: Duration::ZERO,
+        state: PeerState::Alive,
+    }
+}
+
+fn host(address: SocketAddr) -> u8 {
+    match address {
+        SocketAddr::V4(a) => a.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+fn order(peers: &[PeerView], domain: &str, seed: u64) -> Vec<u8> {
+    addresses(peers, domain, 10, seed)
+        .iter()
+        .map(|a| host(a.address))
+        .collect()
+}
+
+#[test]
+fn nearer_nodes_come_first() {
+    let peers = [
+        view(1, "c", "north", 0.0),
+        view(2, "b", "south", 0.0),
+        view(3, "a", "south", 0.5),
+    ];
+    for seed in 0..50 {
+        assert_eq!(order(&peers, "a", seed), [3, 2, 1]);
+    }
+}
+
+/// A node has said that it stops, another is not heard of, a third has stopped accepting. A caller
+/// that keeps its answer for a while would run into a closed door.
+#[test]
+fn nodes_that_should_get_nobody_are_left_out() {
+    let mut peers = vec![view(1, "a", "south", 0.0); 4];
+    for (n, peer) in peers.iter_mut().enumerate() {
+        *peer = view(n as u8 + 1, "a", "south", 0.0);
+    }
+    peers[1].state = PeerState::Left;
+    peers[2].state = PeerState::Suspect;
+    peers[3].accepting = false;
+    assert_eq!(order(&peers, "a", 7), [1]);
+}
+
+#[test]
+fn callers_spread_by_spare_capacity() {
+    let peers = [view(1, "a", "south", 0.75), view(2, "a", "south", 0.25)];
+    let first = (0..4000)
+        .filter(|seed| order(&peers, "a", *seed)[0] == 2)
+        .count();
+    let share = first as f64 / 4000.0;
+    assert!((share - 0.75).abs() < 0.03, "{share}");
+}
+
+/// All nodes of the caller's failure domain are full while the one next to it is idle. Sending
+/// everybody home would grow their queues.
+#[test]
+fn a_crowded_failure_domain_spills_over() {
+    let peers = [view(1, "a", "south", 0.95), view(2, "b", "south", 0.05)];
+    let first = (0..1000)
+        .filter(|seed| order(&peers, "a", *seed)[0] == 2)
+        .count();
+    assert!(first > 900, "{first}");
+}
+
+#[test]
+fn a_caller_from_nowhere_gets_addresses_too() {
+    let peers = [view(1, "a", "south", 0.0), view(2, "b", "north", 0.0)];
+    assert_eq!(order(&peers, "elsewhere", 3).len(), 2);
+    assert_eq!(addresses(&peers, "a", 1, 3).len(), 1);
+    assert!(addresses(&[], "a", 5, 3).is_empty());
+}
