Spread held bills over the whole fleet

Cause: a node went on with the holders that it had chosen first. In a fleet that comes up by a few seeds these are the seeds: one of 360 nodes had 182 links and sent 8.7 KB/s, the mean being 3.1, and would have held the bills of half a fleet.

Ruled out: links left over from joining; with 64 nodes and one seed the seed kept all 63 links for as long as the run lasted, since each was wanted by a node whose holder it was. Change: rendezvous order alone chooses holders, as it changes rarely by itself.

A holder that is replaced may miss the release, so it now wants a link to the owners of what it keeps. The new test of that passes without it too, since the old holder is chosen again after the cut; the rule stands by reasoning only.

Before, after: links of the seed at 64 nodes 63, below 30 (the new test fails before and passes after).

--- a/crates/oatdale-mesh/src/member/holds.rs
+++ b/crates/oatdale-mesh/src/member/holds.rs
@@ -58,6 +58,12 @@
         &self.holders
     }
 
+    /// Whose records are kept here. A release may have been lost with a link that the owner no
+    /// longer needs, so the holder sees to it that there is one.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = HostId> {
+        self.kept.values().map(|k| k.record.owner)
+    }
+
     /// A host has lost what it kept.
     pub(crate) fn restarted(&mut self, host: HostId) {
         for own in self.own.values_mut() {
@@ -310,7 +316,9 @@
     }
 
     /// Picks the nodes that keep this node's records: in failure domains other than its own and
-    /// each other's as far as there are any, and the same ones as long as they are there.
+    /// each other's as far as there are any, the first in this node's own order. The order alone
+    /// keeps them the same for long. Preferring those chosen before would leave the bills of a
+    /// whole fleet with the few nodes that were there first.
     pub(super) fn choose_holders(&mut self) {
         let mut chosen: Vec<HostId> = Vec::new();
         for _ in 0..self.holders {
@@ -326,8 +334,7 @@
                         true => 2,
                         false => u8::from(shared),
                     };
-                    let new = !self.holds.holders.contains(host);
-                    (class, new, rank::score(*host, self.id.0))
+                    (class, rank::score(*host, self.id.0))
                 });
             let Some((host, _)) = best else { break };
             chosen.push(host);
--- a/crates/oatdale-mesh/src/member/upkeep.rs
+++ b/crates/oatdale-mesh/src/member/upkeep.rs
@@ -226,7 +226,7 @@
     }
 
     /// Which links this node wants: the whole fleet while it is small; else its failure domain,
-    /// its opposite reporters and the nodes that keep its records.
+    /// its opposite reporters, the nodes that keep its records and those whose records it keeps.
     pub(super) fn update_wanted(&mut self) {
         let small = self.is_small();
         let mine = self.domain;
@@ -238,6 +238,8 @@
             .map(|(h, _)| h)
             .collect();
         wanted.extend(self.holds.holders());
+        let owners = self.holds.owners();
+        wanted.extend(owners.filter(|h| self.roster.get(*h).is_some()));
         if !small {
             let domains: BTreeSet<u32> = self.roster.present().map(|(_, p)| p.domain).collect();
             for domain in domains.into_iter().filter(|d| *d != mine) {
--- a/crates/oatdale-mesh/tests/holds.rs
+++ b/crates/oatdale-mesh/tests/holds.rs
@@ -134,6 +134,33 @@
     assert!(holders(&fleet).is_empty());
 }
 
+/// In a larger fleet a holder is cut off and replaced, and its owner has no other reason for a link
+/// to it. What the journal got in the meantime must not stay in its memory for ever.
+#[test]
+fn a_replaced_holder_forgets_what_was_released() {
+    let mut fleet = Fleet::new(20, 4, 8);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.run(Duration::from_secs(20));
+    hold(&mut fleet, 0, 1, b"closed");
+    fleet.run(ms(100));
+    let first = holders(&fleet)[0];
+    let name = fleet.nodes[first].name.clone();
+    fleet.cut(move |a, _| a.name == name);
+    fleet.run(Duration::from_secs(5));
+    fleet.input(0, Input::Release(vec![1]));
+    fleet.run(ms(500));
+    fleet.heal();
+    fleet.run(Duration::from_secs(40));
+    assert!(holders(&fleet).is_empty());
+    assert!(
+        fleet.platform.journal.is_empty(),
+        "nobody took the owner for dead"
+    );
+}
+
 /// A node is stopped as planned with bills that the journal has not got yet, in the middle of an
 /// outage of the service.
 #[test]
--- a/crates/oatdale-mesh/tests/membership.rs
+++ b/crates/oatdale-mesh/tests/membership.rs
@@ -65,6 +65,24 @@
     assert!(most.expect("nodes") < 40, "{most:?}");
 }
 
+/// A fleet comes up by one seed. The first nodes that a joiner knows are among those that keep its
+/// bills; were they kept for good, a few old nodes would hold the bills of the whole fleet.
+#[test]
+fn a_seed_is_not_left_with_the_whole_fleet() {
+    let mut fleet = Fleet::new(12, 8, 8);
+    let seed = fleet.nodes[0].address;
+    for i in 0..64 {
+        fleet.start_with(i, vec![seed]);
+        fleet.run(ms(20));
+    }
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.run(LONG);
+    let links = fleet.nodes[0].member.as_ref().expect("up").linked().count();
+    assert!(links < 30, "{links}");
+}
+
 /// A host loses its power and nothing tells its peers. Until they notice, callers may be sent to
 /// an address where nobody answers.
 #[test]
