Keep the seeds of the settings beside the platform's list of hosts

Cause: a list of hosts replaced the seeds. The platform's list lags; one without entry hosts that came before the first connection left a node alone for good. Seen as 1 of 15 and 1 of 23 runs of the tests of three processes, where a node never met the others within 20 s; its log shows that it joined with no peer asked and dialed no more.

Ruled out: ports taken over by other sites (each has its own key), stuck handshakes (bounded by 3 s and tried again).

Change: a list adds to the seeds.

--- a/crates/oatdale-mesh/src/member/dialer.rs
+++ b/crates/oatdale-mesh/src/member/dialer.rs
@@ -21,6 +21,9 @@
 #[derive(Debug)]
 pub(crate) struct Dialer {
     mine: SocketAddr,
+    /// Addresses of the settings, which no list replaces: the platform's lags, and one without a
+    /// fleet that has just come up would leave each of its nodes alone.
+    seeds: BTreeSet<SocketAddr>,
     hints: BTreeSet<SocketAddr>,
     tries: BTreeMap<SocketAddr, Try>,
     next_unknown: Duration,
@@ -37,18 +40,21 @@
 
 impl Dialer {
     pub(crate) fn new(seeds: &[SocketAddr], mine: SocketAddr, now: Duration) -> Self {
+        let seeds: BTreeSet<SocketAddr> = seeds.iter().copied().filter(|a| *a != mine).collect();
         Dialer {
             mine,
-            hints: seeds.iter().copied().filter(|a| *a != mine).collect(),
+            hints: seeds.clone(),
+            seeds,
             tries: BTreeMap::new(),
             next_unknown: now,
             started: now,
         }
     }
 
-    /// Replaces the seeds by a newer list.
+    /// Replaces what the last list added to the seeds.
     pub(crate) fn hint(&mut self, hosts: impl Iterator<Item = SocketAddr>) {
         self.hints = hosts.filter(|a| *a != self.mine).collect();
+        self.hints.extend(&self.seeds);
         let hints = &self.hints;
         self.tries.retain(|a, t| t.dialing || hints.contains(a));
     }
@@ -78,6 +84,7 @@
     pub(crate) fn failed(&mut self, address: SocketAddr, myself: bool, now: Duration) {
         if myself {
             self.hints.remove(&address);
+            self.seeds.remove(&address);
             self.tries.remove(&address);
             return;
         }
