Let nodes stand for the leases of their pools and order engines

Cause: the placement crate was not part of a node, so no engine got orders.

Change: a placement duty starts a placer for each pool of engines; the three live nodes of the highest rank for the pool's name stand for its lease. The placer takes the configuration by reference, so a change costs no copy.

Ruled out: every node standing for every lease (with 360 nodes that many waiting calls at the key-value service for each pool).

--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -356,7 +356,7 @@
         let report = LoadReport {
             running: load.running,
             waiting: load.waiting,
-            age: Duration::from_millis(load.age_ms),
+            age: load.age(),
         };
         self.cx.route.load(
             routed.live.revision,
--- a/crates/oatdale-node/src/hosts.rs
+++ b/crates/oatdale-node/src/hosts.rs
@@ -99,7 +99,7 @@
                 let report = LoadReport {
                     running: load.running,
                     waiting: load.waiting,
-                    age: Duration::from_millis(load.age_ms),
+                    age: load.age(),
                 };
                 self.route.load(live.revision, key, report, load.leaving);
                 self.route
--- a/crates/oatdale-node/src/lib.rs
+++ b/crates/oatdale-node/src/lib.rs
@@ -13,6 +13,7 @@
 //! | config | the operators' text, never an older one |
 //! | stops | versions that were stopped as bad |
 //! | hosts | leaving endpoints, engines' loads |
+//! | place | which engines hold which versions |
 //! | mesh, member | other nodes |
 //! | admin | health, metrics, status |
 //! | log | writes log lines |
@@ -43,6 +44,7 @@
 mod metrics;
 mod node;
 mod pins;
+mod place;
 mod prefer;
 mod problem;
 mod rate;
--- a/crates/oatdale-node/src/member.rs
+++ b/crates/oatdale-node/src/member.rs
@@ -125,7 +125,7 @@
             self.heard.send_replace(Instant::now());
         }
         if let Some(meta) = self.journal.meta() {
-            let hosts = alive().map(|p| p.host.as_str()).chain([self.host.as_str()]);
+            let hosts: Vec<&str> = alive().map(|p| p.host.as_str()).collect();
             let mine = preferred_shards(&hosts, &self.host, meta.shards);
             self.preferred.send_if_modified(|held| {
                 let changed = *held != mine;
--- a/crates/oatdale-node/src/node.rs
+++ b/crates/oatdale-node/src/node.rs
@@ -13,6 +13,7 @@
 use crate::member;
 use crate::metrics::Metrics;
 use crate::pins::PinCache;
+use crate::place;
 use crate::rate::{self, RateHandle};
 use crate::route::{self, Report, RouteHandle};
 use crate::session::Sealer;
@@ -289,6 +290,7 @@
         self.start_config(documents)?;
         self.start_stops(notices, &handles)?;
         self.start_hosts(&mesh, &handles)?;
+        self.start_placement()?;
         self.start_mesh(sockets.nodes, mesh_rx, events_tx)?;
         let member = self.start_member(events, mesh.clone(), documents_tx, &handles)?;
         let fronts = self.start_fronts(sockets.fronts, &handles)?;
@@ -437,6 +439,19 @@
         spawn("hosts", move || hosts::run(duty)).map(drop)
     }
 
+    fn start_placement(&self) -> Result<()> {
+        let duty = place::Duty {
+            host: self.settings.host.clone(),
+            incarnation: self.own.incarnation,
+            kv: self.kv.clone(),
+            engines: EngineClient::default(),
+            live: self.live.subscribe(),
+            peers: self.peers.subscribe(),
+            stop: self.stop.subscribe(),
+        };
+        spawn("place", move || place::run(duty)).map(drop)
+    }
+
     fn start_mesh(
         &self,
         listener: TcpListener,
--- a/crates/oatdale-node/src/prefer.rs
+++ b/crates/oatdale-node/src/prefer.rs
@@ -1,4 +1,4 @@
-//! Which node appends to which shard of the journal.
+//! Which nodes do what only a few need to do.
 
 use oatdale_journal::{Preferred, ShardId};
 use sha2::{Digest, Sha256};
@@ -7,21 +7,24 @@
 ///
 /// Nodes with different views may prefer none or two for a shard; the journal is then slower for a
 /// moment and still right.
-pub(crate) fn preferred_shards<'a>(
-    hosts: &(impl Iterator<Item = &'a str> + Clone),
-    own: &str,
-    shards: u16,
-) -> Preferred {
+pub(crate) fn preferred_shards(hosts: &[&str], own: &str, shards: u16) -> Preferred {
     let mine = (0..shards)
-        .filter(|shard| hosts.clone().max_by_key(|host| rank(host, *shard)) == Some(own))
+        .filter(|shard| is_among_first(hosts, own, &shard.to_be_bytes(), 1))
         .map(ShardId)
         .collect();
     Preferred(mine)
 }
 
-fn rank(host: &str, shard: u16) -> [u8; 32] {
+/// Whether `own` is among the `count` hosts of the highest rank for `key`.
+pub(crate) fn is_among_first(hosts: &[&str], own: &str, key: &[u8], count: usize) -> bool {
+    let mine = rank(own, key);
+    let higher = hosts.iter().filter(|host| rank(host, key) > mine).count();
+    higher < count
+}
+
+fn rank(host: &str, key: &[u8]) -> [u8; 32] {
     Sha256::new()
-        .chain_update(shard.to_be_bytes())
+        .chain_update(key)
         .chain_update(host.as_bytes())
         .finalize()
         .into()
--- a/crates/oatdale-placement/src/placer.rs
+++ b/crates/oatdale-placement/src/placer.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 /// The configuration in force on this node.
-pub type Live = Arc<(Revision, Config)>;
+pub type Live = (Revision, Arc<Config>);
 
 /// How a pool is placed.
 #[derive(Clone, PartialEq, Debug)]
@@ -172,14 +172,13 @@
 
     /// Reads all engines back and sends what differs.
     async fn round(&mut self, lease: &Lease) -> Result<(), End> {
-        let live = Arc::clone(&self.live.borrow_and_update());
-        let (revision, cfg) = &*live;
+        let (revision, cfg) = self.live.borrow_and_update().clone();
         let Some(pool) = cfg.pools.find(|pool| pool.name == self.settings.pool) else {
             return Ok(());
         };
-        let reads = wanted(cfg, pool).into_iter().map(|w| self.read_back(w));
+        let reads = wanted(&cfg, pool).into_iter().map(|w| self.read_back(w));
         let engines: Vec<(Wanted, Held)> = join_all(reads).await.into_iter().flatten().collect();
-        let steps = plan(&engines, lease.fencing, *revision, self.settings.loads);
+        let steps = plan(&engines, lease.fencing, revision, self.settings.loads);
         for ((wanted, held), step) in engines.iter().zip(steps) {
             match step {
                 Step::Send(order, why) => {
--- a/crates/oatdale-placement/tests/placer.rs
+++ b/crates/oatdale-placement/tests/placer.rs
@@ -187,7 +187,7 @@
         kind: PoolKind::Engines { fencing: true },
         endpoints,
     });
-    Arc::new((Revision(revision), cfg))
+    (Revision(revision), Arc::new(cfg))
 }
 
 /// A node that stands for the pool; its clock can be offset, as one that jumps.
