--- a/crates/oatdale-node/src/bill.rs
+++ b/crates/oatdale-node/src/bill.rs
@@ -28,7 +28,7 @@
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 
 /// Records in one call to the journal.
-const MAX_BATCH: usize = 512;
+const MAX_BATCH: usize = 4096;
 
 /// Pause after the journal failed.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
