--- a/crates/oatdale-mesh/src/member/summary.rs
+++ b/crates/oatdale-mesh/src/member/summary.rs
@@ -82,22 +82,23 @@
     /// chosen, nobody would ever talk to the other side again and each would go without the
     /// other's nodes until restarted. So suspected ones are tried then, others each time.
     pub(super) fn reporters(&self, of: u32, to: u32) -> Vec<HostId> {
-        let salt = rank::report_salt(of, to);
         let here = (of == self.domain && self.leaving.is_none()).then_some(self.id);
         let there = || self.roster.present().filter(|(_, p)| p.domain == of);
         let usable = there().filter(|(_, p)| p.usable()).map(|(host, _)| host);
-        let chosen = rank::first(usable.chain(here), salt, REPORTERS);
-        if !chosen.is_empty() {
-            return chosen;
+        let usable: Vec<HostId> = usable.chain(here).collect();
+        if !usable.is_empty() {
+            let mut others = self.other_domains();
+            others.insert(self.domain);
+            others.remove(&of);
+            return rank::reporters(&usable, &others, of, to);
         }
         let turn = self.now.as_secs() / RETRY_OTHERS.as_secs();
-        let salt = salt ^ rank::mix(turn);
+        let salt = rank::report_salt(of, to) ^ rank::mix(turn);
         rank::first(there().map(|(host, _)| host), salt, REPORTERS)
     }
 
     /// Hosts of another failure domain that get this one's summary from this node.
     fn report_to(&self, domain: u32) -> Vec<HostId> {
-        let linked = |h: &HostId| self.links.contains_key(h);
         match self.is_stale(domain) {
             // Whoever has a link tells, until proper reporters have found each other.
             true => {
@@ -106,14 +107,21 @@
                     .filter(|h| self.roster.domain_of(*h) == Some(domain))
                     .collect()
             }
-            false if self.reporters(self.domain, domain).contains(&self.id) => {
-                let hosts = self.reporters(domain, self.domain);
-                hosts.into_iter().filter(linked).collect()
-            }
-            false => Vec::new(),
+            false => self.opposite(domain).into_iter().collect(),
         }
     }
 
+    /// The reporter of another failure domain that this node talks to, if it is one itself: the
+    /// first to the first and the second to the second, or to another while that one has no link.
+    fn opposite(&self, domain: u32) -> Option<HostId> {
+        let mine = self.reporters(self.domain, domain);
+        let place = mine.iter().position(|h| *h == self.id)?;
+        let mut theirs = self.reporters(domain, self.domain);
+        let count = theirs.len().max(1);
+        theirs.rotate_left(place % count);
+        theirs.into_iter().find(|h| self.links.contains_key(h))
+    }
+
     pub(super) fn is_stale(&self, domain: u32) -> bool {
         let stale = self.report_interval() * STALE;
         self.summaries
