Don't make up for early excess with worse answers later

Change: at most two accepted answers of excess are remembered; the fixed margin falls from 0.8 to 0.1 points, since the shortfall alone now keeps the aim above the target.

--- a/crates/oatdale-policy/src/cascade.rs
+++ b/crates/oatdale-policy/src/cascade.rs
@@ -23,7 +23,7 @@
 const STEP: f64 = 0.01;
 
 /// How far above the target the price aims, as a share of answers.
-const MARGIN: f64 = 0.008;
+const MARGIN: f64 = 0.001;
 
 /// The price of quality stays within these multiples of the dearest version's cost.
 const PRICE_RANGE: (f64, f64) = (1e-3, 100.0);
@@ -34,6 +34,10 @@
 /// How far a shortfall may raise the aim, and an excess lower it, as a share of answers.
 const AIM_RANGE: (f64, f64) = (-0.01, 0.03);
 
+/// Accepted answers above the target that may be made up for by worse ones later; callers who
+/// come later have no use for more.
+const CREDIT: f64 = 2.0;
+
 /// Requests after which a shortfall is forgotten.
 const SHORTFALL_MEMORY: f64 = 4_000.0;
 
@@ -176,7 +180,7 @@
     ) {
         let accepted = rating.unwrap_or_else(|| self.belief(class, version, after));
         self.shortfall *= 1.0 - 1.0 / SHORTFALL_MEMORY;
-        self.shortfall += target - accepted;
+        self.shortfall = (self.shortfall + target - accepted).max(-CREDIT);
         if rating.is_none() {
             let kept = 1.0 - 1.0 / SAMPLING_MEMORY;
             self.unheld = self.unheld * kept + 1.0;
