Keep a stop that no record covers yet

Cause: nodes set all recorded stops anew with each configuration. A stop that the router had just decided was not among them, so any unrelated change of the text cleared it, and its trial began anew: callers got the bad version again for as long as the first detection took.

Change: a router's own decision is kept apart from recorded stops. It ends with its record, once there was one, or with a text that changes the version's state or price; then its trial begins anew, since old counts would stop it again at once.

--- a/crates/oatdale-policy/src/choice.rs
+++ b/crates/oatdale-policy/src/choice.rs
@@ -55,14 +55,18 @@
 /// Versions of each service, cheapest first, and which of them are stopped.
 pub(crate) struct Catalogue {
     by_price: Vec<Versions>,
-    stopped: Vec<bool>,
+    /// Stops that are recorded beside the text.
+    recorded: Vec<bool>,
+    /// Stops that this router decided and that no record covers yet.
+    decided: Vec<bool>,
 }
 
 impl Catalogue {
     pub(crate) fn new(cfg: &Config) -> Self {
         Catalogue {
             by_price: cfg.services.keys().map(|s| by_price(cfg, s)).collect(),
-            stopped: vec![false; cfg.versions.len()],
+            recorded: vec![false; cfg.versions.len()],
+            decided: vec![false; cfg.versions.len()],
         }
     }
 
@@ -72,15 +76,39 @@
     }
 
     pub(crate) fn is_stopped(&self, version: VersionKey) -> bool {
-        self.stopped[version.index()]
+        self.recorded[version.index()] || self.decided[version.index()]
     }
 
-    pub(crate) fn set_stopped(&mut self, version: VersionKey, stopped: bool) {
-        if let Some(entry) = self.stopped.get_mut(version.index()) {
-            *entry = stopped;
+    /// Takes in whether a stop is recorded.
+    ///
+    /// A record takes the place of this router's own decision and ends with it. That there is no
+    /// record yet says nothing against the decision: the record may still be on its way, and a
+    /// node that took this for the stop's end would let callers have the bad version again.
+    pub(crate) fn set_recorded(&mut self, version: VersionKey, recorded: bool) {
+        self.recorded[version.index()] = recorded;
+        if recorded {
+            self.decided[version.index()] = false;
         }
     }
 
+    /// Stops a version by this router's own decision.
+    pub(crate) fn decide(&mut self, version: VersionKey) {
+        self.decided[version.index()] = true;
+    }
+
+    /// Takes over a version's stops from an earlier configuration; a decision ends if the text
+    /// says something else of the version now.
+    pub(crate) fn take_over(
+        &mut self,
+        version: VersionKey,
+        old: (&Catalogue, VersionKey),
+        spoken_of: bool,
+    ) {
+        let (catalogue, key) = old;
+        self.recorded[version.index()] = catalogue.recorded[key.index()];
+        self.decided[version.index()] = catalogue.decided[key.index()] && !spoken_of;
+    }
+
     /// Whether a version may serve this request now, by its state, its stop and the customer.
     ///
     /// Every path that sends a request asks here: first choice, cascade, retry, turn from the
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -214,14 +214,19 @@
     }
 
     /// Sets whether a stop recorded beside the text keeps new work off a version.
+    ///
+    /// A stop that [`Router::take_stops`] returned holds here without a record, until it has been
+    /// set by this call and cleared again, or until a configuration changes the version's state
+    /// or price.
     pub fn set_stopped(&mut self, version: VersionKey, stopped: bool) {
         if version.index() >= self.cfg.versions.len() {
             return;
         }
-        if self.catalogue.is_stopped(version) && !stopped {
+        let before = self.catalogue.is_stopped(version);
+        self.catalogue.set_recorded(version, stopped);
+        if before && !self.catalogue.is_stopped(version) {
             self.trials.restart(version, &self.cfg, &self.evidence);
         }
-        self.catalogue.set_stopped(version, stopped);
     }
 
     /// Versions found to be bad since the last call, already stopped here; the node records them.
@@ -230,7 +235,7 @@
         let (trials, catalogue) = (&mut self.trials, &self.catalogue);
         let stops = trials.judge(&self.cfg, catalogue, &self.evidence);
         for stop in &stops {
-            self.catalogue.set_stopped(stop.version, true);
+            self.catalogue.decide(stop.version);
         }
         stops
     }
--- a/crates/oatdale-policy/src/router/reconfigure.rs
+++ b/crates/oatdale-policy/src/router/reconfigure.rs
@@ -8,7 +8,7 @@
 use crate::request::{Session, Ticket};
 use crate::state::{CustomerState, PoolState, ServiceState, Stage};
 use crate::trial::Trials;
-use oatdale_config::{Config, Key, PoolKey};
+use oatdale_config::{Config, Key, PoolKey, VersionKey};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,13 +20,16 @@
         self.now = self.now.max(now);
         let old = std::mem::replace(&mut self.cfg, cfg);
         let rekey = Rekey::new(&old, &self.cfg);
-        self.move_catalogue(&old, &rekey);
+        let ended = self.move_catalogue(&old, &rekey);
         self.move_endpoints(&old, &rekey);
         self.evidence
             .rekey(self.cfg.versions.keys(), |v| rekey.version(v));
         let trials = std::mem::replace(&mut self.trials, Trials::new(&self.cfg));
         self.trials
             .take_over(trials, &self.cfg, &old, &rekey, &self.evidence);
+        for version in ended {
+            self.trials.restart(version, &self.cfg, &self.evidence);
+        }
         self.move_services(&old, &rekey);
         self.move_customers(&old, &rekey);
         self.pools = self.new_pools();
@@ -64,14 +67,24 @@
             .max(1.0)
     }
 
-    fn move_catalogue(&mut self, old: &Config, rekey: &Rekey) {
+    /// Returns the versions whose stop the new text ends; what was counted before speaks of the
+    /// old text and would stop them again at once.
+    fn move_catalogue(&mut self, old: &Config, rekey: &Rekey) -> Vec<VersionKey> {
+        let mut ended = Vec::new();
         let mut catalogue = Catalogue::new(&self.cfg);
-        for version in old.versions.keys() {
-            if let Some(new) = rekey.version(version) {
-                catalogue.set_stopped(new, self.catalogue.is_stopped(version));
+        for (version, item) in old.versions.iter() {
+            let Some(new) = rekey.version(version) else {
+                continue;
+            };
+            let now = &self.cfg.versions[new];
+            let spoken_of = (now.state, now.price) != (item.state, item.price);
+            catalogue.take_over(new, (&self.catalogue, version), spoken_of);
+            if self.catalogue.is_stopped(version) && !catalogue.is_stopped(new) {
+                ended.push(new);
             }
         }
         self.catalogue = catalogue;
+        ended
     }
 
     fn move_endpoints(&mut self, old: &Config, rekey: &Rekey) {
--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -11,12 +11,15 @@
 
 const CANARY: VersionState = VersionState::Canary { share: 0.5 };
 
-fn with_canary() -> Router {
+fn canary_shape() -> Shape {
     Shape {
         states: [VersionState::Serving, CANARY, VersionState::Withdrawn],
         ..Shape::default()
     }
-    .router()
+}
+
+fn with_canary() -> Router {
+    canary_shape().router()
 }
 
 /// Counts of a node that saw a version fail in `errors` of 400 requests.
@@ -230,3 +233,45 @@
         }
     }
 }
+
+/// The router stops a bad canary while the platform's service is down, so no record of the stop
+/// exists yet. Then an operator changes something else. The node sets the recorded stops anew,
+/// and if that cleared the router's own decision, callers would get the bad version again.
+#[test]
+fn a_stop_that_is_not_recorded_yet_outlives_other_changes() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    assert_eq!(router.take_stops(secs(1.0)).len(), 1);
+    router.reconfigure(secs(2.0), canary_shape().config());
+    router.set_stopped(version(1), false);
+    assert_eq!(opened_on_canary(&mut router), 0);
+}
+
+#[test]
+fn a_recorded_stop_ends_with_its_record() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    assert_eq!(router.take_stops(secs(1.0)).len(), 1);
+    router.set_stopped(version(1), true);
+    router.set_stopped(version(1), false);
+    assert!(opened_on_canary(&mut router) > 0);
+}
+
+#[test]
+fn a_stop_ends_with_a_text_that_speaks_of_the_version() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    assert_eq!(router.take_stops(secs(1.0)).len(), 1);
+    let mut shape = canary_shape();
+    shape.states[1] = VersionState::Canary { share: 0.6 };
+    router.reconfigure(secs(2.0), shape.config());
+    assert!(router.take_stops(secs(2.0)).is_empty(), "old evidence");
+    assert!(opened_on_canary(&mut router) > 0);
+}
+
+/// Sessions of a hundred that open on the canary.
+fn opened_on_canary(router: &mut Router) -> usize {
+    let opened = |i| router.open_session(secs(3.0), customer(0), planner(), i);
+    let versions = (0..100).map(opened).filter_map(Result::ok);
+    versions.filter(|(v, _)| *v == version(1)).count()
+}
