Keep learned limits and spare work when configurations and reports come

Cause: each new configuration, one every 12 s at the target size, set every pool's learned limit back to its ceiling. Each engine's first report of its versions worked out all 41 subsets of 2,100 endpoints anew, which is some milliseconds for each of 2,100 engines at a node's start.

Change: limits are kept by the pool's name; a report works out only the subsets of versions that the engine gained or lost; endpoints are ranked once; a decision lists its candidates once and without allocation.

--- a/crates/oatdale-policy/benches/decision.rs
+++ b/crates/oatdale-policy/benches/decision.rs
@@ -1,7 +1,7 @@
 //! The cost of one decision at the target size: 2,100 endpoints, 40 versions.
 //!
-//! `cargo bench -p oatdale-policy` prints nanoseconds for a decision (offer) and for a whole
-//! request (offer and finish), as the median and the worst of several rounds.
+//! `cargo bench -p oatdale-policy` prints nanoseconds for a decision (offer), for a whole request
+//! (offer and finish) and for taking in a configuration, as the median and the worst of several rounds.
 
 use oatdale_config::{
     Arena, Config, Customer, CustomerKey, Digest, Domain, DomainKey, Endpoint, EndpointKey, Key,
@@ -26,7 +26,7 @@
         domain: Some(DomainKey::from_index(0)),
         seed: 1,
     };
-    let mut router = Router::new(cfg, place);
+    let mut router = Router::new(cfg.clone(), place);
     let mut offers = Vec::new();
     let mut requests = Vec::new();
     for round in 0..ROUNDS as u64 {
@@ -35,9 +35,21 @@
         requests.push(whole);
     }
     print("offer", offers);
+    print("reconfigure", reconfigure(&mut router, &cfg));
     print("offer and finish", requests);
 }
 
+/// Nanoseconds of taking in a configuration of the same size.
+fn reconfigure(router: &mut Router, cfg: &Arc<Config>) -> Vec<u64> {
+    (0..ROUNDS)
+        .map(|_| {
+            let began = Instant::now();
+            router.reconfigure(Duration::from_secs(10_000), cfg.clone());
+            began.elapsed().as_nanos() as u64
+        })
+        .collect()
+}
+
 /// Nanoseconds of an offer and of a whole request.
 fn measure(router: &mut Router, round: u64) -> (u64, u64) {
     let mut offers = Duration::ZERO;
--- a/crates/oatdale-policy/src/cascade/sequence.rs
+++ b/crates/oatdale-policy/src/cascade/sequence.rs
@@ -59,7 +59,7 @@
 
 /// Versions of which none is dearer and worse than another, cheapest first.
 pub(super) fn undominated(expected: &[Expected]) -> SmallVec<[Expected; 8]> {
-    let mut sorted: SmallVec<[Expected; 8]> = SmallVec::from_slice(expected);
+    let mut sorted: SmallVec<[Expected; 64]> = SmallVec::from_slice(expected);
     sorted.sort_unstable_by(|a, b| {
         let by_cost = a.cost.total_cmp(&b.cost);
         by_cost
--- a/crates/oatdale-policy/src/choice.rs
+++ b/crates/oatdale-policy/src/choice.rs
@@ -48,8 +48,8 @@
     Pinned(VersionKey),
     /// A canary whose share the request falls into, where nothing else takes new work.
     Canary(VersionKey),
-    /// Serving versions, cheapest first; never empty.
-    Serving(Versions),
+    /// What [`Catalogue::serving`] gives; never empty.
+    Serving,
 }
 
 /// Versions of each service, cheapest first, and which of them are stopped.
@@ -127,13 +127,13 @@
     }
 
     /// Versions in state `serving` that may serve this new request, cheapest first.
-    pub(crate) fn serving(&self, cfg: &Config, ask: &Ask) -> Versions {
+    pub(crate) fn serving(&self, cfg: &Config, ask: &Ask) -> impl Iterator<Item = VersionKey> {
+        let customer = ask.customer;
         self.of(ask.service)
             .iter()
             .copied()
             .filter(|&v| cfg.versions[v].state == VersionState::Serving)
-            .filter(|&v| !self.is_stopped(v) && cfg.allows(ask.customer, v))
-            .collect()
+            .filter(move |&v| !self.is_stopped(v) && cfg.allows(customer, v))
     }
 
     /// The canary whose share the request falls into, if any.
@@ -213,10 +213,9 @@
         if let Session::Pinned { version, .. } = ask.session {
             return self.pinned(cfg, ask, version);
         }
-        let serving = self.serving(cfg, ask);
-        match serving.is_empty() {
-            false => Ok(Candidates::Serving(serving)),
-            true => self
+        match self.serving(cfg, ask).next() {
+            Some(_) => Ok(Candidates::Serving),
+            None => self
                 .canary(cfg, ask, None)
                 .map(Candidates::Canary)
                 .ok_or(RefusalReason::NoVersion),
--- a/crates/oatdale-policy/src/endpoints.rs
+++ b/crates/oatdale-policy/src/endpoints.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Endpoints {
     pub(crate) states: Vec<EndpointState>,
     subsets: Vec<Vec<EndpointKey>>,
+    /// Each endpoint's place in this node's order of preference.
+    ranks: Vec<u64>,
     versions: usize,
     pub(crate) domain: Option<DomainKey>,
     pub(crate) seed: u64,
@@ -62,6 +64,11 @@
         let mut endpoints = Endpoints {
             states: vec![EndpointState::default(); cfg.endpoints.len()],
             subsets: Vec::new(),
+            ranks: cfg
+                .endpoints
+                .iter()
+                .map(|(_, e)| mix(seed ^ name_hash(&e.name)))
+                .collect(),
             versions: cfg.versions.len(),
             domain,
             seed,
@@ -70,31 +77,64 @@
         endpoints
     }
 
-    /// Works the subsets out anew after the configuration or an engine's versions changed.
+    /// Works all subsets out anew after the configuration changed.
     pub(crate) fn rebuild(&mut self, cfg: &Config) {
         self.versions = cfg.versions.len();
-        let mut subsets = vec![Vec::new(); cfg.pools.len() * (self.versions + 1)];
+        self.subsets = vec![Vec::new(); cfg.pools.len() * (self.versions + 1)];
         for (pool, item) in cfg.pools.iter() {
-            let base = pool.index() * (self.versions + 1);
-            subsets[base] = self.subset(cfg, &item.endpoints);
+            let at = self.place(pool, None);
+            self.subsets[at] = self.subset(item.endpoints.iter().copied());
             for version in cfg.versions.keys() {
-                let holders: Vec<_> = item
-                    .endpoints
-                    .iter()
-                    .copied()
-                    .filter(|&e| self.holds(cfg, e, version))
-                    .collect();
-                subsets[base + 1 + version.index()] = self.subset(cfg, &holders);
+                self.rebuild_one(cfg, pool, version);
             }
         }
-        self.subsets = subsets;
+    }
+
+    /// Takes in which versions an endpoint reports as loaded.
+    ///
+    /// Only the subsets of versions that it gained or lost are worked out anew: thousands of
+    /// engines report their versions when a node starts, most of them as the text has it.
+    pub(crate) fn set_holds(
+        &mut self,
+        cfg: &Config,
+        e: EndpointKey,
+        holds: Option<Vec<VersionKey>>,
+    ) {
+        let held = |endpoints: &Self| -> Vec<VersionKey> {
+            cfg.versions
+                .keys()
+                .filter(|&v| endpoints.holds(cfg, e, v))
+                .collect()
+        };
+        let before = held(self);
+        self.states[e.index()].holds = holds;
+        let after = held(self);
+        let changed = cfg
+            .versions
+            .keys()
+            .filter(|v| before.contains(v) != after.contains(v));
+        for version in changed {
+            self.rebuild_one(cfg, cfg.endpoints[e].pool, version);
+        }
+    }
+
+    fn rebuild_one(&mut self, cfg: &Config, pool: PoolKey, version: VersionKey) {
+        let all = cfg.pools[pool].endpoints.iter().copied();
+        let subset = self.subset(all.filter(|&e| self.holds(cfg, e, version)));
+        let at = self.place(pool, Some(version));
+        self.subsets[at] = subset;
+    }
+
+    fn place(&self, pool: PoolKey, version: Option<VersionKey>) -> usize {
+        let offset = version.map_or(0, |v| v.index() + 1);
+        pool.index() * (self.versions + 1) + offset
     }
 
     /// The endpoints that this node uses for a pool and version; all versions for `None`.
     pub(crate) fn used(&self, pool: PoolKey, version: Option<VersionKey>) -> &[EndpointKey] {
-        let offset = version.map_or(0, |v| v.index() + 1);
-        let at = pool.index() * (self.versions + 1) + offset;
-        self.subsets.get(at).map_or(&[], Vec::as_slice)
+        self.subsets
+            .get(self.place(pool, version))
+            .map_or(&[], Vec::as_slice)
     }
 
     /// Whether any endpoint of the pool that holds the version is worth asking.
@@ -261,13 +301,12 @@
     }
 
     /// Rendezvous hashing: an endpoint that comes or goes changes one place of the subset.
-    fn subset(&self, cfg: &Config, from: &[EndpointKey]) -> Vec<EndpointKey> {
-        let mut ranked: Vec<_> = from
-            .iter()
-            .map(|&e| (mix(self.seed ^ name_hash(&cfg.endpoints[e].name)), e))
-            .collect();
-        ranked.sort_unstable();
-        ranked.truncate(SUBSET);
+    fn subset(&self, from: impl Iterator<Item = EndpointKey>) -> Vec<EndpointKey> {
+        let mut ranked: Vec<_> = from.map(|e| (self.ranks[e.index()], e)).collect();
+        if ranked.len() > SUBSET {
+            ranked.select_nth_unstable(SUBSET);
+            ranked.truncate(SUBSET);
+        }
         let mut subset: Vec<_> = ranked.into_iter().map(|(_, e)| e).collect();
         subset.sort_unstable();
         subset
--- a/crates/oatdale-policy/src/rekey.rs
+++ b/crates/oatdale-policy/src/rekey.rs
@@ -1,6 +1,8 @@
 //! Finds each item of one configuration in the next one by its name.
 
-use oatdale_config::{Config, CustomerKey, DomainKey, EndpointKey, Key, ServiceKey, VersionKey};
+use oatdale_config::{
+    Config, CustomerKey, DomainKey, EndpointKey, Key, PoolKey, ServiceKey, VersionKey,
+};
 use std::collections::HashMap;
 
 /// Where the items of an old configuration are in a new one.
@@ -10,6 +12,7 @@
     versions: Vec<Option<VersionKey>>,
     endpoints: Vec<Option<EndpointKey>>,
     domains: Vec<Option<DomainKey>>,
+    pools: Vec<Option<PoolKey>>,
 }
 
 impl Rekey {
@@ -35,6 +38,10 @@
                 old.domains.iter().map(|(_, d)| d.name.clone()),
                 new.domains.iter().map(|(k, d)| (d.name.clone(), k)),
             ),
+            pools: map(
+                old.pools.iter().map(|(_, p)| p.name.clone()),
+                new.pools.iter().map(|(k, p)| (p.name.clone(), k)),
+            ),
         }
     }
 
@@ -57,6 +64,10 @@
     pub(crate) fn domain(&self, old: DomainKey) -> Option<DomainKey> {
         self.domains.get(old.index()).copied().flatten()
     }
+
+    pub(crate) fn pool(&self, old: PoolKey) -> Option<PoolKey> {
+        self.pools.get(old.index()).copied().flatten()
+    }
 }
 
 /// The address belongs to the name: an endpoint that moved is a new one with its own pace.
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -171,12 +171,9 @@
 
     /// Notes which versions an engine reports as loaded; `None` trusts the configuration.
     pub fn endpoint_holds(&mut self, endpoint: EndpointKey, versions: Option<Vec<VersionKey>>) {
-        let Some(state) = self.endpoints.states.get_mut(endpoint.index()) else {
-            return;
-        };
-        if state.holds != versions {
-            state.holds = versions;
-            self.endpoints.rebuild(&self.cfg);
+        let known = self.endpoints.states.get(endpoint.index());
+        if known.is_some_and(|state| state.holds != versions) {
+            self.endpoints.set_holds(&self.cfg, endpoint, versions);
         }
     }
 
--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -1,7 +1,7 @@
 //! The end of an attempt: what is learned, and whether another attempt follows.
 
 use super::Router;
-use crate::choice::Plan;
+use crate::choice::{Plan, Versions};
 use crate::endpoints::Pick;
 use crate::request::{
     Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Session, Ticket, VersionReason,
@@ -335,7 +335,7 @@
         if ask.session != Session::None || failed.is_none() {
             return None;
         }
-        let serving = self.catalogue.serving(&self.cfg, ask);
+        let serving: Versions = self.catalogue.serving(&self.cfg, ask).collect();
         serving
             .into_iter()
             .filter(|&v| Some(v) != failed)
--- a/crates/oatdale-policy/src/router/offer.rs
+++ b/crates/oatdale-policy/src/router/offer.rs
@@ -82,7 +82,10 @@
         let reachable = match candidates {
             Candidates::Plain => live(None),
             Candidates::Pinned(version) | Candidates::Canary(version) => live(Some(*version)),
-            Candidates::Serving(versions) => versions.iter().any(|&v| live(Some(v))),
+            Candidates::Serving => self
+                .catalogue
+                .serving(&self.cfg, ask)
+                .any(|v| live(Some(v))),
         };
         match reachable {
             true => Ok(()),
--- a/crates/oatdale-policy/src/router/reconfigure.rs
+++ b/crates/oatdale-policy/src/router/reconfigure.rs
@@ -32,10 +32,22 @@
         }
         self.move_services(&old, &rekey);
         self.move_customers(&old, &rekey);
-        self.pools = self.new_pools();
+        self.move_pools(&old, &rekey);
         self.move_requests(&rekey);
     }
 
+    /// A limit that was learned stays, fitted to the pool's endpoints of now.
+    fn move_pools(&mut self, old: &Config, rekey: &Rekey) {
+        let fresh = self.new_pools();
+        let before = std::mem::replace(&mut self.pools, fresh);
+        for (key, state) in old.pools.keys().zip(before) {
+            if let Some(new) = rekey.pool(key) {
+                self.pools[new.index()].limit = state.limit;
+            }
+        }
+        self.fit_limits();
+    }
+
     /// Pools with limits that fit their endpoints.
     pub(super) fn new_pools(&self) -> Vec<PoolState> {
         let keys: Vec<PoolKey> = self.cfg.pools.keys().collect();
--- a/crates/oatdale-policy/src/router/start.rs
+++ b/crates/oatdale-policy/src/router/start.rs
@@ -132,9 +132,10 @@
             Candidates::Plain => return Ok((Plans::from_iter([Plan::plain()]), None)),
             Candidates::Pinned(version) => (version, VersionReason::Pinned),
             Candidates::Canary(version) => (version, VersionReason::Canary),
-            Candidates::Serving(versions) => {
+            Candidates::Serving => {
+                let versions = self.catalogue.serving(&self.cfg, ask);
                 let (mut plans, mut quality) =
-                    learner.plans(&self.cfg, ask, &versions, &mut self.rng);
+                    learner.plans(&self.cfg, ask, versions, &mut self.rng);
                 let first = plans.first().map(|p| p.steps[0]);
                 if let Some(canary) = self.catalogue.canary(&self.cfg, ask, first) {
                     plans[0].steps[0] = canary;
