--- a/crates/oatdale-policy/tests/router/admission.rs
+++ b/crates/oatdale-policy/tests/router/admission.rs
@@ -1,7 +1,8 @@
 //! Limits, queues and refusals.
 
 use crate::fixture::{
-    Shape, ask, complete, customer, endpoint, outcome, refused, run, secs, version, wait,
+    Shape, ask, complete, customer, desk, endpoint, outcome, place, planner, refused, run, secs,
+    version, wait,
 };
 use oatdale_config::Limits;
 use oatdale_policy::{
@@ -222,3 +223,68 @@
     let place = |ticket| turns.iter().position(|&t| t == ticket);
     assert!(place(third) < place(first), "{turns:?}");
 }
+
+/// The hosts of a service that another one depends on are all leaving. Callers of the other one
+/// hear so at once, instead of paying for an answer that nothing can be done with.
+#[test]
+fn a_request_is_refused_while_a_dependency_has_no_endpoint() {
+    let mut cfg = (*Shape::default().config()).clone();
+    let mut services = oatdale_config::Arena::default();
+    for (key, service) in cfg.services.iter() {
+        let mut service = service.clone();
+        if key == planner() {
+            service.depends_on = vec![desk()];
+        }
+        services.push(service);
+    }
+    cfg.services = services;
+    let mut router = Router::new(cfg.into(), place());
+    run(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+    for host in 3..6 {
+        router.endpoint_leaving(secs(0.0), endpoint(host), true);
+    }
+    let reason = refused(router.offer(secs(0.0), &ask(secs(0.0), 1)));
+    assert_eq!(reason, RefusalReason::Dependency);
+}
+
+/// An endpoint refuses every connection. It is left alone after a few failures, so that callers
+/// don't pay for it each time, and tried again later, so that it comes back by itself.
+#[test]
+fn an_endpoint_that_fails_rests_and_comes_back() {
+    let mut router = Shape::default().router();
+    let mut fail = |now: f64| {
+        let mut dispatch = run(router.offer(secs(now), &ask(secs(now), now.to_bits())));
+        let mut failed = 0;
+        while dispatch.endpoint == endpoint(0) {
+            failed += 1;
+            let broken = outcome(AttemptResult::NotSent);
+            match router.finish(secs(now), dispatch.ticket, &broken) {
+                Next::Run(next) => dispatch = next,
+                other => panic!("{other:?}"),
+            }
+        }
+        router.finish(secs(now), dispatch.ticket, &complete(None));
+        failed
+    };
+    let at_first: u32 = (0..50).map(|i| fail(f64::from(i) / 1000.0)).sum();
+    assert_eq!(at_first, 3);
+    let later: u32 = (0..50).map(|i| fail(5.0 + f64::from(i) / 1000.0)).sum();
+    assert_eq!(later, 1);
+}
+
+/// An attempt fails together with its failure domain. The next one goes to another domain, where
+/// it doesn't meet the same cause.
+#[test]
+fn a_retry_goes_to_another_failure_domain() {
+    let cfg = Shape::default().config();
+    for draw in 0..20 {
+        let mut router = Shape::default().router();
+        let first = run(router.offer(secs(0.0), &ask(secs(0.0), draw)));
+        let broken = outcome(AttemptResult::Broken);
+        let Next::Run(second) = router.finish(secs(0.1), first.ticket, &broken) else {
+            panic!("an idempotent request is tried again");
+        };
+        let domain = |e| cfg.endpoints[e].domain;
+        assert_ne!(domain(first.endpoint), domain(second.endpoint));
+    }
+}
