--- a/crates/oatdale-policy/src/cascade.rs
+++ b/crates/oatdale-policy/src/cascade.rs
@@ -23,7 +23,7 @@
 const STEP: f64 = 0.01;
 
 /// How far above the target the price aims, as a share of answers.
-const MARGIN: f64 = 0.008;
+const MARGIN: f64 = 0.001;
 
 /// The price of quality stays within these multiples of the dearest version's cost.
 const PRICE_RANGE: (f64, f64) = (1e-3, 100.0);
@@ -34,6 +34,10 @@
 /// How far a shortfall may raise the aim, and an excess lower it, as a share of answers.
 const AIM_RANGE: (f64, f64) = (-0.01, 0.03);
 
+/// Accepted answers above the target that may be made up for by worse ones later; callers who
+/// come later have no use for more.
+const CREDIT: f64 = 2.0;
+
 /// Requests after which a shortfall is forgotten.
 const SHORTFALL_MEMORY: f64 = 4_000.0;
 
@@ -127,7 +131,7 @@
         &mut self,
         cfg: &Config,
         ask: &Ask,
-        versions: &[VersionKey],
+        versions: impl Iterator<Item = VersionKey>,
         rng: &mut Pcg64Mcg,
     ) -> (Plans, f64) {
         let expected = self.expected(cfg, ask, versions);
@@ -151,7 +155,7 @@
 
     /// The expected quality of one version for a request that has no choice.
     pub(crate) fn quality(&self, cfg: &Config, ask: &Ask, version: VersionKey) -> f64 {
-        self.expected(cfg, ask, &[version])[0].first
+        self.expected(cfg, ask, std::iter::once(version))[0].first
     }
 
     /// Moves the price of quality after a request was given a plan of this expected quality.
@@ -176,7 +180,7 @@
     ) {
         let accepted = rating.unwrap_or_else(|| self.belief(class, version, after));
         self.shortfall *= 1.0 - 1.0 / SHORTFALL_MEMORY;
-        self.shortfall += target - accepted;
+        self.shortfall = (self.shortfall + target - accepted).max(-CREDIT);
         if rating.is_none() {
             let kept = 1.0 - 1.0 / SAMPLING_MEMORY;
             self.unheld = self.unheld * kept + 1.0;
@@ -263,14 +267,18 @@
         &self,
         cfg: &Config,
         ask: &Ask,
-        versions: &[VersionKey],
-    ) -> SmallVec<[Expected; 8]> {
+        versions: impl Iterator<Item = VersionKey>,
+    ) -> SmallVec<[Expected; 64]> {
+        let versions: SmallVec<[VersionKey; 64]> = versions.collect();
         let last = versions.len().saturating_sub(1).max(1) as f64;
+        let class = self.classes.get(&ask.class);
+        let unknown = Known::default();
         versions
-            .iter()
+            .into_iter()
             .enumerate()
-            .map(|(rank, &version)| {
-                let known = self.known(ask.class, version);
+            .map(|(rank, version)| {
+                let known = class.and_then(|c| c.versions.get(version.index()));
+                let known = known.unwrap_or(&unknown);
                 let unrated = UNRATED.0 + (UNRATED.1 - UNRATED.0) * rank as f64 / last;
                 let first = known.first.get(unrated);
                 let price = cfg.versions[version].price;
