Answer a request whose time ran out as such, not as a bad gateway

A hang at an engine ended at the deadline with 502 `failed`: the router speaks of the last attempt, and the node passed that on.

--- a/crates/oatdale-node/src/call.rs
+++ b/crates/oatdale-node/src/call.rs
@@ -21,7 +21,7 @@
 use http::StatusCode;
 use log::{info, warn};
 use oatdale_journal::{Claim, ClaimKey, Closing, Millis, Opening, Outcome as Ending};
-use oatdale_policy::{Ask, Refusal, Ticket};
+use oatdale_policy::{Ask, Refusal, RefusalReason, Ticket};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -201,11 +201,16 @@
         self.log_end();
     }
 
-    async fn refuse(self, refusal: Refusal) {
+    async fn refuse(self, mut refusal: Refusal) {
         if self.kept.is_some() {
             // A better version was wanted and failed; the answer that is there beats none.
             return self.deliver().await;
         }
+        if refusal.reason == RefusalReason::Failed && Instant::now() >= self.job.deadline {
+            // The router speaks of the last attempt; what ended the request was its own time, and
+            // a caller that reads "bad gateway" would look for a fault at the endpoint.
+            refusal.reason = RefusalReason::Deadline;
+        }
         let problem = Problem::refusal(refusal, self.ran.0);
         self.fail(&problem).await;
     }
--- a/crates/oatdale-node/tests/support/site.rs
+++ b/crates/oatdale-node/tests/support/site.rs
@@ -3,9 +3,9 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Collected, Full};
+use http_body_util::{BodyExt, Full};
 use oatdale_config::{ChangeId, Document, Revision, node_settings_from_str};
 use oatdale_fakes::{
     EngineConfig, EngineVersion, RatingConfig, Speed, StandIns, StandInsConfig, WeightStore,
@@ -19,7 +19,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// The failure domains of every test site.
 pub(crate) const DOMAINS: [&str; 3] = ["north", "middle", "south"];
@@ -48,7 +48,10 @@
 pub(crate) struct Got {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// What came of it.
     pub(crate) body: Bytes,
+    /// Whether the message had its proper end.
+    pub(crate) whole: bool,
 }
 
 impl Got {
@@ -57,6 +60,18 @@
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
 
+    /// The id that the node gave the request; `None` if it was refused before it had one.
+    pub(crate) fn request(&self) -> Option<String> {
+        let named = self.headers.get("x-request-id");
+        let named = named.and_then(|value| Some(value.to_str().ok()?.to_owned()));
+        named.or_else(|| Some(self.json()["request"].as_str()?.to_owned()))
+    }
+
+    /// What a problem says about the request; empty if the answer is no problem.
+    pub(crate) fn run(&self) -> String {
+        self.json()["run"].as_str().unwrap_or_default().to_owned()
+    }
+
     /// The body as text.
     pub(crate) fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
@@ -148,6 +163,19 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Got {
+        let got = self.try_send(addr, method, path, headers, body).await;
+        got.expect("the node answers")
+    }
+
+    /// Sends a request to a node that may be gone; `None` when no answer began.
+    pub(crate) async fn try_send(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Option<Got> {
         let mut req = Request::builder().method(method).uri(path);
         for (name, value) in headers {
             req = req.header(*name, *value);
@@ -155,13 +183,21 @@
         let req = req.body(Full::new(body.into())).expect("a right request");
         let deadline = Instant::now() + LONG;
         let res = self.pool.send(addr, req, Reuse::Never, deadline).await;
-        let (head, body) = res.expect("the node answers").into_parts();
-        let body = body.collect().await;
-        Got {
+        let (head, mut body) = res.ok()?.into_parts();
+        let mut came = BytesMut::new();
+        let whole = loop {
+            match timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => came.extend(frame.into_data()),
+                Ok(None) => break true,
+                Ok(Some(Err(_))) | Err(_) => break false,
+            }
+        };
+        Some(Got {
             status: head.status,
             headers: head.headers,
-            body: body.map(Collected::to_bytes).unwrap_or_default(),
-        }
+            body: came.freeze(),
+            whole,
+        })
     }
 
     /// Sends a `GET`.
@@ -252,7 +288,7 @@
     }
 }
 
-fn chat_json(prompt: &str, stream: bool) -> String {
+pub(crate) fn chat_json(prompt: &str, stream: bool) -> String {
     serde_json::json!({
         "model": "drafts",
         "stream": stream,
