Keep the settings' seeds beside the platform's list

Cause: reading the list replaced the seeds. A list without entry hosts, read before the first dial came through, left a node alone for ever (`peers_asked=0`, no peers after 20 s). Seen in 3 of about 14 runs of a test that starts a node as a process beside two others; ruled out: the key, the port, the seed's address (all were right in the status and the log of the lone node). Change: the list is added to the seeds. The new test of membership, which has the seed come up after an empty list, failed before and passes now; the process test passed in 4 of 4 runs after. A seed that is gone for good is tried with the usual pauses, one address every two seconds at most once there are links.

--- a/crates/oatdale-mesh/src/member/dialer.rs
+++ b/crates/oatdale-mesh/src/member/dialer.rs
@@ -21,6 +21,9 @@
 #[derive(Debug)]
 pub(crate) struct Dialer {
     mine: SocketAddr,
+    /// From the node's settings.
+    seeds: BTreeSet<SocketAddr>,
+    /// The seeds and what the platform lists.
     hints: BTreeSet<SocketAddr>,
     tries: BTreeMap<SocketAddr, Try>,
     next_unknown: Duration,
@@ -37,18 +40,22 @@
 
 impl Dialer {
     pub(crate) fn new(seeds: &[SocketAddr], mine: SocketAddr, now: Duration) -> Self {
+        let seeds: BTreeSet<_> = seeds.iter().copied().filter(|a| *a != mine).collect();
         Dialer {
             mine,
-            hints: seeds.iter().copied().filter(|a| *a != mine).collect(),
+            hints: seeds.clone(),
+            seeds,
             tries: BTreeMap::new(),
             next_unknown: now,
             started: now,
         }
     }
 
-    /// Replaces the seeds by a newer list.
+    /// Takes a newer list. The seeds stay beside it: a list that lags, or that names no entry
+    /// hosts, would else leave a node alone whose first dials failed.
     pub(crate) fn hint(&mut self, hosts: impl Iterator<Item = SocketAddr>) {
         self.hints = hosts.filter(|a| *a != self.mine).collect();
+        self.hints.extend(&self.seeds);
         let hints = &self.hints;
         self.tries.retain(|a, t| t.dialing || hints.contains(a));
     }
@@ -77,6 +84,7 @@
 
     pub(crate) fn failed(&mut self, address: SocketAddr, myself: bool, now: Duration) {
         if myself {
+            self.seeds.remove(&address);
             self.hints.remove(&address);
             self.tries.remove(&address);
             return;
--- a/crates/oatdale-mesh/tests/membership.rs
+++ b/crates/oatdale-mesh/tests/membership.rs
@@ -206,3 +206,19 @@
 fn names_that_differ_have_ids_that_differ() {
     assert_ne!(HostId::of("a"), HostId::of("b"));
 }
+
+// A node starts before its seed is up, and the platform's list, which lags or knows no entry hosts
+// at all, is read meanwhile. Were the list to replace the seeds, the node would stay alone for
+// ever: callers would get a second set of limits, and its bills would have no holders.
+#[test]
+fn an_empty_list_does_not_hide_the_seeds() {
+    let mut fleet = Fleet::new(4, 2, 1);
+    let seed = fleet.nodes[0].address;
+    fleet.start_with(1, vec![seed]);
+    fleet.input(1, Input::Hosts(Vec::new()));
+    fleet.run(Duration::from_secs(2));
+    fleet.start_with(0, Vec::new());
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("they find each other");
+}
