--- a/crates/oatdale-node/src/node.rs
+++ b/crates/oatdale-node/src/node.rs
@@ -98,9 +98,24 @@
     ///
     /// Fails if an address is taken, the shared key can't be read or a thread can't be started.
     pub fn start(settings: NodeSettings, dropped: Dropped) -> Result<Node> {
+        Node::start_with(settings, dropped, Intervals::default())
+    }
+
+    /// Starts a node whose mesh has other timers than the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// As [`Node::start`].
+    pub fn start_with(
+        settings: NodeSettings,
+        dropped: Dropped,
+        intervals: Intervals,
+    ) -> Result<Node> {
         let key = mesh_key(&settings)?;
         let sockets = bind(&settings)?;
-        Parts::new(settings, key, sockets.bound, dropped).start(sockets)
+        let mut parts = Parts::new(settings, key, sockets.bound, dropped);
+        parts.intervals = intervals;
+        parts.start(sockets)
     }
 
     /// The addresses that the node got.
@@ -233,6 +248,7 @@
     superseded: watch::Sender<bool>,
     preferred: watch::Sender<Preferred>,
     reports: watch::Sender<Report>,
+    intervals: Intervals,
 }
 
 /// Handles that the duties of requests share.
@@ -276,6 +292,7 @@
             superseded: watch::Sender::new(false),
             preferred: watch::Sender::new(Preferred::default()),
             reports,
+            intervals: Intervals::default(),
         }
     }
 
@@ -454,7 +471,7 @@
             seeds: self.settings.peers.clone(),
             key: self.key.expose().to_vec(),
             holders: self.settings.bill_holders,
-            intervals: Intervals::default(),
+            intervals: self.intervals,
         };
         let run = move || async move {
             if let Err(err) = oatdale_mesh::run(cfg, rx, tx).await {
--- a/crates/oatdale-node/tests/support/process.rs
+++ b/crates/oatdale-node/tests/support/process.rs
@@ -1,5 +1,8 @@
 //! Nodes as processes of their own.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/oatdale-node/tests/support/site.rs
+++ b/crates/oatdale-node/tests/support/site.rs
@@ -11,6 +11,7 @@
     EngineConfig, EngineVersion, RatingConfig, Speed, StandIns, StandInsConfig, WeightStore,
 };
 use oatdale_journal::{Closing, Exporter};
+use oatdale_mesh::Intervals;
 use oatdale_node::{Dropped, Node};
 use oatdale_platform::{Condition, Kv, Pool, Reuse};
 use serde_json::Value;
@@ -111,10 +112,16 @@
 
     /// Starts one more node, which knows the first of the others.
     pub(crate) async fn add_node(&mut self, index: usize) {
+        self.add_node_with(index, Intervals::default()).await;
+    }
+
+    /// The same with other timers of the mesh.
+    pub(crate) async fn add_node_with(&mut self, index: usize, intervals: Intervals) {
         let seed = self.nodes.first().map(|node| node.addresses().nodes);
         let settings = settings(index, seed, &self.stand_ins);
         let settings = node_settings_from_str(&settings).expect("the settings are right");
-        let node = Node::start(settings, Dropped::default()).expect("a node starts");
+        let node = Node::start_with(settings, Dropped::default(), intervals);
+        let node = node.expect("a node starts");
         assert!(node.ready(LONG).await, "the node got no configuration");
         self.nodes.push(node);
     }
@@ -274,6 +281,19 @@
     }
 }
 
+/// The revision that a node says is in force.
+pub(crate) async fn revision_at(pool: &Pool, admin: SocketAddr) -> u64 {
+    let req = Request::get("/v1/status").body(Full::new(Bytes::new()));
+    let deadline = Instant::now() + LONG;
+    let res = pool
+        .send(admin, req.expect("a right request"), Reuse::Never, deadline)
+        .await
+        .expect("the node answers");
+    let body = res.into_body().collect().await.expect("a whole answer");
+    let status: Value = serde_json::from_slice(&body.to_bytes()).expect("a JSON document");
+    status["revision"].as_u64().expect("it has a revision")
+}
+
 /// The value of an `Authorization` header.
 pub(crate) fn bearer(key: &str) -> String {
     format!("Bearer {key}")
