Answer a request that waits for copies when its record is released

If a holder is paused its confirmation is missing then, the record is gone when the timer comes, and nobody ever answers the waiting request: its caller never sees the end of its answer, deadline or not. Ruled out: the deadline in the stream and the pool's (the logs show dispatch and neither failure nor end), a killed node (it logged on for 24 s). Change: a release answers the hold with the copies there are.

--- a/crates/oatdale-mesh/src/member/holds.rs
+++ b/crates/oatdale-mesh/src/member/holds.rs
@@ -254,6 +254,9 @@
     pub(super) fn release(&mut self, ids: &[u128]) {
         let mut to: BTreeMap<HostId, Vec<u128>> = BTreeMap::new();
         for id in ids {
+            // A request may wait for copies that a slow holder has not confirmed; once the record
+            // is gone nothing else would ever answer it.
+            self.answer_hold(*id);
             let own = self
                 .holds
                 .own
--- a/crates/oatdale-mesh/tests/holds.rs
+++ b/crates/oatdale-mesh/tests/holds.rs
@@ -237,3 +237,22 @@
     assert_eq!(fleet.platform.journal[&1], &b"opened"[..]);
     assert!(holders(&fleet).is_empty());
 }
+
+/// A holder is paused, so that its copy is not confirmed, and meanwhile the journal takes the
+/// record and it is released. Were the waiting request not answered by that, it would wait for
+/// ever: its caller would never see the end of an answer that is there and paid for.
+#[test]
+fn a_release_answers_a_hold_that_still_waits() {
+    let mut fleet = settled(3);
+    hold(&mut fleet, 0, 1, b"opened");
+    fleet.run(ms(100));
+    let holder = holders(&fleet)[0];
+    fleet.pause(holder);
+    fleet.input(0, Input::Release(vec![1]));
+    hold(&mut fleet, 0, 2, b"closed");
+    fleet.run(ms(100));
+    assert!(!fleet.nodes[0].app.acks.contains_key(&2), "it was not slow");
+    fleet.input(0, Input::Release(vec![2]));
+    fleet.run(LONG);
+    assert!(fleet.nodes[0].app.acks.contains_key(&2), "it still waits");
+}
