--- a/crates/oatdale-node/tests/support/process.rs
+++ b/crates/oatdale-node/tests/support/process.rs
@@ -16,6 +16,9 @@
 /// Processes that this one has started; tests run side by side and each needs its own file.
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
+/// Names the file of settings to a node that is started by `Process::start_test`.
+pub(crate) const SETTINGS: &str = "OATDALE_TEST_SETTINGS";
+
 /// A running `oatdaled`; dropping it kills it.
 pub(crate) struct Process {
     child: Child,
@@ -28,29 +31,32 @@
 impl Process {
     /// Starts a node with these settings.
     pub(crate) fn start(name: &str, settings: &str) -> Process {
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let file = format!("oatdale-test-{}-{number}.yaml", std::process::id());
-        let path = std::env::temp_dir().join(file);
-        std::fs::write(&path, settings).expect("the temporary folder takes a file");
-        let log = match std::env::var_os("OATDALE_TEST_LOGS") {
-            Some(folder) => {
-                let file = PathBuf::from(folder).join(format!("{number}-{name}.log"));
-                std::fs::File::create(file)
-                    .expect("the folder is there")
-                    .into()
-            }
-            None => Stdio::null(),
-        };
-        let mut child = Command::new(env!("CARGO_BIN_EXE_oatdaled"))
-            .arg("--settings")
-            .arg(&path)
+        let (path, log) = files(name, settings);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oatdaled"));
+        command.arg("--settings").arg(&path);
+        Process::run(command, path, log)
+    }
+
+    /// Starts a node that is a test of this same program, which finds its settings in the
+    /// environment; such a node may have other timers than `oatdaled`.
+    pub(crate) fn start_test(test: &str, name: &str, settings: &str) -> Process {
+        let (path, log) = files(name, settings);
+        let mut command = Command::new(std::env::current_exe().expect("it has a path"));
+        command.args(["--ignored", "--exact", "--nocapture", test]);
+        command.env(SETTINGS, &path);
+        Process::run(command, path, log)
+    }
+
+    fn run(mut command: Command, path: PathBuf, log: Stdio) -> Process {
+        let mut child = command
             .stdout(Stdio::piped())
             .stderr(log)
             .spawn()
             .expect("the program starts");
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().expect("it is piped"))
-            .read_line(&mut line)
+        let lines = BufReader::new(child.stdout.take().expect("it is piped")).lines();
+        let line = lines
+            .map(|line| line.expect("it writes text"))
+            .find(|line| line.contains("callers="))
             .expect("it says where it listens");
         let address = |name: &str| {
             let found = line.split_whitespace().find_map(|word| {
@@ -88,3 +94,20 @@
         let _ = std::fs::remove_file(&self.settings);
     }
 }
+
+fn files(name: &str, settings: &str) -> (PathBuf, Stdio) {
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    let file = format!("oatdale-test-{}-{number}.yaml", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    std::fs::write(&path, settings).expect("the temporary folder takes a file");
+    let log = match std::env::var_os("OATDALE_TEST_LOGS") {
+        Some(folder) => {
+            let file = PathBuf::from(folder).join(format!("{number}-{name}.log"));
+            std::fs::File::create(file)
+                .expect("the folder is there")
+                .into()
+        }
+        None => Stdio::null(),
+    };
+    (path, log)
+}
--- a/crates/oatdale-node/tests/support/site.rs
+++ b/crates/oatdale-node/tests/support/site.rs
@@ -342,7 +342,7 @@
     }
 }
 
-fn text(stand_ins: &StandIns, states: &States, quality: f64) -> String {
+pub(crate) fn text(stand_ins: &StandIns, states: &States, quality: f64) -> String {
     let mut text = "failure-domains:\n".to_owned();
     for domain in DOMAINS {
         writeln!(text, "  {domain}: {{ region: home }}").unwrap();
@@ -407,7 +407,7 @@
     text
 }
 
-fn digest(key: &str) -> String {
+pub(crate) fn digest(key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
     let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     format!("sha256:{hex}")
