--- a/crates/oatdale-mesh/src/member/dialer.rs
+++ b/crates/oatdale-mesh/src/member/dialer.rs
@@ -21,9 +21,9 @@
 #[derive(Debug)]
 pub(crate) struct Dialer {
     mine: SocketAddr,
-    /// From the node's settings.
+    /// Addresses of the settings, which no list replaces: the platform's lags, and one without a
+    /// fleet that has just come up would leave each of its nodes alone.
     seeds: BTreeSet<SocketAddr>,
-    /// The seeds and what the platform lists.
     hints: BTreeSet<SocketAddr>,
     tries: BTreeMap<SocketAddr, Try>,
     next_unknown: Duration,
@@ -40,7 +40,7 @@
 
 impl Dialer {
     pub(crate) fn new(seeds: &[SocketAddr], mine: SocketAddr, now: Duration) -> Self {
-        let seeds: BTreeSet<_> = seeds.iter().copied().filter(|a| *a != mine).collect();
+        let seeds: BTreeSet<SocketAddr> = seeds.iter().copied().filter(|a| *a != mine).collect();
         Dialer {
             mine,
             hints: seeds.clone(),
@@ -51,8 +51,7 @@
         }
     }
 
-    /// Takes a newer list. The seeds stay beside it: a list that lags, or that names no entry
-    /// hosts, would else leave a node alone whose first dials failed.
+    /// Replaces what the last list added to the seeds.
     pub(crate) fn hint(&mut self, hosts: impl Iterator<Item = SocketAddr>) {
         self.hints = hosts.filter(|a| *a != self.mine).collect();
         self.hints.extend(&self.seeds);
@@ -84,8 +83,8 @@
 
     pub(crate) fn failed(&mut self, address: SocketAddr, myself: bool, now: Duration) {
         if myself {
-            self.seeds.remove(&address);
             self.hints.remove(&address);
+            self.seeds.remove(&address);
             self.tries.remove(&address);
             return;
         }
