--- a/crates/oatdale-cli/src/command/demo/service.rs
+++ b/crates/oatdale-cli/src/command/demo/service.rs
@@ -15,7 +15,7 @@
 const SHOWN_BYTES: usize = 220;
 
 /// A caller that asks again does so after a while.
-const BEFORE_ASKING_AGAIN: Duration = Duration::from_millis(300);
+const BEFORE_ASKING_AGAIN: Duration = Duration::from_millis(600);
 
 const CONFIRM: (&str, &str) = (
     "POST",
