--- a/crates/oatdale-node/src/bill.rs
+++ b/crates/oatdale-node/src/bill.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, interval, sleep, timeout};
 
 /// Requests that may have a bill under way. With 3,400 requests a second over 360 nodes this is
 /// more than half an hour of an outage of the key-value service; a full backlog refuses requests,
@@ -30,6 +30,14 @@
 /// Records in one call to the journal.
 const MAX_BATCH: usize = 4096;
 
+/// The journal takes a closing record only while it remembers the request, or for so long after its
+/// dispatch that an opening record can't be missing. Requests that run on for this long are
+/// therefore opened in the journal too, well before that time is over.
+const LONG_REQUEST: Duration = Duration::from_secs(300);
+
+/// How often long requests are looked for.
+const LONG_CHECK: Duration = Duration::from_secs(30);
+
 /// Pause after the journal failed.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -198,6 +206,8 @@
     metrics: Metrics,
     places: Arc<Semaphore>,
     waiting: Vec<Waiting>,
+    /// Requests under way whose opening the journal does not have.
+    under_way: HashMap<RequestId, (Instant, Opening)>,
     /// Orphans that are waiting or being written; their holders tell them again until then.
     orphans: HashMap<RequestId, ()>,
 }
@@ -210,8 +220,10 @@
         metrics: duty.metrics,
         places: duty.places,
         waiting: Vec::new(),
+        under_way: HashMap::new(),
         orphans: HashMap::new(),
     };
+    let mut long_check = interval(LONG_CHECK);
     let mut writing: Option<Writing> = None;
     loop {
         state.metrics.bills_open.set(state.open());
@@ -233,16 +245,39 @@
                 writing = None;
                 state.written(batch, result).await;
             }
+            _ = long_check.tick() => state.open_long(),
             _ = duty.stop.wait_for(|stop| *stop) => return,
         }
     }
 }
 
 impl State {
+    /// Opens requests in the journal that run long.
+    fn open_long(&mut self) {
+        let long = self
+            .under_way
+            .extract_if(|_, (since, _)| since.elapsed() >= LONG_REQUEST);
+        let records: Vec<BillRecord> = long.map(|(_, (_, open))| BillRecord::Open(open)).collect();
+        if records.is_empty() {
+            return;
+        }
+        let journal = self.journal.clone();
+        tokio::spawn(async move {
+            while let Err(err) = journal.bill(records.clone()).await {
+                if err.retry_after().is_none() {
+                    warn!(target: "bill", "event=opening_refused error={:?}", err.to_string());
+                    return;
+                }
+                sleep(RETRY_DELAY).await;
+            }
+        });
+    }
+
     async fn job(&mut self, job: Job) {
         match job {
             Job::Open { record, reply } => {
                 let id = record.request;
+                self.under_way.insert(id, (Instant::now(), record.clone()));
                 self.hold(id, &BillRecord::Open(record), reply).await;
             }
             Job::Close {
@@ -252,6 +287,7 @@
                 held,
             } => {
                 let id = record.request;
+                self.under_way.remove(&id);
                 self.hold(id, &BillRecord::Close(record.clone()), held)
                     .await;
                 self.waiting.push(Waiting {
@@ -260,7 +296,10 @@
                     durable: Some(durable),
                 });
             }
-            Job::Forget(id) => self.release(vec![id]).await,
+            Job::Forget(id) => {
+                self.under_way.remove(&id);
+                self.release(vec![id]).await;
+            }
             Job::Orphan(record) if !self.orphans.contains_key(&record.request) => {
                 info!(target: "bill", "event=orphan request={}", record.request);
                 self.orphans.insert(record.request, ());
