Send nothing new to a canary that no engine holds

Cause: the version of a canary's share was fixed before anyone asked whether an engine has it. While a roll-out waited for the engines to load the version, its share's requests waited until their deadline and sessions opened on it, each of whose requests was then refused. Found by a test written for sessions, which failed for lone requests too.

Change: a canary takes the place of a plan's first version only while one of its endpoints can be reached, and the plan without it stays as the next choice. The crate's page opens with a worked example.

--- a/crates/oatdale-policy/src/lib.rs
+++ b/crates/oatdale-policy/src/lib.rs
@@ -1,7 +1,51 @@
 //! Every routing decision as pure functions over arenas.
 //!
-//! Times are [`Duration`](std::time::Duration)s since the node's start and come in as arguments,
-//! as does randomness by a seed, so that the same calls give the same decisions.
+//! A [`Router`] is told of requests, answers, load, ratings and configurations, and says what to
+//! do. Times are [`Duration`](std::time::Duration)s since the node's start and come in as
+//! arguments, as does randomness by a seed, so that the same calls give the same decisions.
+//! `docs/POLICY.md` gives the reasons for each decision.
+//!
+//! # Examples
+//!
+//! ```
+//! use oatdale_config::Digest;
+//! use oatdale_policy::{Ask, AttemptResult, Next, Offer, Outcome, Place, Router, Session};
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! # let text = include_str!("../../../examples/skyward.yaml");
+//! let cfg = Arc::new(oatdale_config::from_str(text)?);
+//! let mut router = Router::new(cfg.clone(), Place { domain: None, seed: 1 });
+//!
+//! let now = Duration::from_secs(1);
+//! let ask = Ask {
+//!     customer: cfg.customer_of(Digest::of("dev-mail-desk")).expect("a known key"),
+//!     service: cfg.service("tag-mail").expect("a known service"),
+//!     idempotent: true,
+//!     session: Session::None,
+//!     deadline: now + Duration::from_secs(10),
+//!     input_tokens: 200,
+//!     output_tokens: 20,
+//!     prefix: 17,
+//!     draw: 42,
+//!     stream: false,
+//!     class: 0,
+//! };
+//! let Offer::Run(dispatch) = router.offer(now, &ask) else {
+//!     panic!("an idle site has room");
+//! };
+//! assert!(cfg.allows(ask.customer, dispatch.version.expect("a model service")));
+//!
+//! // The endpoint answers, and the rating service accepts the answer.
+//! let outcome = Outcome {
+//!     result: AttemptResult::Complete { rating: Some(1.0), output_tokens: 18 },
+//!     forwarded: false,
+//!     first_byte: Some(Duration::from_millis(80)),
+//!     total: Duration::from_millis(400),
+//! };
+//! assert_eq!(router.finish(now + outcome.total, dispatch.ticket, &outcome), Next::Done);
+//! # Ok::<(), oatdale_config::Error>(())
+//! ```
 
 mod average;
 mod bucket;
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -7,7 +7,7 @@
 mod turn;
 
 use self::finish::Held;
-use crate::choice::Catalogue;
+use crate::choice::{Catalogue, Plan};
 use crate::endpoints::Endpoints;
 use crate::evidence::{Evidence, VersionCounters};
 use crate::request::{
@@ -120,8 +120,14 @@
         };
         self.check_names(&ask).map_err(refused)?;
         let (plans, _) = self.plans(&ask).map_err(refused)?;
-        let first = plans.first().and_then(|p| Some((*p.steps.first()?, p.why)));
-        first.ok_or(refused(RefusalReason::NoVersion))
+        let pool = self.cfg.services[service].pool;
+        let choice = |plan: &Plan| Some((*plan.steps.first()?, plan.why));
+        let mut choices = plans.iter().filter_map(choice);
+        let live = choices
+            .clone()
+            .find(|(version, _)| self.endpoints.any_live(now, pool, Some(*version)));
+        let chosen = live.or_else(|| choices.next());
+        chosen.ok_or(refused(RefusalReason::NoVersion))
     }
 
     /// Takes in an engine's report of its load.
--- a/crates/oatdale-policy/src/router/start.rs
+++ b/crates/oatdale-policy/src/router/start.rs
@@ -118,6 +118,16 @@
         }
     }
 
+    /// The canary that takes the place of a plan's first version, if the request falls into its
+    /// share and an engine holds it: a roll-out often starts before the engines have loaded it,
+    /// and the share's requests would wait for nothing.
+    fn reachable_canary(&self, ask: &Ask, first: VersionKey) -> Option<VersionKey> {
+        let canary = self.catalogue.canary(&self.cfg, ask, Some(first))?;
+        let pool = self.cfg.services[ask.service].pool;
+        let is_live = self.endpoints.any_live(self.now, pool, Some(canary));
+        is_live.then_some(canary)
+    }
+
     /// What may serve a request now.
     pub(super) fn candidates(&self, ask: &Ask) -> Result<Candidates, RefusalReason> {
         self.catalogue.candidates(&self.cfg, ask)
@@ -134,14 +144,16 @@
             Candidates::Canary(version) => (version, VersionReason::Canary),
             Candidates::Serving => {
                 let versions = self.catalogue.serving(&self.cfg, ask);
-                let (mut plans, mut quality) =
-                    learner.plans(&self.cfg, ask, versions, &mut self.rng);
-                let first = plans.first().map(|p| p.steps[0]);
-                if let Some(canary) = self.catalogue.canary(&self.cfg, ask, first) {
-                    plans[0].steps[0] = canary;
-                    plans[0].why = VersionReason::Canary;
-                    quality = learner.quality(&self.cfg, ask, canary);
-                }
+                let (mut plans, quality) = learner.plans(&self.cfg, ask, versions, &mut self.rng);
+                let Some(canary) = self.reachable_canary(ask, plans[0].steps[0]) else {
+                    return Ok((plans, Some(quality)));
+                };
+                let mut plan = plans[0].clone();
+                plan.steps[0] = canary;
+                plan.why = VersionReason::Canary;
+                plans.insert(0, plan);
+                let learner = &self.services[ask.service.index()].learner;
+                let quality = learner.quality(&self.cfg, ask, canary);
                 return Ok((plans, Some(quality)));
             }
         };
--- a/crates/oatdale-policy/tests/router/states.rs
+++ b/crates/oatdale-policy/tests/router/states.rs
@@ -1,7 +1,8 @@
 //! Version states and permissions on every path.
 
 use crate::fixture::{
-    Shape, ask, complete, customer, outcome, place, planner, refused, run, secs, version, wait,
+    Shape, ask, complete, customer, endpoint, outcome, place, planner, refused, run, secs, version,
+    wait,
 };
 use oatdale_config::VersionState;
 use oatdale_policy::{
@@ -160,3 +161,20 @@
     }
     panic!("the workers never filled");
 }
+
+/// A canary is in the text, but no engine has loaded it yet. Requests of its share would wait for
+/// nothing, and a session pinned to it would have each of its requests refused.
+#[test]
+fn nothing_new_goes_to_a_canary_that_no_engine_holds() {
+    let mut router = shape([VersionState::Serving, CANARY, VersionState::Withdrawn]).router();
+    for engine in 0..3 {
+        router.endpoint_holds(endpoint(engine), Some(vec![version(0)]));
+    }
+    for draw in 0..100 {
+        let opened = router.open_session(secs(0.0), customer(0), planner(), draw);
+        assert_eq!(opened.map(|(v, _)| v), Ok(version(0)));
+        let lone = run(router.offer(secs(0.0), &ask(secs(0.0), draw)));
+        assert_eq!(lone.version, Some(version(0)));
+        router.finish(secs(0.0), lone.ticket, &complete(None));
+    }
+}
