Plan only with versions that an endpoint can serve now

Cause: a sequence could end in a version that no engine holds. The answer before it was held back for its rating and then delivered all the same.

Change: versions without a live endpoint are left out while there are others. The new test failed before.

--- a/crates/oatdale-policy/src/cascade.rs
+++ b/crates/oatdale-policy/src/cascade.rs
@@ -131,7 +131,7 @@
         &mut self,
         cfg: &Config,
         ask: &Ask,
-        versions: impl Iterator<Item = VersionKey>,
+        versions: &[VersionKey],
         rng: &mut Pcg64Mcg,
     ) -> (Plans, f64) {
         let expected = self.expected(cfg, ask, versions);
@@ -155,7 +155,7 @@
 
     /// The expected quality of one version for a request that has no choice.
     pub(crate) fn quality(&self, cfg: &Config, ask: &Ask, version: VersionKey) -> f64 {
-        self.expected(cfg, ask, std::iter::once(version))[0].first
+        self.expected(cfg, ask, &[version])[0].first
     }
 
     /// Moves the price of quality after a request was given a plan of this expected quality.
@@ -267,16 +267,15 @@
         &self,
         cfg: &Config,
         ask: &Ask,
-        versions: impl Iterator<Item = VersionKey>,
+        versions: &[VersionKey],
     ) -> SmallVec<[Expected; 64]> {
-        let versions: SmallVec<[VersionKey; 64]> = versions.collect();
         let last = versions.len().saturating_sub(1).max(1) as f64;
         let class = self.classes.get(&ask.class);
         let unknown = Known::default();
         versions
-            .into_iter()
+            .iter()
             .enumerate()
-            .map(|(rank, version)| {
+            .map(|(rank, &version)| {
                 let known = class.and_then(|c| c.versions.get(version.index()));
                 let known = known.unwrap_or(&unknown);
                 let unrated = UNRATED.0 + (UNRATED.1 - UNRATED.0) * rank as f64 / last;
--- a/crates/oatdale-policy/src/router/start.rs
+++ b/crates/oatdale-policy/src/router/start.rs
@@ -6,6 +6,7 @@
 use crate::request::{Ask, Dispatch, Refusal, RefusalReason, Ticket, VersionReason};
 use crate::state::{Attempt, Stage};
 use oatdale_config::{EndpointKey, Key, PoolKey, ServiceKey, ServiceKind, VersionKey};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// A service surges from this multiple of its even part on; chance alone carries a quiet one a
@@ -137,14 +138,17 @@
     /// never empty.
     pub(super) fn plans(&mut self, ask: &Ask) -> Result<(Plans, Option<f64>), RefusalReason> {
         let candidates = self.candidates(ask)?;
+        let pool = self.cfg.services[ask.service].pool;
         let learner = &mut self.services[ask.service.index()].learner;
         let (version, why) = match candidates {
             Candidates::Plain => return Ok((Plans::from_iter([Plan::plain()]), None)),
             Candidates::Pinned(version) => (version, VersionReason::Pinned),
             Candidates::Canary(version) => (version, VersionReason::Canary),
             Candidates::Serving => {
-                let versions = self.catalogue.serving(&self.cfg, ask);
-                let (mut plans, quality) = learner.plans(&self.cfg, ask, versions, &mut self.rng);
+                let versions = live_or_all(self.catalogue.serving(&self.cfg, ask), |v| {
+                    self.endpoints.any_live(self.now, pool, Some(v))
+                });
+                let (mut plans, quality) = learner.plans(&self.cfg, ask, &versions, &mut self.rng);
                 let Some(canary) = self.reachable_canary(ask, plans[0].steps[0]) else {
                     return Ok((plans, Some(quality)));
                 };
@@ -273,3 +277,16 @@
         deadline.saturating_sub(self.now).as_secs_f64() > runs
     }
 }
+
+/// Versions that an endpoint can serve now, or all of them if there are none such.
+fn live_or_all(
+    versions: impl Iterator<Item = VersionKey>,
+    is_live: impl Fn(VersionKey) -> bool,
+) -> SmallVec<[VersionKey; 64]> {
+    let all: SmallVec<[VersionKey; 64]> = versions.collect();
+    let live: SmallVec<[VersionKey; 64]> = all.iter().copied().filter(|&v| is_live(v)).collect();
+    match live.is_empty() {
+        true => all,
+        false => live,
+    }
+}
--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -1,7 +1,7 @@
 //! Cascades, evidence against bad versions and what outlives a new configuration.
 
 use crate::fixture::{
-    Shape, ask, complete, customer, desk, outcome, planner, run, secs, version, wait,
+    Shape, ask, complete, customer, desk, endpoint, outcome, planner, run, secs, version, wait,
 };
 use oatdale_config::VersionState;
 use oatdale_policy::{
@@ -275,3 +275,31 @@
     let versions = (0..100).map(opened).filter_map(Result::ok);
     versions.filter(|(v, _)| *v == version(1)).count()
 }
+
+/// Only the cheap version is loaded anywhere. Holding its answers back for a rating would cost
+/// time for nothing, since no better version can follow.
+#[test]
+fn an_answer_is_not_held_back_for_a_version_that_no_engine_holds() {
+    let mut router = Shape {
+        states: [
+            VersionState::Serving,
+            VersionState::Withdrawn,
+            VersionState::Serving,
+        ],
+        quality: 0.95,
+        ..Shape::default()
+    }
+    .router();
+    for engine in 0..3 {
+        router.endpoint_holds(endpoint(engine), Some(vec![version(0)]));
+    }
+    for i in 0..100_u32 {
+        let now = secs(f64::from(i));
+        let dispatch = run(router.offer(now, &ask(now, i.into())));
+        assert_eq!(
+            (dispatch.version, dispatch.judge),
+            (Some(version(0)), false)
+        );
+        router.finish(now, dispatch.ticket, &complete(None));
+    }
+}
