Give back the endpoint places of requests whose service is removed

Cause: a request whose service or customer left the configuration while it ran was closed without giving back its place at the endpoint, so the pool stayed full for the services that came after. The test renames a service while it fills its workers; it failed before.

--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -42,6 +42,7 @@
         };
         let (ask, void) = (request.ask, request.void);
         if void {
+            self.leave(attempt);
             self.forget(ticket);
             return close(outcome);
         }
@@ -67,20 +68,24 @@
         match stage {
             Stage::Waiting { .. } => self.unqueue(ticket),
             Stage::Running(attempt) if !void => self.count_end(&ask, attempt),
-            Stage::Running(_) => {}
+            Stage::Running(attempt) => self.leave(attempt),
         }
         self.forget(ticket);
     }
 
     fn count_end(&mut self, ask: &Ask, attempt: Attempt) {
-        let now = self.now;
         let pool = self.cfg.services[ask.service].pool;
         let pool = &mut self.pools[pool.index()];
         pool.running = pool.running.saturating_sub(1);
         let service = &mut self.services[ask.service.index()];
         service.running = service.running.saturating_sub(1);
+        self.leave(attempt);
+    }
+
+    /// Gives back the place at the endpoint, also if the request's service or customer is gone.
+    fn leave(&mut self, attempt: Attempt) {
         if let Some(endpoint) = attempt.endpoint {
-            self.endpoints.states[endpoint.index()].over(now);
+            self.endpoints.states[endpoint.index()].over(self.now);
         }
     }
 
--- a/crates/oatdale-policy/src/router/reconfigure.rs
+++ b/crates/oatdale-policy/src/router/reconfigure.rs
@@ -159,6 +159,10 @@
         self.give_ups.clear();
         let mut lost = Vec::new();
         for (ticket, request) in self.requests.iter_mut() {
+            if let Stage::Running(attempt) = &mut request.stage {
+                attempt.endpoint = attempt.endpoint.and_then(|e| rekey.endpoint(e));
+                attempt.version = attempt.version.and_then(|v| rekey.version(v));
+            }
             let customer = rekey.customer(request.ask.customer);
             let service = rekey.service(request.ask.service);
             let (Some(customer), Some(service), false) = (customer, service, request.void) else {
@@ -191,11 +195,9 @@
                 .filter_map(|&e| rekey.endpoint(e))
                 .collect();
             self.customers[customer.index()].under_way += 1;
-            match &mut request.stage {
+            match request.stage {
                 Stage::Waiting { .. } => waiting.push((request.order, ticket)),
-                Stage::Running(attempt) => {
-                    attempt.endpoint = attempt.endpoint.and_then(|e| rekey.endpoint(e));
-                    attempt.version = attempt.version.and_then(|v| rekey.version(v));
+                Stage::Running(_) => {
                     let pool = self.cfg.services[service].pool;
                     self.pools[pool.index()].running += 1;
                     self.services[service.index()].running += 1;
--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -303,3 +303,32 @@
         router.finish(now, dispatch.ticket, &complete(None));
     }
 }
+
+/// An operator renames a service while its requests run. If the places that these requests held
+/// at the endpoints were never given back, the new service would find the pool full for ever.
+#[test]
+fn requests_of_a_removed_service_give_their_places_back() {
+    let mut router = Shape::default().router();
+    let mut running = Vec::new();
+    while let Offer::Run(dispatch) = router.offer(secs(0.0), &ask(secs(0.0), 1)) {
+        running.push(dispatch.ticket);
+    }
+    let mut cfg = (*Shape::default().config()).clone();
+    let mut services = oatdale_config::Arena::default();
+    for (key, service) in cfg.services.iter() {
+        let mut service = service.clone();
+        if key == planner() {
+            service.name = "renamed".to_owned();
+        }
+        services.push(service);
+    }
+    cfg.services = services;
+    router.reconfigure(secs(0.1), cfg.into());
+    let count = running.len();
+    for ticket in running {
+        router.finish(secs(0.2), ticket, &complete(None));
+    }
+    for draw in 0..count as u64 {
+        run(router.offer(secs(0.3), &ask(secs(0.3), draw)));
+    }
+}
