Let timeouts that are far too short say nothing of endpoints and versions

Cause: an attempt that ended by the caller's own `x-timeout-ms` counted as a failure of its endpoint and version. Found at three nodes as processes: 30 requests of one customer with 20 ms got 502 and 503, stopped mini/2 on both nodes left, and made a patient request get 503 no-endpoint.

Ruled out: counting no timeout of callers with timeouts of their own, since a version that hangs would then never be found if all callers are less patient than the service.

A timeout counts from three times the usual time on, or from half of the service's deadline on. The first test failed before ("request 10 got NoEndpoint"), the second one, of a hanging version, passes before and after.

--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -21,6 +21,9 @@
 /// An answer counts as slow from this multiple of the usual time to its first byte.
 const SLOW: f64 = 3.0;
 
+/// A timeout tells something of the endpoint from this multiple of the usual time to an answer's end.
+const PATIENT: f64 = 3.0;
+
 /// Whether an answer was kept back until its rating came.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Held {
@@ -85,6 +88,9 @@
     }
 
     fn learn(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
+        if self.is_hasty(ask, outcome) {
+            return;
+        }
         let relative = self.relative_first_byte(ask, attempt, outcome);
         let slow = self.is_slow_for_model(ask, attempt, outcome);
         self.learn_times(ask, outcome);
@@ -92,6 +98,20 @@
         self.learn_version(ask, attempt, outcome, slow);
     }
 
+    /// Whether the caller gave up so early that the timeout says nothing of endpoint and version.
+    ///
+    /// Callers set timeouts of their own. If those of one customer that are far too short counted,
+    /// they would stop sound versions and set endpoints aside for everybody. One that waits for
+    /// several times the usual time, or for half of what the service grants, does count: a version
+    /// that hangs is to be found although all its callers are less patient than the service.
+    fn is_hasty(&self, ask: &Ask, outcome: &Outcome) -> bool {
+        let waited = outcome.total.as_secs_f64();
+        let granted = self.cfg.services[ask.service].deadline.as_secs_f64();
+        let usual = self.services[ask.service.index()].expected_total(ask.class);
+        let long = usual > 0.0 && waited >= PATIENT * usual;
+        outcome.result == AttemptResult::TimedOut && !long && waited < granted / 2.0
+    }
+
     /// The time to the first byte over the usual one of the request's class and version, since a
     /// long prompt would else speak against its endpoint.
     fn relative_first_byte(&self, ask: &Ask, attempt: Attempt, outcome: &Outcome) -> Option<f64> {
--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -5,8 +5,8 @@
 };
 use oatdale_config::VersionState;
 use oatdale_policy::{
-    Ask, AttemptResult, Fault, Next, Offer, RefusalReason, Router, Session, Turn, VersionCounters,
-    VersionReason,
+    Ask, AttemptResult, Fault, Next, Offer, Outcome, RefusalReason, Router, Session, Turn,
+    VersionCounters, VersionReason,
 };
 
 const CANARY: VersionState = VersionState::Canary { share: 0.5 };
@@ -97,6 +97,68 @@
     assert!(router.take_stops(secs(2.0)).is_empty());
 }
 
+/// A customer sets a timeout of 20 ms at a node that has not learned yet that answers take ten times
+/// as long. The endpoints and versions are sound. Counted against them, a few such requests would
+/// stop the canary on every node and leave all customers without an endpoint.
+#[test]
+fn timeouts_that_no_answer_could_meet_say_nothing() {
+    let mut router = with_canary();
+    let mut now = secs(0.0);
+    for i in 0..60_u64 {
+        now += secs(0.1);
+        let hasty = Ask {
+            deadline: now + secs(0.02),
+            ..ask(now, i * 7919)
+        };
+        let offer = router.offer(now, &hasty);
+        let Offer::Run(dispatch) = offer else {
+            panic!("request {i} got {offer:?}");
+        };
+        now += secs(0.02);
+        let timed_out = Outcome {
+            total: secs(0.02),
+            first_byte: None,
+            ..outcome(AttemptResult::TimedOut)
+        };
+        let next = router.finish(now, dispatch.ticket, &timed_out);
+        assert!(matches!(next, Next::Refuse(_)), "{next:?}");
+    }
+    let stops = router.take_stops(now);
+    assert!(stops.is_empty(), "{stops:?}");
+    run(router.offer(now, &ask(now, 1)));
+}
+
+/// A canary hangs, and callers wait for five seconds where answers take 0.2 s. They gave it time
+/// enough: it must be stopped, although the service's own deadline is twice that.
+#[test]
+fn a_version_that_hangs_is_stopped_by_callers_with_timeouts_of_their_own() {
+    let mut router = with_canary();
+    let mut now = secs(0.0);
+    for i in 0..200_u64 {
+        now += secs(6.0);
+        let asked = Ask {
+            deadline: now + secs(5.0),
+            ..ask(now, i * 7919)
+        };
+        let Offer::Run(dispatch) = router.offer(now, &asked) else {
+            continue;
+        };
+        let hangs = dispatch.version == Some(version(1));
+        let ended = match hangs {
+            true => Outcome {
+                total: secs(5.0),
+                first_byte: None,
+                ..outcome(AttemptResult::TimedOut)
+            },
+            false => complete(None),
+        };
+        router.finish(now, dispatch.ticket, &ended);
+    }
+    let stops = router.take_stops(now);
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    assert_eq!(stops[0].version, version(1));
+}
+
 /// Everything fails alike because a rack is down. Stopping the canary would blame the wrong cause
 /// and hold up a healthy roll-out.
 #[test]
