--- a/crates/oatdale-policy/examples/measure/cascade.rs
+++ b/crates/oatdale-policy/examples/measure/cascade.rs
@@ -4,6 +4,12 @@
 //! in the request's class exceeds that difficulty and a noise of its own, so a request that one
 //! version fails is harder for the next one too. The optimum knows the true distributions.
 
+mod load;
+
+use self::load::{
+    Expected, LENGTH_SIGMA, Load, Request, accepts, request, seconds, shifted, skyward, tallyrow,
+    truth,
+};
 use crate::Seeds;
 use crate::report::Report;
 use crate::world::{Draw, ModelService, Site, customer};
@@ -28,45 +34,9 @@
 /// Requests over which quality is averaged to see whether it is back on target.
 const WINDOW: usize = 500;
 
-/// The standard deviation of the logarithm of prompts' and answers' lengths.
-const LENGTH_SIGMA: f64 = 0.4;
-
 /// Tokens that callers allow an answer to have.
 const MOST_OUTPUT: u32 = 4_000;
 
-/// Draws from which the true distributions are worked out.
-const TRUTH: usize = 20_000;
-
-/// A workload: how able each of the three versions is, and how long requests are.
-#[derive(Clone)]
-struct Load {
-    name: &'static str,
-    target: f64,
-    latency_weight: f64,
-    /// The share of answers that were not held back and are rated later.
-    sampled: f64,
-    /// For each class: its share, tokens of prompt and answer, and the versions' abilities.
-    classes: Vec<Class>,
-}
-
-#[derive(Clone, Copy)]
-struct Class {
-    share: f64,
-    input: f64,
-    output: f64,
-    ability: [f64; 3],
-}
-
-#[derive(Clone, Copy)]
-struct Request {
-    class: usize,
-    input: u32,
-    output: u32,
-    difficulty: f64,
-    noise: [f64; 3],
-    draw: u64,
-}
-
 /// What one policy did with one request.
 #[derive(Clone, Copy, Default)]
 struct Result {
@@ -107,54 +77,6 @@
     report
 }
 
-/// Short tagging, notes and pass schedules.
-fn skyward() -> Load {
-    Load {
-        name: "skyward",
-        target: 0.90,
-        latency_weight: 0.0,
-        sampled: 1.0,
-        classes: vec![
-            class(0.5, 200.0, 20.0, [0.95, 0.97, 0.99]),
-            class(0.3, 1500.0, 200.0, [0.75, 0.90, 0.96]),
-            class(0.2, 6000.0, 500.0, [0.40, 0.75, 0.93]),
-        ],
-    }
-}
-
-/// Tags, licence summaries and whole registers.
-fn tallyrow() -> Load {
-    Load {
-        name: "tallyrow",
-        target: 0.90,
-        latency_weight: 0.0,
-        sampled: 1.0,
-        classes: vec![
-            class(0.4, 150.0, 15.0, [0.94, 0.96, 0.99]),
-            class(0.3, 3000.0, 600.0, [0.70, 0.88, 0.95]),
-            class(0.3, 20_000.0, 1500.0, [0.55, 0.82, 0.94]),
-        ],
-    }
-}
-
-fn class(share: f64, input: f64, output: f64, ability: [f64; 3]) -> Class {
-    Class {
-        share,
-        input,
-        output,
-        ability,
-    }
-}
-
-/// The cheapest version gets much worse at everything but the easiest class.
-fn shifted(load: &Load) -> Load {
-    let mut load = load.clone();
-    for class in &mut load.classes[1..] {
-        class.ability[0] *= 0.5;
-    }
-    load
-}
-
 fn measure(report: &mut Report, condition: &str, load: &Load, after: &Load, seed: u64) {
     let shifts = condition.ends_with("shift");
     let mut draw = Draw::new(seed * 1_000_003 + 17);
@@ -236,46 +158,6 @@
         .map_or((REQUESTS - from) as f64, |start| (start - from) as f64)
 }
 
-fn request(load: &Load, draw: &mut Draw) -> Request {
-    let mut place = draw.unit();
-    let class = load
-        .classes
-        .iter()
-        .position(|c| {
-            place -= c.share;
-            place < 0.0
-        })
-        .unwrap_or(load.classes.len() - 1);
-    let Class { input, output, .. } = load.classes[class];
-    Request {
-        class,
-        input: draw.log_normal(input, LENGTH_SIGMA) as u32 + 1,
-        output: draw.log_normal(output, LENGTH_SIGMA) as u32 + 1,
-        difficulty: draw.unit(),
-        noise: [(); 3].map(|()| draw.unit()),
-        draw: draw.bits(),
-    }
-}
-
-/// How long a version takes; dearer ones are slower.
-fn seconds(request: &Request, version: usize) -> f64 {
-    let pace = [0.006, 0.012, 0.025][version];
-    0.05 + pace * f64::from(request.output)
-}
-
-/// Whether a version's answer is accepted: half by the request's difficulty, which all versions
-/// share, and half by a draw of its own.
-fn accepts(class: &Class, request: &Request, version: usize) -> bool {
-    let own = request.noise[version];
-    let mixed = 0.5 * (request.difficulty + own);
-    // The sum of two uniform draws is triangular; this brings it back to uniform.
-    let place = match mixed < 0.5 {
-        true => 2.0 * mixed * mixed,
-        false => 1.0 - 2.0 * (1.0 - mixed) * (1.0 - mixed),
-    };
-    place < class.ability[version]
-}
-
 struct World {
     cfg: Arc<Config>,
     /// Before and after the shift.
@@ -490,38 +372,3 @@
         }
     }
 }
-
-/// What a sequence of versions does in one class, by the true distributions.
-struct Expected {
-    versions: Vec<usize>,
-    /// How often each step is reached.
-    reached: Vec<f64>,
-    quality: f64,
-}
-
-fn truth(load: &Load, draw: &mut Draw) -> Vec<Vec<Expected>> {
-    const SEQUENCES: [&[usize]; 7] = [&[0], &[1], &[2], &[0, 1], &[0, 2], &[1, 2], &[0, 1, 2]];
-    load.classes
-        .iter()
-        .map(|class| {
-            let samples: Vec<Request> = (0..TRUTH).map(|_| request(load, draw)).collect();
-            let of = |versions: &&[usize]| expected(class, &samples, versions);
-            SEQUENCES.iter().map(of).collect()
-        })
-        .collect()
-}
-
-fn expected(class: &Class, samples: &[Request], versions: &[usize]) -> Expected {
-    let n = samples.len() as f64;
-    let mut left: Vec<&Request> = samples.iter().collect();
-    let mut reached = Vec::new();
-    for &version in versions {
-        reached.push(left.len() as f64 / n);
-        left.retain(|request| !accepts(class, request, version));
-    }
-    Expected {
-        versions: versions.to_vec(),
-        reached,
-        quality: 1.0 - left.len() as f64 / n,
-    }
-}
--- /dev/null
+++ b/crates/oatdale-policy/examples/measure/cascade/load.rs
@@ -0,0 +1,162 @@
+//! Workloads of the cascade round: requests, what accepts them, and the true distributions.
+
+use crate::world::Draw;
+
+/// The standard deviation of the logarithm of prompts' and answers' lengths.
+pub(super) const LENGTH_SIGMA: f64 = 0.4;
+
+/// Draws from which the true distributions are worked out.
+pub(super) const TRUTH: usize = 20_000;
+
+/// A workload: how able each of the three versions is, and how long requests are.
+#[derive(Clone)]
+pub(super) struct Load {
+    pub(super) name: &'static str,
+    pub(super) target: f64,
+    pub(super) latency_weight: f64,
+    /// The share of answers that were not held back and are rated later.
+    pub(super) sampled: f64,
+    /// For each class: its share, tokens of prompt and answer, and the versions' abilities.
+    pub(super) classes: Vec<Class>,
+}
+
+#[derive(Clone, Copy)]
+pub(super) struct Class {
+    pub(super) share: f64,
+    pub(super) input: f64,
+    pub(super) output: f64,
+    pub(super) ability: [f64; 3],
+}
+
+#[derive(Clone, Copy)]
+pub(super) struct Request {
+    pub(super) class: usize,
+    pub(super) input: u32,
+    pub(super) output: u32,
+    pub(super) difficulty: f64,
+    pub(super) noise: [f64; 3],
+    pub(super) draw: u64,
+}
+
+/// Short tagging, notes and pass schedules.
+pub(super) fn skyward() -> Load {
+    Load {
+        name: "skyward",
+        target: 0.90,
+        latency_weight: 0.0,
+        sampled: 1.0,
+        classes: vec![
+            class(0.5, 200.0, 20.0, [0.95, 0.97, 0.99]),
+            class(0.3, 1500.0, 200.0, [0.75, 0.90, 0.96]),
+            class(0.2, 6000.0, 500.0, [0.40, 0.75, 0.93]),
+        ],
+    }
+}
+
+/// Tags, licence summaries and whole registers.
+pub(super) fn tallyrow() -> Load {
+    Load {
+        name: "tallyrow",
+        target: 0.90,
+        latency_weight: 0.0,
+        sampled: 1.0,
+        classes: vec![
+            class(0.4, 150.0, 15.0, [0.94, 0.96, 0.99]),
+            class(0.3, 3000.0, 600.0, [0.70, 0.88, 0.95]),
+            class(0.3, 20_000.0, 1500.0, [0.55, 0.82, 0.94]),
+        ],
+    }
+}
+
+pub(super) fn class(share: f64, input: f64, output: f64, ability: [f64; 3]) -> Class {
+    Class {
+        share,
+        input,
+        output,
+        ability,
+    }
+}
+
+/// The cheapest version gets much worse at everything but the easiest class.
+pub(super) fn shifted(load: &Load) -> Load {
+    let mut load = load.clone();
+    for class in &mut load.classes[1..] {
+        class.ability[0] *= 0.5;
+    }
+    load
+}
+
+pub(super) fn request(load: &Load, draw: &mut Draw) -> Request {
+    let mut place = draw.unit();
+    let class = load
+        .classes
+        .iter()
+        .position(|c| {
+            place -= c.share;
+            place < 0.0
+        })
+        .unwrap_or(load.classes.len() - 1);
+    let Class { input, output, .. } = load.classes[class];
+    Request {
+        class,
+        input: draw.log_normal(input, LENGTH_SIGMA) as u32 + 1,
+        output: draw.log_normal(output, LENGTH_SIGMA) as u32 + 1,
+        difficulty: draw.unit(),
+        noise: [(); 3].map(|()| draw.unit()),
+        draw: draw.bits(),
+    }
+}
+
+/// How long a version takes; dearer ones are slower.
+pub(super) fn seconds(request: &Request, version: usize) -> f64 {
+    let pace = [0.006, 0.012, 0.025][version];
+    0.05 + pace * f64::from(request.output)
+}
+
+/// Whether a version's answer is accepted: half by the request's difficulty, which all versions
+/// share, and half by a draw of its own.
+pub(super) fn accepts(class: &Class, request: &Request, version: usize) -> bool {
+    let own = request.noise[version];
+    let mixed = 0.5 * (request.difficulty + own);
+    // The sum of two uniform draws is triangular; this brings it back to uniform.
+    let place = match mixed < 0.5 {
+        true => 2.0 * mixed * mixed,
+        false => 1.0 - 2.0 * (1.0 - mixed) * (1.0 - mixed),
+    };
+    place < class.ability[version]
+}
+
+/// What a sequence of versions does in one class, by the true distributions.
+pub(super) struct Expected {
+    pub(super) versions: Vec<usize>,
+    /// How often each step is reached.
+    pub(super) reached: Vec<f64>,
+    pub(super) quality: f64,
+}
+
+pub(super) fn truth(load: &Load, draw: &mut Draw) -> Vec<Vec<Expected>> {
+    const SEQUENCES: [&[usize]; 7] = [&[0], &[1], &[2], &[0, 1], &[0, 2], &[1, 2], &[0, 1, 2]];
+    load.classes
+        .iter()
+        .map(|class| {
+            let samples: Vec<Request> = (0..TRUTH).map(|_| request(load, draw)).collect();
+            let of = |versions: &&[usize]| expected(class, &samples, versions);
+            SEQUENCES.iter().map(of).collect()
+        })
+        .collect()
+}
+
+pub(super) fn expected(class: &Class, samples: &[Request], versions: &[usize]) -> Expected {
+    let n = samples.len() as f64;
+    let mut left: Vec<&Request> = samples.iter().collect();
+    let mut reached = Vec::new();
+    for &version in versions {
+        reached.push(left.len() as f64 / n);
+        left.retain(|request| !accepts(class, request, version));
+    }
+    Expected {
+        versions: versions.to_vec(),
+        reached,
+        quality: 1.0 - left.len() as f64 / n,
+    }
+}
