--- a/crates/oatdale-mesh/examples/slopes.rs
+++ b/crates/oatdale-mesh/examples/slopes.rs
@@ -1,8 +1,10 @@
 //! Measures what control traffic costs a node as the fleet grows.
 //!
-//! `cargo run --release -p oatdale-mesh --example slopes` prints two tables (`core` or `sockets`
-//! after `--` prints one): the pure core on a counted clock, which is the same at each run but for
-//! the processor's time, and the duty over loopback sockets, where all nodes share one thread.
+//! `cargo run --release -p oatdale-mesh --example slopes` prints two tables: the pure core on a
+//! counted clock, which is the same at each run but for the processor's time, and the duty over
+//! loopback sockets, where all nodes share one thread. After `--`, `core`, `sockets` or `rest`
+//! prints one part, and a number of nodes after that only its row, as the column for memory needs:
+//! a row reuses what the one before has freed.
 
 #[path = "../tests/support/in_memory.rs"]
 mod in_memory;
@@ -25,12 +27,18 @@
 
 fn main() {
     let part = std::env::args().nth(1);
-    if part.as_deref() != Some("sockets") {
-        core_table();
+    let only = std::env::args()
+        .nth(2)
+        .and_then(|n| n.parse::<usize>().ok());
+    if part.is_none() || part.as_deref() == Some("core") {
+        core_table(only);
+    }
+    if part.is_none() || part.as_deref() == Some("rest") {
         bills();
+        outages();
     }
-    if part.as_deref() != Some("core") {
-        sockets_table();
+    if part.is_none() || part.as_deref() == Some("sockets") {
+        sockets_table(only);
     }
 }
 
@@ -50,7 +58,7 @@
     text.into()
 }
 
-fn core_table() {
+fn core_table(only: Option<usize>) {
     println!(
         "pure core, counted clock, {} s, a change every 12.3 s",
         MEASURED.as_secs()
@@ -79,7 +87,9 @@
         (16, 128),
         (16, 360),
     ] {
-        core_row(domains, hosts);
+        if only.is_none_or(|n| n == hosts) {
+            core_row(domains, hosts);
+        }
     }
 }
 
@@ -203,13 +213,46 @@
     println!("({frames} frames in 30 s with {count} bills, heartbeats included)\n");
 }
 
-fn sockets_table() {
+/// How long a change takes at today's size when one node alone reaches the service, from the
+/// moment at which the others fail to, and once that node is found.
+fn outages() {
+    for (name, settle) in [("just now", ms(0)), ("10 s ago", Duration::from_secs(10))] {
+        let mut spread: Vec<Duration> = (0..20).map(|seed| outage(seed, settle)).collect();
+        spread.sort_unstable();
+        println!(
+            "9 nodes, service lost to all but one {name}: median {} ms, worst {} ms, 20 seeds",
+            spread[10].as_millis(),
+            spread[19].as_millis()
+        );
+    }
+    println!();
+}
+
+fn outage(seed: u64, settle: Duration) -> Duration {
+    let mut fleet = Fleet::new(seed, 3, 3);
+    fleet.start_all();
+    fleet.run(Duration::from_secs(10));
+    fleet.write(text(0));
+    fleet.run(Duration::from_secs(5));
+    let only = fleet.random(9) as usize;
+    fleet.service_for(|i| i == only);
+    fleet.run(settle);
+    let revision = fleet.write(text(1));
+    fleet
+        .run_until(Duration::from_secs(60), |f| f.all_hold(revision))
+        .unwrap_or(Duration::MAX)
+}
+
+fn sockets_table(only: Option<usize>) {
     println!("duty over loopback sockets, all nodes on one thread, 30 s");
     println!(
-        "{:>5} {:>7} {:>13} {:>9} {:>9} {:>9}",
-        "nodes", "domains", "CPU us/s/node", "KB/node", "median ms", "worst ms"
+        "{:>5} {:>7} {:>13} {:>9} {:>9} {:>9} {:>9}",
+        "nodes", "domains", "CPU us/s/node", "KB/node", "median ms", "worst ms", "whole ms"
     );
     for (domains, hosts) in [(4, 8), (3, 9), (4, 16), (8, 32), (8, 64)] {
+        if only.is_some_and(|n| n != hosts) {
+            continue;
+        }
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build();
@@ -235,19 +278,22 @@
     drain(&mut nodes, Duration::from_secs(10)).await;
     let memory = resident().saturating_sub(before);
     let mut spread = Vec::new();
+    let whole = change(&mut nodes, 1).await;
+    drain(&mut nodes, Duration::from_secs(5)).await;
     let (start, cpu) = (Instant::now(), processor_time());
-    for revision in 1..=3 {
+    for revision in 2..=8 {
         spread.push(change(&mut nodes, revision).await);
-        drain(&mut nodes, Duration::from_secs(10)).await;
+        drain(&mut nodes, Duration::from_secs(4)).await;
     }
     let busy = (processor_time() - cpu).as_secs_f64() / start.elapsed().as_secs_f64();
     spread.sort_unstable();
     println!(
-        "{hosts:>5} {domains:>7} {:>13.0} {:>9.0} {:>9} {:>9}",
+        "{hosts:>5} {domains:>7} {:>13.0} {:>9.0} {:>9} {:>9} {:>9}",
         busy * 1e6 / hosts as f64,
         memory as f64 / 1024.0 / hosts as f64,
         spread[spread.len() / 2].as_millis(),
         spread[spread.len() - 1].as_millis(),
+        whole.as_millis(),
     );
 }
 
