--- a/crates/oatdale-node/src/node.rs
+++ b/crates/oatdale-node/src/node.rs
@@ -13,6 +13,7 @@
 use crate::member;
 use crate::metrics::Metrics;
 use crate::pins::PinCache;
+use crate::place;
 use crate::rate::{self, RateHandle};
 use crate::route::{self, Report, RouteHandle};
 use crate::session::Sealer;
@@ -98,9 +99,24 @@
     ///
     /// Fails if an address is taken, the shared key can't be read or a thread can't be started.
     pub fn start(settings: NodeSettings, dropped: Dropped) -> Result<Node> {
+        Node::start_with(settings, dropped, Intervals::default())
+    }
+
+    /// Starts a node whose mesh has other timers than the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// As [`Node::start`].
+    pub fn start_with(
+        settings: NodeSettings,
+        dropped: Dropped,
+        intervals: Intervals,
+    ) -> Result<Node> {
         let key = mesh_key(&settings)?;
         let sockets = bind(&settings)?;
-        Parts::new(settings, key, sockets.bound, dropped).start(sockets)
+        let mut parts = Parts::new(settings, key, sockets.bound, dropped);
+        parts.intervals = intervals;
+        parts.start(sockets)
     }
 
     /// The addresses that the node got.
@@ -233,6 +249,7 @@
     superseded: watch::Sender<bool>,
     preferred: watch::Sender<Preferred>,
     reports: watch::Sender<Report>,
+    intervals: Intervals,
 }
 
 /// Handles that the duties of requests share.
@@ -276,6 +293,7 @@
             superseded: watch::Sender::new(false),
             preferred: watch::Sender::new(Preferred::default()),
             reports,
+            intervals: Intervals::default(),
         }
     }
 
@@ -289,6 +307,7 @@
         self.start_config(documents)?;
         self.start_stops(notices, &handles)?;
         self.start_hosts(&mesh, &handles)?;
+        self.start_placement()?;
         self.start_mesh(sockets.nodes, mesh_rx, events_tx)?;
         let member = self.start_member(events, mesh.clone(), documents_tx, &handles)?;
         let fronts = self.start_fronts(sockets.fronts, &handles)?;
@@ -437,6 +456,19 @@
         spawn("hosts", move || hosts::run(duty)).map(drop)
     }
 
+    fn start_placement(&self) -> Result<()> {
+        let duty = place::Duty {
+            host: self.settings.host.clone(),
+            incarnation: self.own.incarnation,
+            kv: self.kv.clone(),
+            engines: EngineClient::default(),
+            live: self.live.subscribe(),
+            peers: self.peers.subscribe(),
+            stop: self.stop.subscribe(),
+        };
+        spawn("place", move || place::run(duty)).map(drop)
+    }
+
     fn start_mesh(
         &self,
         listener: TcpListener,
@@ -454,7 +486,7 @@
             seeds: self.settings.peers.clone(),
             key: self.key.expose().to_vec(),
             holders: self.settings.bill_holders,
-            intervals: Intervals::default(),
+            intervals: self.intervals,
         };
         let run = move || async move {
             if let Err(err) = oatdale_mesh::run(cfg, rx, tx).await {
--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -1,22 +1,25 @@
 //! Cascades, evidence against bad versions and what outlives a new configuration.
 
 use crate::fixture::{
-    Shape, ask, complete, customer, desk, outcome, planner, run, secs, version, wait,
+    Shape, ask, complete, customer, desk, endpoint, outcome, planner, run, secs, version, wait,
 };
 use oatdale_config::VersionState;
 use oatdale_policy::{
-    Ask, AttemptResult, Fault, Next, Offer, RefusalReason, Router, Session, Turn, VersionCounters,
-    VersionReason,
+    Ask, AttemptResult, Fault, Next, Offer, Outcome, RefusalReason, Router, Session, Turn,
+    VersionCounters, VersionReason,
 };
 
 const CANARY: VersionState = VersionState::Canary { share: 0.5 };
 
-fn with_canary() -> Router {
+fn canary_shape() -> Shape {
     Shape {
         states: [VersionState::Serving, CANARY, VersionState::Withdrawn],
         ..Shape::default()
     }
-    .router()
+}
+
+fn with_canary() -> Router {
+    canary_shape().router()
 }
 
 /// Counts of a node that saw a version fail in `errors` of 400 requests.
@@ -97,6 +100,68 @@
     assert!(router.take_stops(secs(2.0)).is_empty());
 }
 
+/// A customer sets a timeout of 20 ms at a node that has not learned yet that answers take ten times
+/// as long. The endpoints and versions are sound. Counted against them, a few such requests would
+/// stop the canary on every node and leave all customers without an endpoint.
+#[test]
+fn timeouts_that_no_answer_could_meet_say_nothing() {
+    let mut router = with_canary();
+    let mut now = secs(0.0);
+    for i in 0..60_u64 {
+        now += secs(0.1);
+        let hasty = Ask {
+            deadline: now + secs(0.02),
+            ..ask(now, i * 7919)
+        };
+        let offer = router.offer(now, &hasty);
+        let Offer::Run(dispatch) = offer else {
+            panic!("request {i} got {offer:?}");
+        };
+        now += secs(0.02);
+        let timed_out = Outcome {
+            total: secs(0.02),
+            first_byte: None,
+            ..outcome(AttemptResult::TimedOut)
+        };
+        let next = router.finish(now, dispatch.ticket, &timed_out);
+        assert!(matches!(next, Next::Refuse(_)), "{next:?}");
+    }
+    let stops = router.take_stops(now);
+    assert!(stops.is_empty(), "{stops:?}");
+    run(router.offer(now, &ask(now, 1)));
+}
+
+/// A canary hangs, and callers wait for five seconds where answers take 0.2 s. They gave it time
+/// enough: it must be stopped, although the service's own deadline is twice that.
+#[test]
+fn a_version_that_hangs_is_stopped_by_callers_with_timeouts_of_their_own() {
+    let mut router = with_canary();
+    let mut now = secs(0.0);
+    for i in 0..200_u64 {
+        now += secs(6.0);
+        let asked = Ask {
+            deadline: now + secs(5.0),
+            ..ask(now, i * 7919)
+        };
+        let Offer::Run(dispatch) = router.offer(now, &asked) else {
+            continue;
+        };
+        let hangs = dispatch.version == Some(version(1));
+        let ended = match hangs {
+            true => Outcome {
+                total: secs(5.0),
+                first_byte: None,
+                ..outcome(AttemptResult::TimedOut)
+            },
+            false => complete(None),
+        };
+        router.finish(now, dispatch.ticket, &ended);
+    }
+    let stops = router.take_stops(now);
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    assert_eq!(stops[0].version, version(1));
+}
+
 /// Everything fails alike because a rack is down. Stopping the canary would blame the wrong cause
 /// and hold up a healthy roll-out.
 #[test]
@@ -230,3 +295,102 @@
         }
     }
 }
+
+/// The router stops a bad canary while the platform's service is down, so no record of the stop
+/// exists yet. Then an operator changes something else. The node sets the recorded stops anew,
+/// and if that cleared the router's own decision, callers would get the bad version again.
+#[test]
+fn a_stop_that_is_not_recorded_yet_outlives_other_changes() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    assert_eq!(router.take_stops(secs(1.0)).len(), 1);
+    router.reconfigure(secs(2.0), canary_shape().config());
+    router.set_stopped(version(1), false);
+    assert_eq!(opened_on_canary(&mut router), 0);
+}
+
+#[test]
+fn a_recorded_stop_ends_with_its_record() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    assert_eq!(router.take_stops(secs(1.0)).len(), 1);
+    router.set_stopped(version(1), true);
+    router.set_stopped(version(1), false);
+    assert!(opened_on_canary(&mut router) > 0);
+}
+
+#[test]
+fn a_stop_ends_with_a_text_that_speaks_of_the_version() {
+    let mut router = with_canary();
+    router.merge_evidence(1, &[failed(0, 4), failed(1, 130)]);
+    assert_eq!(router.take_stops(secs(1.0)).len(), 1);
+    let mut shape = canary_shape();
+    shape.states[1] = VersionState::Canary { share: 0.6 };
+    router.reconfigure(secs(2.0), shape.config());
+    assert!(router.take_stops(secs(2.0)).is_empty(), "old evidence");
+    assert!(opened_on_canary(&mut router) > 0);
+}
+
+/// Sessions of a hundred that open on the canary.
+fn opened_on_canary(router: &mut Router) -> usize {
+    let opened = |i| router.open_session(secs(3.0), customer(0), planner(), i);
+    let versions = (0..100).map(opened).filter_map(Result::ok);
+    versions.filter(|(v, _)| *v == version(1)).count()
+}
+
+/// Only the cheap version is loaded anywhere. Holding its answers back for a rating would cost
+/// time for nothing, since no better version can follow.
+#[test]
+fn an_answer_is_not_held_back_for_a_version_that_no_engine_holds() {
+    let mut router = Shape {
+        states: [
+            VersionState::Serving,
+            VersionState::Withdrawn,
+            VersionState::Serving,
+        ],
+        quality: 0.95,
+        ..Shape::default()
+    }
+    .router();
+    for engine in 0..3 {
+        router.endpoint_holds(endpoint(engine), Some(vec![version(0)]));
+    }
+    for i in 0..100_u32 {
+        let now = secs(f64::from(i));
+        let dispatch = run(router.offer(now, &ask(now, i.into())));
+        assert_eq!(
+            (dispatch.version, dispatch.judge),
+            (Some(version(0)), false)
+        );
+        router.finish(now, dispatch.ticket, &complete(None));
+    }
+}
+
+/// An operator renames a service while its requests run. If the places that these requests held
+/// at the endpoints were never given back, the new service would find the pool full for ever.
+#[test]
+fn requests_of_a_removed_service_give_their_places_back() {
+    let mut router = Shape::default().router();
+    let mut running = Vec::new();
+    while let Offer::Run(dispatch) = router.offer(secs(0.0), &ask(secs(0.0), 1)) {
+        running.push(dispatch.ticket);
+    }
+    let mut cfg = (*Shape::default().config()).clone();
+    let mut services = oatdale_config::Arena::default();
+    for (key, service) in cfg.services.iter() {
+        let mut service = service.clone();
+        if key == planner() {
+            service.name = "renamed".to_owned();
+        }
+        services.push(service);
+    }
+    cfg.services = services;
+    router.reconfigure(secs(0.1), cfg.into());
+    let count = running.len();
+    for ticket in running {
+        router.finish(secs(0.2), ticket, &complete(None));
+    }
+    for draw in 0..count as u64 {
+        run(router.offer(secs(0.3), &ask(secs(0.3), draw)));
+    }
+}
