--- a/crates/oatdale-node/tests/history/run.rs
+++ b/crates/oatdale-node/tests/history/run.rs
@@ -32,6 +32,7 @@
     pub(crate) unanswered: usize,
     pub(crate) under_way_at_faults: usize,
     pub(crate) kills: usize,
+    pub(crate) killed: Vec<usize>,
     pub(crate) pauses: usize,
     pub(crate) outages: u64,
     pub(crate) lost_answers: u64,
