Make two failure tests find their deliberate breaks

Trials on the tree, undone after: a node that did not notice its caller's going while it waited for an engine passed, since the work ended by itself or at the deadline; a node that adopts older revisions passed, since none was offered. Now the engines are slow beyond the deadline and idle before it is asked for, and the service shows an older document.

--- a/crates/oatdale-node/tests/broken_answers.rs
+++ b/crates/oatdale-node/tests/broken_answers.rs
@@ -7,6 +7,10 @@
 use oatdale_fakes::Fault;
 use site::{Site, States, until};
 use std::time::Duration;
+use tokio::time::Instant;
+
+/// Clearly before the service's deadline of ten seconds, which ends a request in any case.
+const BEFORE_DEADLINE: Duration = Duration::from_secs(7);
 
 /// One version only, so that neither a cascade nor a sibling answers in its place.
 fn one_version() -> States {
@@ -116,7 +120,7 @@
 async fn a_caller_that_goes_away_frees_the_engine_and_its_place() {
     let site = Site::with(1, &one_version(), 0.5).await;
     for engine in site.stand_ins.engines() {
-        engine.set_slow(500.0);
+        engine.set_slow(100_000.0);
     }
     for stream in [false, true] {
         let call = site.chat_at(site.callers(0), "a long log", stream, &[]);
@@ -128,7 +132,12 @@
             got = call => panic!("answered before the caller went: {}", got.text()),
             () = begun => {}
         }
+        let gone = Instant::now();
         idle(&site).await;
+        assert!(
+            gone.elapsed() < BEFORE_DEADLINE,
+            "only its deadline ended it"
+        );
     }
     until("both are billed, as interrupted", async || {
         let bills = site.bills().await;
--- a/crates/oatdale-node/tests/operators.rs
+++ b/crates/oatdale-node/tests/operators.rs
@@ -135,3 +135,27 @@
         "{counters:?}"
     );
 }
+
+// The key-value service is restored from an older copy and shows a revision that was in force long
+// ago. A node that followed would bring withdrawn versions back; it must keep what it has and go on
+// with the next newer one.
+#[tokio::test]
+async fn an_older_document_in_the_service_is_not_followed() {
+    let mut site = Site::start(2).await;
+    site.revision = 4;
+    let states = site::usual_states();
+    site.apply(&states, 0.5).await;
+    site.in_force().await;
+    site.revision = 1;
+    site.apply(&states, 0.5).await;
+    for _ in 0..50 {
+        for node in &site.nodes {
+            let revision = site::revision_at(&site.pool, node.addresses().admin).await;
+            assert_eq!(revision, 5);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    site.revision = 5;
+    site.apply(&states, 0.5).await;
+    site.in_force().await;
+}
