--- a/crates/oatdale-policy/src/router/finish.rs
+++ b/crates/oatdale-policy/src/router/finish.rs
@@ -1,7 +1,7 @@
 //! The end of an attempt: what is learned, and whether another attempt follows.
 
 use super::Router;
-use crate::choice::Plan;
+use crate::choice::{Plan, Versions};
 use crate::endpoints::Pick;
 use crate::request::{
     Ask, AttemptResult, Next, Outcome, Refusal, RefusalReason, Session, Ticket, VersionReason,
@@ -21,6 +21,9 @@
 /// An answer counts as slow from this multiple of the usual time to its first byte.
 const SLOW: f64 = 3.0;
 
+/// A timeout tells something of the endpoint from this multiple of the usual time to an answer's end.
+const PATIENT: f64 = 3.0;
+
 /// Whether an answer was kept back until its rating came.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Held {
@@ -42,6 +45,7 @@
         };
         let (ask, void) = (request.ask, request.void);
         if void {
+            self.leave(attempt);
             self.forget(ticket);
             return close(outcome);
         }
@@ -67,24 +71,31 @@
         match stage {
             Stage::Waiting { .. } => self.unqueue(ticket),
             Stage::Running(attempt) if !void => self.count_end(&ask, attempt),
-            Stage::Running(_) => {}
+            Stage::Running(attempt) => self.leave(attempt),
         }
         self.forget(ticket);
     }
 
     fn count_end(&mut self, ask: &Ask, attempt: Attempt) {
-        let now = self.now;
         let pool = self.cfg.services[ask.service].pool;
         let pool = &mut self.pools[pool.index()];
         pool.running = pool.running.saturating_sub(1);
         let service = &mut self.services[ask.service.index()];
         service.running = service.running.saturating_sub(1);
+        self.leave(attempt);
+    }
+
+    /// Gives back the place at the endpoint, also if the request's service or customer is gone.
+    fn leave(&mut self, attempt: Attempt) {
         if let Some(endpoint) = attempt.endpoint {
-            self.endpoints.states[endpoint.index()].over(now);
+            self.endpoints.states[endpoint.index()].over(self.now);
         }
     }
 
     fn learn(&mut self, ask: &Ask, attempt: Attempt, outcome: &Outcome) {
+        if self.is_hasty(ask, outcome) {
+            return;
+        }
         let relative = self.relative_first_byte(ask, attempt, outcome);
         let slow = self.is_slow_for_model(ask, attempt, outcome);
         self.learn_times(ask, outcome);
@@ -92,6 +103,20 @@
         self.learn_version(ask, attempt, outcome, slow);
     }
 
+    /// Whether the caller gave up so early that the timeout says nothing of endpoint and version.
+    ///
+    /// Callers set timeouts of their own. If those of one customer that are far too short counted,
+    /// they would stop sound versions and set endpoints aside for everybody. One that waits for
+    /// several times the usual time, or for half of what the service grants, does count: a version
+    /// that hangs is to be found although all its callers are less patient than the service.
+    fn is_hasty(&self, ask: &Ask, outcome: &Outcome) -> bool {
+        let waited = outcome.total.as_secs_f64();
+        let granted = self.cfg.services[ask.service].deadline.as_secs_f64();
+        let usual = self.services[ask.service.index()].expected_total(ask.class);
+        let long = usual > 0.0 && waited >= PATIENT * usual;
+        outcome.result == AttemptResult::TimedOut && !long && waited < granted / 2.0
+    }
+
     /// The time to the first byte over the usual one of the request's class and version, since a
     /// long prompt would else speak against its endpoint.
     fn relative_first_byte(&self, ask: &Ask, attempt: Attempt, outcome: &Outcome) -> Option<f64> {
@@ -335,7 +360,7 @@
         if ask.session != Session::None || failed.is_none() {
             return None;
         }
-        let serving = self.catalogue.serving(&self.cfg, ask);
+        let serving: Versions = self.catalogue.serving(&self.cfg, ask).collect();
         serving
             .into_iter()
             .filter(|&v| Some(v) != failed)
