--- a/crates/oatdale-cli/src/command/demo/site.rs
+++ b/crates/oatdale-cli/src/command/demo/site.rs
@@ -198,7 +198,7 @@
         report.section("All of it goes on until Ctrl-C; to try in another terminal")?;
         report.print(&format!(
             "
-export OATDALE_KEY_VALUE={kv} OATDALE_NODES={admins} OATDALE_OPERATOR=$USER
+export OATDALE_KEY_VALUE={kv} OATDALE_NODES={admins} OATDALE_OPERATOR=me
 cargo run --release -p oatdale-cli -- status
 cargo run --release -p oatdale-cli -- show
 
