--- a/crates/oatdale-mesh/src/member.rs
+++ b/crates/oatdale-mesh/src/member.rs
@@ -9,6 +9,7 @@
 mod holds;
 mod inbox;
 mod limits;
+mod orphans;
 mod roster;
 mod shares;
 mod spread;
@@ -153,6 +154,7 @@
     next_beat: Duration,
     next_report: Duration,
     next_view: Duration,
+    next_dial: Duration,
     links: BTreeMap<HostId, Link>,
     conns: BTreeMap<Conn, HostId>,
     roster: Roster,
@@ -203,6 +205,7 @@
             next_beat: now,
             next_report: now + cfg.intervals.report,
             next_view: now,
+            next_dial: now,
             links: BTreeMap::new(),
             conns: BTreeMap::new(),
             roster: Roster::new(id),
--- a/crates/oatdale-node/tests/support/site.rs
+++ b/crates/oatdale-node/tests/support/site.rs
@@ -3,14 +3,15 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Collected, Full};
+use http_body_util::{BodyExt, Full};
 use oatdale_config::{ChangeId, Document, Revision, node_settings_from_str};
 use oatdale_fakes::{
     EngineConfig, EngineVersion, RatingConfig, Speed, StandIns, StandInsConfig, WeightStore,
 };
 use oatdale_journal::{Closing, Exporter};
+use oatdale_mesh::Intervals;
 use oatdale_node::{Dropped, Node};
 use oatdale_platform::{Condition, Kv, Pool, Reuse};
 use serde_json::Value;
@@ -19,7 +20,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// The failure domains of every test site.
 pub(crate) const DOMAINS: [&str; 3] = ["north", "middle", "south"];
@@ -48,7 +49,10 @@
 pub(crate) struct Got {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// What came of it.
     pub(crate) body: Bytes,
+    /// Whether the message had its proper end.
+    pub(crate) whole: bool,
 }
 
 impl Got {
@@ -57,6 +61,18 @@
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
 
+    /// The id that the node gave the request; `None` if it was refused before it had one.
+    pub(crate) fn request(&self) -> Option<String> {
+        let named = self.headers.get("x-request-id");
+        let named = named.and_then(|value| Some(value.to_str().ok()?.to_owned()));
+        named.or_else(|| Some(self.json()["request"].as_str()?.to_owned()))
+    }
+
+    /// What a problem says about the request; empty if the answer is no problem.
+    pub(crate) fn run(&self) -> String {
+        self.json()["run"].as_str().unwrap_or_default().to_owned()
+    }
+
     /// The body as text.
     pub(crate) fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
@@ -96,10 +112,16 @@
 
     /// Starts one more node, which knows the first of the others.
     pub(crate) async fn add_node(&mut self, index: usize) {
+        self.add_node_with(index, Intervals::default()).await;
+    }
+
+    /// The same with other timers of the mesh.
+    pub(crate) async fn add_node_with(&mut self, index: usize, intervals: Intervals) {
         let seed = self.nodes.first().map(|node| node.addresses().nodes);
         let settings = settings(index, seed, &self.stand_ins);
         let settings = node_settings_from_str(&settings).expect("the settings are right");
-        let node = Node::start(settings, Dropped::default()).expect("a node starts");
+        let node = Node::start_with(settings, Dropped::default(), intervals);
+        let node = node.expect("a node starts");
         assert!(node.ready(LONG).await, "the node got no configuration");
         self.nodes.push(node);
     }
@@ -148,6 +170,19 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Got {
+        let got = self.try_send(addr, method, path, headers, body).await;
+        got.expect("the node answers")
+    }
+
+    /// Sends a request to a node that may be gone; `None` when no answer began.
+    pub(crate) async fn try_send(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Option<Got> {
         let mut req = Request::builder().method(method).uri(path);
         for (name, value) in headers {
             req = req.header(*name, *value);
@@ -155,13 +190,21 @@
         let req = req.body(Full::new(body.into())).expect("a right request");
         let deadline = Instant::now() + LONG;
         let res = self.pool.send(addr, req, Reuse::Never, deadline).await;
-        let (head, body) = res.expect("the node answers").into_parts();
-        let body = body.collect().await;
-        Got {
+        let (head, mut body) = res.ok()?.into_parts();
+        let mut came = BytesMut::new();
+        let whole = loop {
+            match timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => came.extend(frame.into_data()),
+                Ok(None) => break true,
+                Ok(Some(Err(_))) | Err(_) => break false,
+            }
+        };
+        Some(Got {
             status: head.status,
             headers: head.headers,
-            body: body.map(Collected::to_bytes).unwrap_or_default(),
-        }
+            body: came.freeze(),
+            whole,
+        })
     }
 
     /// Sends a `GET`.
@@ -238,6 +281,19 @@
     }
 }
 
+/// The revision that a node says is in force.
+pub(crate) async fn revision_at(pool: &Pool, admin: SocketAddr) -> u64 {
+    let req = Request::get("/v1/status").body(Full::new(Bytes::new()));
+    let deadline = Instant::now() + LONG;
+    let res = pool
+        .send(admin, req.expect("a right request"), Reuse::Never, deadline)
+        .await
+        .expect("the node answers");
+    let body = res.into_body().collect().await.expect("a whole answer");
+    let status: Value = serde_json::from_slice(&body.to_bytes()).expect("a JSON document");
+    status["revision"].as_u64().expect("it has a revision")
+}
+
 /// The value of an `Authorization` header.
 pub(crate) fn bearer(key: &str) -> String {
     format!("Bearer {key}")
@@ -252,7 +308,7 @@
     }
 }
 
-fn chat_json(prompt: &str, stream: bool) -> String {
+pub(crate) fn chat_json(prompt: &str, stream: bool) -> String {
     serde_json::json!({
         "model": "drafts",
         "stream": stream,
@@ -286,7 +342,7 @@
     }
 }
 
-fn text(stand_ins: &StandIns, states: &States, quality: f64) -> String {
+pub(crate) fn text(stand_ins: &StandIns, states: &States, quality: f64) -> String {
     let mut text = "failure-domains:\n".to_owned();
     for domain in DOMAINS {
         writeln!(text, "  {domain}: {{ region: home }}").unwrap();
@@ -351,7 +407,7 @@
     text
 }
 
-fn digest(key: &str) -> String {
+pub(crate) fn digest(key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
     let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     format!("sha256:{hex}")
--- a/crates/oatdale-policy/src/router.rs
+++ b/crates/oatdale-policy/src/router.rs
@@ -7,7 +7,7 @@
 mod turn;
 
 use self::finish::Held;
-use crate::choice::Catalogue;
+use crate::choice::{Catalogue, Plan};
 use crate::endpoints::Endpoints;
 use crate::evidence::{Evidence, VersionCounters};
 use crate::request::{
@@ -120,8 +120,14 @@
         };
         self.check_names(&ask).map_err(refused)?;
         let (plans, _) = self.plans(&ask).map_err(refused)?;
-        let first = plans.first().and_then(|p| Some((*p.steps.first()?, p.why)));
-        first.ok_or(refused(RefusalReason::NoVersion))
+        let pool = self.cfg.services[service].pool;
+        let choice = |plan: &Plan| Some((*plan.steps.first()?, plan.why));
+        let mut choices = plans.iter().filter_map(choice);
+        let live = choices
+            .clone()
+            .find(|(version, _)| self.endpoints.any_live(now, pool, Some(*version)));
+        let chosen = live.or_else(|| choices.next());
+        chosen.ok_or(refused(RefusalReason::NoVersion))
     }
 
     /// Takes in an engine's report of its load.
@@ -171,12 +177,9 @@
 
     /// Notes which versions an engine reports as loaded; `None` trusts the configuration.
     pub fn endpoint_holds(&mut self, endpoint: EndpointKey, versions: Option<Vec<VersionKey>>) {
-        let Some(state) = self.endpoints.states.get_mut(endpoint.index()) else {
-            return;
-        };
-        if state.holds != versions {
-            state.holds = versions;
-            self.endpoints.rebuild(&self.cfg);
+        let known = self.endpoints.states.get(endpoint.index());
+        if known.is_some_and(|state| state.holds != versions) {
+            self.endpoints.set_holds(&self.cfg, endpoint, versions);
         }
     }
 
@@ -214,14 +217,19 @@
     }
 
     /// Sets whether a stop recorded beside the text keeps new work off a version.
+    ///
+    /// A stop that [`Router::take_stops`] returned holds here without a record, until it has been
+    /// set by this call and cleared again, or until a configuration changes the version's state
+    /// or price.
     pub fn set_stopped(&mut self, version: VersionKey, stopped: bool) {
         if version.index() >= self.cfg.versions.len() {
             return;
         }
-        if self.catalogue.is_stopped(version) && !stopped {
+        let before = self.catalogue.is_stopped(version);
+        self.catalogue.set_recorded(version, stopped);
+        if before && !self.catalogue.is_stopped(version) {
             self.trials.restart(version, &self.cfg, &self.evidence);
         }
-        self.catalogue.set_stopped(version, stopped);
     }
 
     /// Versions found to be bad since the last call, already stopped here; the node records them.
@@ -230,7 +238,7 @@
         let (trials, catalogue) = (&mut self.trials, &self.catalogue);
         let stops = trials.judge(&self.cfg, catalogue, &self.evidence);
         for stop in &stops {
-            self.catalogue.set_stopped(stop.version, true);
+            self.catalogue.decide(stop.version);
         }
         stops
     }
