List a stop in a node's status only while it holds

Cause: `/v1/status` listed every stop that was ever heard of. Decisions were not touched: routing asks which stops hold. The status asks the same now. The test failed before.

--- a/crates/oatdale-node/src/admin.rs
+++ b/crates/oatdale-node/src/admin.rs
@@ -179,7 +179,7 @@
             key_value_up: *self.service_up.borrow(),
             stops: self
                 .stops
-                .to_tell()
+                .holding(&self.live.borrow())
                 .into_iter()
                 .map(|stop| Stopped {
                     version: stop.version,
--- a/crates/oatdale-node/src/stops.rs
+++ b/crates/oatdale-node/src/stops.rs
@@ -58,19 +58,19 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Names of versions whose stop holds under `live`.
+    /// Stops that hold under `live`.
     ///
     /// A stop ends only by a newer revision that speaks of the version. A node that still has the
     /// older text keeps the stop, and one that heard of the stop late can't end it, so no stale
     /// node starts a bad version again.
-    fn holding(&self, live: &Live) -> Vec<String> {
+    pub(crate) fn holding(&self, live: &Live) -> Vec<Stop> {
         self.lock()
             .values()
             .filter(|stop| {
                 let spoken = live.spoken_at(&stop.version);
                 stop_holds(Revision(stop.revision), spoken)
             })
-            .map(|stop| stop.version.clone())
+            .cloned()
             .collect()
     }
 
@@ -98,7 +98,9 @@
     }
     loop {
         let live = duty.live.borrow_and_update().clone();
-        duty.route.stopped(duty.list.holding(&live)).await;
+        let holding = duty.list.holding(&live);
+        let names = holding.into_iter().map(|stop| stop.version).collect();
+        duty.route.stopped(names).await;
         tokio::select! {
             Some(notice) = duty.notices.recv() => duty.record(notice).await,
             () = duty.list.changed.notified() => {}
--- a/crates/oatdale-node/tests/whole_path.rs
+++ b/crates/oatdale-node/tests/whole_path.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use oatdale_fakes::{Plain, text};
+use oatdale_platform::{Condition, Kv};
 use site::{DESK_KEY, Site, bearer, until};
 
 #[tokio::test]
@@ -128,3 +129,33 @@
     assert_eq!(refused.status, StatusCode::GONE);
     assert_eq!(refused.json()["run"], "not-run");
 }
+
+// A version was stopped as bad, mended, and rolled out again by an operator. A status that went on to
+// list the stop would make the next operator believe that the version still gets no new work.
+#[tokio::test]
+async fn the_status_lists_a_stop_until_a_newer_revision_speaks_of_the_version() {
+    let mut states = site::usual_states();
+    let mut site = Site::with(0, &states, 0.5).await;
+    let stop = serde_json::json!({ "version": "small/1", "revision": 1, "reason": "Errors" });
+    let kv = site.stand_ins.kv();
+    kv.put(
+        "stops/small/1",
+        stop.to_string().into(),
+        Condition::Absent,
+        None,
+    )
+    .await
+    .expect("it is up");
+    site.add_node(0).await;
+    let admin = site.nodes[0].addresses().admin;
+    until("the stop is listed", async || {
+        let status = site.get(admin, "/v1/status", &[]).await.json();
+        status["stops"][0]["version"] == "small/1"
+    })
+    .await;
+    states.insert("small/1", "{ state: canary, share: 50%");
+    site.apply(&states, 0.5).await;
+    site.in_force().await;
+    let status = site.get(admin, "/v1/status", &[]).await.json();
+    assert_eq!(status["stops"], serde_json::json!([]));
+}
