--- a/crates/oatdale-cli/src/command/demo.rs
+++ b/crates/oatdale-cli/src/command/demo.rs
@@ -28,7 +28,8 @@
     roll_out::tour(&mut site, &mut report).await?;
     ledger::tour(&site, &mut report).await?;
     if flags.keep {
-        site.tell_how_to_try(&mut report)?;
+        site.tell_how_to_try(&report)?;
+        report.others_may_call = true;
         tokio::signal::ctrl_c().await.map_err(|e| other(&e))?;
     }
     site.stop(&mut report).await?;
--- a/crates/oatdale-cli/src/command/demo/report.rs
+++ b/crates/oatdale-cli/src/command/demo/report.rs
@@ -12,6 +12,8 @@
     facts: Facts,
     /// Ids of the requests that were answered in whole.
     pub(super) answered: BTreeSet<String>,
+    /// Whether there may be bills of requests that the tour did not send.
+    pub(super) others_may_call: bool,
 }
 
 /// What the tour found, for scripts.
@@ -38,6 +40,7 @@
             quiet,
             facts: Facts::default(),
             answered: BTreeSet::new(),
+            others_may_call: false,
         }
     }
 
--- a/crates/oatdale-cli/src/command/demo/site.rs
+++ b/crates/oatdale-cli/src/command/demo/site.rs
@@ -191,7 +191,7 @@
     }
 
     /// Prints addresses and commands that work while the demo goes on.
-    pub(super) fn tell_how_to_try(&self, report: &mut Report) -> Result<()> {
+    pub(super) fn tell_how_to_try(&self, report: &Report) -> Result<()> {
         let kv = address(&self.stand_ins, "kv")?;
         let admins: Vec<String> = self.nodes.iter().map(|n| admin(n).to_string()).collect();
         let caller = self.callers(0);
