--- a/crates/oatdale-cli/src/command/demo/site.rs
+++ b/crates/oatdale-cli/src/command/demo/site.rs
@@ -191,14 +191,14 @@
     }
 
     /// Prints addresses and commands that work while the demo goes on.
-    pub(super) fn tell_how_to_try(&self, report: &mut Report) -> Result<()> {
+    pub(super) fn tell_how_to_try(&self, report: &Report) -> Result<()> {
         let kv = address(&self.stand_ins, "kv")?;
         let admins: Vec<String> = self.nodes.iter().map(|n| admin(n).to_string()).collect();
         let caller = self.callers(0);
         report.section("All of it goes on until Ctrl-C; to try in another terminal")?;
         report.print(&format!(
             "
-export OATDALE_KEY_VALUE={kv} OATDALE_NODES={admins} OATDALE_OPERATOR=$USER
+export OATDALE_KEY_VALUE={kv} OATDALE_NODES={admins} OATDALE_OPERATOR=me
 cargo run --release -p oatdale-cli -- status
 cargo run --release -p oatdale-cli -- show
 
--- a/crates/oatdale-node/src/route.rs
+++ b/crates/oatdale-node/src/route.rs
@@ -142,13 +142,20 @@
                 let live = links.live.borrow_and_update().clone();
                 state.reconfigure(live);
             }
-            Some(release) = duty.releases.recv() => state.release(release),
+            Some(release) = duty.releases.recv() => {
+                state.catch_up(&mut links.live);
+                state.release(release);
+            }
             call = duty.calls.recv() => match call {
-                Some(call) => state.call(call),
+                Some(call) => {
+                    state.catch_up(&mut links.live);
+                    state.call(call);
+                }
                 None => return,
             },
             () = sleep_until(wake) => {}
         }
+        state.catch_up(&mut links.live);
         state.turns();
         if Instant::now() >= report_at {
             report_at = Instant::now() + REPORT_INTERVAL;
--- a/crates/oatdale-node/src/route/state.rs
+++ b/crates/oatdale-node/src/route/state.rs
@@ -13,7 +13,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 pub(super) struct State {
@@ -56,6 +56,16 @@
         self.router.next_wake().map(|at| self.start + at)
     }
 
+    /// Takes a revision that came while this duty was about to decide something else. Without it
+    /// a version that was withdrawn could get a request that came after the node had said that the
+    /// revision is in force.
+    pub(super) fn catch_up(&mut self, live: &mut watch::Receiver<Arc<Live>>) {
+        if live.has_changed().unwrap_or(false) {
+            let live = live.borrow_and_update().clone();
+            self.reconfigure(live);
+        }
+    }
+
     pub(super) fn reconfigure(&mut self, live: Arc<Live>) {
         let now = self.now();
         self.router.reconfigure(now, live.cfg.clone());
@@ -108,12 +118,7 @@
                 self.listed_leaving = endpoints.into_iter().collect();
                 self.apply_leaving();
             }
-            Call::Rating {
-                service,
-                version,
-                class,
-                rating,
-            } => self.rating(&service, &version, class, rating),
+            Call::Rating(rated, score) => self.rating(&rated, score),
             Call::Shares(shares) => self.shares(&shares),
             Call::Evidence { node, counters } => self.evidence(node, counters),
             Call::Stopped(versions) => {
