--- a/crates/oatdale-node/examples/overhead.rs
+++ b/crates/oatdale-node/examples/overhead.rs
@@ -1,6 +1,6 @@
 //! Measures what a node adds: time to the first piece of a stream and to each further one, beside
 //! the same calls made directly; requests a second and memory at saturation; memory of idle
-//! connections.
+//! connections; what a node costs while nobody calls.
 //!
 //! `cargo run --release -p oatdale-node --example overhead`
 //!
@@ -19,6 +19,7 @@
 use oatdale_fakes::{Body, KvServer, MemKv, Server};
 use oatdale_node::{Node, start_logging};
 use oatdale_platform::{Condition, Kv, Pool, PoolConfig, Reuse};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -33,8 +34,11 @@
 const PIECES: usize = 16;
 const PIECE_GAP: Duration = Duration::from_millis(20);
 const ROUNDS: usize = 12;
+/// Long enough for the clock of processor time, which counts hundredths of a second.
+const QUIET: Duration = Duration::from_secs(20);
 const SATURATION: Duration = Duration::from_secs(5);
 const SATURATION_CALLERS: usize = 128;
+const ANSWERED: &str = "answered";
 const IDLE: usize = 10_000;
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -50,6 +54,7 @@
     });
     runtime().block_on(async {
         tokio::time::sleep(Duration::from_secs(3)).await;
+        quiet(&nodes[0]).await;
         println!("microseconds     first piece      each piece");
         println!("streams  via       p50    p99      p50    p99");
         for streams in STREAMS {
@@ -294,6 +299,17 @@
     }
 }
 
+/// What a node costs while nobody calls.
+async fn quiet(node: &Process) {
+    let cpu = node.cpu();
+    tokio::time::sleep(QUIET).await;
+    println!(
+        "quiet: {:.2}% of a core, memory {} KiB",
+        (node.cpu() - cpu) / QUIET.as_secs_f64() * 100.0,
+        node.memory()
+    );
+}
+
 async fn compare(streams: usize, direct: SocketAddr, node: SocketAddr) {
     let pool = Pool::new(PoolConfig {
         max_idle: 2 * STREAMS[2],
@@ -360,20 +376,21 @@
     let (memory, cpu) = (node.memory(), node.cpu());
     let end = Instant::now() + SATURATION;
     let callers = (0..SATURATION_CALLERS).map(|_| async {
-        let (mut done, mut failed) = (0_u64, 0_u64);
+        let mut ends = BTreeMap::new();
         while Instant::now() < end {
-            match whole(&pool, node.callers).await {
-                true => done += 1,
-                false => failed += 1,
-            }
+            *ends
+                .entry(whole(&pool, node.callers).await)
+                .or_insert(0_u64) += 1;
         }
-        (done, failed)
+        ends
     });
-    let counts = join_all(callers).await;
-    let done: u64 = counts.iter().map(|c| c.0).sum();
-    let failed: u64 = counts.iter().map(|c| c.1).sum();
+    let mut ends: BTreeMap<String, u64> = BTreeMap::new();
+    for (end, count) in join_all(callers).await.into_iter().flatten() {
+        *ends.entry(end).or_default() += count;
+    }
+    let done = ends.remove(ANSWERED).unwrap_or(0);
     println!(
-        "saturation: {:.0} requests/s of {SATURATION_CALLERS} callers, {failed} failed, \
+        "saturation: {:.0} answers/s to {SATURATION_CALLERS} callers, other ends {ends:?}, \
          {:.2} cores, memory {memory} -> {} KiB",
         done as f64 / SATURATION.as_secs_f64(),
         (node.cpu() - cpu) / SATURATION.as_secs_f64(),
@@ -381,13 +398,23 @@
     );
 }
 
-/// Whether a whole answer came.
-async fn whole(pool: &Pool, addr: SocketAddr) -> bool {
+/// How a request ended: a whole answer, or the kind of problem.
+async fn whole(pool: &Pool, addr: SocketAddr) -> String {
     let deadline = tokio::time::Instant::now() + LIMIT;
     let sent = pool.send(addr, request("s", false), Reuse::Allowed, deadline);
-    match sent.await {
-        Ok(answer) if answer.status().is_success() => answer.into_body().collect().await.is_ok(),
-        _ => false,
+    let answer = match sent.await {
+        Ok(answer) => answer,
+        Err(err) => return err.to_string(),
+    };
+    let status = answer.status();
+    match answer.into_body().collect().await {
+        Ok(_) if status.is_success() => ANSWERED.to_owned(),
+        Ok(body) => {
+            let problem: serde_json::Value =
+                serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+            format!("{status} {}", problem["type"])
+        }
+        Err(err) => err.to_string(),
     }
 }
 
