--- a/crates/oatdale-node/tests/bills.rs
+++ b/crates/oatdale-node/tests/bills.rs
@@ -14,6 +14,7 @@
 use site::{Site, until};
 use std::collections::BTreeSet;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// One version only: what a cascade keeps back to be judged has no first word to wait for.
 async fn start() -> Site {
@@ -171,3 +172,46 @@
     assert_eq!(bill.outcome, Outcome::Complete);
     assert_eq!(bill.output_tokens, 8, "the bill has what was used");
 }
+
+// Both holders are paused and the key-value service is down, so nobody confirms a bill. The end of
+// the answer must wait for that as long as the node is ready to wait; were it sent at once, a host
+// that dies right then would have given its answer away. The node counts such an answer.
+#[tokio::test]
+async fn the_end_of_an_answer_waits_for_its_bill() {
+    let mut states = site::usual_states();
+    states.insert("large/1", "{ state: draining");
+    let site = Site::with(1, &states, 0.5).await;
+    let seed = site.nodes[0].addresses().nodes;
+    let holders: Vec<Process> = (1..3)
+        .map(|index| {
+            let settings = site::settings(index, Some(seed), &site.stand_ins);
+            Process::start("holder", &settings)
+        })
+        .collect();
+    for holder in &holders {
+        serving(&site, holder, 2).await;
+    }
+    let usual = site.chat_stream(0, "a note").await;
+    assert!(usual.whole && usual.status.is_success());
+    site.stand_ins.kv().set_faults(KvFaults {
+        outage: true,
+        ..KvFaults::default()
+    });
+    for holder in &holders {
+        holder.signal(Signal::SIGSTOP);
+    }
+    let asked = Instant::now();
+    let got = site.chat_stream(0, "another note").await;
+    let took = asked.elapsed();
+    for holder in &holders {
+        holder.signal(Signal::SIGCONT);
+    }
+    assert!(got.whole && got.status.is_success(), "{}", got.text());
+    // Half a second for the opening record, and as much for the copies of the closing one.
+    assert!(
+        took >= Duration::from_millis(950),
+        "it ended after {took:?}"
+    );
+    site.stand_ins.kv().set_faults(KvFaults::default());
+    until("both are billed", async || site.bills().await.len() == 2).await;
+}
