--- a/crates/oatdale-cli/tests/demo.rs
+++ b/crates/oatdale-cli/tests/demo.rs
@@ -46,3 +46,23 @@
     assert!(facts["answered"].as_u64() > Some(20), "{facts}");
     assert!(facts["price_micros"].as_u64() > Some(0), "{facts}");
 }
+
+/// The README's small site is checked as a newcomer would do it.
+#[test]
+fn the_small_site_of_the_readme_is_sound() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/local");
+    let nodes = [1, 2, 3].map(|n| format!("{examples}/node-{n}.yaml"));
+    let site = format!("{examples}/site.yaml");
+    let [one, two, three] = nodes.each_ref().map(String::as_str);
+    for args in [
+        &["check", &site][..],
+        &["check", "--settings", one, two, three],
+    ] {
+        let output = Command::new(env!("CARGO_BIN_EXE_oatdale"))
+            .args(args)
+            .output()
+            .expect("the program starts");
+        let err = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{args:?}: {err}");
+    }
+}
