Append through the node that is preferred for a shard

Nodes now send claims, finishes, pins and bills to the preferred live node of the shard, over the mesh, and append by themselves when there is no link, no answer in time or a failed one. That is safe since the fold takes a repeated record of the same request for one. dispatch_by counts from before the first ask, also when the claim is repeated locally.

Ruled out: numbers for calls that start at 0, since an answer to a former process of the host would then be taken for another call's; unbounded parts of a batch of bills, since the mesh closes a link on which 256 messages wait.

Tests (append.rs): three processes, one killed or stopped in between; passed, as did at_most_once and bills. Others not run yet.

--- a/crates/oatdale-node/src/bill.rs
+++ b/crates/oatdale-node/src/bill.rs
@@ -5,13 +5,12 @@
 //! little later. Whichever of these nodes survives writes the bill, and the journal's fold keeps
 //! one for each request.
 
+use crate::append::AppendHandle;
 use crate::metrics::Metrics;
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use log::{info, warn};
-use oatdale_journal::{
-    BillRecord, Closing, JournalError, JournalHandle, Opening, Outcome, RequestId,
-};
+use oatdale_journal::{BillRecord, Closing, JournalError, Opening, Outcome, RequestId};
 use oatdale_mesh::{Command, HoldAck};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -158,7 +157,7 @@
 /// What the bill duty reads and writes.
 pub(crate) struct Duty {
     jobs: mpsc::UnboundedReceiver<Job>,
-    journal: JournalHandle,
+    journal: AppendHandle,
     mesh: mpsc::Sender<Command>,
     metrics: Metrics,
     places: Arc<Semaphore>,
@@ -167,7 +166,7 @@
 
 /// Makes the duty and a handle to it; the duty ends once `stop` is true.
 pub(crate) fn channel(
-    journal: JournalHandle,
+    journal: AppendHandle,
     mesh: mpsc::Sender<Command>,
     metrics: Metrics,
     stop: watch::Receiver<bool>,
@@ -202,7 +201,7 @@
 
 struct State {
     mesh: mpsc::Sender<Command>,
-    journal: JournalHandle,
+    journal: AppendHandle,
     metrics: Metrics,
     places: Arc<Semaphore>,
     waiting: Vec<Waiting>,
--- a/crates/oatdale-node/src/cx.rs
+++ b/crates/oatdale-node/src/cx.rs
@@ -1,5 +1,6 @@
 //! What every request on a front thread needs.
 
+use crate::append::AppendHandle;
 use crate::bill::BillHandle;
 use crate::front::Phase;
 use crate::live::Live;
@@ -9,7 +10,7 @@
 use crate::route::{Report, RouteHandle};
 use crate::session::Sealer;
 use oatdale_config::NodeSettings;
-use oatdale_journal::{JournalHandle, Millis};
+use oatdale_journal::Millis;
 use oatdale_mesh::{PeerState, PeerView};
 use oatdale_platform::{EngineClient, PlainClient};
 use std::net::SocketAddr;
@@ -35,7 +36,7 @@
     pub(crate) own: OwnView,
     pub(crate) pins: PinCache,
     pub(crate) route: RouteHandle,
-    pub(crate) journal: JournalHandle,
+    pub(crate) journal: AppendHandle,
     pub(crate) bills: BillHandle,
     pub(crate) rate: RateHandle,
     pub(crate) sealer: Sealer,
--- a/crates/oatdale-node/src/lib.rs
+++ b/crates/oatdale-node/src/lib.rs
@@ -8,6 +8,7 @@
 //! | front (several) | callers' connections and their requests |
 //! | route | every routing decision; owns the router |
 //! | bill | bills into the journal, held by other nodes meanwhile |
+//! | append | journal records from and for other nodes |
 //! | journal | claims, pins and bills in the key-value service |
 //! | rate | ratings of answers |
 //! | config | the operators' text, never an older one |
@@ -30,6 +31,7 @@
 mod admin;
 mod adopt;
 mod api;
+mod append;
 mod auth;
 mod bill;
 mod call;
--- a/crates/oatdale-node/src/member.rs
+++ b/crates/oatdale-node/src/member.rs
@@ -1,11 +1,12 @@
 //! The membership duty: carries news between the mesh and the node's other duties.
 
+use crate::append::{AppendHandle, Appenders};
 use crate::bill::{BillHandle, closing_of};
 use crate::cx::wall_clock;
 use crate::front::Phase;
 use crate::live::Live;
 use crate::metrics::Metrics;
-use crate::prefer::preferred_shards;
+use crate::prefer::{appenders, preferred_shards};
 use crate::route::{Report, RouteHandle};
 use crate::stops::StopList;
 use bytes::Bytes;
@@ -38,6 +39,7 @@
     pub(crate) watches: watch::Sender<bool>,
     pub(crate) peers: watch::Sender<Arc<Vec<PeerView>>>,
     pub(crate) preferred: watch::Sender<Preferred>,
+    pub(crate) appenders: watch::Sender<Appenders>,
     pub(crate) reports: watch::Receiver<Report>,
     pub(crate) stops: StopList,
     pub(crate) phase: watch::Receiver<Phase>,
@@ -46,6 +48,7 @@
     pub(crate) route: RouteHandle,
     pub(crate) journal: JournalHandle,
     pub(crate) bills: BillHandle,
+    pub(crate) append: AppendHandle,
     pub(crate) metrics: Metrics,
 }
 
@@ -81,7 +84,8 @@
                 error!(target: "member", "event=superseded by={by}");
                 self.superseded.send_replace(true);
             }
-            Event::Forwarded { .. } | Event::LeaveDone => {}
+            Event::Forwarded { from, payload } => self.append.heard(from, payload),
+            Event::LeaveDone => {}
         }
     }
 
@@ -126,7 +130,9 @@
         }
         if let Some(meta) = self.journal.meta() {
             let hosts: Vec<&str> = alive().map(|p| p.host.as_str()).collect();
-            let mine = preferred_shards(&hosts, &self.host, meta.shards);
+            let all = appenders(&hosts, &self.host, meta.shards);
+            let mine = preferred_shards(&all);
+            self.appenders.send_replace(Arc::new(all));
             self.preferred.send_if_modified(|held| {
                 let changed = *held != mine;
                 *held = mine;
--- a/crates/oatdale-node/src/metrics.rs
+++ b/crates/oatdale-node/src/metrics.rs
@@ -39,6 +39,7 @@
     pub(crate) peers: IntGauge,
     /// Calls to the key-value service that failed.
     pub(crate) kv_errors: IntCounter,
+    forwards: IntCounterVec,
     /// Reads of the platform's host list that failed.
     pub(crate) host_list_errors: IntCounter,
     /// Ratings that were asked for and did not come.
@@ -78,6 +79,11 @@
             ),
             peers: make.gauge("peers_alive", "Other nodes that are alive."),
             kv_errors: make.counter("kv_errors_total", "Failed calls to the key-value service."),
+            forwards: make.counters(
+                "journal_forwards_total",
+                "Calls to the nodes that append to the journal for all.",
+                &["result"],
+            ),
             host_list_errors: make.counter(
                 "host_list_errors_total",
                 "Reads of the platform's host list that failed.",
@@ -105,6 +111,11 @@
         self.refusals.with_label_values(&[reason.as_str()]).inc();
     }
 
+    /// Counts a call to a node that appends for this one.
+    pub(crate) fn forwarded(&self, result: &str) {
+        self.forwards.with_label_values(&[result]).inc();
+    }
+
     /// Counts an attempt.
     pub(crate) fn dispatched(&self, escalated: bool, attempt: u16) {
         self.attempts.inc();
--- a/crates/oatdale-node/src/node.rs
+++ b/crates/oatdale-node/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::{self, Admin};
 use crate::adopt;
+use crate::append::{self, AppendHandle, Appenders};
 use crate::bill::{self, BillHandle};
 use crate::cx::{OwnView, Shared, wall_clock};
 use crate::duty::spawn;
@@ -248,6 +249,7 @@
     watches: watch::Sender<bool>,
     superseded: watch::Sender<bool>,
     preferred: watch::Sender<Preferred>,
+    appenders: watch::Sender<Appenders>,
     reports: watch::Sender<Report>,
     intervals: Intervals,
 }
@@ -257,6 +259,7 @@
 struct Handles {
     route: RouteHandle,
     journal: JournalHandle,
+    append: AppendHandle,
     bills: BillHandle,
     rate: RateHandle,
 }
@@ -292,6 +295,7 @@
             watches: watch::Sender::new(true),
             superseded: watch::Sender::new(false),
             preferred: watch::Sender::new(Preferred::default()),
+            appenders: watch::Sender::new(Appenders::default()),
             reports,
             intervals: Intervals::default(),
         }
@@ -354,9 +358,17 @@
         });
         spawn("route", move || route::run(duty))?;
         let journal = self.start_journal()?;
-        let (bills, duty) = bill::channel(
+        let (append, duty) = append::channel(
             journal.clone(),
             mesh.clone(),
+            self.appenders.subscribe(),
+            self.metrics.clone(),
+            self.stop.subscribe(),
+        );
+        spawn("append", move || append::run(duty))?;
+        let (bills, duty) = bill::channel(
+            append.clone(),
+            mesh.clone(),
             self.metrics.clone(),
             self.stop.subscribe(),
         );
@@ -373,6 +385,7 @@
         Ok(Handles {
             route,
             journal,
+            append,
             bills,
             rate,
         })
@@ -514,6 +527,7 @@
             watches: self.watches.clone(),
             peers: self.peers.clone(),
             preferred: self.preferred.clone(),
+            appenders: self.appenders.clone(),
             reports: self.reports.subscribe(),
             stops: self.stops.clone(),
             phase: self.phase.subscribe(),
@@ -522,6 +536,7 @@
             route: handles.route.clone(),
             journal: handles.journal.clone(),
             bills: handles.bills.clone(),
+            append: handles.append.clone(),
             metrics: self.metrics.clone(),
         };
         spawn("member", move || member::run(duty))
@@ -546,7 +561,7 @@
             own: self.own.clone(),
             pins: PinCache::default(),
             route: handles.route.clone(),
-            journal: handles.journal.clone(),
+            journal: handles.append.clone(),
             bills: handles.bills.clone(),
             rate: handles.rate.clone(),
             sealer: Sealer::new(self.key.expose()),
