--- a/crates/oatdale-node/tests/append.rs
+++ b/crates/oatdale-node/tests/append.rs
@@ -5,13 +5,17 @@
 #[path = "support/site.rs"]
 mod site;
 
+use bytes::Bytes;
 use futures::future::join_all;
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use oatdale_fakes::Plain;
+use oatdale_mesh::{Command, Event, Intervals, Listen, MeshConfig};
 use process::Process;
 use site::{Got, Site, bearer, until};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpListener};
+use tokio::sync::{mpsc, oneshot};
 
 const NODES: usize = 3;
 
@@ -182,3 +186,73 @@
     assert_eq!(runs(&site).len(), 2 * KEYS);
     billed(&site).await;
 }
+
+/// A host in the mesh that is no node of this release: it answers every message with one that
+/// can't be read, or that nobody asked for.
+async fn babbler(site: &Site, seed: SocketAddr) {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let kv = site.stand_ins.listening().iter().find(|l| l.name == "kv");
+    let key = site::digest(&kv.expect("it was started").address.to_string());
+    let address = socket.local_addr().expect("it is bound");
+    let cfg = MeshConfig {
+        host: "node-9".to_owned(),
+        domain: site::DOMAINS[0].to_owned(),
+        region: "home".to_owned(),
+        incarnation: oatdale_mesh::new_incarnation(),
+        listen: Listen::Bound(socket),
+        advertise: address,
+        caller: address,
+        seeds: vec![seed],
+        key: hex::decode(&key["sha256:".len()..]).expect("hexadecimal digits"),
+        holders: 2,
+        intervals: Intervals::default(),
+    };
+    let (tx, commands) = mpsc::channel(64);
+    let (events, rx) = mpsc::channel(64);
+    tokio::spawn(oatdale_mesh::run(cfg, commands, events));
+    tokio::spawn(babble(tx, rx));
+}
+
+async fn babble(tx: mpsc::Sender<Command>, mut rx: mpsc::Receiver<Event>) {
+    // Empty, another version, no CBOR, and "won" for a call that nobody made.
+    let answers = [&b""[..], b"\x07", b"\x01\xff\xff", b"\x01\x82\x01aW"];
+    while let Some(event) = rx.recv().await {
+        let Event::Forwarded { from, .. } = event else {
+            continue;
+        };
+        for payload in answers {
+            let (reply, _) = oneshot::channel();
+            let to = from.clone();
+            let payload = Bytes::from_static(payload);
+            let _ = tx.send(Command::Forward { to, payload, reply }).await;
+        }
+    }
+}
+
+// A host runs another release whose messages this one can't read, and it is preferred for some
+// shards. A node that took its answers for its own calls' would dispatch without a claim; one that
+// failed over them would refuse keyed requests for as long as the two releases run together.
+#[tokio::test]
+async fn a_peer_that_babbles_is_passed_over() {
+    let site = Site::start(0).await;
+    let nodes = start(&site).await;
+    babbler(&site, nodes[0].nodes).await;
+    for node in &nodes {
+        until("the node sees the other host", async || {
+            let status = site.get(node.admin, "/v1/status", &[]).await;
+            status.text().contains("node-9")
+        })
+        .await;
+    }
+    let all: Vec<&Process> = nodes.iter().collect();
+    let done = confirm_all(&site, &all, "babble").await;
+    assert!(done.values().all(|count| *count == 1), "{done:?}");
+    let mut unanswered = 0;
+    for node in &nodes {
+        unanswered += forwards(&site, node, "unanswered").await;
+    }
+    assert!(unanswered > 0, "the other host was never asked");
+    assert_once(&site);
+    assert_eq!(runs(&site).len(), KEYS);
+    billed(&site).await;
+}
