--- a/crates/oatdale-node/src/node.rs
+++ b/crates/oatdale-node/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::{self, Admin};
 use crate::adopt;
+use crate::append::{self, AppendHandle, Appenders};
 use crate::bill::{self, BillHandle};
 use crate::cx::{OwnView, Shared, wall_clock};
 use crate::duty::spawn;
@@ -249,6 +250,7 @@
     watches: watch::Sender<bool>,
     superseded: watch::Sender<bool>,
     preferred: watch::Sender<Preferred>,
+    appenders: watch::Sender<Appenders>,
     reports: watch::Sender<Report>,
     intervals: Intervals,
 }
@@ -258,6 +260,7 @@
 struct Handles {
     route: RouteHandle,
     journal: JournalHandle,
+    append: AppendHandle,
     bills: BillHandle,
     rate: RateHandle,
 }
@@ -294,6 +297,7 @@
             watches: watch::Sender::new(true),
             superseded: watch::Sender::new(false),
             preferred: watch::Sender::new(Preferred::default()),
+            appenders: watch::Sender::new(Appenders::default()),
             reports,
             intervals: Intervals::default(),
         }
@@ -356,9 +360,17 @@
         });
         spawn("route", move || route::run(duty))?;
         let journal = self.start_journal()?;
-        let (bills, duty) = bill::channel(
+        let (append, duty) = append::channel(
             journal.clone(),
             mesh.clone(),
+            self.appenders.subscribe(),
+            self.metrics.clone(),
+            self.stop.subscribe(),
+        );
+        spawn("append", move || append::run(duty))?;
+        let (bills, duty) = bill::channel(
+            append.clone(),
+            mesh.clone(),
             self.metrics.clone(),
             self.stop.subscribe(),
         );
@@ -375,6 +387,7 @@
         Ok(Handles {
             route,
             journal,
+            append,
             bills,
             rate,
         })
@@ -517,6 +530,7 @@
             watches: self.watches.clone(),
             peers: self.peers.clone(),
             preferred: self.preferred.clone(),
+            appenders: self.appenders.clone(),
             reports: self.reports.subscribe(),
             stops: self.stops.clone(),
             informed: self.informed.clone(),
@@ -526,6 +540,7 @@
             route: handles.route.clone(),
             journal: handles.journal.clone(),
             bills: handles.bills.clone(),
+            append: handles.append.clone(),
             metrics: self.metrics.clone(),
         };
         spawn("member", move || member::run(duty))
@@ -551,7 +566,7 @@
             own: self.own.clone(),
             pins: PinCache::default(),
             route: handles.route.clone(),
-            journal: handles.journal.clone(),
+            journal: handles.append.clone(),
             bills: handles.bills.clone(),
             rate: handles.rate.clone(),
             sealer: Sealer::new(self.key.expose()),
