Stream at once where latency comes first, and end sessions in time

Ruled out: a higher weight of time in the choice, which only makes it rarer. Streams of services with a latency weight above 0.5 now get one version; other versions are tried alone, on 1% of them.

The engines' x-load header reached callers; it is taken out.

--- a/crates/oatdale-node/src/api/sessions.rs
+++ b/crates/oatdale-node/src/api/sessions.rs
@@ -24,6 +24,9 @@
 /// How many requests of the session went before; the caller counts.
 const STEP_HEADER: HeaderName = HeaderName::from_static("x-session-step");
 
+/// How long a named session lasts.
+const MAX_AGE: Duration = Duration::from_secs(24 * 3600);
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Open {
@@ -142,11 +145,28 @@
         )
         .retry_after(err.retry_after().unwrap_or(Duration::from_secs(1)))
     })?;
+    check_age(&held)?;
     let version = held.versions.into_iter().next().unwrap_or_default();
     cx.pins.put(key, version.clone());
     Ok(version)
 }
 
+/// Ends a session before the journal forgets its pin.
+///
+/// The journal keeps pins for an hour longer. A session that went on past that would be pinned
+/// anew, perhaps to another version, and its caller would not know.
+fn check_age(pin: &Pin) -> Result<(), Problem> {
+    let age = wall_clock().0.saturating_sub(pin.opened_at.0);
+    match Duration::from_millis(age) < MAX_AGE {
+        true => Ok(()),
+        false => Err(Problem::not_run(
+            StatusCode::GONE,
+            "session-ended",
+            "a session lasts 24 hours; open one with a new name",
+        )),
+    }
+}
+
 async fn choose(cx: &Cx, who: &Who, service: ServiceKey, draw: u64) -> Result<String, Problem> {
     let opened = cx
         .route
--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -14,7 +14,7 @@
 use oatdale_journal::Outcome as Ending;
 use oatdale_platform::chat::{ChatResponse, Chunk, Usage};
 use oatdale_platform::sse::Events;
-use oatdale_platform::wire::Load;
+use oatdale_platform::wire::{LOAD, Load};
 use oatdale_platform::{Answer, Call, CallError, ChatStream, Reuse};
 use oatdale_policy::{AttemptResult, LoadReport, Outcome, VersionReason};
 use std::time::Duration;
@@ -65,9 +65,11 @@
     }
 }
 
-/// Adds the headers that name a request and the version that answered it.
+/// Adds the headers that name a request and the version that answered it, and takes out those that
+/// endpoints mean for us.
 pub(crate) fn name_answer(reply: &mut Reply, id: RequestId, version: Option<&str>) {
     let headers = reply.headers_mut();
+    headers.remove(LOAD);
     if let Ok(value) = HeaderValue::try_from(id.to_string()) {
         headers.insert(REQUEST_HEADER, value);
     }
--- a/crates/oatdale-node/tests/versions.rs
+++ b/crates/oatdale-node/tests/versions.rs
@@ -6,7 +6,12 @@
 use futures::future::join_all;
 use http::StatusCode;
 use oatdale_fakes::{EngineHandle, Fault};
+use oatdale_journal::{Millis, Pin, Preferred, SessionKey, Settings, journal, run};
+use sha2::{Digest, Sha256};
 use site::{Site, States, bearer, until};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
 
 /// How many requests each engine began on a version.
 fn begun(site: &Site, version: &str) -> usize {
@@ -183,3 +188,44 @@
     assert!(got.status.is_client_error(), "{}", got.text());
     until("nothing was billed", async || site.bills().await.is_empty()).await;
 }
+
+// A session goes on for longer than the journal remembers its pin. Were it simply pinned anew, it
+// might change its version in the middle, and its caller would not know.
+#[tokio::test]
+async fn a_named_session_ends_before_its_pin_is_forgotten() {
+    let site = Site::start(1).await;
+    let key = SessionKey(digest_of(&[b"session", b"alpha", b"drafts", b"old"]));
+    let pin = Pin {
+        versions: vec!["small/1".to_owned()],
+        opened_at: Millis(1),
+    };
+    let (_tx, preferred) = watch::channel(Preferred::default());
+    let clock = Arc::new(|| Millis(now_ms()));
+    let (handle, duty) = journal(
+        site.stand_ins.kv().clone(),
+        Settings::new(7),
+        clock,
+        preferred,
+    );
+    let duty = tokio::spawn(run(duty));
+    handle.pin(key, pin).await.expect("the service is up");
+    let got = site.chat(0, "go on", &[("x-session", "old")]).await;
+    assert_eq!(got.status, StatusCode::GONE, "{}", got.text());
+    assert_eq!(got.json()["type"], "urn:oatdale:problem:session-ended");
+    assert_eq!(got.json()["run"], "not-run");
+    duty.abort();
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(since.as_millis()).unwrap()
+}
+
+fn digest_of(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
--- a/crates/oatdale-policy/src/cascade.rs
+++ b/crates/oatdale-policy/src/cascade.rs
@@ -48,6 +48,10 @@
 /// for all answers before it.
 const SAMPLING_PRIOR: f64 = 50.0;
 
+/// The latency weight above which a service's callers read along first of all. An answer that is
+/// kept back for a rating begins when it ends, so their streams are never kept back.
+const LATENCY_FIRST: f64 = 0.5;
+
 /// The share of requests that try a version to learn its quality.
 const EXPLORE: f64 = 0.01;
 
@@ -111,6 +115,13 @@
     }
 }
 
+/// Whether an answer may be kept back to be rated before its caller sees any of it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Hold {
+    Allowed,
+    Never,
+}
+
 impl Learner {
     pub(crate) fn new() -> Self {
         Learner {
@@ -139,11 +150,15 @@
         self.slowest.add(most(&expected, |e| e.first_byte));
         let weights = self.weights(cfg, ask.service, &expected);
         let few = undominated(&expected);
-        let may_cascade = ask.idempotent && ask.session == Session::None;
+        let lone = ask.idempotent && ask.session == Session::None;
+        let hold = match ask.stream && weights.latency > LATENCY_FIRST {
+            true => Hold::Never,
+            false => Hold::Allowed,
+        };
         let mut plans = Plans::new();
-        let (steps, value) = best(&few, weights, may_cascade);
-        let explored = match may_cascade {
-            true => self.explore(ask, &expected, (&steps, value), weights, rng),
+        let (steps, value) = best(&few, weights, lone && hold == Hold::Allowed);
+        let explored = match lone {
+            true => self.explore(ask, &expected, (&steps, value), weights, hold, rng),
             false => None,
         };
         let why = self.why(&steps, &few, weights);
@@ -318,7 +333,7 @@
     /// A version to try before the usual steps, on a few requests.
     ///
     /// The usual last step follows if its answer is rejected, so that trying costs money and time
-    /// but not quality. A version that would not be chosen even if it were as good as can be hoped
+    /// but not quality. An answer that may not be held back is tried alone. A version that would not be chosen even if it were as good as can be hoped
     /// is not tried: trying the dearest one on the longest requests costs more than it teaches.
     fn explore(
         &self,
@@ -326,6 +341,7 @@
         expected: &[Expected],
         usual: (&Versions, Value),
         weights: Weights,
+        hold: Hold,
         rng: &mut Pcg64Mcg,
     ) -> Option<Plan> {
         let draw = (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
@@ -340,7 +356,7 @@
             true => known.after.weight(),
             false => known.first.weight(),
         };
-        let is_due = draw < EXPLORE || weight < UNKNOWN;
+        let is_due = draw < EXPLORE || (weight < UNKNOWN && hold == Hold::Allowed);
         let last = *usual.0.last()?;
         if !is_due || usual.0.contains(&tried.version) {
             return None;
@@ -351,13 +367,18 @@
             ..tried
         };
         let of = |version| expected.iter().copied().find(|e| e.version == version);
-        let steps: SmallVec<[Expected; 3]> = match second {
-            true => SmallVec::from_slice(&[of(usual.0[0])?, hoped, of(last)?]),
-            false => SmallVec::from_slice(&[hoped, of(last)?]),
+        let steps: SmallVec<[Expected; 3]> = match (hold, second) {
+            (Hold::Never, _) => SmallVec::from_slice(&[hoped]),
+            (Hold::Allowed, true) => SmallVec::from_slice(&[of(usual.0[0])?, hoped, of(last)?]),
+            (Hold::Allowed, false) => SmallVec::from_slice(&[hoped, of(last)?]),
         };
         let worth = |places: &[usize]| weights.worth(value(&steps, places));
         let all: SmallVec<[usize; 3]> = (0..steps.len()).collect();
-        let hoped_worth = worth(&all).max(worth(&all[..all.len() - 1]));
+        let without_last = match steps.len() {
+            1 => f64::NEG_INFINITY,
+            len => worth(&all[..len - 1]),
+        };
+        let hoped_worth = worth(&all).max(without_last);
         (hoped_worth > weights.worth(usual.1)).then(|| Plan {
             steps: steps.iter().map(|e| e.version).collect(),
             why: VersionReason::Explore,
@@ -369,7 +390,7 @@
         let is_best = steps.len() == 1 && best.is_some_and(|b| b.version == steps[0]);
         match () {
             () if is_best && self.price >= PRICE_RANGE.1 => VersionReason::Best,
-            () if steps.len() == 1 && weights.latency > 0.5 => VersionReason::Fastest,
+            () if steps.len() == 1 && weights.latency > LATENCY_FIRST => VersionReason::Fastest,
             () => VersionReason::Cheapest,
         }
     }
--- a/crates/oatdale-policy/tests/router/fixture.rs
+++ b/crates/oatdale-policy/tests/router/fixture.rs
@@ -45,6 +45,7 @@
     pub(crate) limits: Limits,
     pub(crate) concurrency: u32,
     pub(crate) quality: f64,
+    pub(crate) latency_weight: f64,
 }
 
 impl Default for Shape {
@@ -57,6 +58,7 @@
             },
             concurrency: 4,
             quality: 0.5,
+            latency_weight: 0.0,
         }
     }
 }
@@ -122,7 +124,7 @@
         let model = ServiceKind::Model {
             models: vec![ModelKey::from_index(0), ModelKey::from_index(1)],
             quality: self.quality,
-            latency_weight: 0.0,
+            latency_weight: self.latency_weight,
         };
         let kinds = [("planner", model), ("desk", ServiceKind::Plain)];
         arena(
--- a/crates/oatdale-policy/tests/router/learning.rs
+++ b/crates/oatdale-policy/tests/router/learning.rs
@@ -31,6 +31,36 @@
     }
 }
 
+// A volunteer reads a draft while it is generated. If the router kept the answer back to have it
+// rated, nothing would be seen until the whole draft was there: a second and a half in place of a
+// twentieth.
+#[test]
+fn a_stream_of_a_service_that_weighs_latency_first_is_never_kept_back() {
+    let mut router = Shape {
+        quality: 0.95,
+        latency_weight: 0.8,
+        ..Shape::default()
+    }
+    .router();
+    for i in 0..500_u32 {
+        let now = secs(f64::from(i));
+        let streamed = Ask {
+            stream: true,
+            ..ask(now, i.into())
+        };
+        let dispatch = run(router.offer(now, &streamed));
+        assert!(!dispatch.judge, "request {i}");
+        let good = dispatch.version == Some(version(2));
+        assert_eq!(
+            router.finish(now, dispatch.ticket, &complete(None)),
+            Next::Done
+        );
+        let rating = f64::from(u8::from(good));
+        let version = dispatch.version.expect("a model answers");
+        router.observe_rating(now, planner(), 0, version, rating);
+    }
+}
+
 #[test]
 fn a_rejected_answer_is_followed_by_a_better_version() {
     let mut router = Shape {
