Write several batches of bills at once

Cause: since records are forwarded, one batch of bills waited for up to 50 messages of 8 kB and for the slowest shard, and the next batch for it.

Ruled out: larger messages (the mesh bounds them, since one that is slow to write holds up heartbeats). Change: up to four batches at once, a further one only from 1,024 records on, so that quiet nodes write as before.

--- a/crates/oatdale-node/src/append.rs
+++ b/crates/oatdale-node/src/append.rs
@@ -45,6 +45,10 @@
 /// the mesh closes a link with too many messages, since its peer seems not to read.
 const MAX_PARTS: usize = 16;
 
+/// Messages for one host in one batch; a node with more bills writes them itself, which takes one
+/// call where messages would wait for one another.
+const MAX_CHUNKS: usize = 4;
+
 /// Bytes around each bill record in a message.
 const BILL_FRAME: usize = 3;
 
@@ -232,12 +236,15 @@
         }
         let mut parts = Vec::new();
         for (host, records) in hosts {
+            let chunks = match host {
+                Some(_) => chunks(&records),
+                None => Vec::new(),
+            };
             match host {
-                None => parts.push((None, records)),
-                Some(host) => {
-                    let chunks = chunks(records).into_iter();
-                    parts.extend(chunks.map(|chunk| (Some(host.clone()), chunk)));
+                Some(host) if chunks.len() <= MAX_CHUNKS => {
+                    parts.extend(chunks.into_iter().map(|chunk| (Some(host.clone()), chunk)));
                 }
+                _ => parts.push((None, records)),
             }
         }
         parts
@@ -324,15 +331,15 @@
 }
 
 /// Splits records into messages.
-fn chunks(records: Vec<BillRecord>) -> Vec<Vec<BillRecord>> {
+fn chunks(records: &[BillRecord]) -> Vec<Vec<BillRecord>> {
     let mut chunks: Vec<Vec<BillRecord>> = Vec::new();
     let mut left = 0;
     for record in records {
         let bytes = record.to_vec().len() + BILL_FRAME;
         match chunks.last_mut() {
-            Some(chunk) if bytes <= left => chunk.push(record),
+            Some(chunk) if bytes <= left => chunk.push(record.clone()),
             _ => {
-                chunks.push(vec![record]);
+                chunks.push(vec![record.clone()]);
                 left = MAX_BILLS;
             }
         }
--- a/crates/oatdale-node/src/bill.rs
+++ b/crates/oatdale-node/src/bill.rs
@@ -9,6 +9,7 @@
 use crate::metrics::Metrics;
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
+use futures::stream::{FuturesUnordered, StreamExt};
 use log::{info, warn};
 use oatdale_journal::{BillRecord, Closing, JournalError, Opening, Outcome, RequestId};
 use oatdale_mesh::{Command, HoldAck};
@@ -29,6 +30,11 @@
 /// Records in one call to the journal.
 const MAX_BATCH: usize = 4096;
 
+/// Batches that are written at once, and records from which on another is started. One alone would
+/// wait for the slowest shard, and a busy node's backlog would fill meanwhile.
+const MAX_WRITING: usize = 4;
+const FULL_BATCH: usize = 1024;
+
 /// The journal takes a closing record only while it remembers the request, or for so long after its
 /// dispatch that an opening record can't be missing. Requests that run on for this long are
 /// therefore opened in the journal too, well before that time is over.
@@ -223,27 +229,18 @@
         orphans: HashMap::new(),
     };
     let mut long_check = interval(LONG_CHECK);
-    let mut writing: Option<Writing> = None;
+    let mut writing: FuturesUnordered<Writing> = FuturesUnordered::new();
     loop {
         state.metrics.bills_open.set(state.open());
-        if writing.is_none() && !state.waiting.is_empty() {
-            writing = Some(state.write());
+        if state.may_write(writing.len()) {
+            writing.push(state.write());
         }
-        let written = async {
-            match writing.as_mut() {
-                Some(batch) => batch.await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             job = duty.jobs.recv() => match job {
                 Some(job) => state.job(job).await,
                 None => return,
             },
-            (batch, result) = written => {
-                writing = None;
-                state.written(batch, result).await;
-            }
+            Some((batch, result)) = writing.next() => state.written(batch, result).await,
             _ = long_check.tick() => state.open_long(),
             _ = duty.stop.wait_for(|stop| *stop) => return,
         }
@@ -332,6 +329,15 @@
         i64::try_from(open).unwrap_or(i64::MAX)
     }
 
+    /// Whether to start another batch beside those that are being written.
+    fn may_write(&self, writing: usize) -> bool {
+        match writing {
+            0 => !self.waiting.is_empty(),
+            1..MAX_WRITING => self.waiting.len() >= FULL_BATCH,
+            _ => false,
+        }
+    }
+
     /// Starts to write the oldest records that wait.
     fn write(&mut self) -> Writing {
         let journal = self.journal.clone();
