--- a/crates/oatdale-node/src/call.rs
+++ b/crates/oatdale-node/src/call.rs
@@ -5,13 +5,15 @@
 //! the router gets its place back, the bill is closed. A handler that were simply dropped would do
 //! none of this.
 
+mod answered;
 mod attempt;
 mod cost;
 mod forward;
+mod rated;
 mod work;
 
 use crate::bill::{OpeningHeld, Place};
-use crate::call::attempt::Answered;
+use crate::call::answered::Answered;
 use crate::call::cost::Cost;
 use crate::cx::{Cx, wall_clock};
 use crate::live::Live;
--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -1,44 +1,29 @@
 //! One attempt: send it, read the answer, tell the router how it ended.
 
+use crate::call::answered::Answered;
 use crate::call::forward::{Forward, Forwarded};
 use crate::call::work::Work;
 use crate::call::{CALLER_GONE, CallState, Ran};
 use crate::problem::Run;
-use crate::rate::Rated;
-use crate::reply::{Reply, full};
-use crate::route::{RequestId, Routed, Verdict};
+use crate::reply::Reply;
+use crate::route::{Routed, Verdict};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use http::{StatusCode, response};
 use oatdale_config::{PoolKind, ServiceKind};
 use oatdale_journal::Outcome as Ending;
-use oatdale_platform::chat::{ChatResponse, Chunk, Usage};
-use oatdale_platform::sse::Events;
-use oatdale_platform::wire::{LOAD, Load};
+use oatdale_platform::chat::{ChatResponse, Usage};
+use oatdale_platform::wire::Load;
 use oatdale_platform::{Answer, Call, CallError, ChatStream, Reuse};
-use oatdale_policy::{AttemptResult, LoadReport, Outcome, VersionReason};
+use oatdale_policy::{AttemptResult, LoadReport, Outcome};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The header that names the request in every answer.
-pub(crate) const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
-
-/// The header that names the version that answered.
-pub(crate) const VERSION_HEADER: HeaderName = HeaderName::from_static("x-version");
-
 /// Bytes of an answer that is read whole before it is handed on.
 const MAX_WHOLE: usize = 32 << 20;
 
 /// Urgency of work whose users weigh latency first, and of other work, as in RFC 9218.
 const URGENCY: [u8; 2] = [2, 4];
 
-/// A complete answer that was read before any of it went to the caller.
-pub(crate) struct Answered {
-    head: response::Parts,
-    body: Bytes,
-    version: Option<String>,
-}
-
 /// How an attempt ended here, before the router knows of it.
 enum End {
     /// A whole answer is kept back.
@@ -51,33 +36,6 @@
     Gone,
 }
 
-impl Answered {
-    pub(crate) fn status(&self) -> StatusCode {
-        self.head.status
-    }
-
-    pub(crate) fn into_reply(self, id: RequestId) -> Reply {
-        let mut reply = Reply::from_parts(self.head, full(self.body));
-        // The length is set anew from the body that is sent.
-        reply.headers_mut().remove(CONTENT_LENGTH);
-        name_answer(&mut reply, id, self.version.as_deref());
-        reply
-    }
-}
-
-/// Adds the headers that name a request and the version that answered it, and takes out those that
-/// endpoints mean for us.
-pub(crate) fn name_answer(reply: &mut Reply, id: RequestId, version: Option<&str>) {
-    let headers = reply.headers_mut();
-    headers.remove(LOAD);
-    if let Ok(value) = HeaderValue::try_from(id.to_string()) {
-        headers.insert(REQUEST_HEADER, value);
-    }
-    if let Some(Ok(value)) = version.map(HeaderValue::try_from) {
-        headers.insert(VERSION_HEADER, value);
-    }
-}
-
 impl CallState {
     /// Sends one attempt and asks the router what follows.
     pub(crate) async fn attempt(&mut self, routed: &Routed) -> Verdict {
@@ -295,12 +253,6 @@
             output_tokens: usage.completion_tokens,
         }
     }
-
-    async fn verdict(&self, routed: &Routed, answered: &Answered) -> Option<f64> {
-        let rated = self.rated(routed, answer_text(&answered.body))?;
-        self.cx.rate.verdict(rated, self.job.deadline).await
-    }
-
     /// Counts what an attempt used.
     pub(crate) fn add_cost(&mut self, routed: &Routed, usage: Usage) {
         if let Some(key) = routed.dispatch.version {
@@ -309,43 +261,6 @@
                 .add(&cfg.version_name(key), cfg.versions[key].price, usage);
         }
     }
-
-    fn rate_later_bytes(&self, routed: &Routed, body: &[u8]) {
-        if self.wants_rating(routed) {
-            self.rate_later(routed, &answer_text(body));
-        }
-    }
-
-    fn rate_later(&self, routed: &Routed, text: &str) {
-        if !self.wants_rating(routed) || text.is_empty() {
-            return;
-        }
-        if let Some(rated) = self.rated(routed, text.to_owned()) {
-            self.cx.rate.late(rated);
-        }
-    }
-
-    /// Whether this answer is rated for the record. All are, as far as the rating duty has room: with
-    /// a tenth of them rated the quality target was met in half of the seeds only
-    /// (docs/MEASUREMENTS.md).
-    pub(crate) fn wants_rating(&self, routed: &Routed) -> bool {
-        self.cx.rate.is_there() && routed.dispatch.version.is_some()
-    }
-
-    fn rated(&self, routed: &Routed, answer: String) -> Option<Rated> {
-        let Work::Chat(chat) = &self.job.work else {
-            return None;
-        };
-        Some(Rated {
-            service: self.service().to_owned(),
-            version: version_name(routed)?,
-            class: self.job.ask.class,
-            prompt: chat.request.prompt(),
-            answer,
-            escalated: routed.dispatch.why_version == VersionReason::Escalated,
-        })
-    }
-
     fn report_load(&self, routed: &Routed, load: &Load) {
         let report = LoadReport {
             running: load.running,
@@ -379,7 +294,8 @@
     }
 }
 
-fn version_name(routed: &Routed) -> Option<String> {
+/// The full name of the version that an attempt names.
+pub(super) fn version_name(routed: &Routed) -> Option<String> {
     let key = routed.dispatch.version?;
     Some(routed.live.cfg.version_name(key))
 }
@@ -406,34 +322,3 @@
         message: format!("the answer is longer than {MAX_WHOLE} bytes"),
     }
 }
-
-/// The text of an answer, streamed or whole; empty if it is neither.
-fn answer_text(body: &[u8]) -> String {
-    match serde_json::from_slice::<ChatResponse>(body) {
-        Ok(response) => response
-            .choices
-            .iter()
-            .map(|choice| choice.message.text())
-            .collect(),
-        Err(_) => {
-            let mut text = String::new();
-            add_stream_text(&mut Events::default(), body, &mut text);
-            text
-        }
-    }
-}
-
-/// Adds the text of the events that end in `piece`.
-pub(crate) fn add_stream_text(events: &mut Events, piece: &[u8], text: &mut String) {
-    // Whether the stream is in order is the scanner's matter.
-    let _ = events.push(piece, |data| {
-        if let Ok(chunk) = serde_json::from_slice::<Chunk>(data) {
-            let pieces = chunk
-                .choices
-                .iter()
-                .filter_map(|c| c.delta.content.as_deref());
-            text.extend(pieces);
-        }
-        Ok(())
-    });
-}
--- a/crates/oatdale-node/src/call/forward.rs
+++ b/crates/oatdale-node/src/call/forward.rs
@@ -1,7 +1,9 @@
 //! Hands an answer on to the caller as it comes, and holds back its end until the bill is safe.
 
 use crate::call::CallState;
-use crate::call::attempt::{add_stream_text, caller_gone, gone, name_answer};
+use crate::call::answered::name_answer;
+use crate::call::attempt::{caller_gone, gone};
+use crate::call::rated::add_stream_text;
 use crate::problem::{Problem, Run};
 use crate::reply::{Body, Incomplete, Reply};
 use crate::route::Routed;
