--- a/crates/oatdale-mesh/src/lib.rs
+++ b/crates/oatdale-mesh/src/lib.rs
@@ -51,6 +51,7 @@
 mod link;
 mod member;
 mod rank;
+mod reach;
 mod types;
 mod wire;
 
@@ -59,6 +60,7 @@
 pub use crate::duty::run;
 pub use crate::error::{Error, Result};
 pub use crate::member::{Conn, Input, Member, MemberConfig, Output, newer, settled};
+pub use crate::reach::reachable;
 pub use crate::types::{
     Command, Event, HoldAck, HostId, ListedHost, LocalState, PeerState, PeerView, Share, Stop,
     VersionCounters, name_hash, new_incarnation,
--- a/crates/oatdale-mesh/src/member/upkeep.rs
+++ b/crates/oatdale-mesh/src/member/upkeep.rs
@@ -1,6 +1,7 @@
 //! What a member does as time passes: heartbeats, links, suspicion, views.
 
 use super::{Member, Output};
+use crate::reach::FULL_MESH;
 use crate::types::{Event, HostId, ListedHost, LocalState, PeerState};
 use crate::wire::{
     Beat, FLAG_ACCEPTING, FLAG_LEAVING, FLAG_SERVICE_DOWN, FLAG_WANTED, MAX_RECORD, Message,
@@ -10,8 +11,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A fleet up to this size is one full mesh; a larger one only within failure domains.
-const FULL_MESH: usize = 24;
 /// Nodes are looked over this often.
 const VIEW: Duration = Duration::from_secs(1);
 /// Addresses to dial are looked for this often.
--- /dev/null
+++ b/crates/oatdale-mesh/tests/reach.rs
@@ -0,0 +1,50 @@
+//! Payloads reach the nodes that they are dealt out to.
+
+#[path = "support/in_memory.rs"]
+mod support;
+
+use oatdale_mesh::{HostId, reachable};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::fleet::Fleet;
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// How many peers each node deals work out to, all of them linked.
+fn dealt_out_to(domains: usize, each: usize) -> usize {
+    let mut fleet = Fleet::new(3, domains, each);
+    fleet.start_all();
+    fleet
+        .run_until(LONG, Fleet::views_agree)
+        .expect("all are seen");
+    fleet.run(Duration::from_secs(30));
+    let mut least = usize::MAX;
+    for node in &fleet.nodes {
+        let member = node.member.as_ref().expect("up");
+        let linked: BTreeSet<HostId> = member.linked().collect();
+        let peers = reachable(&node.app.peers, &format!("hall-{}", node.domain));
+        for peer in &peers {
+            assert!(
+                linked.contains(&HostId::of(&peer.host)),
+                "{} has no link to {}",
+                node.name,
+                peer.host
+            );
+        }
+        least = least.min(peers.len());
+    }
+    least
+}
+
+#[test]
+fn in_a_small_fleet_work_goes_to_all() {
+    assert_eq!(dealt_out_to(3, 3), 8);
+}
+
+// A fleet has grown beyond a full mesh. If journal records were still dealt out over all nodes, most
+// would be sent to nodes without a link, and each node would append for itself: at 64 nodes the
+// key-value service then throttles, and confirmations are refused.
+#[test]
+fn in_a_large_fleet_work_goes_to_the_own_domain() {
+    assert_eq!(dealt_out_to(4, 8), 7);
+}
--- a/crates/oatdale-node/src/member.rs
+++ b/crates/oatdale-node/src/member.rs
@@ -13,7 +13,7 @@
 use log::{error, info, warn};
 use oatdale_journal::{BillRecord, JournalHandle, Preferred};
 use oatdale_mesh::{
-    Command, Event, LocalState, PeerState, PeerView, Share, VersionCounters, name_hash,
+    Command, Event, LocalState, PeerState, PeerView, Share, VersionCounters, name_hash, reachable,
 };
 use oatdale_policy::VersionCounters as Counters;
 use std::sync::Arc;
@@ -30,6 +30,7 @@
 /// What the membership duty reads and writes.
 pub(crate) struct Duty {
     pub(crate) host: String,
+    pub(crate) domain: String,
     pub(crate) events: mpsc::Receiver<Event>,
     pub(crate) commands: mpsc::Sender<Command>,
     pub(crate) documents: mpsc::Sender<Bytes>,
@@ -142,7 +143,8 @@
             self.heard.send_replace(Instant::now());
         }
         if let Some(meta) = self.journal.meta() {
-            let hosts: Vec<&str> = alive().map(|p| p.host.as_str()).collect();
+            let near = reachable(&peers, &self.domain);
+            let hosts: Vec<&str> = near.iter().map(|p| p.host.as_str()).collect();
             let all = appenders(&hosts, &self.host, meta.shards);
             let mine = preferred_shards(&all);
             self.appenders.send_replace(Arc::new(all));
--- a/crates/oatdale-node/src/node/parts.rs
+++ b/crates/oatdale-node/src/node/parts.rs
@@ -344,6 +344,7 @@
     ) -> Result<JoinHandle<()>> {
         let duty = member::Duty {
             host: self.settings.host.clone(),
+            domain: self.settings.domain.clone(),
             events,
             commands,
             documents,
