Let the bill duty wait for nothing, and bound the wait for holders

Every request waits for the bill duty at its end, without a bound; and the duty itself wrote the records of a refused batch one after the other, each for up to 3 s.

Change: such records are written side by side and the duty goes on; the wait for holders ends after 2 s and counts as unprotected.

--- a/crates/oatdale-node/src/bill.rs
+++ b/crates/oatdale-node/src/bill.rs
@@ -26,6 +26,10 @@
 /// How long an answer waits for a bill that nobody else holds to become durable.
 const DURABLE_WAIT: Duration = Duration::from_millis(500);
 
+/// How long the end of an answer waits for its holders. The mesh answers within half a second; a
+/// request must get its end even if this node's own duties are held up.
+const HOLD_WAIT: Duration = Duration::from_secs(2);
+
 /// How long the first byte of an answer waits until its opening record is held.
 const OPENING_WAIT: Duration = Duration::from_millis(500);
 
@@ -101,11 +105,11 @@
         if self.jobs.send(job).is_err() {
             return;
         }
-        let ack = holders.await.unwrap_or(HoldAck {
-            copies: 0,
-            wanted: 1,
-        });
-        match ack.copies {
+        let copies = match timeout(HOLD_WAIT, holders).await {
+            Ok(Ok(ack)) => ack.copies,
+            Ok(Err(_)) | Err(_) => 0,
+        };
+        match copies {
             0 if timeout(DURABLE_WAIT, written).await.is_err() => {
                 self.metrics.bills_unprotected.inc();
             }
--- a/crates/oatdale-node/src/bill/duty.rs
+++ b/crates/oatdale-node/src/bill/duty.rs
@@ -53,6 +53,9 @@
     metrics: Metrics,
     places: Arc<Semaphore>,
     waiting: Vec<Waiting>,
+    /// Records of a batch with one that the journal refused, each to be written by itself. This
+    /// never waits within the duty: answers wait for the duty in turn.
+    alone: Vec<Waiting>,
     /// Requests under way whose opening the journal does not have.
     under_way: HashMap<RequestId, (Instant, Opening)>,
     /// Orphans that are waiting or being written; their holders tell them again until then.
@@ -67,6 +70,7 @@
         metrics: duty.metrics,
         places: duty.places,
         waiting: Vec::new(),
+        alone: Vec::new(),
         under_way: HashMap::new(),
         orphans: HashMap::new(),
     };
@@ -74,6 +78,9 @@
     let mut writing: FuturesUnordered<Writing> = FuturesUnordered::new();
     loop {
         state.metrics.bills_open.set(state.open());
+        for waiting in std::mem::take(&mut state.alone) {
+            writing.push(state.write_batch(vec![waiting]));
+        }
         if state.may_write(writing.len()) {
             writing.push(state.write());
         }
@@ -182,9 +189,13 @@
 
     /// Starts to write the oldest records that wait.
     fn write(&mut self) -> Writing {
-        let journal = self.journal.clone();
         let rest = self.waiting.split_off(self.waiting.len().min(MAX_BATCH));
         let batch = std::mem::replace(&mut self.waiting, rest);
+        self.write_batch(batch)
+    }
+
+    fn write_batch(&self, batch: Vec<Waiting>) -> Writing {
+        let journal = self.journal.clone();
         let records = batch
             .iter()
             .map(|waiting| BillRecord::Close(waiting.record.clone()))
@@ -212,7 +223,9 @@
                 let newer = std::mem::replace(&mut self.waiting, batch);
                 self.waiting.extend(newer);
             }
-            Err(err) => self.settle_singly(batch, &err).await,
+            Err(err) if batch.len() == 1 => self.refused(batch, &err).await,
+            // One record that the journal refuses for good must not hold up the others.
+            Err(_) => self.alone.extend(batch),
         }
     }
 
@@ -230,25 +243,18 @@
         self.release(ids).await;
     }
 
-    /// A batch with a record that the journal refuses for good must not hold up the others.
-    async fn settle_singly(&mut self, batch: Vec<Waiting>, err: &JournalError) {
-        for waiting in batch {
-            let record = BillRecord::Close(waiting.record.clone());
-            match self.journal.bill(vec![record]).await {
-                Err(err) if err.retry_after().is_some() => self.waiting.push(waiting),
-                Err(_) => {
-                    warn!(
-                        target: "bill",
-                        "event=bill_refused request={} customer={:?} price={} error={:?}",
-                        waiting.record.request,
-                        waiting.record.customer,
-                        waiting.record.price.0,
-                        err.to_string()
-                    );
-                    self.settle(vec![waiting]).await;
-                }
-                Ok(()) => self.settle(vec![waiting]).await,
-            }
+    /// Gives up on a record, with all that is needed to bill it by hand in the log.
+    async fn refused(&mut self, batch: Vec<Waiting>, err: &JournalError) {
+        for Waiting { record, .. } in &batch {
+            warn!(
+                target: "bill",
+                "event=bill_refused request={} customer={:?} price={} error={:?}",
+                record.request,
+                record.customer,
+                record.price.0,
+                err.to_string()
+            );
         }
+        self.settle(batch).await;
     }
 }
--- a/crates/oatdale-node/src/call.rs
+++ b/crates/oatdale-node/src/call.rs
@@ -53,22 +53,20 @@
     pub(crate) work: Work,
 }
 
-/// Whether anything of a request may have reached an endpoint.
-///
-/// It starts at `NotRun` and only ever changes to `MayHaveRun`: before an attempt is written, not
-/// after, so that no failure in between can leave a request that ran marked as one that did not.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-struct Ran(Run);
-
 /// A request under way.
 struct CallState {
     cx: Cx,
     job: Job,
     reply: Option<oneshot::Sender<Reply>>,
-    ran: Ran,
+    /// Whether anything of the request may have reached an endpoint.
+    ///
+    /// It starts at `NotRun` and changes to `MayHaveRun` before an attempt is written, not after, so
+    /// that no failure in between can leave a request that ran marked as one that did not. It goes
+    /// back only if the client proves that the attempt was not begun.
+    ran: Run,
     bill: Option<OpenBill>,
     cost: Cost,
-    /// The best complete answer that was kept back, in case a further step fails.
+    /// The last complete answer that was kept back, in case a further step fails.
     kept: Option<Answered>,
     started: Instant,
     /// What the log line of the request's end says.
@@ -89,7 +87,7 @@
         cx,
         job,
         reply: Some(reply),
-        ran: Ran(Run::NotRun),
+        ran: Run::NotRun,
         bill: None,
         cost: Cost::default(),
         kept: None,
@@ -213,7 +211,7 @@
             // a caller that reads "bad gateway" would look for a fault at the endpoint.
             refusal.reason = RefusalReason::Deadline;
         }
-        let problem = Problem::refusal(refusal, self.ran.0);
+        let problem = Problem::refusal(refusal, self.ran);
         self.fail(&problem).await;
     }
 
@@ -232,13 +230,13 @@
         };
         if let Some(key) = self.job.claim {
             let by = oatdale_journal::RequestId(self.job.id.0);
-            match self.ran.0 {
+            match self.ran {
                 Run::NotRun => self.give_back(key),
                 // Only a hint for callers that ask again; without it they learn no outcome.
                 Run::MayHaveRun => drop(self.cx.journal.finish(key, by, ending)),
             }
         }
-        if self.ran.0 == Run::NotRun {
+        if self.ran == Run::NotRun {
             self.cx
                 .bills
                 .forget(oatdale_journal::RequestId(self.job.id.0));
@@ -283,7 +281,7 @@
             self.job.id,
             self.customer(),
             self.service(),
-            self.ran.0,
+            self.ran,
             self.started.elapsed().as_millis()
         );
     }
--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -3,7 +3,7 @@
 use crate::call::answered::Answered;
 use crate::call::forward::{Forward, Forwarded};
 use crate::call::work::Work;
-use crate::call::{CALLER_GONE, CallState, Ran};
+use crate::call::{CALLER_GONE, CallState};
 use crate::problem::Run;
 use crate::reply::Reply;
 use crate::route::{Routed, Verdict};
@@ -42,7 +42,7 @@
         let sent_at = Instant::now();
         let before = self.ran;
         // From here on a byte may be written.
-        self.ran = Ran(Run::MayHaveRun);
+        self.ran = Run::MayHaveRun;
         let answer = self.send_attempt(routed).await;
         let first_byte = answer.as_ref().ok().map(|_| sent_at.elapsed());
         let end = match answer {
