--- a/crates/oatdale-node/src/lib.rs
+++ b/crates/oatdale-node/src/lib.rs
@@ -56,5 +56,7 @@
 mod stops;
 
 pub use crate::error::{Error, Result};
-pub use crate::logging::{Dropped, start as start_logging};
+pub use crate::logging::{
+    Dropped, LogTarget, start as start_logging, start_to as start_logging_to,
+};
 pub use crate::node::{Bound, Node};
--- a/crates/oatdale-node/src/logging.rs
+++ b/crates/oatdale-node/src/logging.rs
@@ -23,8 +23,26 @@
     }
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LogTarget {
+    /// Standard output, for processes that say nothing else there.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
 /// Sends all log lines of the process at `level` and above to standard error.
 ///
+/// # Errors
+///
+/// As for [`start_to`].
+pub fn start(level: LevelFilter) -> io::Result<Dropped> {
+    start_to(LogTarget::Stderr, level)
+}
+
+/// Sends all log lines of the process at `level` and above to `target`.
+///
 /// A terminal or a full pipe that blocks would stop every duty that logs, and callers would see
 /// answers stall. So duties hand their lines to a bounded channel, and lines that find it full are
 /// counted and dropped.
@@ -32,13 +50,13 @@
 /// # Errors
 ///
 /// Fails if the process has set up logging before, or if no thread can be started.
-pub fn start(level: LevelFilter) -> io::Result<Dropped> {
+pub fn start_to(target: LogTarget, level: LevelFilter) -> io::Result<Dropped> {
     let (tx, rx) = sync_channel::<String>(WAITING_LINES);
     let dropped = Dropped::default();
     let counter = dropped.clone();
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&rx))?;
+        .spawn(move || write_lines(target, &rx))?;
     Dispatch::new()
         .level(level)
         .level_for("hyper", LevelFilter::Warn)
@@ -63,11 +81,14 @@
     Ok(dropped)
 }
 
-fn write_lines(rx: &Receiver<String>) {
+fn write_lines(target: LogTarget, rx: &Receiver<String>) {
     while let Ok(line) = rx.recv() {
         // The lock is held for one line only: the program's last words at a failed start go to
         // standard error as well and would wait for it for ever. Nowhere is left to report to
-        // when standard error itself fails.
-        let _ = io::stderr().lock().write_all(line.as_bytes());
+        // when the target itself fails.
+        let _ = match target {
+            LogTarget::Stdout => io::stdout().lock().write_all(line.as_bytes()),
+            LogTarget::Stderr => io::stderr().lock().write_all(line.as_bytes()),
+        };
     }
 }
--- a/crates/oatdale-node/src/main.rs
+++ b/crates/oatdale-node/src/main.rs
@@ -1,8 +1,11 @@
 //! `oatdaled`: one node on one entry host.
 
+mod relaying;
+
 use log::{LevelFilter, info};
 use oatdale_config::NodeSettings;
 use oatdale_node::{Node, start_logging};
+use oatdale_relay::Settings as RelaySettings;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -43,19 +46,34 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    match flags.check {
-        true => {
+    match settings {
+        _ if flags.check => {
             println!("{}: the settings are right", flags.settings.display());
             ExitCode::SUCCESS
         }
-        false => start(settings),
+        Settings::Node(settings) => start(*settings),
+        Settings::Relay(settings) => relaying::start(settings, &flags.settings),
     }
 }
 
-fn read(path: &Path) -> Result<NodeSettings, String> {
+/// What the program is told to be.
+enum Settings {
+    /// It reads requests for models and sends them to engines of its own kind.
+    Node(Box<NodeSettings>),
+    /// It passes requests on unread.
+    Relay(RelaySettings),
+}
+
+fn read(path: &Path) -> Result<Settings, String> {
     let name = PathBuf::from(path).display().to_string();
     let text = std::fs::read_to_string(path).map_err(|err| format!("can't read {name}: {err}"))?;
-    oatdale_config::node_settings_from_str(&text).map_err(|err| format!("{name}:\n{err}"))
+    if RelaySettings::is_meant(&text) {
+        let settings = RelaySettings::read(&text).map_err(|err| format!("{name}: {err}"))?;
+        return Ok(Settings::Relay(settings));
+    }
+    oatdale_config::node_settings_from_str(&text)
+        .map(|settings| Settings::Node(Box::new(settings)))
+        .map_err(|err| format!("{name}:\n{err}"))
 }
 
 fn start(settings: NodeSettings) -> ExitCode {
--- a/crates/oatdale-node/tests/history/run.rs
+++ b/crates/oatdale-node/tests/history/run.rs
@@ -129,6 +129,7 @@
         nemesis::act(&run, seed),
     );
     let found = run.check().await;
+    hold(seed, &run, &found).await;
     let mut tally = run.tally.into_inner();
     let counters = run.site.stand_ins.kv().counters();
     tally.outages = counters.outages;
@@ -138,6 +139,22 @@
     (tally, found)
 }
 
+/// Keeps the nodes of a run that found a fault for `OATDALE_TEST_HOLD_S` seconds, so that their
+/// threads can be looked at with a debugger.
+async fn hold(seed: u64, run: &Run, found: &[String]) {
+    let secs = std::env::var("OATDALE_TEST_HOLD_S").ok();
+    let secs = secs.map_or(0, |text| text.parse().expect("whole seconds"));
+    if found.is_empty() || secs == 0 {
+        return;
+    }
+    println!(
+        "seed {seed}: held for {secs} s: {:?}",
+        run.addresses.borrow()
+    );
+    println!("seed {seed}: {found:?}");
+    tokio::time::sleep(Duration::from_secs(secs)).await;
+}
+
 async fn start() -> Run {
     let site = Site::start(0).await;
     let run = Run {
--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -5,7 +5,7 @@
 //! unwritten; everything else is reported as [`SendError::Broken`].
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -25,6 +25,13 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 const PROBES: u32 = 3;
 
+/// The part of an announced idle time in which a connection is used again: the other end counts
+/// from earlier than this one and its timers may be early.
+const SAFE_IDLE: f64 = 0.6;
+
+/// The part of a connection's idle limit that counts as a moment ago.
+const RECENT: f64 = 0.3;
+
 /// How connections are made and kept.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PoolConfig {
@@ -54,6 +61,9 @@
     /// It needs a new one. An endpoint may close an idle connection just as a request is written
     /// to it; for a call that may not be repeated that failure would be final.
     Never,
+    /// It may over one that was used a moment ago: the endpoint said how long it keeps idle
+    /// connections, and a small part of that has passed.
+    Recent,
 }
 
 /// Why a request got no answer head.
@@ -99,6 +109,8 @@
 struct Idle {
     tx: SendRequest<Full<Bytes>>,
     since: Instant,
+    /// How long it may be idle and still be used.
+    limit: Duration,
 }
 
 /// What became of a request that was given to one connection.
@@ -198,7 +210,7 @@
     ) -> Attempt {
         match timeout_at(deadline, tx.try_send_request(req)).await {
             Ok(Ok(res)) => {
-                self.keep(addr, tx);
+                self.keep(addr, tx, self.idle_limit(res.headers()));
                 Attempt::Answered(res)
             }
             Ok(Err(mut err)) => match err.take_message() {
@@ -212,38 +224,52 @@
     }
 
     /// Puts the connection back once the answer has been read to its end.
-    fn keep(&self, addr: SocketAddr, mut tx: SendRequest<Full<Bytes>>) {
+    fn keep(&self, addr: SocketAddr, mut tx: SendRequest<Full<Bytes>>, limit: Duration) {
         let pool = self.clone();
         tokio::spawn(async move {
             if tx.ready().await.is_ok() {
-                pool.put_idle(addr, tx);
+                pool.put_idle(addr, tx, limit);
             }
         });
     }
 
-    fn put_idle(&self, addr: SocketAddr, tx: SendRequest<Full<Bytes>>) {
+    /// The shorter of the pool's own limit and a safe part of what the answer announced.
+    fn idle_limit(&self, headers: &HeaderMap) -> Duration {
+        let own = self.shared.cfg.idle_timeout;
+        announced_idle(headers).map_or(own, |told| own.min(told.mul_f64(SAFE_IDLE)))
+    }
+
+    fn put_idle(&self, addr: SocketAddr, tx: SendRequest<Full<Bytes>>, limit: Duration) {
         let now = Instant::now();
         let cfg = self.shared.cfg;
         let mut kept = self.lock();
         kept.sweep(now, cfg.idle_timeout);
         let list = kept.idle.entry(addr).or_default();
         if list.len() < cfg.max_idle {
-            list.push(Idle { tx, since: now });
+            let since = now;
+            list.push(Idle { tx, since, limit });
         }
     }
 
     /// The connection used last, which is the least likely to have been closed meanwhile.
     fn take_idle(&self, addr: SocketAddr, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
-        if reuse == Reuse::Never {
-            return None;
-        }
+        let part = match reuse {
+            Reuse::Never => return None,
+            Reuse::Recent => RECENT,
+            Reuse::Allowed => 1.0,
+        };
         let now = Instant::now();
         let mut kept = self.lock();
         let list = kept.idle.get_mut(&addr)?;
         while let Some(idle) = list.pop() {
-            if idle.tx.is_ready() && now - idle.since < self.shared.cfg.idle_timeout {
+            if idle.tx.is_ready() && now - idle.since < idle.limit.mul_f64(part) {
                 return Some(idle.tx);
             }
+            // The others were used before it, so they are no more recent.
+            if reuse == Reuse::Recent {
+                list.push(idle);
+                return None;
+            }
         }
         kept.idle.remove(&addr);
         None
@@ -267,7 +293,7 @@
         }
         self.swept = now;
         for list in self.idle.values_mut() {
-            list.retain(|i| !i.tx.is_closed() && now - i.since < idle_timeout);
+            list.retain(|i| !i.tx.is_closed() && now - i.since < i.limit);
         }
         self.idle.retain(|_, list| !list.is_empty());
     }
@@ -294,7 +320,20 @@
     socket.set_tcp_user_timeout(Some(PROBE_AFTER + PROBE_INTERVAL * PROBES))
 }
 
+/// The time in `Keep-Alive: timeout=5`.
+fn announced_idle(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let secs = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    secs.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Names the address as the host, unless the request passes on the host its caller named.
 fn set_host(req: &mut Request<Full<Bytes>>, addr: SocketAddr) {
+    if req.headers().contains_key(header::HOST) {
+        return;
+    }
     if let Ok(host) = HeaderValue::try_from(addr.to_string()) {
         req.headers_mut().insert(header::HOST, host);
     }
--- a/crates/oatdale-policy/src/budget.rs
+++ b/crates/oatdale-policy/src/budget.rs
@@ -11,22 +11,37 @@
 /// Without it, endpoints that fail because they are overloaded get each request several times,
 /// which keeps them overloaded after the cause has gone.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Budget {
+pub struct Budget {
     balance: f64,
+    /// What each first attempt adds, in retries.
+    deposit: f64,
+    /// The most that may be saved up, in retries.
+    cap: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Budget::new(DEPOSIT, CAP)
+    }
 }
 
 impl Budget {
-    pub(crate) fn new() -> Self {
-        Budget { balance: CAP }
+    /// A full budget to which each first attempt adds `deposit` retries, up to `cap`.
+    pub fn new(deposit: f64, cap: f64) -> Self {
+        Budget {
+            balance: cap,
+            deposit,
+            cap,
+        }
     }
 
     /// Notes a first attempt.
-    pub(crate) fn deposit(&mut self) {
-        self.balance = (self.balance + DEPOSIT).min(CAP);
+    pub fn deposit(&mut self) {
+        self.balance = (self.balance + self.deposit).min(self.cap);
     }
 
     /// Pays for one retry, if the budget allows it.
-    pub(crate) fn withdraw(&mut self) -> bool {
+    pub fn withdraw(&mut self) -> bool {
         let allowed = self.balance >= 1.0;
         if allowed {
             self.balance -= 1.0;
--- a/crates/oatdale-policy/src/lib.rs
+++ b/crates/oatdale-policy/src/lib.rs
@@ -59,6 +59,7 @@
 mod limit;
 mod queue;
 mod rekey;
+pub mod relay;
 mod request;
 mod router;
 mod state;
--- /dev/null
+++ b/crates/oatdale-policy/src/relay.rs
@@ -0,0 +1,27 @@
+//! Decisions about requests that pass through without being read.
+//!
+//! Each is a plain function or a small state machine over what the caller of it has seen: where a
+//! request is placed, whether it may be sent again, whether an answer of a small model is good
+//! enough, and how far a new software version of an endpoint pool may be exposed.
+//!
+//! # Examples
+//!
+//! ```
+//! use oatdale_policy::relay::{Candidate, Placement, choose};
+//!
+//! let idle = Candidate { in_flight: 0.0, affinity: 1, ..Candidate::default() };
+//! let busy = Candidate { in_flight: 9.0, affinity: 7, ..Candidate::default() };
+//! // The busy one keeps the prompt's prefix, and is too far above the mean to be taken for it.
+//! assert_eq!(choose(&[idle, busy], Placement::Affinity, 0), Some(0));
+//! ```
+
+mod health;
+mod ladder;
+mod placement;
+mod roll_out;
+
+pub use crate::budget::Budget;
+pub use crate::relay::health::Health;
+pub use crate::relay::ladder::{Ladder, Step};
+pub use crate::relay::placement::{Candidate, Placement, choose};
+pub use crate::relay::roll_out::{Counts, Phase, Tally, Verdict, phase, shows_new, verdict};
--- /dev/null
+++ b/crates/oatdale-policy/src/relay/health.rs
@@ -0,0 +1,72 @@
+//! What answers tell of one endpoint's health.
+
+use std::time::Duration;
+
+/// Samples that the share of failures remembers: enough to tell one failure in three from chance,
+/// few enough to notice a recovery within some ten answers.
+const MEMORY: f64 = 8.0;
+
+/// An endpoint that failed this share of its last answers is tried rarely.
+const FAILING: f64 = 0.3;
+
+/// How long an endpoint is left out after a failure that says that it may be unreachable; doubled
+/// by each further one.
+const FIRST_REST: Duration = Duration::from_millis(400);
+
+/// The longest rest: a crashed endpoint is back within seconds and is wanted then.
+const LONGEST_REST: Duration = Duration::from_secs(3);
+
+/// An endpoint's recent failures.
+///
+/// An endpoint may answer its health check and still fail requests, or be gone without a word.
+/// Both show only in what its answers are; without this each request to it would find out anew.
+#[derive(Clone, Copy, Debug)]
+pub struct Health {
+    /// Moving share of failed answers, from 0 to 1.
+    failed: f64,
+    /// Failures to reach it in a row.
+    unreached: u32,
+    /// Left out until then, as time since the process began.
+    rests_until: Duration,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Health {
+            failed: 0.0,
+            unreached: 0,
+            rests_until: Duration::ZERO,
+        }
+    }
+}
+
+impl Health {
+    /// Notes an answer that came, good or failed.
+    pub fn answered(&mut self, good: bool) {
+        let sample = if good { 0.0 } else { 1.0 };
+        self.failed += (sample - self.failed) / MEMORY;
+        self.unreached = 0;
+    }
+
+    /// Notes that no answer came: no connection, a broken one, or silence.
+    pub fn silent(&mut self, now: Duration) {
+        self.failed += (1.0 - self.failed) / MEMORY;
+        let rest = FIRST_REST * 2_u32.saturating_pow(self.unreached.min(4));
+        self.unreached += 1;
+        self.rests_until = now + rest.min(LONGEST_REST);
+    }
+
+    /// Whether it should get no request now while others can take it.
+    pub fn rests(&self, now: Duration) -> bool {
+        now < self.rests_until
+    }
+
+    /// How many times its load counts when endpoints are compared: a failing one is used less, and
+    /// still often enough to notice that it recovered.
+    pub fn burden(&self) -> f64 {
+        match self.failed > FAILING {
+            true => 1.0 + 10.0 * self.failed,
+            false => 1.0,
+        }
+    }
+}
--- a/crates/oatdale-policy/src/state.rs
+++ b/crates/oatdale-policy/src/state.rs
@@ -80,7 +80,7 @@
             total: Mean::new(100.0),
             totals: BTreeMap::new(),
             first_byte: Mean::new(100.0),
-            budget: Budget::new(),
+            budget: Budget::default(),
             learner: Learner::new(),
             virtual_time: 0.0,
         }
--- /dev/null
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -0,0 +1,197 @@
+//! One request to one endpoint, and the exact ways in which it ends.
+
+use crate::cx::{Cx, Running};
+use crate::plan::Plan;
+use crate::wire::{AnswerFacts, Wire};
+use http::response;
+use hyper::body::Incoming;
+use oatdale_platform::SendError;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// How long an endpoint may send nothing at all, on any connection of this node, before it is
+/// taken to be away. An engine under load sends tokens of other requests several times a second.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// The part of a route's target after which a silent endpoint is given up: enough of it has to
+/// be left for another endpoint to answer in time.
+const PATIENCE: f64 = 0.6;
+
+/// What is waited at the least, so that one slow answer does not count as silence.
+const LEAST_PATIENCE: Duration = Duration::from_millis(60);
+
+/// An answer's head, with its body still to be read.
+pub(crate) struct Answer<W> {
+    pub(crate) head: response::Parts,
+    pub(crate) facts: AnswerFacts,
+    pub(crate) body: Incoming,
+    pub(crate) running: Running<W>,
+}
+
+/// Why there is no answer.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(crate) enum Failure {
+    /// No byte was sent.
+    NotSent(String),
+    /// The endpoint said that it has not run it and will not.
+    NotRun(u16),
+    /// It may have run.
+    Unknown(String),
+    /// Nothing came until the request's limit; it may have run.
+    TimedOut,
+    /// No endpoint may take it.
+    NoEndpoint,
+}
+
+impl Failure {
+    /// Whether it is certain that nothing ran.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Failure::NotSent(_) | Failure::NotRun(_) | Failure::NoEndpoint
+        )
+    }
+}
+
+/// How to send a request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct Send {
+    /// Go on after this event.
+    pub(crate) last_event: Option<u64>,
+    /// Whether a silent endpoint is given up early, because another one may be asked.
+    pub(crate) impatient: bool,
+}
+
+/// Sends a request to the best endpoint that has not had it.
+pub(crate) async fn attempt<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    plan: &mut Plan,
+    how: Send,
+) -> Result<Answer<W>, Failure> {
+    let Some(running) = plan.place(cx, &plan.tried) else {
+        return Err(Failure::NoEndpoint);
+    };
+    plan.tried.push(running.key);
+    let sent = Instant::now();
+    let result = send(cx, plan, &running, how).await;
+    let took = sent.elapsed();
+    // A request that was never sent is no send of it.
+    plan.sends += u32::from(!matches!(result, Err(Failure::NotSent(_))));
+    log::debug!(
+        target: "attempt",
+        "event=attempt id={} endpoint={} version={} model={} last_event={:?} took_ms={} end={}",
+        plan.facts.id.as_deref().unwrap_or("-"), running.id, running.version,
+        plan.model().unwrap_or("-"), how.last_event, took.as_millis(),
+        result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.to_string())
+    );
+    learn(cx, plan, &running, &result, took);
+    result.map(|(head, facts, body)| Answer {
+        head,
+        facts,
+        body,
+        running,
+    })
+}
+
+type Head = (response::Parts, AnswerFacts, Incoming);
+
+async fn send<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    plan: &Plan,
+    running: &Running<W>,
+    how: Send,
+) -> Result<Head, Failure> {
+    let req = plan.request(cx, &running.id, how.last_event);
+    let mut sending = std::pin::pin!(cx.pool.send(running.addr, req, plan.reuse(), plan.limit));
+    let mut check = patience(plan);
+    let res = loop {
+        let until = match how.impatient {
+            true => check.min(plan.limit),
+            false => plan.limit,
+        };
+        match timeout_at(until, &mut sending).await {
+            Ok(res) => break res,
+            Err(_) if Instant::now() >= plan.limit => return Err(Failure::TimedOut),
+            Err(_) if is_silent(plan, running) => {
+                return Err(Failure::Unknown("silent".to_owned()));
+            }
+            Err(_) => check = Instant::now() + SILENCE / 2,
+        }
+    };
+    let (head, body) = match res {
+        Ok(res) => res.into_parts(),
+        Err(SendError::NotSent { message }) => return Err(Failure::NotSent(message)),
+        Err(SendError::Broken { message }) => return Err(Failure::Unknown(message)),
+        Err(SendError::TimedOut) => return Err(Failure::TimedOut),
+    };
+    running.heard();
+    let facts = cx.wire.answer(&head);
+    sort(plan, running, &facts, &head)?;
+    Ok((head, facts, body))
+}
+
+/// When a request's first answer is late enough to ask whether its endpoint is alive.
+fn patience(plan: &Plan) -> Instant {
+    let route = plan.route();
+    let target = route.target_latency.unwrap_or(route.timeout);
+    Instant::now() + target.mul_f64(PATIENCE).max(LEAST_PATIENCE)
+}
+
+/// Streams share their endpoint's engine, which answers others meanwhile if it is alive. A plain
+/// service's answer that is late is late for itself.
+fn is_silent<W: Wire>(plan: &Plan, running: &Running<W>) -> bool {
+    match plan.route().kind.is_stream() {
+        true => running.silence() >= SILENCE,
+        false => true,
+    }
+}
+
+/// Sorts out answers that are none.
+fn sort<W: Wire>(
+    plan: &Plan,
+    running: &Running<W>,
+    facts: &AnswerFacts,
+    head: &response::Parts,
+) -> Result<(), Failure> {
+    if facts.other_endpoint {
+        running.replaced();
+        return Err(Failure::NotRun(head.status.as_u16()));
+    }
+    if facts.not_run {
+        return Err(Failure::NotRun(head.status.as_u16()));
+    }
+    // A connection may hold an answer that was meant for an earlier request. The caller would get
+    // somebody else's data; the request itself may have run.
+    if facts.id != plan.facts.id {
+        return Err(Failure::Unknown(format!("answer to {:?}", facts.id)));
+    }
+    if !facts.signed {
+        return Err(Failure::Unknown(format!("unsigned {}", head.status)));
+    }
+    Ok(())
+}
+
+fn learn<W: Wire>(
+    cx: &Cx<W>,
+    plan: &Plan,
+    running: &Running<W>,
+    result: &Result<Head, Failure>,
+    took: Duration,
+) {
+    let failed = match result {
+        Ok((head, ..)) => {
+            let failed = head.status.is_server_error();
+            running.answered(!failed);
+            failed
+        }
+        Err(Failure::NotRun(_)) => return running.answered(false),
+        Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
+        Err(Failure::TimedOut | Failure::NoEndpoint) => return,
+    };
+    let service = plan.service.as_str();
+    let mut state = cx.state();
+    state
+        .roll_outs
+        .answered(service, &running.version, failed, plan.pace(), took);
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/front.rs
@@ -0,0 +1,116 @@
+//! Accepts callers' connections.
+
+use crate::cx::Cx;
+use crate::guard::{ConnWatch, Due, Guarded};
+use crate::serve::serve;
+use crate::site::CallerLimits;
+use crate::wire::Wire;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+
+/// Bounds on callers while no configuration is known.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// The least that the HTTP library takes as a head's bound.
+const LEAST_HEADER_BYTES: usize = 8 << 10;
+
+/// A caller's host that acknowledges nothing for so long is gone; its requests would go on to use
+/// endpoints for nobody.
+const CALLER_GONE: Duration = Duration::from_secs(4);
+
+/// How far a stop has come.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub(crate) enum Stop {
+    /// The node runs, or stops and still takes requests.
+    Open,
+    /// Connections without a request are closed.
+    Closing,
+}
+
+/// Accepts connections until the stop closes them.
+pub(crate) async fn accept<W: Wire>(
+    cx: Arc<Cx<W>>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<Stop>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|s| *s == Stop::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(cx.clone(), stream, stop.clone()));
+            }
+            Err(err) => {
+                // Out of descriptors, mostly: others have to end first.
+                log::warn!(target: "front", "event=accept_failed err={err}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection<W: Wire>(cx: Arc<Cx<W>>, stream: TcpStream, mut stop: watch::Receiver<Stop>) {
+    let options = SockRef::from(&stream);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| options.set_tcp_user_timeout(Some(CALLER_GONE)));
+    if let Err(err) = set {
+        log::debug!(target: "front", "event=socket_option_failed err={err}");
+    }
+    cx.metrics.connections.inc();
+    let watch = ConnWatch::new();
+    let io = Guarded::new(TokioIo::new(stream), watch.clone());
+    let service = service_fn(|req| serve(cx.clone(), watch.clone(), req));
+    let header_bytes = limits(&cx).header_bytes.max(LEAST_HEADER_BYTES);
+    let mut conn = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(header_bytes)
+            .serve_connection(io, service)
+    );
+    let mut open = true;
+    loop {
+        let check = match watch.due(&limits(&cx)) {
+            Due::Later(at) => at,
+            Due::CloseIdle if open => {
+                open = false;
+                conn.as_mut().graceful_shutdown();
+                continue;
+            }
+            Due::CloseIdle | Due::CloseSlow => break,
+        };
+        tokio::select! {
+            ended = conn.as_mut() => {
+                if let Err(err) = ended {
+                    log::debug!(target: "front", "event=connection_ended err={err}");
+                }
+                break;
+            }
+            () = sleep_until(check) => {}
+            _ = stop.wait_for(|s| *s == Stop::Closing), if open => {
+                open = false;
+                conn.as_mut().graceful_shutdown();
+            }
+        }
+    }
+    cx.metrics.connections.dec();
+}
+
+fn limits<W: Wire>(cx: &Cx<W>) -> CallerLimits {
+    cx.site().map_or(FIRST_LIMITS, |site| site.limits)
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/lib.rs
@@ -0,0 +1,71 @@
+//! Passes requests on unread, to endpoints that a platform tells of.
+//!
+//! A [`Relay`] finds a request's route by host and path, picks an endpoint, and passes the answer
+//! back as it comes. It repeats what may be repeated, goes on with streams whose endpoint breaks
+//! off, asks a larger model where a small one is not sure, and moves services to new software
+//! versions. What a platform calls things is behind [`Wire`], [`Update`] and [`Command`].
+//!
+//! # Examples
+//!
+//! ```
+//! use oatdale_relay::{CallerLimits, Route, RouteKind, Site};
+//! use std::collections::HashMap;
+//! use std::time::Duration;
+//!
+//! let route = |prefix: &str| Route {
+//!     name: prefix.to_owned(),
+//!     host: "desk.example".to_owned(),
+//!     prefix: prefix.to_owned(),
+//!     kind: RouteKind::Idempotent,
+//!     timeout: Duration::from_secs(1),
+//!     target_latency: None,
+//!     target_gap: None,
+//!     attempts: 2,
+//!     urgency: 1,
+//!     public: true,
+//!     services: vec![("desk".to_owned(), 1)],
+//!     ladder: Vec::new(),
+//! };
+//! let limits = CallerLimits {
+//!     header_bytes: 16_384,
+//!     body_bytes: 65_536,
+//!     header_timeout: Duration::from_secs(3),
+//!     idle_timeout: Duration::from_secs(15),
+//! };
+//! let routes = vec![route("/"), route("/slots/")];
+//! let site = Site::new(7, routes, HashMap::new(), limits, None);
+//! assert_eq!(site.route("desk.example", "/slots/41"), Some(1));
+//! assert_eq!(site.route("other.example", "/slots/41"), None);
+//! ```
+
+mod attempt;
+mod cx;
+mod directory;
+mod error;
+mod events;
+mod front;
+mod gossip;
+mod guard;
+mod local;
+mod metrics;
+mod node;
+mod nodes;
+mod plan;
+mod reply;
+mod roll_outs;
+mod serve;
+mod settings;
+mod site;
+mod stream;
+mod update;
+mod wire;
+
+pub use crate::directory::{Directory, EndpointKey, Entry};
+pub use crate::error::{Error, Result};
+pub use crate::events::WholeEvents;
+pub use crate::node::Relay;
+pub use crate::roll_outs::{Allowed, Pace, Report, RollOuts};
+pub use crate::settings::{Bounds, Listen, Platform, Settings, SettingsError};
+pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
+pub use crate::update::{Command, Endpoint, Node, RollOut, RollOutEnd, Update};
+pub use crate::wire::{AnswerFacts, Forward, Prompt, RequestFacts, Wire};
--- /dev/null
+++ b/crates/oatdale-relay/src/local.rs
@@ -0,0 +1,93 @@
+//! What a relay answers beside requests: readiness, the nodes' addresses, metrics.
+
+use crate::cx::Cx;
+use crate::reply::{Body, plain};
+use crate::wire::Wire;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// How long callers may keep an answer about addresses. A node that stops is asked for by callers
+/// that keep one for three times as long, and has to stay for them.
+const ADDRESSES_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Addresses that one answer has at most.
+const MAX_ADDRESSES: usize = 64;
+
+/// How long a connection may stay without a request.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Answers one of the small interfaces.
+pub(crate) async fn serve_local<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let cx = cx.clone();
+                let service = service_fn(move |req| answer(cx.clone(), req));
+                let conn = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(IDLE)
+                    .serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(async move {
+                    if let Err(err) = conn.await {
+                        log::debug!(target: "local", "event=connection_ended err={err}");
+                    }
+                });
+            }
+            Err(err) => {
+                log::warn!(target: "local", "event=accept_failed err={err}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn answer<W: Wire>(
+    cx: Arc<Cx<W>>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let path = req.uri().path();
+    let res = match path {
+        "/metrics" => plain(StatusCode::OK, cx.metrics.text().into()),
+        _ if cx.wire.is_readiness(path) && cx.is_ready() => plain(StatusCode::OK, Bytes::new()),
+        _ if cx.wire.is_readiness(path) => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        _ if cx.wire.is_addresses(path) => addresses(&cx),
+        _ => plain(StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    Ok(res)
+}
+
+fn addresses<W: Wire>(cx: &Cx<W>) -> Response<Body> {
+    let life = ADDRESSES_LIFE.min(Duration::from_secs_f64(cx.state().bounds.addresses_s));
+    let addrs = known_addresses(cx);
+    let mut res = match addrs.is_empty() {
+        true => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        false => plain(StatusCode::OK, cx.wire.addresses(&addrs, life)),
+    };
+    let json = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(header::CONTENT_TYPE, json);
+    res
+}
+
+/// This node if it is ready, and the others that are.
+fn known_addresses<W: Wire>(cx: &Cx<W>) -> Vec<SocketAddr> {
+    let own = cx.settings.listen.callers;
+    let ready = cx.is_ready();
+    let now = cx.now();
+    let state = cx.state();
+    let others = state
+        .nodes
+        .iter(now)
+        .map(|n| n.callers)
+        .filter(|a| *a != own);
+    let all = ready.then_some(own).into_iter().chain(others);
+    all.take(MAX_ADDRESSES).collect()
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters and histograms of one relay.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 15.0,
+];
+
+/// All of a relay's metrics.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub(crate) requests: IntCounterVec,
+    /// Attempts beyond the first of each request.
+    pub(crate) repeats: IntCounter,
+    /// Answers dropped for a larger model's.
+    pub(crate) escalations: IntCounter,
+    /// Streams that another endpoint went on with.
+    pub(crate) resumed: IntCounter,
+    /// Time to the head of the answer that was passed on, in seconds.
+    pub(crate) first_byte: Histogram,
+    /// Version of the configuration in force.
+    pub(crate) version: IntGauge,
+    /// Endpoints known.
+    pub(crate) endpoints: IntGauge,
+    /// Open connections of callers.
+    pub(crate) connections: IntGauge,
+    /// Requests under way.
+    pub(crate) under_way: IntGauge,
+    /// Whether the key-value service answers: 1 or 0.
+    pub(crate) store: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new_custom(Some("oatdale_relay".to_owned()), None)?;
+        let opts = Opts::new("requests_total", "Requests by how they ended");
+        let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
+            .buckets(LATENCY_BOUNDS.to_vec());
+        let metrics = Metrics {
+            requests: IntCounterVec::new(opts, &["end"])?,
+            repeats: IntCounter::new("repeats_total", "Attempts beyond the first")?,
+            escalations: IntCounter::new("escalations_total", "Answers made again larger")?,
+            resumed: IntCounter::new(
+                "resumed_total",
+                "Streams that another endpoint went on with",
+            )?,
+            first_byte: Histogram::with_opts(histogram)?,
+            version: IntGauge::new("configuration_version", "Configuration in force")?,
+            endpoints: IntGauge::new("endpoints", "Endpoints known")?,
+            connections: IntGauge::new("connections", "Open connections of callers")?,
+            under_way: IntGauge::new("requests_under_way", "Requests under way")?,
+            store: IntGauge::new("store_up", "Whether the key-value service answers")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        let all: [Box<dyn prometheus::core::Collector>; 10] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.repeats.clone()),
+            Box::new(self.escalations.clone()),
+            Box::new(self.resumed.clone()),
+            Box::new(self.first_byte.clone()),
+            Box::new(self.version.clone()),
+            Box::new(self.endpoints.clone()),
+            Box::new(self.connections.clone()),
+            Box::new(self.under_way.clone()),
+            Box::new(self.store.clone()),
+        ];
+        all.into_iter().try_for_each(|c| self.registry.register(c))
+    }
+
+    /// All of them in the text format.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => text,
+            Err(err) => {
+                log::warn!(target: "metrics", "event=encode_failed err={err}");
+                Vec::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/plan.rs
@@ -0,0 +1,185 @@
+//! One request as the relay handles it, from its head to the end of its answer.
+
+use crate::cx::{Cx, Running, Wanted, hash};
+use crate::directory::EndpointKey;
+use crate::reply::Refusal;
+use crate::roll_outs::Allowed;
+use crate::site::{Route, Site};
+use crate::wire::{Forward, RequestFacts, Wire};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+use oatdale_platform::Reuse;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Prompt tokens that weigh as much as one request without any: an engine reads about so many
+/// in the time in which it answers a short request.
+const TOKENS_PER_REQUEST: f64 = 3_000.0;
+
+/// A request and all that has been decided for it.
+pub(crate) struct Plan {
+    pub(crate) site: Arc<Site>,
+    route: usize,
+    pub(crate) service: String,
+    pub(crate) customer: Option<String>,
+    pub(crate) facts: RequestFacts,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// The caller's headers without those of its connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrival: Instant,
+    /// When the caller stops waiting or the route's time is up.
+    pub(crate) limit: Instant,
+    pub(crate) allowed: Allowed,
+    urgency: u8,
+    /// Place in the route's ladder of the model that is asked next.
+    pub(crate) size: usize,
+    /// Endpoints that it was sent to.
+    pub(crate) tried: Vec<EndpointKey>,
+    /// How many endpoints may have begun with it or refused it.
+    pub(crate) sends: u32,
+}
+
+impl Plan {
+    pub(crate) fn new(
+        site: Arc<Site>,
+        route: usize,
+        facts: RequestFacts,
+        head: http::request::Parts,
+        arrival: Instant,
+    ) -> Result<Self, Refusal> {
+        let (service, timeout) = {
+            let route = &site.routes[route];
+            (route.pick_service().map(str::to_owned), route.timeout)
+        };
+        let wait = facts.deadline.unwrap_or(timeout).min(timeout);
+        Ok(Plan {
+            route,
+            service: service.ok_or(Refusal::NoEndpoint)?,
+            customer: None,
+            facts,
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body: Bytes::new(),
+            arrival,
+            limit: arrival + wait,
+            allowed: Allowed::All,
+            urgency: site.routes[route].urgency,
+            size: 0,
+            tried: Vec::new(),
+            sends: 0,
+            site,
+        })
+    }
+
+    pub(crate) fn route(&self) -> &Route {
+        &self.site.routes[self.route]
+    }
+
+    /// Finds the caller's customer.
+    ///
+    /// A key that is sent to a public route is of no concern.
+    pub(crate) fn authenticate(&mut self) -> Result<(), Refusal> {
+        let Some(customers) = &self.site.customers else {
+            return Ok(());
+        };
+        let customer = self
+            .facts
+            .key
+            .as_deref()
+            .and_then(|key| customers.of_key(key));
+        match customer {
+            Some(customer) => {
+                self.urgency = customer.urgency.unwrap_or(self.urgency);
+                self.customer = Some(customer.name.clone());
+                Ok(())
+            }
+            None if self.route().public => Ok(()),
+            None => Err(Refusal::BadKey),
+        }
+    }
+
+    /// The model that is asked, where the caller left it open.
+    pub(crate) fn model(&self) -> Option<&str> {
+        self.route().ladder.get(self.size).map(String::as_str)
+    }
+
+    /// Time until the limit.
+    pub(crate) fn left(&self) -> Duration {
+        self.limit.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether the request may be sent to one endpoint more.
+    pub(crate) fn has_attempts(&self) -> bool {
+        self.sends < self.route().attempts.max(1)
+    }
+
+    /// Requests that are about equally long and so should take about as long.
+    pub(crate) fn pace(&self) -> u64 {
+        let tokens = self.facts.prompt.as_ref().map_or(0, |p| p.tokens_in);
+        hash(&(&self.route().prefix, self.size, tokens.max(1).ilog2()))
+    }
+
+    fn weight(&self) -> f64 {
+        let tokens = self.facts.prompt.as_ref().map_or(0, |p| p.tokens_in);
+        1.0 + f64::from(tokens) / TOKENS_PER_REQUEST
+    }
+
+    /// Hash of the part of the prompt that others share, with the model that would keep it.
+    fn prefix(&self) -> Option<u64> {
+        let parts = &self.facts.prompt.as_ref()?.parts;
+        let shared = parts.len().saturating_sub(1).max(1).min(parts.len());
+        let last = parts[..shared].last()?;
+        Some(hash(&(&last.0, self.size)))
+    }
+
+    pub(crate) fn place<W: Wire>(
+        &self,
+        cx: &Arc<Cx<W>>,
+        tried: &[EndpointKey],
+    ) -> Option<Running<W>> {
+        cx.place(&Wanted {
+            service: &self.service,
+            allowed: &self.allowed,
+            tried,
+            prefix: self.prefix(),
+            weight: self.weight(),
+        })
+    }
+
+    /// The request as the endpoint gets it.
+    pub(crate) fn request<W: Wire>(
+        &self,
+        cx: &Cx<W>,
+        endpoint: &str,
+        last_event: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        let fwd = Forward {
+            left: self.left(),
+            endpoint,
+            customer: self.customer.as_deref(),
+            model: self.model(),
+            urgency: self.facts.prompt.as_ref().map(|_| self.urgency),
+            last_event,
+        };
+        cx.wire.forward(req.headers_mut(), &fwd);
+        req
+    }
+
+    /// Whether a kept connection may be used: for a request that may not be repeated, one that
+    /// its endpoint closes just now would be final.
+    pub(crate) fn reuse(&self) -> Reuse {
+        match self.route().kind.is_idempotent() {
+            true => Reuse::Allowed,
+            false => Reuse::Recent,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/serve.rs
@@ -0,0 +1,458 @@
+//! One request of a caller, from its head to the end of its answer.
+
+use crate::attempt::{self, Answer, Failure, Send};
+use crate::cx::{Cx, hash};
+use crate::guard::ConnWatch;
+use crate::plan::Plan;
+use crate::reply::{self, Body, Refusal, refuse};
+use crate::stream::{Relayed, next_piece};
+use crate::wire::Wire;
+use bytes::{Bytes, BytesMut};
+use futures::stream::{self, StreamExt};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header, response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use oatdale_policy::relay::{Ladder, Step};
+use rand::RngExt;
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Confidence below which a small model's answer is made again by the largest. Between the
+/// confidences that right and wrong answers of the smallest models show most often.
+const LADDER: Ladder = Ladder { threshold: 50 };
+
+/// Time below which a request is not sent once more: no endpoint answers in less.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// Bodies up to this length are read whole before their head goes out, so that one that breaks off
+/// can be asked for again or be told of by a status.
+const SMALL: usize = 64 << 10;
+
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// When a refused caller is to come back, as a part of the route's target: soon enough to be in
+/// time, and spread so that those who were refused together do not come back together.
+const RETURN: std::ops::Range<f64> = 0.4..1.2;
+
+/// The latest return that is asked for.
+const LATEST_RETURN: Duration = Duration::from_millis(1_500);
+
+/// When to come back to a node that knows no configuration yet.
+const START_RETURN: Duration = Duration::from_millis(500);
+
+/// Notes how a request ends: a log line, counters, and the connection's state.
+pub(crate) struct Record<W> {
+    cx: Arc<Cx<W>>,
+    watch: ConnWatch,
+    arrival: Instant,
+    id: String,
+    /// Route, service, endpoint and so on, as far as they are known.
+    about: String,
+    end: Option<String>,
+}
+
+impl<W> Record<W> {
+    fn new(cx: Arc<Cx<W>>, watch: ConnWatch, arrival: Instant, id: Option<&str>) -> Self {
+        cx.metrics.under_way.inc();
+        Record {
+            cx,
+            watch,
+            arrival,
+            id: id.unwrap_or("-").to_owned(),
+            about: String::new(),
+            end: None,
+        }
+    }
+
+    /// Says how the request ended.
+    pub(crate) fn end(&mut self, end: &str) {
+        self.end = Some(end.to_owned());
+    }
+}
+
+impl<W> Drop for Record<W> {
+    fn drop(&mut self) {
+        // Nobody said how it ended: its connection closed first.
+        let end = self.end.as_deref().unwrap_or("caller-left");
+        log::info!(
+            target: "request",
+            "event=request id={} {}end={end:?} took_ms={}",
+            self.id, self.about, self.arrival.elapsed().as_millis()
+        );
+        self.cx
+            .metrics
+            .requests
+            .with_label_values(&[label(end)])
+            .inc();
+        self.cx.metrics.under_way.dec();
+        self.watch.answered();
+    }
+}
+
+/// The ends that are counted; the log lines have the details.
+fn label(end: &str) -> &str {
+    match end {
+        "complete" | "caller-left" => end,
+        end if end.starts_with("refused") => "refused",
+        _ => "failed",
+    }
+}
+
+/// An endpoint's answer that is to be passed on.
+enum Reply<W> {
+    Whole(response::Parts, Bytes, String),
+    /// What has been read of it, and the rest.
+    Pieces(Bytes, Answer<W>),
+}
+
+/// What to do about an answer.
+enum Examined<W> {
+    Pass(Reply<W>),
+    Failed(Failure),
+    Larger(usize),
+}
+
+/// Answers one request.
+pub(crate) async fn serve<W: Wire>(
+    cx: Arc<Cx<W>>,
+    watch: ConnWatch,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    watch.request();
+    let arrival = Instant::now();
+    let (head, body) = req.into_parts();
+    let facts = cx.wire.request(&head);
+    let mut record = Record::new(cx.clone(), watch, arrival, facts.id.as_deref());
+    let mut res = match prepare(&cx, head, facts, body, arrival, &mut record).await {
+        Ok(plan) => answer(&cx, plan, record).await,
+        Err(refusal) => {
+            let retry = (refusal == Refusal::NotReady).then_some(START_RETURN);
+            record.end(&format!("refused {refusal}"));
+            refuse(refusal, retry)
+        }
+    };
+    if cx.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(res)
+}
+
+/// Finds out what a request is and whether it may run.
+async fn prepare<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    mut head: http::request::Parts,
+    facts: crate::wire::RequestFacts,
+    body: Incoming,
+    arrival: Instant,
+    record: &mut Record<W>,
+) -> Result<Plan, Refusal> {
+    let site = cx.site().ok_or(Refusal::NotReady)?;
+    // A target that names a host of its own could contradict the header by which it is routed.
+    if head.uri.authority().is_some() || facts.id.is_none() {
+        return Err(Refusal::BadRequest);
+    }
+    let host = host(&head.headers).ok_or(Refusal::BadRequest)?;
+    let route = site.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
+    strip(&mut head.headers);
+    let mut plan = Plan::new(site, route, facts, head, arrival)?;
+    record.about = format!("route={} service={} ", plan.route().name, plan.service);
+    plan.authenticate()?;
+    plan.body = read_body(&plan, body).await?;
+    Ok(plan)
+}
+
+fn host(headers: &HeaderMap) -> Option<&str> {
+    let mut hosts = headers.get_all(header::HOST).iter();
+    let host = hosts.next()?.to_str().ok()?;
+    match hosts.next() {
+        None => Some(host),
+        Some(_) => None,
+    }
+}
+
+async fn read_body(plan: &Plan, body: Incoming) -> Result<Bytes, Refusal> {
+    let limit = plan.site.limits.body_bytes;
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    let until = plan.limit.min(plan.arrival + BODY_TIMEOUT);
+    match timeout_at(until, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Err(_) => Err(Refusal::SlowBody),
+    }
+}
+
+/// Asks endpoints until one has answered or none may be asked any more.
+async fn answer<W: Wire>(cx: &Arc<Cx<W>>, mut plan: Plan, mut record: Record<W>) -> Response<Body> {
+    cx.count_request(&plan.service);
+    let result = ask(cx, &mut plan).await;
+    record.about = format!(
+        "route={} service={} model={} sends={} ",
+        plan.route().name,
+        plan.service,
+        plan.model().unwrap_or("-"),
+        plan.sends
+    );
+    let first_byte = plan.arrival.elapsed().as_secs_f64();
+    match result {
+        Ok(Reply::Whole(head, body, endpoint)) => {
+            cx.metrics.first_byte.observe(first_byte);
+            record.about += &format!("endpoint={endpoint} status={} ", head.status.as_u16());
+            record.end("complete");
+            Response::from_parts(passed_on(head), reply::whole(body))
+        }
+        Ok(Reply::Pieces(read, answer)) => {
+            cx.metrics.first_byte.observe(first_byte);
+            record.about += &format!(
+                "endpoint={} status={} head_ms={} ",
+                answer.running.id,
+                answer.head.status.as_u16(),
+                plan.arrival.elapsed().as_millis()
+            );
+            pass_pieces(cx, plan, read, answer, record)
+        }
+        Err((refusal, why)) => {
+            record.end(&format!("refused {refusal}: {why}"));
+            let retry = refusal.status().as_u16() == 503;
+            refuse(refusal, retry.then(|| come_back(&plan)))
+        }
+    }
+}
+
+/// When a caller that was refused should come back.
+fn come_back(plan: &Plan) -> Duration {
+    let route = plan.route();
+    let target = route.target_latency.unwrap_or(route.timeout);
+    let part = rand::rng().random_range(RETURN);
+    target.mul_f64(part).min(LATEST_RETURN).min(plan.left() / 3)
+}
+
+async fn ask<W: Wire>(cx: &Arc<Cx<W>>, plan: &mut Plan) -> Result<Reply<W>, (Refusal, String)> {
+    choose_version(cx, plan);
+    let idempotent = plan.route().kind.is_idempotent();
+    let mut may_have_run = false;
+    let mut last: Option<Reply<W>> = None;
+    loop {
+        if plan.left() < LEAST_TIME && plan.sends == 0 {
+            return Err((Refusal::NoTime, "no time left".to_owned()));
+        }
+        let how = Send {
+            last_event: plan.facts.last_event,
+            impatient: idempotent && plan.sends + 1 < plan.route().attempts,
+        };
+        let failure = match attempt::attempt(cx, plan, how).await {
+            Ok(answer) => match examine(cx, plan, answer, how.impatient).await {
+                Examined::Pass(Reply::Whole(head, body, endpoint))
+                    if idempotent && head.status.is_server_error() =>
+                {
+                    let status = head.status;
+                    last = Some(Reply::Whole(head, body, endpoint));
+                    Failure::Unknown(format!("status {status}"))
+                }
+                Examined::Pass(reply) => return Ok(reply),
+                Examined::Larger(size) => {
+                    plan.size = size;
+                    plan.tried.pop();
+                    continue;
+                }
+                Examined::Failed(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        may_have_run |= !failure.is_not_run();
+        let again = match &failure {
+            Failure::NoEndpoint | Failure::TimedOut => false,
+            // It costs no endpoint anything and ends when all have been tried.
+            Failure::NotSent(_) => plan.left() > LEAST_TIME,
+            Failure::NotRun(_) => may_repeat(cx, plan) && (idempotent || !may_have_run),
+            Failure::Unknown(_) => idempotent && may_repeat(cx, plan),
+        };
+        if again {
+            continue;
+        }
+        return match (last, &failure) {
+            (Some(reply), _) => Ok(reply),
+            (None, Failure::TimedOut) => Err((Refusal::TimedOut, "no answer".to_owned())),
+            (None, _) if may_have_run => Err((Refusal::Lost, format!("{failure:?}"))),
+            (None, _) => Err((Refusal::NoEndpoint, format!("{failure:?}"))),
+        };
+    }
+}
+
+fn may_repeat<W: Wire>(cx: &Cx<W>, plan: &Plan) -> bool {
+    let may = plan.has_attempts() && plan.left() > LEAST_TIME && cx.may_repeat(&plan.service);
+    if may {
+        cx.metrics.repeats.inc();
+    }
+    may
+}
+
+fn choose_version<W: Wire>(cx: &Cx<W>, plan: &mut Plan) {
+    let session = plan.facts.session.as_deref();
+    let key = session.or(plan.facts.id.as_deref()).unwrap_or_default();
+    let now = cx.now();
+    plan.allowed = cx
+        .state()
+        .roll_outs
+        .allowed(now, &plan.service, session, hash(&key));
+}
+
+/// Decides about an answer whose head has come.
+async fn examine<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    plan: &Plan,
+    answer: Answer<W>,
+    impatient: bool,
+) -> Examined<W> {
+    let status = answer.head.status;
+    pin_session(cx, plan, &answer);
+    if status.is_success() {
+        let sizes = plan.route().ladder.len();
+        let room = plan.has_attempts() && cx.may_repeat(&plan.service);
+        let step = LADDER.step(plan.size, sizes, answer.facts.confidence, room);
+        if let Step::Up(size) = step {
+            cx.metrics.escalations.inc();
+            return Examined::Larger(size);
+        }
+    }
+    // These would promise the caller that nothing ran, which the endpoint did not say.
+    if matches!(status.as_u16(), 408 | 421 | 429 | 503) {
+        return Examined::Failed(Failure::Unknown(format!("status {status}")));
+    }
+    if status.is_success() && plan.route().kind.is_stream() && is_events(&answer.head.headers) {
+        return Examined::Pass(Reply::Pieces(Bytes::new(), answer));
+    }
+    read_small(plan, answer, impatient).await
+}
+
+fn pin_session<W: Wire>(cx: &Cx<W>, plan: &Plan, answer: &Answer<W>) {
+    if let Some(session) = &plan.facts.session {
+        let life = Duration::from_secs_f64(cx.state().bounds.session_s);
+        let (now, version) = (cx.now(), answer.running.version.as_str());
+        cx.state().roll_outs.pin(now, session, version, life);
+    }
+}
+
+fn is_events(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONTENT_TYPE)
+        .is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+}
+
+/// Reads a body to its end if it is small.
+async fn read_small<W: Wire>(plan: &Plan, mut answer: Answer<W>, impatient: bool) -> Examined<W> {
+    let route = plan.route();
+    let target = route.target_latency.unwrap_or(route.timeout);
+    let until = match impatient {
+        true => plan.limit.min(Instant::now() + target),
+        false => plan.limit,
+    };
+    let mut read = BytesMut::new();
+    loop {
+        match timeout_at(until, next_piece(&mut answer.body)).await {
+            Ok(Some(Ok(piece))) => read.extend_from_slice(&piece),
+            Ok(None) => {
+                let id = answer.running.id.clone();
+                return Examined::Pass(Reply::Whole(answer.head, read.freeze(), id));
+            }
+            Ok(Some(Err(err))) => {
+                answer.running.silent();
+                return Examined::Failed(Failure::Unknown(err.to_string()));
+            }
+            Err(_) => return Examined::Failed(Failure::Unknown("body is late".to_owned())),
+        }
+        answer.running.heard();
+        if read.len() > SMALL {
+            return Examined::Pass(Reply::Pieces(read.freeze(), answer));
+        }
+    }
+}
+
+fn pass_pieces<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    plan: Plan,
+    read: Bytes,
+    answer: Answer<W>,
+    record: Record<W>,
+) -> Response<Body> {
+    let head = passed_on(answer.head.clone());
+    let events = plan.route().kind.is_stream() && is_events(&head.headers);
+    let body = match events {
+        true => Relayed::new(cx.clone(), plan, answer, record).into_stream(),
+        false => {
+            let first = stream::once(async move { Ok(read) });
+            first.chain(plain_pieces(plan, answer, record)).boxed()
+        }
+    };
+    Response::from_parts(head, reply::pieces(body))
+}
+
+/// The rest of a body that is too long to be read whole.
+fn plain_pieces<W: Wire>(
+    plan: Plan,
+    answer: Answer<W>,
+    record: Record<W>,
+) -> impl futures::Stream<Item = io::Result<Bytes>> + std::marker::Send + 'static {
+    let state = Some((plan, answer, record));
+    stream::unfold(state, |state| async move {
+        let (plan, mut answer, mut record) = state?;
+        match timeout_at(plan.limit, next_piece(&mut answer.body)).await {
+            Ok(Some(Ok(piece))) => Some((Ok(piece), Some((plan, answer, record)))),
+            Ok(None) => {
+                record.end("complete");
+                None
+            }
+            Ok(Some(Err(err))) => {
+                record.end(&format!("broken: {err}"));
+                Some((Err(io::Error::other(err)), None))
+            }
+            Err(_) => {
+                record.end("timed-out");
+                Some((Err(io::ErrorKind::TimedOut.into()), None))
+            }
+        }
+    })
+}
+
+/// The head of an answer without what concerns the endpoint's connection only.
+fn passed_on(mut head: response::Parts) -> response::Parts {
+    strip(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    head.extensions.clear();
+    head
+}
+
+/// Removes the headers that concern one connection, and the length, which the next one's sender
+/// writes anew from what it really sends.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    let own = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::PROXY_AUTHORIZATION,
+        header::PROXY_AUTHENTICATE,
+        header::EXPECT,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in named.into_iter().chain(own) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/settings.rs
@@ -0,0 +1,109 @@
+//! What a relay node is told when it starts, as YAML.
+
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The settings of one relay node.
+#[derive(Clone, PartialEq, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Settings {
+    /// Where configuration, endpoints and roll-outs are learned from.
+    pub platform: Platform,
+    /// The host's name, unique among all nodes.
+    pub host: String,
+    /// The host's failure domain, as endpoints name theirs.
+    pub failure_domain: String,
+    /// Where the node listens.
+    pub listen: Listen,
+    /// The platform's key-value service.
+    pub key_value: SocketAddr,
+    /// Times that the site promises.
+    pub bounds: Bounds,
+}
+
+/// The platforms that a relay runs on.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Platform {
+    /// A key-value service in which operators and endpoints write their own records.
+    Registry,
+}
+
+/// Addresses of one node, by IP number.
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Listen {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Whether this node is ready, for those who run it.
+    pub readiness: SocketAddr,
+    /// Which nodes callers can use.
+    pub addresses: SocketAddr,
+    /// Datagrams of other nodes.
+    pub nodes: SocketAddr,
+    /// Counters and histograms.
+    pub metrics: SocketAddr,
+}
+
+/// What the site's operators count on.
+#[derive(Clone, Copy, PartialEq, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Bounds {
+    /// Seconds from the stop signal until the process is killed.
+    pub stop_s: f64,
+    /// Seconds for which callers may keep an answer about addresses.
+    pub addresses_s: f64,
+    /// Repeats that all nodes together may add, as a part of the requests for a service.
+    pub repeat_ratio: f64,
+    /// Repeats that all nodes together may add beyond that part.
+    pub repeat_slack: f64,
+    /// Seconds after its last request for which a session keeps its version.
+    pub session_s: f64,
+}
+
+/// Why settings can't be used.
+#[derive(Debug, Snafu)]
+#[snafu(display("the settings can't be read: {source}"))]
+pub struct SettingsError {
+    source: serde_saphyr::Error,
+}
+
+impl Settings {
+    /// Reads settings; fields that it does not know are left alone.
+    ///
+    /// # Errors
+    ///
+    /// The text is not YAML, or a field is missing or has a wrong type; the message has the place.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let text = include_str!("../../../examples/relay.yaml");
+    /// let settings = oatdale_relay::Settings::read(text)?;
+    /// assert_eq!(settings.failure_domain, "hcm-a");
+    /// # Ok::<(), oatdale_relay::SettingsError>(())
+    /// ```
+    pub fn read(text: &str) -> Result<Settings, SettingsError> {
+        serde_saphyr::from_str(text).context(SettingsSnafu)
+    }
+
+    /// Whether a text is meant for a relay: it names one of the relay's platforms.
+    pub fn is_meant(text: &str) -> bool {
+        #[derive(Deserialize)]
+        struct Head {
+            #[expect(dead_code, reason = "only its presence and type count")]
+            platform: Platform,
+        }
+        serde_saphyr::from_str::<Head>(text).is_ok()
+    }
+}
+
+impl Bounds {
+    /// How long a stopping node goes on taking requests: callers may hold its address for some
+    /// multiple of the time they were told.
+    pub(crate) fn stop(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_s.max(0.0))
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/stream.rs
@@ -0,0 +1,175 @@
+//! Passes a stream of events on, and goes on at another endpoint if the first one breaks off.
+
+use crate::attempt::{self, Answer, Failure, Send};
+use crate::cx::Cx;
+use crate::events::WholeEvents;
+use crate::plan::Plan;
+use crate::serve::Record;
+use crate::site::RouteKind;
+use crate::wire::Wire;
+use bytes::Bytes;
+use futures::stream::{self, BoxStream, StreamExt};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// The part of the pause that callers are content with after which a silent endpoint's stream
+/// goes on elsewhere.
+const PATIENCE: f64 = 0.7;
+
+/// The pause that is waited for where a route names none.
+const USUAL_GAP: Duration = Duration::from_secs(2);
+
+/// A pause of so many times the wanted one is a broken stream, even if the endpoint sends to
+/// other requests.
+const STUCK: f64 = 2.0;
+
+/// A stream on its way to its caller.
+pub(crate) struct Relayed<W> {
+    cx: Arc<Cx<W>>,
+    plan: Plan,
+    answer: Answer<W>,
+    events: WholeEvents,
+    record: Record<W>,
+    over: bool,
+}
+
+/// What came next.
+enum Next {
+    Piece(Bytes),
+    End,
+    Broken(String),
+    LimitReached,
+}
+
+impl<W: Wire> Relayed<W> {
+    pub(crate) fn new(cx: Arc<Cx<W>>, plan: Plan, answer: Answer<W>, record: Record<W>) -> Self {
+        let events = WholeEvents::after(plan.facts.last_event);
+        Relayed {
+            cx,
+            plan,
+            answer,
+            events,
+            record,
+            over: false,
+        }
+    }
+
+    /// The body that the caller gets.
+    pub(crate) fn into_stream(self) -> BoxStream<'static, io::Result<Bytes>> {
+        stream::unfold(self, |mut relayed| async move {
+            let piece = relayed.next().await?;
+            Some((piece, relayed))
+        })
+        .boxed()
+    }
+
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.over {
+            return None;
+        }
+        loop {
+            let broken = match self.read().await {
+                Next::Piece(piece) => match self.events.push(&piece) {
+                    whole if whole.is_empty() => continue,
+                    whole => return Some(Ok(whole)),
+                },
+                Next::End if !self.events.is_cut() => {
+                    self.record.end("complete");
+                    self.over = true;
+                    return None;
+                }
+                Next::End => "ends within an event".to_owned(),
+                Next::Broken(message) => message,
+                Next::LimitReached => return Some(Err(self.fail("timed-out"))),
+            };
+            if let Err(reason) = self.resume(&broken).await {
+                return Some(Err(self.fail(&reason)));
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Next {
+        let gap = self.plan.route().target_gap.unwrap_or(USUAL_GAP);
+        let began = Instant::now();
+        let mut check = began + gap.mul_f64(PATIENCE);
+        loop {
+            let until = check.min(self.plan.limit);
+            match timeout_at(until, next_piece(&mut self.answer.body)).await {
+                Ok(Some(Ok(piece))) => {
+                    self.answer.running.heard();
+                    return Next::Piece(piece);
+                }
+                Ok(Some(Err(err))) => return Next::Broken(err.to_string()),
+                Ok(None) => return Next::End,
+                Err(_) if Instant::now() >= self.plan.limit => return Next::LimitReached,
+                Err(_) if self.is_stuck(gap, began) => return Next::Broken("silent".to_owned()),
+                Err(_) => check = Instant::now() + gap / 4,
+            }
+        }
+    }
+
+    fn is_stuck(&self, gap: Duration, began: Instant) -> bool {
+        let may_go_on =
+            self.plan.route().kind == RouteKind::ResumableStream && self.plan.has_attempts();
+        let silent = self.answer.running.silence() >= gap.mul_f64(PATIENCE);
+        may_go_on && (silent || began.elapsed() >= gap.mul_f64(STUCK))
+    }
+
+    /// Goes on at another endpoint, or says why not.
+    async fn resume(&mut self, broken: &str) -> Result<(), String> {
+        self.answer.running.silent();
+        self.events.drop_part();
+        let last_event = self.events.last();
+        let mut reason = broken.to_owned();
+        while self.plan.route().kind == RouteKind::ResumableStream
+            && self.plan.has_attempts()
+            && self.cx.may_repeat(&self.plan.service)
+        {
+            let how = Send {
+                last_event,
+                impatient: true,
+            };
+            self.cx.metrics.repeats.inc();
+            match attempt::attempt(&self.cx, &mut self.plan, how).await {
+                Ok(answer) if answer.head.status.is_success() => {
+                    log::info!(
+                        target: "stream",
+                        "event=resumed id={} after={last_event:?} from={} to={} reason={reason:?}",
+                        self.plan.facts.id.as_deref().unwrap_or("-"),
+                        self.answer.running.id, answer.running.id
+                    );
+                    self.cx.metrics.resumed.inc();
+                    self.answer = answer;
+                    return Ok(());
+                }
+                Ok(answer) => reason = format!("{} on resumption", answer.head.status),
+                Err(Failure::NoEndpoint) => return Err(format!("{reason}, no other endpoint")),
+                Err(err) => reason = format!("{err:?}"),
+            }
+        }
+        Err(reason)
+    }
+
+    fn fail(&mut self, reason: &str) -> io::Error {
+        self.over = true;
+        self.record.end(reason);
+        io::Error::new(io::ErrorKind::ConnectionAborted, reason.to_owned())
+    }
+}
+
+/// The next bytes of a body.
+pub(crate) async fn next_piece(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+    loop {
+        match body.frame().await? {
+            Ok(frame) => match frame.into_data() {
+                Ok(data) => return Some(Ok(data)),
+                Err(_trailers) => continue,
+            },
+            Err(err) => return Some(Err(err)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/update.rs
@@ -0,0 +1,97 @@
+//! What a platform adapter and the relay tell each other.
+
+use crate::site::Site;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// News from the platform.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// A configuration; older ones than the one in force are ignored.
+    Site(Arc<Site>),
+    /// All endpoints there are; those that are missing are gone.
+    Endpoints(Vec<Endpoint>),
+    /// An endpoint is new or has changed.
+    Endpoint(Endpoint),
+    /// The endpoint with this id is gone.
+    EndpointGone(String),
+    /// A roll-out as it stands.
+    RollOut(RollOut),
+    /// All other nodes there are.
+    Nodes(Vec<Node>),
+    /// The platform's key-value service does not answer this node.
+    StoreLost,
+    /// It answers again, and all that was read since is news of after its return.
+    StoreBack,
+}
+
+/// What the relay asks of the adapter.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Write how a roll-out ended, unless it has another state by now.
+    EndRollOut {
+        /// The service.
+        service: String,
+        /// The version that was rolled out.
+        target: String,
+        /// How it ended.
+        end: RollOutEnd,
+    },
+    /// Take this node off the list that callers are told.
+    Leave,
+}
+
+/// One start of one endpoint.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Endpoint {
+    /// Unique to this start.
+    pub id: String,
+    /// The service it serves.
+    pub service: String,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// The version of its software.
+    pub version: String,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it announced that it leaves: it gets no new work.
+    pub leaving: bool,
+}
+
+/// An order to move a service's traffic to a software version, and what became of it.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct RollOut {
+    /// The service.
+    pub service: String,
+    /// The version to move to.
+    pub target: String,
+    /// Time that the order gives.
+    pub duration: Duration,
+    /// Rises with each order.
+    pub order: u64,
+    /// How it ended.
+    pub end: Option<RollOutEnd>,
+}
+
+/// How a roll-out ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RollOutEnd {
+    /// All traffic is on the new version; the old one stops.
+    Completed,
+    /// The new version is not to be used.
+    RolledBack,
+}
+
+/// Another node.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Node {
+    /// Its host's name.
+    pub host: String,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it takes other nodes' datagrams.
+    pub nodes: SocketAddr,
+}
