Let a read of the configuration in force keep no lock

The first read's lock lasts to the end of the expression; the duty that takes a new configuration began to wait in between, and a lock that a writer waits for lets no second reader in. Admin, config, member, hosts and all callers' threads stood in the same lock. Ruled out: a loop in the routing duty (it slept in epoll), lost wake-ups, connections that no thread serves.

Latest hands out values and never a lock.

--- a/crates/oatdale-node/src/admin.rs
+++ b/crates/oatdale-node/src/admin.rs
@@ -2,6 +2,7 @@
 
 use crate::cx::OwnView;
 use crate::front::Phase;
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::logging::Dropped;
 use crate::metrics::Metrics;
@@ -37,7 +38,7 @@
 #[derive(Clone)]
 pub(crate) struct Admin {
     pub(crate) settings: Arc<NodeSettings>,
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     pub(crate) heard: watch::Receiver<Instant>,
     pub(crate) phase: watch::Receiver<Phase>,
     pub(crate) listening: watch::Receiver<usize>,
@@ -167,19 +168,20 @@
     }
 
     fn status(&self) -> Status {
+        let live = self.live.get();
         Status {
             host: self.settings.host.clone(),
             domain: self.settings.domain.clone(),
             region: self.settings.region.clone(),
             incarnation: self.own.incarnation,
             callers: self.own.caller,
-            revision: self.live.borrow().revision.0,
+            revision: live.revision.0,
             revision_age_ms: millis(self.heard.borrow().elapsed()),
             state: self.state(),
             key_value_up: *self.service_up.borrow(),
             stops: self
                 .stops
-                .holding(&self.live.borrow())
+                .holding(&live)
                 .into_iter()
                 .map(|stop| Stopped {
                     version: stop.version,
--- a/crates/oatdale-node/src/cx.rs
+++ b/crates/oatdale-node/src/cx.rs
@@ -3,6 +3,7 @@
 use crate::append::AppendHandle;
 use crate::bill::BillHandle;
 use crate::front::Phase;
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::metrics::Metrics;
 use crate::pins::PinCache;
@@ -27,7 +28,7 @@
 /// Handles to the other duties, and clients whose connections live on this thread.
 pub(crate) struct Shared {
     pub(crate) settings: Arc<NodeSettings>,
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     pub(crate) phase: watch::Receiver<Phase>,
     /// How much is known of the stops of bad versions.
     pub(crate) informed: watch::Receiver<Informed>,
@@ -60,7 +61,7 @@
 impl Shared {
     /// The configuration in force.
     pub(crate) fn live(&self) -> Arc<Live> {
-        self.live.borrow().clone()
+        self.live.get()
     }
 
     /// This node as others see it, for lists of addresses.
--- a/crates/oatdale-node/src/hosts.rs
+++ b/crates/oatdale-node/src/hosts.rs
@@ -1,6 +1,7 @@
 //! The host duty: learns from the platform's list and from engines themselves which endpoints are
 //! leaving, what they hold and how loaded they are.
 
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::metrics::Metrics;
 use crate::route::RouteHandle;
@@ -11,7 +12,6 @@
 use oatdale_platform::wire::{Host, HostRole, HostState};
 use oatdale_platform::{EngineClient, HostListClient};
 use oatdale_policy::LoadReport;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -30,7 +30,7 @@
 pub(crate) struct Duty {
     pub(crate) list: Option<HostListClient>,
     pub(crate) engines: EngineClient,
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     pub(crate) route: RouteHandle,
     pub(crate) mesh: mpsc::Sender<Command>,
     pub(crate) metrics: Metrics,
@@ -47,7 +47,7 @@
             _ = tick.tick() => {}
             _ = duty.stop.wait_for(|stop| *stop) => return,
         }
-        let live = duty.live.borrow().clone();
+        let live = duty.live.get();
         duty.read_list(&live).await;
         next = duty.ask_engines(&live, next).await;
     }
--- a/crates/oatdale-node/src/lib.rs
+++ b/crates/oatdale-node/src/lib.rs
@@ -40,6 +40,7 @@
 mod error;
 mod front;
 mod hosts;
+mod latest;
 mod live;
 mod logging;
 mod member;
@@ -56,6 +57,7 @@
 mod stops;
 
 pub use crate::error::{Error, Result};
+pub use crate::latest::Latest;
 pub use crate::logging::{
     Dropped, LogTarget, start as start_logging, start_to as start_logging_to,
 };
--- a/crates/oatdale-node/src/member.rs
+++ b/crates/oatdale-node/src/member.rs
@@ -4,6 +4,7 @@
 use crate::bill::{BillHandle, closing_of};
 use crate::cx::wall_clock;
 use crate::front::Phase;
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::metrics::Metrics;
 use crate::prefer::{appenders, preferred_shards};
@@ -34,7 +35,7 @@
     pub(crate) events: mpsc::Receiver<Event>,
     pub(crate) commands: mpsc::Sender<Command>,
     pub(crate) documents: mpsc::Sender<Bytes>,
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     pub(crate) heard: watch::Sender<Instant>,
     pub(crate) service_up: watch::Receiver<Option<bool>>,
     pub(crate) watches: watch::Sender<bool>,
@@ -104,7 +105,7 @@
     }
 
     async fn adopted(&mut self) {
-        let live = self.live.borrow_and_update().clone();
+        let live = self.live.take();
         let command = Command::Adopted {
             revision: live.revision.0,
             document: live.document.clone(),
@@ -158,7 +159,7 @@
     }
 
     async fn shares(&self, shares: &[Share]) {
-        let live = self.live.borrow().clone();
+        let live = self.live.get();
         let named = live
             .cfg
             .customers
@@ -173,7 +174,7 @@
     }
 
     async fn evidence(&self, counters: Vec<VersionCounters>) {
-        let live = self.live.borrow().clone();
+        let live = self.live.get();
         let named = live
             .cfg
             .versions
--- a/crates/oatdale-node/src/node/parts.rs
+++ b/crates/oatdale-node/src/node/parts.rs
@@ -174,7 +174,7 @@
             seed: self.own.incarnation,
         };
         let (route, duty) = route::channel(route::Links {
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             reports: self.reports.clone(),
             stops: notices,
             metrics: self.metrics.clone(),
@@ -232,7 +232,7 @@
     fn start_admin(&self, listener: TcpListener) -> Result<()> {
         let admin = Admin {
             settings: self.settings.clone(),
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             heard: self.heard.subscribe(),
             phase: self.phase.subscribe(),
             listening: self.listening.subscribe(),
@@ -270,7 +270,7 @@
             kv: self.kv.clone(),
             notices,
             list: self.stops.clone(),
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             route: handles.route.clone(),
             informed: self.informed.clone(),
             stop: self.stop.subscribe(),
@@ -286,7 +286,7 @@
                 .host_list
                 .map(|addr| HostListClient::new(Pool::default(), addr)),
             engines: EngineClient::default(),
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             route: handles.route.clone(),
             mesh: mesh.clone(),
             metrics: self.metrics.clone(),
@@ -301,7 +301,7 @@
             incarnation: self.own.incarnation,
             kv: self.kv.clone(),
             engines: EngineClient::default(),
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             peers: self.peers.subscribe(),
             stop: self.stop.subscribe(),
         };
@@ -348,7 +348,7 @@
             events,
             commands,
             documents,
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             heard: self.heard.clone(),
             service_up: self.service_up.subscribe(),
             watches: self.watches.clone(),
@@ -381,7 +381,7 @@
         let pool = Pool::default();
         let cx = Arc::new(Shared {
             settings: self.settings.clone(),
-            live: self.live.subscribe(),
+            live: self.live.subscribe().into(),
             phase: self.phase.subscribe(),
             listening: self.listening.clone(),
             informed: self.informed.subscribe(),
--- a/crates/oatdale-node/src/place.rs
+++ b/crates/oatdale-node/src/place.rs
@@ -1,5 +1,6 @@
 //! The placement duty: stands for the leases of pools of engines, with a few other nodes each.
 
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::prefer::is_among_first;
 use log::info;
@@ -22,7 +23,7 @@
     pub(crate) incarnation: u64,
     pub(crate) kv: HttpKv,
     pub(crate) engines: EngineClient,
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     pub(crate) peers: watch::Receiver<Arc<Vec<PeerView>>>,
     pub(crate) stop: watch::Receiver<bool>,
 }
@@ -49,7 +50,7 @@
 
 impl Duty {
     fn current(&mut self) -> oatdale_placement::Live {
-        let live = self.live.borrow_and_update();
+        let live = self.live.take();
         (live.revision, live.cfg.clone())
     }
 
@@ -60,7 +61,7 @@
         pools: &mut BTreeMap<String, watch::Sender<bool>>,
         orders: &watch::Sender<oatdale_placement::Live>,
     ) {
-        let live = self.live.borrow().clone();
+        let live = self.live.get();
         let wanted: Vec<&str> = live
             .cfg
             .pools
--- a/crates/oatdale-node/src/route.rs
+++ b/crates/oatdale-node/src/route.rs
@@ -7,6 +7,7 @@
 mod news;
 mod state;
 
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::metrics::Metrics;
 use crate::route::handle::{Call, Release};
@@ -85,7 +86,7 @@
 /// The router duty's links to other duties.
 pub(crate) struct Links {
     /// The configuration in force.
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     /// Where it tells of its traffic.
     pub(crate) reports: watch::Sender<Report>,
     /// Where it tells of versions found to be bad.
@@ -131,7 +132,7 @@
 /// Runs the duty until every handle is gone.
 pub(crate) async fn run(mut duty: Duty) {
     let links = &mut duty.links;
-    let live = links.live.borrow_and_update().clone();
+    let live = links.live.take();
     let mut state = State::new(links, live, duty.start);
     let mut report_at = Instant::now() + REPORT_INTERVAL;
     loop {
@@ -139,7 +140,7 @@
         tokio::select! {
             biased;
             Ok(()) = links.live.changed() => {
-                let live = links.live.borrow_and_update().clone();
+                let live = links.live.take();
                 state.reconfigure(live);
             }
             Some(release) = duty.releases.recv() => {
--- a/crates/oatdale-node/src/route/state.rs
+++ b/crates/oatdale-node/src/route/state.rs
@@ -2,6 +2,7 @@
 
 use super::handle::{Call, Release};
 use super::{Links, Opened, Report, RequestId, Routed, StopNotice, Verdict};
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::metrics::Metrics;
 use log::info;
@@ -13,7 +14,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 pub(super) struct State {
@@ -59,9 +60,9 @@
     /// Takes a revision that came while this duty was about to decide something else. Without it
     /// a version that was withdrawn could get a request that came after the node had said that the
     /// revision is in force.
-    pub(super) fn catch_up(&mut self, live: &mut watch::Receiver<Arc<Live>>) {
+    pub(super) fn catch_up(&mut self, live: &mut Latest<Live>) {
         if live.has_changed().unwrap_or(false) {
-            let live = live.borrow_and_update().clone();
+            let live = live.take();
             self.reconfigure(live);
         }
     }
--- a/crates/oatdale-node/src/stops.rs
+++ b/crates/oatdale-node/src/stops.rs
@@ -1,6 +1,7 @@
 //! Versions that were stopped as bad: kept beside the operators' text, spread by the mesh, and
 //! recorded in the key-value service so that they outlast every node.
 
+use crate::latest::Latest;
 use crate::live::Live;
 use crate::route::{RouteHandle, StopNotice};
 use bytes::Bytes;
@@ -84,7 +85,7 @@
     pub(crate) kv: HttpKv,
     pub(crate) notices: mpsc::Receiver<StopNotice>,
     pub(crate) list: StopList,
-    pub(crate) live: watch::Receiver<Arc<Live>>,
+    pub(crate) live: Latest<Live>,
     pub(crate) route: RouteHandle,
     /// How much is known of the stops.
     pub(crate) informed: watch::Sender<Informed>,
@@ -108,7 +109,7 @@
     let mut told = duty.informed.subscribe();
     let mut recorded = false;
     loop {
-        let live = duty.live.borrow_and_update().clone();
+        let live = duty.live.take();
         let known = recorded || *told.borrow_and_update() >= Informed::Told;
         let holding = duty.list.holding(&live);
         let names = holding.into_iter().map(|stop| stop.version).collect();
