Pay for repeats only when one is sent, and ask a silent engine before giving it up

Ruled out: a worker's crash (its run ended by our cut). Change: the budget is asked after the decision, larger models leave 70% of what a node may save up, an engine is asked for its report before it counts as silent, and a silent stream is cut only when another endpoint and a repeat are there. Nodes tell each other of orders and their age: nodes cut off from the store began the plan anew and sent sessions back to the old version.

--- a/crates/oatdale-policy/src/budget.rs
+++ b/crates/oatdale-policy/src/budget.rs
@@ -42,10 +42,23 @@
 
     /// Pays for one retry, if the budget allows it.
     pub fn withdraw(&mut self) -> bool {
-        let allowed = self.balance >= 1.0;
+        self.withdraw_above(0.0)
+    }
+
+    /// Pays for one retry if the budget allows it and this part of its cap is left then.
+    ///
+    /// A use that can wait leaves something for one that cannot.
+    pub fn withdraw_above(&mut self, part: f64) -> bool {
+        let allowed = self.balance >= 1.0 + part * self.cap;
         if allowed {
             self.balance -= 1.0;
         }
         allowed
     }
+
+    /// Changes the most that may be saved up.
+    pub fn set_cap(&mut self, cap: f64) {
+        self.cap = cap;
+        self.balance = self.balance.min(cap);
+    }
 }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -18,6 +18,10 @@
 /// be left for another endpoint to answer in time.
 const PATIENCE: f64 = 0.6;
 
+/// So many times a route's target is longer than the wait at a busy engine: the request itself is
+/// lost.
+const LOST: f64 = 1.5;
+
 /// What is waited at the least, so that one slow answer does not count as silence.
 const LEAST_PATIENCE: Duration = Duration::from_millis(60);
 
@@ -104,7 +108,8 @@
 ) -> Result<Head, Failure> {
     let req = plan.request(cx, &running.id, how.last_event);
     let mut sending = std::pin::pin!(cx.pool.send(running.addr, req, plan.reuse(), plan.limit));
-    let mut check = patience(plan);
+    let sent = Instant::now();
+    let mut check = sent + patience(plan);
     let res = loop {
         let until = match how.impatient {
             true => check.min(plan.limit),
@@ -113,7 +118,7 @@
         match timeout_at(until, &mut sending).await {
             Ok(res) => break res,
             Err(_) if Instant::now() >= plan.limit => return Err(Failure::TimedOut),
-            Err(_) if is_silent(plan, running) => {
+            Err(_) if is_given_up(plan, running, sent).await => {
                 return Err(Failure::Unknown("silent".to_owned()));
             }
             Err(_) => check = Instant::now() + SILENCE / 2,
@@ -132,17 +137,22 @@
 }
 
 /// When a request's first answer is late enough to ask whether its endpoint is alive.
-fn patience(plan: &Plan) -> Instant {
+fn patience(plan: &Plan) -> Duration {
+    target(plan).mul_f64(PATIENCE).max(LEAST_PATIENCE)
+}
+
+fn target(plan: &Plan) -> Duration {
     let route = plan.route();
-    let target = route.target_latency.unwrap_or(route.timeout);
-    Instant::now() + target.mul_f64(PATIENCE).max(LEAST_PATIENCE)
+    route.target_latency.unwrap_or(route.timeout)
 }
 
-/// Streams share their endpoint's engine, which answers others meanwhile if it is alive. A plain
+/// Whether to ask another endpoint.
+///
+/// Streams wait for their turn at an engine, which says that it is alive if asked. A plain
 /// service's answer that is late is late for itself.
-fn is_silent<W: Wire>(plan: &Plan, running: &Running<W>) -> bool {
+async fn is_given_up<W: Wire>(plan: &Plan, running: &Running<W>, sent: Instant) -> bool {
     match plan.route().kind.is_stream() {
-        true => running.silence() >= SILENCE,
+        true => running.is_dead(SILENCE).await || sent.elapsed() >= target(plan).mul_f64(LOST),
         false => true,
     }
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -8,7 +8,9 @@
 use crate::site::Site;
 use crate::update::Update;
 use crate::wire::Wire;
-use oatdale_platform::{Pool, PoolConfig};
+use http::{Request, Uri};
+use http_body_util::Full;
+use oatdale_platform::{Pool, PoolConfig, Reuse};
 use oatdale_policy::relay::{Budget, Candidate, Placement, choose};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -28,11 +30,20 @@
 const MAX_IDLE: usize = 16;
 
 /// The part of the site's allowance for repeats that nodes plan to use: the rest is for what nodes
-/// count apart from each other.
-const REPEAT_SHARE: f64 = 0.7;
+/// count apart from each other, and for nodes that start again with a full budget.
+const REPEAT_SHARE: f64 = 0.85;
 
-/// The part of the allowance beyond the ratio that one node may save up.
-const SLACK_SHARE: f64 = 0.08;
+/// Nodes among which the allowance beyond the ratio is dealt out at least: a node that starts does
+/// not know the others yet.
+const LEAST_NODES: usize = 4;
+
+/// The part of what a node may save up that larger models leave: a stream that breaks off is lost
+/// without a repeat, an answer of a small model is only worse. When an endpoint with several
+/// streams of one node dies, all of them need one at once.
+const KEPT_FOR_BROKEN: f64 = 0.7;
+
+/// How long an engine may take to say that it is alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Shared state of one relay.
 pub(crate) struct Cx<W> {
@@ -165,16 +176,17 @@
 
     fn take_site(&self, state: &mut State, site: Arc<Site>) {
         let old = state.site.as_ref().map(|s| s.version);
-        let newer = old.is_none_or(|old| site.version > old);
+        if old.is_some_and(|old| site.version <= old) {
+            log::debug!(target: "config", "event=not_newer version={} old={old:?}", site.version);
+            return;
+        }
         log::info!(
             target: "config",
-            "event=configuration version={} old={old:?} taken={newer} routes={}",
+            "event=in_force version={} old={old:?} routes={}",
             site.version, site.routes.len()
         );
-        if newer {
-            self.metrics.version.set(site.version as i64);
-            state.site = Some(site);
-        }
+        self.metrics.version.set(site.version as i64);
+        state.site = Some(site);
     }
 
     /// Places a request and counts it; `None` if no endpoint may take it.
@@ -195,6 +207,16 @@
         })
     }
 
+    async fn probe(&self, addr: SocketAddr) -> bool {
+        let mut req = Request::new(Full::default());
+        *req.uri_mut() = Uri::from_static(self.wire.probe_path());
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        self.pool
+            .send(addr, req, Reuse::Allowed, deadline)
+            .await
+            .is_ok()
+    }
+
     /// Notes a request for a service, which pays for repeats.
     pub(crate) fn count_request(&self, service: &str) {
         self.with_budget(service, Budget::deposit);
@@ -205,13 +227,22 @@
         self.with_budget(service, Budget::withdraw)
     }
 
+    /// Whether a request for a service may be sent once more only to get a better answer.
+    pub(crate) fn may_escalate(&self, service: &str) -> bool {
+        self.with_budget(service, |b| b.withdraw_above(KEPT_FOR_BROKEN))
+    }
+
     fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget) -> T) -> T {
+        let now = self.now();
         let mut state = self.state();
         let bounds = state.bounds;
-        let budget = state.budgets.entry(service.to_owned()).or_insert_with(|| {
-            let cap = (bounds.repeat_slack * SLACK_SHARE).max(1.0);
-            Budget::new(bounds.repeat_ratio * REPEAT_SHARE, cap)
-        });
+        let nodes = state.nodes.iter(now).count().max(LEAST_NODES);
+        let cap = (bounds.repeat_slack * REPEAT_SHARE / nodes as f64).max(1.0);
+        let budget = state
+            .budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| Budget::new(bounds.repeat_ratio * REPEAT_SHARE, cap));
+        budget.set_cap(cap);
         f(budget)
     }
 }
@@ -289,12 +320,37 @@
         }
     }
 
-    /// How long the endpoint has sent nothing to this node at all.
-    pub(crate) fn silence(&self) -> Duration {
+    /// Whether the endpoint sends nothing at all any more: nothing came for `silence`, and a
+    /// question that an engine answers at once is not answered either.
+    ///
+    /// An engine that reads a long prompt sends nobody anything meanwhile. Without the question
+    /// its streams would be ended for nothing.
+    pub(crate) async fn is_dead(&self, silence: Duration) -> bool {
         let now = self.cx.now();
-        let state = self.cx.state();
-        let heard = state.directory.get(self.key).map_or(now, |e| e.heard);
-        now.saturating_sub(heard)
+        {
+            let mut state = self.cx.state();
+            let Some(entry) = state.directory.get_mut(self.key) else {
+                return false;
+            };
+            if now < entry.heard + silence {
+                return false;
+            }
+            if entry.health.rests(now) {
+                return true;
+            }
+            // Another request has just asked; its result shows at the next look.
+            if now < entry.probed + PROBE_TIMEOUT * 2 {
+                return false;
+            }
+            entry.probed = now;
+        }
+        let alive = self.cx.probe(self.addr).await;
+        log::info!(target: "probe", "event=probed endpoint={} alive={alive}", self.id);
+        match alive {
+            true => self.heard(),
+            false => self.silent(),
+        }
+        !alive
     }
 
     /// An answer came; `good` unless the endpoint failed it.
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -38,6 +38,8 @@
     pub load: f64,
     /// When it last sent anything to this node.
     pub heard: Duration,
+    /// When it was last asked whether it is alive.
+    pub probed: Duration,
     gone: Gone,
 }
 
@@ -100,6 +102,7 @@
             running: 0,
             load: 0.0,
             heard: now,
+            probed: Duration::ZERO,
             gone: Gone::No,
         };
         self.entries.insert(key, entry);
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -60,6 +60,12 @@
     pub service: String,
     /// The order.
     pub order: u64,
+    /// The version to move to.
+    pub target: String,
+    /// Time that the order gives, in milliseconds.
+    pub duration_ms: u64,
+    /// How long the node has known of the order, in milliseconds.
+    pub age_ms: u64,
     /// Good and bad answers of the new version.
     pub new: (u64, u64),
     /// Good and bad answers of the old versions.
@@ -208,13 +214,23 @@
     }
 
     /// Takes in what another node saw.
+    ///
+    /// A node that the key-value service turns away, or that started late, learns of an order and
+    /// of its age in this way. Otherwise it would begin the plan anew when it hears of the order,
+    /// and send to the old version what others send to the new one.
     pub fn heard(&mut self, now: Duration, report: &Report) {
+        let known = self.by_service.get(&report.service);
+        if known.is_none_or(|active| active.roll_out.order < report.order) {
+            self.update(now, report.roll_out());
+        }
         let Some(active) = self.by_service.get_mut(&report.service) else {
             return;
         };
         if active.roll_out.order != report.order {
             return;
         }
+        let age = Duration::from_millis(report.age_ms);
+        active.since = active.since.min(now.saturating_sub(age));
         let counts = |(good, bad)| Counts { good, bad };
         let peer = Peer {
             tally: Tally {
@@ -231,7 +247,12 @@
     /// What this node tells others of the roll-outs that are under way.
     ///
     /// `old_busy` says whether this node has work on another version of a service than the target.
-    pub fn reports(&self, host: &str, old_busy: impl Fn(&str, &str) -> bool) -> Vec<Report> {
+    pub fn reports(
+        &self,
+        now: Duration,
+        host: &str,
+        old_busy: impl Fn(&str, &str) -> bool,
+    ) -> Vec<Report> {
         self.by_service
             .values()
             .filter(|a| a.roll_out.end.is_none())
@@ -239,6 +260,9 @@
                 host: host.to_owned(),
                 service: a.roll_out.service.clone(),
                 order: a.roll_out.order,
+                target: a.roll_out.target.clone(),
+                duration_ms: millis(a.roll_out.duration),
+                age_ms: millis(now.saturating_sub(a.since)),
                 new: (a.own.new.good, a.own.new.bad),
                 old: (a.own.old.good, a.own.old.bad),
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
@@ -264,6 +288,22 @@
     }
 }
 
+impl Report {
+    fn roll_out(&self) -> RollOut {
+        RollOut {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            duration: Duration::from_millis(self.duration_ms),
+            order: self.order,
+            end: None,
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Active {
     fn new(since: Duration, roll_out: RollOut) -> Self {
         Active {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -194,9 +194,10 @@
     cx.count_request(&plan.service);
     let result = ask(cx, &mut plan).await;
     record.about = format!(
-        "route={} service={} model={} sends={} ",
+        "route={} service={} session={} model={} sends={} ",
         plan.route().name,
         plan.service,
+        plan.facts.session.as_deref().unwrap_or("-"),
         plan.model().unwrap_or("-"),
         plan.sends
     );
@@ -315,11 +316,14 @@
     pin_session(cx, plan, &answer);
     if status.is_success() {
         let sizes = plan.route().ladder.len();
-        let room = plan.has_attempts() && cx.may_repeat(&plan.service);
+        let room = plan.has_attempts();
         let step = LADDER.step(plan.size, sizes, answer.facts.confidence, room);
-        if let Step::Up(size) = step {
-            cx.metrics.escalations.inc();
-            return Examined::Larger(size);
+        match step {
+            Step::Up(size) if cx.may_escalate(&plan.service) => {
+                cx.metrics.escalations.inc();
+                return Examined::Larger(size);
+            }
+            _ => {}
         }
     }
     // These would promise the caller that nothing ran, which the endpoint did not say.
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -35,6 +35,8 @@
     events: WholeEvents,
     record: Record<W>,
     over: bool,
+    /// The budget has paid for going on elsewhere.
+    paid: bool,
 }
 
 /// What came next.
@@ -55,6 +57,7 @@
             events,
             record,
             over: false,
+            paid: false,
         }
     }
 
@@ -106,17 +109,28 @@
                 Ok(Some(Err(err))) => return Next::Broken(err.to_string()),
                 Ok(None) => return Next::End,
                 Err(_) if Instant::now() >= self.plan.limit => return Next::LimitReached,
-                Err(_) if self.is_stuck(gap, began) => return Next::Broken("silent".to_owned()),
+                Err(_) if self.is_better_elsewhere(gap, began).await => {
+                    return Next::Broken("silent".to_owned());
+                }
                 Err(_) => check = Instant::now() + gap / 4,
             }
         }
     }
 
-    fn is_stuck(&self, gap: Duration, began: Instant) -> bool {
-        let may_go_on =
-            self.plan.route().kind == RouteKind::ResumableStream && self.plan.has_attempts();
-        let silent = self.answer.running.silence() >= gap.mul_f64(PATIENCE);
-        may_go_on && (silent || began.elapsed() >= gap.mul_f64(STUCK))
+    /// Whether the stream has stopped and another endpoint can go on with it.
+    ///
+    /// Otherwise it is waited for: an endpoint that says nothing may yet go on, and ending its
+    /// stream for no better one loses the answer.
+    async fn is_better_elsewhere(&mut self, gap: Duration, began: Instant) -> bool {
+        if self.plan.route().kind != RouteKind::ResumableStream || !self.plan.has_attempts() {
+            return false;
+        }
+        let silence = gap.mul_f64(PATIENCE);
+        let stopped =
+            self.answer.running.is_dead(silence).await || began.elapsed() >= gap.mul_f64(STUCK);
+        let has_other = || self.plan.place(&self.cx, &self.plan.tried).is_some();
+        self.paid = stopped && has_other() && self.cx.may_repeat(&self.plan.service);
+        self.paid
     }
 
     /// Goes on at another endpoint, or says why not.
@@ -127,7 +141,7 @@
         let mut reason = broken.to_owned();
         while self.plan.route().kind == RouteKind::ResumableStream
             && self.plan.has_attempts()
-            && self.cx.may_repeat(&self.plan.service)
+            && (std::mem::take(&mut self.paid) || self.cx.may_repeat(&self.plan.service))
         {
             let how = Send {
                 last_event,
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -17,6 +17,9 @@
     /// Reads an endpoint's answer.
     fn answer(&self, head: &response::Parts) -> AnswerFacts;
 
+    /// A path that an engine answers at once, whatever it has to do.
+    fn probe_path(&self) -> &'static str;
+
     /// Whether a path asks if the node is ready.
     fn is_readiness(&self, path: &str) -> bool;
 
