--- a/crates/oatdale-node/src/main.rs
+++ b/crates/oatdale-node/src/main.rs
@@ -52,7 +52,7 @@
             ExitCode::SUCCESS
         }
         Settings::Node(settings) => start(*settings),
-        Settings::Relay(settings) => relaying::start(settings, &flags.settings),
+        Settings::Relay(settings) => relaying::start(*settings, &flags.settings),
     }
 }
 
@@ -61,7 +61,7 @@
     /// It reads requests for models and sends them to engines of its own kind.
     Node(Box<NodeSettings>),
     /// It passes requests on unread.
-    Relay(RelaySettings),
+    Relay(Box<RelaySettings>),
 }
 
 fn read(path: &Path) -> Result<Settings, String> {
@@ -69,7 +69,7 @@
     let text = std::fs::read_to_string(path).map_err(|err| format!("can't read {name}: {err}"))?;
     if RelaySettings::is_meant(&text) {
         let settings = RelaySettings::read(&text).map_err(|err| format!("{name}: {err}"))?;
-        return Ok(Settings::Relay(settings));
+        return Ok(Settings::Relay(Box::new(settings)));
     }
     oatdale_config::node_settings_from_str(&text)
         .map(|settings| Settings::Node(Box::new(settings)))
--- a/crates/oatdale-node/src/relaying.rs
+++ b/crates/oatdale-node/src/relaying.rs
@@ -58,7 +58,7 @@
         .and_then(|text| Settings::read(&text).map_err(|err| err.to_string()));
     match read {
         Ok(settings) => {
-            let needs_restart = relay.reload(settings);
+            let needs_restart = relay.reload(&settings);
             info!(target: "node", "event=reloaded needs_restart={needs_restart}");
         }
         Err(err) => warn!(target: "node", "event=reload_failed err={err:?}"),
--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -14,15 +14,11 @@
 const TRIAL_SHARE: f64 = 0.08;
 
 /// When all requests go to the new version, as a part of the roll-out's duration.
-const SWITCH_AT: f64 = 0.55;
+const SWITCH_AT: f64 = 0.52;
 
 /// When the old version is given up, as a part of the duration: streams that began before the
 /// switch have ended by then, and some time is left for a write that has to be repeated.
-const COMPLETE_AT: f64 = 0.88;
-
-/// Good answers without which the version is not used for all requests: fewer say too little
-/// of how often it fails.
-const TRIAL_ANSWERS: u64 = 12;
+const COMPLETE_AT: f64 = 0.78;
 
 /// Failures that always stand for chance.
 const CHANCE: u64 = 2;
@@ -59,10 +55,9 @@
 /// What the counts say.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Verdict {
-    /// Nothing yet.
-    Open,
-    /// It may be used for everything.
-    Good,
+    /// Nothing speaks against it. A service with few requests may never see more of it than a few
+    /// answers, and moves on all the same.
+    Sound,
     /// It has to go.
     Bad,
 }
@@ -85,8 +80,8 @@
 pub fn phase(since: Duration, duration: Duration, verdict: Verdict) -> Phase {
     let part = since.as_secs_f64() / duration.as_secs_f64().max(0.001);
     match verdict {
-        Verdict::Good if part >= COMPLETE_AT => Phase::Done,
-        Verdict::Good if part >= SWITCH_AT => Phase::Switched,
+        Verdict::Sound if part >= COMPLETE_AT => Phase::Done,
+        Verdict::Sound if part >= SWITCH_AT => Phase::Switched,
         _ => Phase::Trial,
     }
 }
@@ -112,7 +107,6 @@
     let bound = expected + 3.0 * expected.sqrt();
     match new.bad {
         bad if bad > CHANCE && bad as f64 > bound => Verdict::Bad,
-        _ if new.good >= TRIAL_ANSWERS => Verdict::Good,
-        _ => Verdict::Open,
+        _ => Verdict::Sound,
     }
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -42,6 +42,10 @@
 /// streams of one node dies, all of them need one at once.
 const KEPT_FOR_BROKEN: f64 = 0.7;
 
+/// The part of the time for a stop in which new streams are taken: most of them end within the
+/// rest of it.
+const STREAMS_WHILE_STOPPING: f64 = 0.3;
+
 /// How long an engine may take to say that it is alive.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -63,8 +67,8 @@
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
     budgets: HashMap<String, Budget>,
-    /// The node has been told to stop.
-    pub(crate) stopping: bool,
+    /// When the node was told to stop, if it was.
+    pub(crate) stopping: Option<Instant>,
 }
 
 /// What decides where a request is placed.
@@ -109,7 +113,7 @@
                 roll_outs: RollOuts::default(),
                 nodes: Nodes::default(),
                 budgets: HashMap::new(),
-                stopping: false,
+                stopping: None,
             }),
             settings,
         }
@@ -129,13 +133,20 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.state().stopping
+        self.state().stopping.is_some()
+    }
+
+    /// Whether a stream that begins now would end before this node does.
+    pub(crate) fn has_time_for_stream(&self) -> bool {
+        let state = self.state();
+        let takes = state.bounds.stop().mul_f64(STREAMS_WHILE_STOPPING);
+        state.stopping.is_none_or(|since| since.elapsed() < takes)
     }
 
     /// Whether callers should use this node.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state();
-        state.site.is_some() && !state.directory.is_empty() && !state.stopping
+        state.site.is_some() && !state.directory.is_empty() && state.stopping.is_none()
     }
 
     /// Takes in news from the platform.
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -7,7 +7,7 @@
 
 /// How long after the key-value service came back an entry may still be missing because it lapsed
 /// while its endpoint could not renew it. Endpoints write anew within about two seconds.
-const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+const RETURN_GRACE: Duration = Duration::from_millis(1_900);
 
 /// How long an endpoint that is gone stays known, so that its last answers find their place.
 const KEEP_GONE: Duration = Duration::from_secs(60);
@@ -135,9 +135,11 @@
         self.store = Store::Lost;
     }
 
-    /// The key-value service answers again.
+    /// The key-value service answers, for the first time or again.
     pub fn store_back(&mut self, now: Duration) {
-        self.store = Store::BackSince(now);
+        if self.store == Store::Lost {
+            self.store = Store::BackSince(now);
+        }
     }
 
     /// Ends the time in which missing entries may come back.
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -79,7 +79,7 @@
         let began = Instant::now();
         let time = self.cx.state().bounds.stop();
         log::info!(target: "node", "event=stopping under_way={}", self.under_way());
-        self.cx.state().stopping = true;
+        self.cx.state().stopping = Some(began);
         if self.commands.send(Command::Leave).await.is_err() {
             log::warn!(target: "node", "event=leave_not_sent reason=\"the adapter has ended\"");
         }
@@ -93,11 +93,11 @@
     }
 
     /// Takes in changed settings and says whether some of them need a restart: addresses do.
-    pub fn reload(&mut self, settings: Settings) -> bool {
+    pub fn reload(&mut self, settings: &Settings) -> bool {
         let needs_restart = Settings {
             bounds: settings.bounds,
             ..self.cx.settings.clone()
-        } != settings;
+        } != *settings;
         self.cx.state().bounds = settings.bounds;
         needs_restart
     }
--- a/crates/oatdale-relay/src/nodes.rs
+++ b/crates/oatdale-relay/src/nodes.rs
@@ -48,7 +48,7 @@
     }
 
     pub(crate) fn store_back(&mut self, now: Duration) {
-        self.grace = Some(now + RETURN_GRACE);
+        self.grace = self.grace.map(|_| now + RETURN_GRACE);
     }
 
     /// Those that are there or may be, by name.
--- a/crates/oatdale-relay/src/reply.rs
+++ b/crates/oatdale-relay/src/reply.rs
@@ -28,6 +28,8 @@
     SlowBody,
     /// This node knows no configuration yet.
     NotReady,
+    /// This node stops before the answer would end.
+    Stopping,
     /// No endpoint has room for it; none has run it.
     NoEndpoint,
     /// The time was up before an endpoint was sent it.
@@ -46,7 +48,7 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Refusal::NotReady | Refusal::NoEndpoint | Refusal::NoTime => {
+            Refusal::NotReady | Refusal::Stopping | Refusal::NoEndpoint | Refusal::NoTime => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::Lost => StatusCode::BAD_GATEWAY,
@@ -64,6 +66,7 @@
             Refusal::TooLarge => "too-large",
             Refusal::SlowBody => "slow-body",
             Refusal::NotReady => "not-ready",
+            Refusal::Stopping => "stopping",
             Refusal::NoEndpoint => "no-endpoint",
             Refusal::NoTime => "no-time",
             Refusal::Lost => "answer-lost",
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -22,7 +22,7 @@
 
 /// When the end is written though another node still has work on the old version, as a part of the
 /// duration: an end that is late is no end.
-const COMPLETE_ANYWAY: f64 = 0.95;
+const COMPLETE_ANYWAY: f64 = 0.88;
 
 /// How many times longer than usual an answer has to take to count as bad. Below it, chance and
 /// load explain it.
@@ -314,7 +314,7 @@
             usual: HashMap::new(),
             asked: None,
             due_since: None,
-            verdict: Verdict::Open,
+            verdict: Verdict::Sound,
         }
     }
 
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -104,9 +104,9 @@
 
 /// An endpoint's answer that is to be passed on.
 enum Reply<W> {
-    Whole(response::Parts, Bytes, String),
+    Whole(Box<response::Parts>, Bytes, String),
     /// What has been read of it, and the rest.
-    Pieces(Bytes, Answer<W>),
+    Pieces(Bytes, Box<Answer<W>>),
 }
 
 /// What to do about an answer.
@@ -130,7 +130,12 @@
     let mut res = match prepare(&cx, head, facts, body, arrival, &mut record).await {
         Ok(plan) => answer(&cx, plan, record).await,
         Err(refusal) => {
-            let retry = (refusal == Refusal::NotReady).then_some(START_RETURN);
+            let retry = match refusal {
+                Refusal::NotReady => Some(START_RETURN),
+                // Another node can take it at once.
+                Refusal::Stopping => Some(Duration::ZERO),
+                _ => None,
+            };
             record.end(&format!("refused {refusal}"));
             refuse(refusal, retry)
         }
@@ -162,6 +167,9 @@
     let mut plan = Plan::new(site, route, facts, head, arrival)?;
     record.about = format!("route={} service={} ", plan.route().name, plan.service);
     plan.authenticate()?;
+    if plan.route().kind.is_stream() && !cx.has_time_for_stream() {
+        return Err(Refusal::Stopping);
+    }
     plan.body = read_body(&plan, body).await?;
     Ok(plan)
 }
@@ -207,7 +215,7 @@
             cx.metrics.first_byte.observe(first_byte);
             record.about += &format!("endpoint={endpoint} status={} ", head.status.as_u16());
             record.end("complete");
-            Response::from_parts(passed_on(head), reply::whole(body))
+            Response::from_parts(passed_on(*head), reply::whole(body))
         }
         Ok(Reply::Pieces(read, answer)) => {
             cx.metrics.first_byte.observe(first_byte);
@@ -217,7 +225,7 @@
                 answer.head.status.as_u16(),
                 plan.arrival.elapsed().as_millis()
             );
-            pass_pieces(cx, plan, read, answer, record)
+            pass_pieces(cx, plan, read, *answer, record)
         }
         Err((refusal, why)) => {
             record.end(&format!("refused {refusal}: {why}"));
@@ -331,7 +339,7 @@
         return Examined::Failed(Failure::Unknown(format!("status {status}")));
     }
     if status.is_success() && plan.route().kind.is_stream() && is_events(&answer.head.headers) {
-        return Examined::Pass(Reply::Pieces(Bytes::new(), answer));
+        return Examined::Pass(Reply::Pieces(Bytes::new(), Box::new(answer)));
     }
     read_small(plan, answer, impatient).await
 }
@@ -364,7 +372,7 @@
             Ok(Some(Ok(piece))) => read.extend_from_slice(&piece),
             Ok(None) => {
                 let id = answer.running.id.clone();
-                return Examined::Pass(Reply::Whole(answer.head, read.freeze(), id));
+                return Examined::Pass(Reply::Whole(Box::new(answer.head), read.freeze(), id));
             }
             Ok(Some(Err(err))) => {
                 answer.running.silent();
@@ -374,7 +382,7 @@
         }
         answer.running.heard();
         if read.len() > SMALL {
-            return Examined::Pass(Reply::Pieces(read.freeze(), answer));
+            return Examined::Pass(Reply::Pieces(read.freeze(), Box::new(answer)));
         }
     }
 }
