--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use oatdale_platform::Reuse;
+use smallvec::SmallVec;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -41,6 +42,8 @@
     pub(crate) tried: Vec<EndpointKey>,
     /// How many endpoints may have begun with it or refused it.
     pub(crate) sends: u32,
+    /// What the models that were asked said of their answers.
+    pub(crate) confidences: SmallVec<[u8; 2]>,
 }
 
 impl Plan {
@@ -72,6 +75,7 @@
             size: 0,
             tried: Vec::new(),
             sends: 0,
+            confidences: SmallVec::new(),
             site,
         })
     }
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -20,10 +20,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Confidence below which a small model's answer is made again by the largest. Between the
-/// confidences that right and wrong answers of the smallest models show most often.
-const LADDER: Ladder = Ladder { threshold: 50 };
-
 /// Time below which a request is not sent once more: no endpoint answers in less.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 
@@ -202,12 +198,13 @@
     cx.count_request(&plan.service);
     let result = ask(cx, &mut plan).await;
     record.about = format!(
-        "route={} service={} session={} model={} sends={} ",
+        "route={} service={} session={} model={} sends={} sure={:?} ",
         plan.route().name,
         plan.service,
         plan.facts.session.as_deref().unwrap_or("-"),
         plan.model().unwrap_or("-"),
-        plan.sends
+        plan.sends,
+        plan.confidences
     );
     let first_byte = plan.arrival.elapsed().as_secs_f64();
     match result {
@@ -316,7 +313,7 @@
 /// Decides about an answer whose head has come.
 async fn examine<W: Wire>(
     cx: &Arc<Cx<W>>,
-    plan: &Plan,
+    plan: &mut Plan,
     answer: Answer<W>,
     impatient: bool,
 ) -> Examined<W> {
@@ -325,7 +322,11 @@
     if status.is_success() {
         let sizes = plan.route().ladder.len();
         let room = plan.has_attempts();
-        let step = LADDER.step(plan.size, sizes, answer.facts.confidence, room);
+        let ladder = Ladder {
+            threshold: cx.settings.ladder.least_confidence,
+        };
+        plan.confidences.extend(answer.facts.confidence);
+        let step = ladder.step(plan.size, sizes, answer.facts.confidence, room);
         match step {
             Step::Up(size) if cx.may_escalate(&plan.service) => {
                 cx.metrics.escalations.inc();
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The confidence below which an answer is made again, unless set otherwise.
+const USUAL_CONFIDENCE: u8 = 50;
+
 /// The settings of one relay node.
 #[derive(Clone, PartialEq, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -21,6 +24,25 @@
     pub key_value: SocketAddr,
     /// Times that the site promises.
     pub bounds: Bounds,
+    /// How far a small model's answer is trusted.
+    #[serde(default)]
+    pub ladder: Ladder,
+}
+
+/// When the largest model makes an answer again.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Ladder {
+    /// The confidence, from 0 to 100, below which it does.
+    pub least_confidence: u8,
+}
+
+impl Default for Ladder {
+    fn default() -> Self {
+        Ladder {
+            least_confidence: USUAL_CONFIDENCE,
+        }
+    }
 }
 
 /// The platforms that a relay runs on.
