--- a/crates/oatdale-policy/src/average.rs
+++ b/crates/oatdale-policy/src/average.rs
@@ -4,14 +4,15 @@
 
 /// Events a second, averaged over a time constant.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Rate {
+pub struct Rate {
     value: f64,
     at: Duration,
     tau: f64,
 }
 
 impl Rate {
-    pub(crate) fn new(now: Duration, tau: Duration) -> Self {
+    /// A rate that forgets with the time constant `tau`.
+    pub fn new(now: Duration, tau: Duration) -> Self {
         Rate {
             value: 0.0,
             at: now,
@@ -19,12 +20,14 @@
         }
     }
 
-    pub(crate) fn add(&mut self, now: Duration) {
+    /// Notes an event.
+    pub fn add(&mut self, now: Duration) {
         self.value = self.get(now) + 1.0 / self.tau;
         self.at = self.at.max(now);
     }
 
-    pub(crate) fn get(&self, now: Duration) -> f64 {
+    /// Events a second.
+    pub fn get(&self, now: Duration) -> f64 {
         let spent = now.saturating_sub(self.at).as_secs_f64();
         self.value * (-spent / self.tau).exp()
     }
--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -20,8 +20,12 @@
 mod placement;
 mod roll_out;
 
+pub use crate::average::Rate;
 pub use crate::budget::Budget;
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::placement::{Candidate, Placement, choose};
-pub use crate::relay::roll_out::{Counts, Phase, Tally, Verdict, phase, shows_new, verdict};
+pub use crate::relay::roll_out::{
+    Counts, Exposure, Phase, Tally, Verdict, is_in_trial, phase, shows_new, switched_for,
+    trial_share, verdict,
+};
--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -1,35 +1,63 @@
 //! How far a new software version of an endpoint pool is used, and when it is done or undone.
 //!
 //! All nodes follow the same plan by time since the order, so that they expose the version alike
-//! without asking each other: a small share of the requests in the first half, all of them after
-//! it, and the end when requests on the old version have had time to finish. What any node sees
-//! of the version is added up over the nodes; a version that fails more often than the old one is
-//! undone at once.
+//! without asking each other: nothing at first, while they tell each other which sessions run; then
+//! a small share of the requests for most of the time; then all of them for the little that is left,
+//! in which requests on the old version end. The share and the late switch are such that a version
+//! whose faults never show in the trial has still had less than about a sixth of the requests when
+//! its time is over. What any node sees of the version is added up over the nodes; a version that
+//! fails or is slow more often than the old one is undone at once.
 
+use crate::trial::log_evidence;
 use std::time::Duration;
 
-/// Share of requests that try the new version in the first half. Small enough that a version that
-/// turns out bad late stays well under the share an operator would accept, large enough for some
-/// dozens of answers within seconds at the load of a small site.
-const TRIAL_SHARE: f64 = 0.08;
+/// Bounds of the share of requests that try the new version. Less tells nothing in time, more is no
+/// trial.
+const LEAST_TRIAL: f64 = 0.03;
+const MOST_TRIAL: f64 = 0.25;
 
-/// When all requests go to the new version, as a part of the roll-out's duration.
-const SWITCH_AT: f64 = 0.52;
+/// The part of the exposure that operators allow which the plan uses up: nodes count apart from each
+/// other, and each request may be sent more than once.
+const PLANNED: f64 = 0.8;
 
-/// When the old version is given up, as a part of the duration: streams that began before the
-/// switch have ended by then, and some time is left for a write that has to be repeated.
-const COMPLETE_AT: f64 = 0.78;
+/// Shares are rounded down to multiples of this, so that nodes whose counts differ a little come to
+/// the same one.
+const SHARE_STEP: f64 = 0.01;
 
-/// Failures that always stand for chance.
-const CHANCE: u64 = 2;
+/// When the trial begins, as a part of the duration, and at the latest. Nodes then know of each
+/// other which sessions began on the old version.
+const TRIAL_AT: f64 = 0.1;
+const TRIAL_AT_LATEST: Duration = Duration::from_millis(1_000);
+
+/// The time before the end in which all requests go to the new version: this part of the duration,
+/// and no more and no less than these. Plain calls and half of the streams end within a second; the
+/// new version goes on with the rest.
+const SWITCHED_FOR: f64 = 0.08;
+const SWITCHED_AT_MOST: Duration = Duration::from_millis(1_600);
+const SWITCHED_AT_LEAST: Duration = Duration::from_millis(800);
+
+/// The part of that time after which the old version is given up, if nothing is under way there.
+const GIVE_UP_OLD: f64 = 0.3;
+
+/// The logarithm of the evidence that a bad version has to leave: one false end in 300 roll-outs
+/// of good ones.
+const BOUND: f64 = 5.7;
+
+/// The share of bad answers by which a version may exceed the old one and still be good: old and
+/// new endpoints never have quite the same load.
+const TOLERANCE: f64 = 0.02;
 
 /// Counts of one version's answers.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct Counts {
-    /// Answers that were as they should be.
-    pub good: u64,
-    /// Failures, and answers that were several times slower than the usual one.
-    pub bad: u64,
+    /// Answers of any kind.
+    pub answers: u64,
+    /// Answers that are failures.
+    pub failed: u64,
+    /// Answers whose time was measured.
+    pub timed: u64,
+    /// Those of them that took several times as long as usual.
+    pub slow: u64,
 }
 
 /// What is known of both versions since the order.
@@ -44,6 +72,8 @@
 /// Where a roll-out is by its plan.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
+    /// No request tries the new version yet.
+    Announced,
     /// Some requests try the new version.
     Trial,
     /// All requests go to the new version.
@@ -63,50 +93,93 @@
 }
 
 impl Counts {
-    fn all(self) -> u64 {
-        self.good + self.bad
-    }
-
     /// Adds what another node saw.
     pub fn plus(self, other: Counts) -> Counts {
         Counts {
-            good: self.good + other.good,
-            bad: self.bad + other.bad,
+            answers: self.answers + other.answers,
+            failed: self.failed + other.failed,
+            timed: self.timed + other.timed,
+            slow: self.slow + other.slow,
         }
     }
 }
 
 /// Where a roll-out is, `since` the order, while nothing speaks against the version.
 pub fn phase(since: Duration, duration: Duration, verdict: Verdict) -> Phase {
-    let part = since.as_secs_f64() / duration.as_secs_f64().max(0.001);
+    let switched = switched_for(duration);
+    let switch = duration.saturating_sub(switched);
     match verdict {
-        Verdict::Sound if part >= COMPLETE_AT => Phase::Done,
-        Verdict::Sound if part >= SWITCH_AT => Phase::Switched,
+        _ if since < TRIAL_AT_LATEST.min(duration.mul_f64(TRIAL_AT)) => Phase::Announced,
+        Verdict::Sound if since >= switch + switched.mul_f64(GIVE_UP_OLD) => Phase::Done,
+        Verdict::Sound if since >= switch => Phase::Switched,
         _ => Phase::Trial,
     }
 }
 
+/// How long before the end all requests go to the new version.
+pub fn switched_for(duration: Duration) -> Duration {
+    duration
+        .mul_f64(SWITCHED_FOR)
+        .clamp(SWITCHED_AT_LEAST, SWITCHED_AT_MOST)
+        .min(duration)
+}
+
+/// How much of a bad version operators allow.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Exposure {
+    /// The share of all requests for the service in the time of the order.
+    pub share: f64,
+    /// Requests beyond it.
+    pub slack: f64,
+}
+
+/// The share of requests that try the new version, for a service with `rate` requests a second.
+///
+/// With the requests after the switch it uses up what is allowed if nothing speaks against the
+/// version until the end: as much evidence as possible, and never more exposure.
+pub fn trial_share(allowed: Exposure, rate: f64, duration: Duration) -> f64 {
+    let secs = duration.as_secs_f64();
+    let switched = switched_for(duration).as_secs_f64();
+    let rate = rate.max(0.01);
+    let planned = PLANNED * (allowed.share * secs * rate + allowed.slack);
+    let share = (planned - switched * rate) / ((secs - switched).max(0.1) * rate);
+    let share = share.clamp(LEAST_TRIAL, MOST_TRIAL);
+    (share / SHARE_STEP).floor() * SHARE_STEP
+}
+
 /// Whether a request tries the new version; `hash` is of its session, so that a session keeps
 /// its version on every node.
-pub fn shows_new(phase: Phase, hash: u64) -> bool {
+pub fn shows_new(phase: Phase, share: f64, hash: u64) -> bool {
     match phase {
-        Phase::Trial => (hash as f64) < TRIAL_SHARE * u64::MAX as f64,
+        Phase::Announced => false,
+        Phase::Trial => is_in_trial(share, hash),
         Phase::Switched | Phase::Done => true,
     }
 }
 
+/// Whether a session or request belongs to those that try a new version.
+pub fn is_in_trial(share: f64, hash: u64) -> bool {
+    (hash as f64) < share * u64::MAX as f64
+}
+
 /// Judges the new version by the answers so far.
 ///
-/// The bound rises with the old version's own failures, so that trouble that hits all endpoints
-/// alike is not blamed on the new version.
+/// Failures and slow answers are each compared with those of the old version, so that neither hides
+/// the other, and trouble that hits all endpoints alike is not blamed on the new version.
 pub fn verdict(tally: &Tally) -> Verdict {
     let Tally { new, old } = tally;
-    let usual = (old.bad as f64 + 0.5) / (old.all() as f64 + 10.0);
-    let expected = usual * new.all() as f64;
-    // Three standard deviations above what the old version's rate would give.
-    let bound = expected + 3.0 * expected.sqrt();
-    match new.bad {
-        bad if bad > CHANCE && bad as f64 > bound => Verdict::Bad,
-        _ => Verdict::Sound,
+    let failures = log_evidence(new.failed, new.answers, usual(old.failed, old.answers));
+    let slowness = log_evidence(new.slow, new.timed, usual(old.slow, old.timed));
+    match failures.max(slowness) > BOUND {
+        true => Verdict::Bad,
+        false => Verdict::Sound,
     }
 }
+
+/// The share of bad answers that says nothing against a version, from those of the old one.
+fn usual(bad: u64, of: u64) -> f64 {
+    let of = of as f64 + 4.0;
+    let share = (bad as f64 + 0.2) / of;
+    let error = (share * (1.0 - share) / of).sqrt();
+    (share + error + TOLERANCE).min(0.95)
+}
--- a/crates/oatdale-policy/src/trial.rs
+++ b/crates/oatdale-policy/src/trial.rs
@@ -259,7 +259,7 @@
 }
 
 /// The logarithm of the mean likelihood ratio of worse shares against the usual one.
-fn log_evidence(bad: u64, of: u64, usual: f64) -> f64 {
+pub(crate) fn log_evidence(bad: u64, of: u64, usual: f64) -> f64 {
     let (bad, good) = (bad as f64, of.saturating_sub(bad) as f64);
     let odds = usual / (1.0 - usual);
     let ratios = ODDS.map(|times| {
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -42,6 +42,8 @@
     NotRun(u16),
     /// It may have run.
     Unknown(String),
+    /// Nothing came for so long that another endpoint is asked; it may have run.
+    GivenUp,
     /// Nothing came until the request's limit; it may have run.
     TimedOut,
     /// No endpoint may take it.
@@ -119,7 +121,7 @@
             Ok(res) => break res,
             Err(_) if Instant::now() >= plan.limit => return Err(Failure::TimedOut),
             Err(_) if is_given_up(plan, running, sent).await => {
-                return Err(Failure::Unknown("silent".to_owned()));
+                return Err(Failure::GivenUp);
             }
             Err(_) => check = Instant::now() + SILENCE / 2,
         }
@@ -196,12 +198,23 @@
             failed
         }
         Err(Failure::NotRun(_)) => return running.answered(false),
+        Err(Failure::GivenUp) => {
+            running.silent();
+            let mut state = cx.state();
+            return state
+                .roll_outs
+                .judged(&plan.service, &running.version, true);
+        }
         Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
-        Err(Failure::TimedOut | Failure::NoEndpoint) => return,
+        Err(Failure::TimedOut) => true,
+        Err(Failure::NoEndpoint) => return,
     };
-    let service = plan.service.as_str();
+    // A stream's first event waits for its engine's queue and for the prompt to be read, which says
+    // little of a version; the pace of its events says more and is noted later.
+    let is_timed = !failed && !plan.route().kind.is_stream();
+    let took = is_timed.then(|| (plan.answer_pace(), took));
     let mut state = cx.state();
     state
         .roll_outs
-        .answered(service, &running.version, failed, plan.pace(), took);
+        .answered(&plan.service, &running.version, failed, took);
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -230,6 +230,8 @@
 
     /// Notes a request for a service, which pays for repeats.
     pub(crate) fn count_request(&self, service: &str) {
+        let now = self.now();
+        self.state().roll_outs.count_request(now, service);
         self.with_budget(service, Budget::deposit);
     }
 
@@ -283,6 +285,20 @@
                 preferred if preferred.is_empty() => all,
                 preferred => preferred,
             },
+            Allowed::Trial {
+                version,
+                seed,
+                share,
+            } => {
+                let mut new = matching(&|v| v == version);
+                new.retain(|(_, e)| !e.health.rests(now));
+                new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
+                new.truncate((share * new.len() as f64).ceil() as usize);
+                match new.is_empty() {
+                    true => matching(&|v| v != version),
+                    false => new,
+                }
+            }
         };
         // Those that seem to be away are asked only when there is no other.
         let awake: Vec<_> = listed
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -118,7 +118,8 @@
     let mut reported = Instant::now();
     loop {
         tokio::time::sleep(TICK).await;
-        if reported.elapsed() >= REPORT_EVERY {
+        let has_news = cx.state().roll_outs.take_news();
+        if has_news || reported.elapsed() >= REPORT_EVERY {
             reported = Instant::now();
             gossip::report(&cx, &socket).await;
         }
@@ -138,6 +139,7 @@
     let session = Duration::from_secs_f64(state.bounds.session_s);
     state.directory.tick(now);
     state.roll_outs.forget_sessions(now, session);
+    state.roll_outs.settle_shares(now, state.bounds.exposure());
     let own = cx.settings.host.as_str();
     let rank = state
         .nodes
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::cx::{Cx, Running, Wanted, hash};
 use crate::directory::EndpointKey;
 use crate::reply::Refusal;
-use crate::roll_outs::Allowed;
+use crate::roll_outs::{Allowed, Pace};
 use crate::site::{Route, Site};
 use crate::wire::{Forward, RequestFacts, Wire};
 use bytes::Bytes;
@@ -122,10 +122,19 @@
         self.sends < self.route().attempts.max(1)
     }
 
-    /// Requests that are about equally long and so should take about as long.
-    pub(crate) fn pace(&self) -> u64 {
-        let tokens = self.facts.prompt.as_ref().map_or(0, |p| p.tokens_in);
-        hash(&(&self.route().prefix, self.size, tokens.max(1).ilog2()))
+    /// Hash of the session, the same on every node.
+    pub(crate) fn session(&self) -> Option<u64> {
+        self.facts.session.as_ref().map(hash)
+    }
+
+    /// Answers that take about as long as each other: those of one plain route.
+    pub(crate) fn answer_pace(&self) -> Pace {
+        hash(&("answer", &self.route().prefix))
+    }
+
+    /// Streams whose events come about as fast: those of one model size.
+    pub(crate) fn event_pace(&self) -> Pace {
+        hash(&("event", self.size))
     }
 
     fn weight(&self) -> f64 {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -278,7 +278,7 @@
             // It costs no endpoint anything and ends when all have been tried.
             Failure::NotSent(_) => plan.left() > LEAST_TIME,
             Failure::NotRun(_) => may_repeat(cx, plan) && (idempotent || !may_have_run),
-            Failure::Unknown(_) => idempotent && may_repeat(cx, plan),
+            Failure::Unknown(_) | Failure::GivenUp => idempotent && may_repeat(cx, plan),
         };
         if again {
             continue;
@@ -301,13 +301,11 @@
 }
 
 fn choose_version<W: Wire>(cx: &Cx<W>, plan: &mut Plan) {
-    let session = plan.facts.session.as_deref();
-    let key = session.or(plan.facts.id.as_deref()).unwrap_or_default();
+    let session = plan.session();
+    let own = hash(&plan.facts.id);
     let now = cx.now();
-    plan.allowed = cx
-        .state()
-        .roll_outs
-        .allowed(now, &plan.service, session, hash(&key));
+    let state = cx.state();
+    plan.allowed = state.roll_outs.allowed(now, &plan.service, session, own);
 }
 
 /// Decides about an answer whose head has come.
@@ -346,10 +344,9 @@
 }
 
 fn pin_session<W: Wire>(cx: &Cx<W>, plan: &Plan, answer: &Answer<W>) {
-    if let Some(session) = &plan.facts.session {
-        let life = Duration::from_secs_f64(cx.state().bounds.session_s);
+    if let Some(session) = plan.session() {
         let (now, version) = (cx.now(), answer.running.version.as_str());
-        cx.state().roll_outs.pin(now, session, version, life);
+        cx.state().roll_outs.pin(now, session, version);
     }
 }
 
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a relay node is told when it starts, as YAML.
 
+use oatdale_policy::relay::Exposure;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -83,6 +84,10 @@
     pub repeat_ratio: f64,
     /// Repeats that all nodes together may add beyond that part.
     pub repeat_slack: f64,
+    /// Requests that a bad version may get during its roll-out, as a part of all for the service.
+    pub exposure_share: f64,
+    /// Requests that it may get beyond that part.
+    pub exposure_slack: f64,
     /// Seconds after its last request for which a session keeps its version.
     pub session_s: f64,
 }
@@ -125,6 +130,13 @@
 }
 
 impl Bounds {
+    pub(crate) fn exposure(&self) -> Exposure {
+        Exposure {
+            share: self.exposure_share,
+            slack: self.exposure_slack,
+        }
+    }
+
     /// How long a stopping node goes on taking requests: callers may hold its address for some
     /// multiple of the time they were told.
     pub(crate) fn stop(&self) -> Duration {
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -27,6 +27,10 @@
 /// other requests.
 const STUCK: f64 = 2.0;
 
+/// Pauses between events over which a stream's pace is taken: few, so that a slow version is found
+/// before its first streams end.
+const PACE_GAPS: u32 = 2;
+
 /// A stream on its way to its caller.
 pub(crate) struct Relayed<W> {
     cx: Arc<Cx<W>>,
@@ -37,6 +41,15 @@
     over: bool,
     /// The budget has paid for going on elsewhere.
     paid: bool,
+    pace: EventPace,
+}
+
+/// How fast an endpoint sends the events of one stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventPace {
+    first: Option<Instant>,
+    pieces: u32,
+    told: bool,
 }
 
 /// What came next.
@@ -58,6 +71,7 @@
             record,
             over: false,
             paid: false,
+            pace: EventPace::default(),
         }
     }
 
@@ -78,7 +92,10 @@
             let broken = match self.read().await {
                 Next::Piece(piece) => match self.events.push(&piece) {
                     whole if whole.is_empty() => continue,
-                    whole => return Some(Ok(whole)),
+                    whole => {
+                        self.note_pace();
+                        return Some(Ok(whole));
+                    }
                 },
                 Next::End if !self.events.is_cut() => {
                     self.record.end("complete");
@@ -95,12 +112,45 @@
         }
     }
 
+    /// Notes whole events that have come, and once how fast they come.
+    fn note_pace(&mut self) {
+        let now = Instant::now();
+        let first = *self.pace.first.get_or_insert(now);
+        self.pace.pieces += 1;
+        if self.pace.told || self.pace.pieces <= PACE_GAPS {
+            return;
+        }
+        self.pace.told = true;
+        let took = now - first;
+        let (service, version) = (&self.plan.service, &self.answer.running.version);
+        let mut state = self.cx.state();
+        state
+            .roll_outs
+            .timed(service, version, self.plan.event_pace(), took);
+    }
+
+    /// When the events are late enough to count as slow: waiting for those of a slow version to
+    /// come would hide for seconds what is slow.
+    fn slow_at(&self) -> Option<Instant> {
+        let first = self.pace.first.filter(|_| !self.pace.told)?;
+        let state = self.cx.state();
+        let bound = state.roll_outs.slow_after(self.plan.event_pace())?;
+        Some(first + bound)
+    }
+
+    fn note_slow(&mut self) {
+        self.pace.told = true;
+        let (service, version) = (&self.plan.service, &self.answer.running.version);
+        self.cx.state().roll_outs.judged(service, version, true);
+    }
+
     async fn read(&mut self) -> Next {
         let gap = self.plan.route().target_gap.unwrap_or(USUAL_GAP);
         let began = Instant::now();
         let mut check = began + gap.mul_f64(PATIENCE);
         loop {
-            let until = check.min(self.plan.limit);
+            let slow_at = self.slow_at();
+            let until = check.min(self.plan.limit).min(slow_at.unwrap_or(check));
             match timeout_at(until, next_piece(&mut self.answer.body)).await {
                 Ok(Some(Ok(piece))) => {
                     self.answer.running.heard();
@@ -109,6 +159,7 @@
                 Ok(Some(Err(err))) => return Next::Broken(err.to_string()),
                 Ok(None) => return Next::End,
                 Err(_) if Instant::now() >= self.plan.limit => return Next::LimitReached,
+                Err(_) if slow_at.is_some_and(|at| Instant::now() >= at) => self.note_slow(),
                 Err(_) if self.is_better_elsewhere(gap, began).await => {
                     return Next::Broken("silent".to_owned());
                 }
@@ -158,6 +209,7 @@
                     );
                     self.cx.metrics.resumed.inc();
                     self.answer = answer;
+                    self.pace = EventPace::default();
                     return Ok(());
                 }
                 Ok(answer) => reason = format!("{} on resumption", answer.head.status),
