Let larger models use more of the budget, weigh load by model, yield quality under load

Cause: of 944 answers of which a small model was not sure, 225 were kept for want of budget, since 70% of what a node may save up was left for broken streams; loads counted a request of the largest model like one of the smallest, whose work is a tenth. Change: 20% is kept; load is weighted by relative cost; the threshold falls with the wait at the largest model; a live engine is given up after four wanted pauses or 2.5 targets.

--- a/crates/oatdale-policy/src/average.rs
+++ b/crates/oatdale-policy/src/average.rs
@@ -35,7 +35,7 @@
 
 /// A mean over samples that forgets old ones; the first samples count in full.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Mean {
+pub struct Mean {
     value: f64,
     samples: f64,
     memory: f64,
@@ -43,7 +43,7 @@
 
 impl Mean {
     /// A mean that remembers about `memory` samples.
-    pub(crate) fn new(memory: f64) -> Self {
+    pub fn new(memory: f64) -> Self {
         Mean {
             value: 0.0,
             samples: 0.0,
@@ -51,13 +51,14 @@
         }
     }
 
-    pub(crate) fn add(&mut self, sample: f64) {
+    /// Notes a sample.
+    pub fn add(&mut self, sample: f64) {
         self.samples = (self.samples + 1.0).min(self.memory);
         self.value += (sample - self.value) / self.samples;
     }
 
     /// The mean, or `default` before the first sample.
-    pub(crate) fn get_or(&self, default: f64) -> f64 {
+    pub fn get_or(&self, default: f64) -> f64 {
         match self.samples > 0.0 {
             true => self.value,
             false => default,
@@ -65,7 +66,7 @@
     }
 
     /// How many samples it rests on.
-    pub(crate) fn samples(&self) -> f64 {
+    pub fn samples(&self) -> f64 {
         self.samples
     }
 }
--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -20,7 +20,7 @@
 mod placement;
 mod roll_out;
 
-pub use crate::average::Rate;
+pub use crate::average::{Mean, Rate};
 pub use crate::budget::Budget;
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
--- a/crates/oatdale-policy/src/relay/ladder.rs
+++ b/crates/oatdale-policy/src/relay/ladder.rs
@@ -14,12 +14,28 @@
 ///
 /// Models in between are left out: each step reads the whole prompt again, and a second step would
 /// do so twice.
+///
+/// Large models take ten times the time of small ones. When many requests come at once, making
+/// answers again makes all of them late; so the longer the largest model lets requests wait, the
+/// less sure an answer has to be.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Ladder {
-    /// Confidence from 0 to 100 below which an answer is made again.
+    /// Confidence from 0 to 100 below which an answer is made again while there is room.
     pub threshold: u8,
+    /// How long the largest model lets requests wait lately, as a part of what callers accept.
+    pub wait: f64,
 }
 
+/// Up to this wait the threshold stays as it is.
+const EASY_WAIT: f64 = 0.3;
+
+/// From this wait on only the least part of the threshold is left.
+const HARD_WAIT: f64 = 0.8;
+
+/// The part of the threshold that is always left: answers of which the model is not sure at all
+/// are worth nothing, also when they are in time.
+const LEAST_PART: f64 = 0.25;
+
 impl Ladder {
     /// Decides about an answer of the model at `at` in a ladder of `sizes` models.
     ///
@@ -27,8 +43,13 @@
     pub fn step(&self, at: usize, sizes: usize, confidence: Option<u8>, room: bool) -> Step {
         let top = sizes.saturating_sub(1);
         match confidence {
-            Some(sure) if room && at < top && sure < self.threshold => Step::Up(top),
+            Some(sure) if room && at < top && f64::from(sure) < self.bound() => Step::Up(top),
             _ => Step::Keep,
         }
     }
+
+    fn bound(&self) -> f64 {
+        let hard = (self.wait - EASY_WAIT) / (HARD_WAIT - EASY_WAIT);
+        f64::from(self.threshold) * (1.0 - hard).clamp(LEAST_PART, 1.0)
+    }
 }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -19,8 +19,8 @@
 const PATIENCE: f64 = 0.6;
 
 /// So many times a route's target is longer than the wait at a busy engine: the request itself is
-/// lost.
-const LOST: f64 = 1.5;
+/// lost. Before, another engine would let it wait from the beginning.
+const LOST: f64 = 2.5;
 
 /// What is waited at the least, so that one slow answer does not count as silence.
 const LEAST_PATIENCE: Duration = Duration::from_millis(60);
@@ -191,6 +191,10 @@
     result: &Result<Head, Failure>,
     took: Duration,
 ) {
+    if plan.is_largest() && matches!(result, Ok(_) | Err(Failure::GivenUp)) {
+        let part = took.as_secs_f64() / target(plan).as_secs_f64().max(0.001);
+        cx.state().note_wait(&plan.service, part);
+    }
     let failed = match result {
         Ok((head, ..)) => {
             let failed = head.status.is_server_error();
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -11,7 +11,7 @@
 use http::{Request, Uri};
 use http_body_util::Full;
 use oatdale_platform::{Pool, PoolConfig, Reuse};
-use oatdale_policy::relay::{Budget, Candidate, Placement, choose};
+use oatdale_policy::relay::{Budget, Candidate, Mean, Placement, choose};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -40,12 +40,15 @@
 /// The part of what a node may save up that larger models leave: a stream that breaks off is lost
 /// without a repeat, an answer of a small model is only worse. When an endpoint with several
 /// streams of one node dies, all of them need one at once.
-const KEPT_FOR_BROKEN: f64 = 0.7;
+const KEPT_FOR_BROKEN: f64 = 0.2;
 
 /// The part of the time for a stop in which new streams are taken: most of them end within the
 /// rest of it.
 const STREAMS_WHILE_STOPPING: f64 = 0.3;
 
+/// Answers over which the wait at largest models is averaged: some seconds of one node's.
+const WAIT_MEMORY: f64 = 12.0;
+
 /// How long an engine may take to say that it is alive.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -67,6 +70,8 @@
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
     budgets: HashMap<String, Budget>,
+    /// How long largest models let requests wait, as parts of their targets, by service.
+    waits: HashMap<String, Mean>,
     /// When the node was told to stop, if it was.
     pub(crate) stopping: Option<Instant>,
 }
@@ -113,6 +118,7 @@
                 roll_outs: RollOuts::default(),
                 nodes: Nodes::default(),
                 budgets: HashMap::new(),
+                waits: HashMap::new(),
                 stopping: None,
             }),
             settings,
@@ -261,6 +267,17 @@
 }
 
 impl State {
+    /// Notes how long a largest model let a request wait, as a part of its target.
+    pub(crate) fn note_wait(&mut self, service: &str, part: f64) {
+        let mean = self.waits.entry(service.to_owned());
+        mean.or_insert_with(|| Mean::new(WAIT_MEMORY)).add(part);
+    }
+
+    /// How long largest models let requests wait lately, as a part of their targets.
+    pub(crate) fn wait(&self, service: &str) -> f64 {
+        self.waits.get(service).map_or(0.0, |mean| mean.get_or(0.0))
+    }
+
     /// Whether this node has work on another version of a service than `target`.
     pub(crate) fn has_other_work(&self, service: &str, target: &str) -> bool {
         self.directory
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -127,6 +127,17 @@
         self.facts.session.as_ref().map(hash)
     }
 
+    /// Whether there would be an attempt left after the next one.
+    pub(crate) fn has_attempts_after_next(&self) -> bool {
+        self.sends + 1 < self.route().attempts
+    }
+
+    /// Whether the largest model of a ladder is asked.
+    pub(crate) fn is_largest(&self) -> bool {
+        let sizes = self.route().ladder.len();
+        sizes > 1 && self.size + 1 == sizes
+    }
+
     /// Answers that take about as long as each other: those of one plain route.
     pub(crate) fn answer_pace(&self) -> Pace {
         hash(&("answer", &self.route().prefix))
@@ -137,9 +148,16 @@
         hash(&("event", self.size))
     }
 
+    /// The work that the request makes at an endpoint: a long prompt and a large model hold up all
+    /// others there.
     fn weight(&self) -> f64 {
         let tokens = self.facts.prompt.as_ref().map_or(0, |p| p.tokens_in);
-        1.0 + f64::from(tokens) / TOKENS_PER_REQUEST
+        let facts = self.site.services.get(&self.service);
+        let cost = match (facts, self.model()) {
+            (Some(facts), Some(model)) => facts.relative_cost(model),
+            _ => 1.0,
+        };
+        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * cost
     }
 
     /// Hash of the part of the prompt that others share, with the model that would keep it.
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -251,7 +251,7 @@
         }
         let how = Send {
             last_event: plan.facts.last_event,
-            impatient: idempotent && plan.sends + 1 < plan.route().attempts,
+            impatient: idempotent && plan.has_attempts_after_next(),
         };
         let failure = match attempt::attempt(cx, plan, how).await {
             Ok(answer) => match examine(cx, plan, answer, how.impatient).await {
@@ -322,6 +322,7 @@
         let room = plan.has_attempts();
         let ladder = Ladder {
             threshold: cx.settings.ladder.least_confidence,
+            wait: cx.state().wait(&plan.service),
         };
         plan.confidences.extend(answer.facts.confidence);
         let step = ladder.step(plan.size, sizes, answer.facts.confidence, room);
--- a/crates/oatdale-relay/src/site.rs
+++ b/crates/oatdale-relay/src/site.rs
@@ -68,6 +68,8 @@
 pub struct ServiceFacts {
     /// Connections that one endpoint accepts from all nodes together.
     pub connections: u32,
+    /// What each model costs for the same work; only the ratios count.
+    pub model_costs: HashMap<String, f64>,
 }
 
 /// Bounds on what callers send.
@@ -140,6 +142,18 @@
     }
 }
 
+impl ServiceFacts {
+    /// How much work a model makes of a request, from 0 to 1, the dearest of the service being 1.
+    /// Prices follow the time that engines take.
+    pub fn relative_cost(&self, model: &str) -> f64 {
+        let most = self.model_costs.values().copied().fold(0.0, f64::max);
+        match self.model_costs.get(model) {
+            Some(cost) if most > 0.0 => cost / most,
+            _ => 1.0,
+        }
+    }
+}
+
 impl Site {
     /// Puts a configuration together.
     pub fn new(
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -24,8 +24,9 @@
 const USUAL_GAP: Duration = Duration::from_secs(2);
 
 /// A pause of so many times the wanted one is a broken stream, even if the endpoint sends to
-/// other requests.
-const STUCK: f64 = 2.0;
+/// other requests. A shorter one is an engine with much to do: another one would have to read the
+/// prompt first, and the answer is late either way.
+const STUCK: f64 = 4.0;
 
 /// Pauses between events over which a stream's pace is taken: few, so that a slow version is found
 /// before its first streams end.
@@ -196,7 +197,7 @@
         {
             let how = Send {
                 last_event,
-                impatient: true,
+                impatient: self.plan.has_attempts_after_next(),
             };
             self.cx.metrics.repeats.inc();
             match attempt::attempt(&self.cx, &mut self.plan, how).await {
