--- /dev/null
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -0,0 +1,240 @@
+//! Decisions about requests that pass through unread.
+
+use oatdale_policy::relay::{
+    Budget, Candidate, Counts, Exposure, Health, Ladder, Phase, Placement, Step, Tally, Verdict,
+    choose, phase, shows_new, switched_for, trial_share, verdict,
+};
+use std::time::Duration;
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn candidate(in_flight: f64, same_domain: bool, affinity: u64) -> Candidate {
+    Candidate {
+        in_flight,
+        same_domain,
+        affinity,
+    }
+}
+
+// One subject gets much of the traffic. The endpoint that keeps its prefix would get all of it,
+// and its callers would wait while others are idle.
+#[test]
+fn a_prefix_leaves_its_endpoint_when_that_is_far_above_the_others() {
+    let others = [candidate(1.0, true, 2), candidate(1.0, true, 1)];
+    let at = |load| {
+        choose(
+            &[candidate(load, true, 9), others[0], others[1]],
+            Placement::Affinity,
+            0,
+        )
+    };
+    assert_eq!(at(1.0), Some(0));
+    assert_eq!(at(3.0), Some(0));
+    assert_eq!(at(12.0), Some(1));
+}
+
+#[test]
+fn the_own_failure_domain_goes_first_until_it_has_more_to_do() {
+    let pick = |own, other| {
+        let all = [candidate(other, false, 0), candidate(own, true, 0)];
+        choose(&all, Placement::Load, 0)
+    };
+    assert_eq!(pick(1.0, 0.0), Some(1));
+    assert_eq!(pick(3.0, 0.0), Some(0));
+    assert_eq!(choose(&[], Placement::Load, 5), None);
+}
+
+// All requests arrive at idle endpoints. Were the first in the list taken each time, all nodes would
+// send to the same one.
+#[test]
+fn equals_are_taken_by_draw() {
+    let all = [candidate(0.0, true, 0); 4];
+    let picks: Vec<_> = (0..4)
+        .filter_map(|draw| choose(&all, Placement::Load, draw))
+        .collect();
+    assert_eq!(picks, [0, 1, 2, 3]);
+}
+
+#[test]
+fn an_unreachable_endpoint_rests_longer_each_time_and_is_tried_again() {
+    let mut health = Health::default();
+    let mut now = secs(10);
+    let mut rests = Vec::new();
+    for _ in 0..5 {
+        health.silent(now);
+        let began = now;
+        while health.rests(now) {
+            now += Duration::from_millis(100);
+        }
+        rests.push(now - began);
+    }
+    assert!(rests.is_sorted(), "{rests:?}");
+    assert!(rests[4] <= secs(3), "{rests:?}");
+    health.answered(true);
+    health.silent(now);
+    assert!(!health.rests(now + Duration::from_millis(500)));
+}
+
+// An endpoint fails a third of its requests while its health check is good. It should get fewer of
+// them, and be used again when it has recovered.
+#[test]
+fn a_failing_endpoint_counts_as_loaded_until_it_recovers() {
+    let mut health = Health::default();
+    assert!(health.burden() <= 1.0);
+    for n in 0..30 {
+        health.answered(n % 2 == 0);
+    }
+    assert!(health.burden() > 3.0);
+    for _ in 0..10 {
+        health.answered(true);
+    }
+    assert!(health.burden() <= 1.0);
+}
+
+// Endpoints fail because they are overloaded. Were each request sent again, they would stay so.
+#[test]
+fn repeats_stay_below_their_share_of_the_requests() {
+    let mut budget = Budget::new(0.5, 4.0);
+    let mut spent = 0;
+    for _ in 0..100 {
+        budget.deposit();
+        while budget.withdraw() {
+            spent += 1;
+        }
+    }
+    assert_eq!(spent, 53);
+}
+
+#[test]
+fn a_use_that_can_wait_leaves_some_of_the_budget() {
+    let mut budget = Budget::new(0.5, 10.0);
+    let mut waited = 0;
+    while budget.withdraw_above(0.2) {
+        waited += 1;
+    }
+    let mut left = 0;
+    while budget.withdraw() {
+        left += 1;
+    }
+    assert_eq!((waited, left), (8, 2));
+}
+
+#[test]
+fn an_answer_is_made_again_only_when_it_is_unsure_and_there_is_room() {
+    let ladder = Ladder {
+        threshold: 50,
+        wait: 0.0,
+    };
+    assert_eq!(ladder.step(0, 3, Some(20), true), Step::Up(2));
+    assert_eq!(ladder.step(0, 3, Some(50), true), Step::Keep);
+    assert_eq!(ladder.step(0, 3, Some(20), false), Step::Keep);
+    assert_eq!(ladder.step(2, 3, Some(20), true), Step::Keep);
+    assert_eq!(ladder.step(0, 3, None, true), Step::Keep);
+    assert_eq!(ladder.step(0, 0, Some(1), true), Step::Keep);
+}
+
+// Many requests come at once, and the largest model makes them wait. Were as many answers made
+// again as before, all would be late.
+#[test]
+fn quality_yields_when_the_largest_model_makes_requests_wait() {
+    let made_again = |wait| {
+        let ladder = Ladder {
+            threshold: 46,
+            wait,
+        };
+        (0..=100)
+            .filter(|&sure| ladder.step(0, 3, Some(sure), true) != Step::Keep)
+            .count()
+    };
+    assert_eq!(made_again(0.0), 46);
+    assert_eq!(made_again(0.3), 46);
+    assert!((20..=25).contains(&made_again(0.55)));
+    // What is hopeless is made again at any load.
+    assert_eq!(made_again(5.0), 12);
+}
+
+const USUAL: Exposure = Exposure {
+    share: 0.15,
+    slack: 30.0,
+};
+
+// A version is bad in a way that its trial never shows, for example under a load that does not come.
+// It must not have had more requests than operators allow when its time is over.
+#[test]
+fn a_version_whose_fault_never_shows_stays_within_its_exposure() {
+    for duration in [5, 9, 12, 16, 24, 60, 600].map(secs) {
+        for rate in [1.0, 5.0, 20.0, 75.0, 400.0] {
+            let share = trial_share(USUAL, rate, duration);
+            let step = Duration::from_millis(50);
+            let mut exposed = 0.0;
+            let mut now = Duration::ZERO;
+            while now < duration {
+                exposed += rate
+                    * 0.05
+                    * match phase(now, duration, Verdict::Sound) {
+                        Phase::Announced => 0.0,
+                        Phase::Trial => share,
+                        Phase::Switched | Phase::Done => 1.0,
+                    };
+                now += step;
+            }
+            let allowed = USUAL.share * rate * duration.as_secs_f64() + USUAL.slack;
+            // At the highest rates the time for the switch alone is more than that on short orders.
+            let at_least = switched_for(duration).as_secs_f64() * rate;
+            assert!(
+                exposed <= allowed.max(at_least * 1.2),
+                "{duration:?} at {rate}: {exposed:.0} of {allowed:.0}"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_phases_follow_each_other_and_a_bad_version_stays_in_its_trial() {
+    let duration = secs(20);
+    let all: Vec<_> = (0..=200)
+        .map(|n| phase(Duration::from_millis(n * 100), duration, Verdict::Sound))
+        .collect();
+    let mut seen = all.clone();
+    seen.dedup();
+    assert_eq!(
+        seen,
+        [Phase::Announced, Phase::Trial, Phase::Switched, Phase::Done]
+    );
+    assert_eq!(phase(secs(19), duration, Verdict::Bad), Phase::Trial);
+    assert!(shows_new(Phase::Switched, 0.0, u64::MAX));
+    assert!(!shows_new(Phase::Announced, 1.0, 0));
+}
+
+fn tally(new: [u64; 4], old: [u64; 4]) -> Tally {
+    let counts = |[answers, failed, timed, slow]: [u64; 4]| Counts {
+        answers,
+        failed,
+        timed,
+        slow,
+    };
+    Tally {
+        new: counts(new),
+        old: counts(old),
+    }
+}
+
+#[test]
+fn a_version_is_judged_by_what_the_old_one_does_at_the_same_time() {
+    let cases = [
+        // Four failures among ten answers, while the old version has none.
+        (tally([10, 4, 8, 0], [200, 1, 150, 2]), Verdict::Bad),
+        // Trouble that hits both alike.
+        (tally([20, 6, 15, 0], [200, 60, 150, 2]), Verdict::Sound),
+        // A service that fails one answer in seven is slow now; its failures must not hide it.
+        (tally([40, 5, 30, 12], [200, 28, 150, 4]), Verdict::Bad),
+        // One failure is chance.
+        (tally([3, 1, 2, 0], [100, 1, 80, 1]), Verdict::Sound),
+        (tally([0, 0, 0, 0], [0, 0, 0, 0]), Verdict::Sound),
+    ];
+    for (tally, expected) in cases {
+        assert_eq!(verdict(&tally), expected, "{tally:?}");
+    }
+}
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -184,6 +184,11 @@
         self.entries.values().filter(|e| e.gone == Gone::No).count()
     }
 
+    /// How many endpoints are remembered, those that are gone among them.
+    pub fn known(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Whether no endpoint is known.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- /dev/null
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -0,0 +1,81 @@
+//! Endpoints that come, leave and go missing.
+
+use oatdale_relay::{Directory, Endpoint};
+use std::time::Duration;
+
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        service: "pool".to_owned(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".to_owned(),
+        version: "v1".to_owned(),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn usable(directory: &Directory, now: Duration) -> Vec<String> {
+    let all = directory.usable(now, "pool");
+    all.map(|(_, e)| e.endpoint.id.clone()).collect()
+}
+
+#[test]
+fn a_missing_entry_in_steady_times_is_a_leaving_endpoint() {
+    let mut directory = Directory::default();
+    directory.replace(ms(0), vec![endpoint("x"), endpoint("y")]);
+    directory.remove(ms(100), "x");
+    assert_eq!(usable(&directory, ms(100)), ["y"]);
+    directory.replace(ms(200), vec![endpoint("y"), endpoint("z")]);
+    assert_eq!(usable(&directory, ms(200)), ["y", "z"]);
+}
+
+// All entries lapse while the key-value service is away. Were they taken for gone at its return,
+// every request would be refused until they are written anew.
+#[test]
+fn entries_that_lapsed_in_an_outage_may_come_back() {
+    let mut directory = Directory::default();
+    directory.replace(ms(0), vec![endpoint("x"), endpoint("y")]);
+    directory.store_lost();
+    directory.store_back(ms(5_000));
+    directory.replace(ms(5_000), Vec::new());
+    assert_eq!(usable(&directory, ms(5_100)), ["x", "y"]);
+    directory.upsert(ms(6_000), endpoint("y"));
+    directory.tick(ms(7_000));
+    assert_eq!(usable(&directory, ms(7_000)), ["y"]);
+    // Steady again: a missing entry counts at once.
+    directory.remove(ms(8_000), "y");
+    assert!(usable(&directory, ms(8_000)).is_empty());
+}
+
+// A node reads an older record of an endpoint after it has heard that the endpoint leaves. It must
+// not send anything there again.
+#[test]
+fn an_endpoint_that_leaves_never_comes_back_under_its_id() {
+    let mut directory = Directory::default();
+    directory.upsert(ms(0), endpoint("x"));
+    let leaving = Endpoint {
+        leaving: true,
+        ..endpoint("x")
+    };
+    directory.upsert(ms(10), leaving);
+    directory.upsert(ms(20), endpoint("x"));
+    assert!(usable(&directory, ms(20)).is_empty());
+}
+
+// Endpoints are replaced all day. What is kept of those that are gone must not grow for ever.
+#[test]
+fn endpoints_that_are_long_gone_are_forgotten() {
+    let mut directory = Directory::default();
+    for n in 0..1_000_u64 {
+        let id = format!("e{n}");
+        directory.upsert(ms(n * 1_000), endpoint(&id));
+        directory.remove(ms(n * 1_000 + 500), &id);
+    }
+    assert_eq!(directory.len(), 0);
+    assert!(directory.known() < 100, "{}", directory.known());
+}
--- /dev/null
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -0,0 +1,148 @@
+//! What a node makes of orders, of its own answers and of other nodes' reports.
+
+use oatdale_policy::relay::Exposure;
+use oatdale_relay::{Allowed, RollOut, RollOutEnd, RollOuts};
+use std::time::Duration;
+
+const USUAL: Exposure = Exposure {
+    share: 0.15,
+    slack: 30.0,
+};
+
+/// A hash that belongs to every trial.
+const IN_TRIAL: u64 = 0;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn order(number: u64, end: Option<RollOutEnd>) -> RollOut {
+    RollOut {
+        service: "pool".to_owned(),
+        target: format!("v{number}"),
+        duration: ms(10_000),
+        order: number,
+        end,
+    }
+}
+
+fn node() -> RollOuts {
+    let mut node = RollOuts::default();
+    node.update(ms(0), order(2, None));
+    node.settle_shares(ms(1_200), USUAL);
+    node
+}
+
+fn is_old(allowed: &Allowed) -> bool {
+    matches!(allowed, Allowed::Not(version) if version == "v2")
+}
+
+#[test]
+fn a_trial_begins_after_nodes_have_told_each_other_of_sessions() {
+    let node = node();
+    assert!(is_old(&node.allowed(ms(500), "pool", None, IN_TRIAL)));
+    let allowed = node.allowed(ms(2_000), "pool", None, IN_TRIAL);
+    assert!(matches!(allowed, Allowed::Trial { .. }), "{allowed:?}");
+    assert!(is_old(&node.allowed(ms(2_000), "pool", None, u64::MAX)));
+    assert_eq!(
+        node.allowed(ms(2_000), "desk", None, IN_TRIAL),
+        Allowed::All
+    );
+}
+
+// A session began on the old version at another node. Its next request comes to this one, which has
+// never seen it: it must stay on the old version, or one session would mix two of them.
+#[test]
+fn a_session_that_another_node_knows_stays_on_its_version() {
+    let mut here = node();
+    let mut there = node();
+    there.pin(ms(900), IN_TRIAL, "v1");
+    for report in there.reports(ms(1_500), ms(5_000), "there", |_, _| false) {
+        here.heard(ms(1_500), &report);
+    }
+    assert!(is_old(&here.allowed(ms(2_000), "pool", Some(IN_TRIAL), 7)));
+    // Once all requests go to the new version, it goes along.
+    let late = here.allowed(ms(9_900), "pool", Some(IN_TRIAL), 7);
+    assert_eq!(late, Allowed::Prefer("v2".to_owned()));
+}
+
+// The key-value service turns a node away, which therefore knows of no order. It must not go on
+// with the old version when all others have left it.
+#[test]
+fn a_node_hears_of_an_order_and_of_its_age_from_others() {
+    let mut late = RollOuts::default();
+    for report in node().reports(ms(9_500), ms(5_000), "there", |_, _| true) {
+        late.heard(ms(100_000), &report);
+    }
+    let allowed = late.allowed(ms(100_000), "pool", None, u64::MAX);
+    assert_eq!(allowed, Allowed::Prefer("v2".to_owned()));
+}
+
+// Three nodes see one failure each, too few for any of them. Together they are enough.
+#[test]
+fn failures_are_added_up_over_nodes() {
+    let mut nodes = [node(), node(), node()];
+    for node in &mut nodes {
+        for _ in 0..2 {
+            node.answered("pool", "v2", true, None);
+        }
+        for _ in 0..20 {
+            node.answered("pool", "v1", false, None);
+        }
+    }
+    let reports: Vec<_> = nodes
+        .iter()
+        .zip(["a", "b", "c"])
+        .flat_map(|(n, host)| n.reports(ms(2_000), ms(5_000), host, |_, _| false))
+        .collect();
+    let here = &mut nodes[0];
+    assert!(here.due(ms(2_000), 0, |_, _| false).is_empty());
+    here.heard(ms(2_000), &reports[1]);
+    here.heard(ms(2_000), &reports[2]);
+    assert!(is_old(&here.allowed(ms(2_000), "pool", None, IN_TRIAL)));
+    let due = here.due(ms(2_000), 0, |_, _| false);
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].1, RollOutEnd::RolledBack);
+}
+
+// Two nodes and an older record disagree. An end stays one until a new order comes.
+#[test]
+fn an_end_is_not_taken_back() {
+    let mut node = node();
+    node.update(ms(3_000), order(2, Some(RollOutEnd::RolledBack)));
+    node.update(ms(3_100), order(2, None));
+    assert!(is_old(&node.allowed(ms(9_900), "pool", None, u64::MAX)));
+    node.update(ms(3_200), order(1, Some(RollOutEnd::Completed)));
+    assert!(is_old(&node.allowed(ms(9_900), "pool", None, u64::MAX)));
+    node.update(ms(20_000), order(3, None));
+    let allowed = node.allowed(ms(20_100), "pool", None, u64::MAX);
+    assert_eq!(allowed, Allowed::Not("v3".to_owned()));
+}
+
+// The end is written while nothing is under way on the old version, or shortly before the time is
+// over: an old endpoint stops at once then, and what it does is cut off.
+#[test]
+fn the_end_waits_for_the_old_version_but_not_too_long() {
+    let due_at = |busy: bool| {
+        let mut node = node();
+        (0..200)
+            .map(|n| ms(n * 50))
+            .find(|now| !node.due(*now, 0, |_, _| busy).is_empty())
+    };
+    let (idle, busy) = (due_at(false).unwrap(), due_at(true).unwrap());
+    assert!(idle < busy, "{idle:?} {busy:?}");
+    assert!(busy < ms(9_800), "{busy:?}");
+}
+
+// Nine nodes come to the same end. Were all of them to write it, the service would get nine calls.
+#[test]
+fn nodes_take_turns_in_writing_the_end() {
+    let due_at = |rank: usize| {
+        let mut node = node();
+        (0..400)
+            .map(|n| ms(n * 50))
+            .find(|now| !node.due(*now, rank, |_, _| false).is_empty())
+    };
+    assert!(due_at(0) < due_at(1));
+    assert!(due_at(1) < due_at(2));
+}
