--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -84,12 +84,14 @@
     let took = sent.elapsed();
     // A request that was never sent is no send of it.
     plan.sends += u32::from(!matches!(result, Err(Failure::NotSent(_))));
-    log::debug!(
+    log::info!(
         target: "attempt",
-        "event=attempt id={} endpoint={} version={} model={} last_event={:?} took_ms={} end={}",
-        plan.facts.id.as_deref().unwrap_or("-"), running.id, running.version,
-        plan.model().unwrap_or("-"), how.last_event, took.as_millis(),
-        result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.to_string())
+        "event=attempt id={} config={} service={} endpoint={} version={} model={} load={:.1} of={} \
+         after_event={:?} left_ms={} took_ms={} end={}",
+        plan.facts.id.as_deref().unwrap_or("-"), plan.site.version, plan.service, running.id,
+        running.version, plan.model().unwrap_or("-"), running.load_before, running.choices,
+        how.last_event, plan.left().as_millis(), took.as_millis(),
+        result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
     );
     learn(cx, plan, &running, &result, took);
     result.map(|(head, facts, body)| Answer {
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -97,6 +97,9 @@
     pub(crate) addr: SocketAddr,
     pub(crate) id: String,
     pub(crate) version: String,
+    /// The endpoint's load when it was picked, and among how many: for the log.
+    pub(crate) load_before: f64,
+    pub(crate) choices: usize,
 }
 
 impl<W: Wire> Cx<W> {
@@ -217,8 +220,9 @@
     pub(crate) fn place(self: &Arc<Self>, wanted: &Wanted<'_>) -> Option<Running<W>> {
         let now = self.now();
         let mut state = self.state();
-        let key = state.pick(now, wanted, &self.settings.failure_domain)?;
+        let (key, choices) = state.pick(now, wanted, &self.settings.failure_domain)?;
         let entry = state.directory.get_mut(key)?;
+        let load_before = entry.load;
         entry.running += 1;
         entry.load += wanted.weight;
         Some(Running {
@@ -228,6 +232,8 @@
             addr: entry.endpoint.addr,
             id: entry.endpoint.id.clone(),
             version: entry.endpoint.version.clone(),
+            load_before,
+            choices,
         })
     }
 
@@ -292,7 +298,13 @@
             .any(|e| e.endpoint.version != target)
     }
 
-    fn pick(&self, now: Duration, wanted: &Wanted<'_>, domain: &str) -> Option<EndpointKey> {
+    /// The endpoint for a request, and among how many it was picked.
+    fn pick(
+        &self,
+        now: Duration,
+        wanted: &Wanted<'_>,
+        domain: &str,
+    ) -> Option<(EndpointKey, usize)> {
         let all: Vec<_> = self
             .directory
             .usable(now, wanted.service)
@@ -344,7 +356,7 @@
             None => Placement::Load,
         };
         let at = choose(&candidates, placement, rand::random())?;
-        Some(listed[at].0)
+        Some((listed[at].0, candidates.len()))
     }
 }
 
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -158,10 +158,16 @@
         return Err(Refusal::BadRequest);
     }
     let host = host(&head.headers).ok_or(Refusal::BadRequest)?;
+    record.about = format!("config={} ", site.version);
     let route = site.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
     strip(&mut head.headers);
     let mut plan = Plan::new(site, route, facts, head, arrival)?;
-    record.about = format!("route={} service={} ", plan.route().name, plan.service);
+    record.about = format!(
+        "config={} route={} service={} ",
+        plan.site.version,
+        plan.route().name,
+        plan.service
+    );
     plan.authenticate()?;
     if plan.route().kind.is_stream() && !cx.has_time_for_stream() {
         return Err(Refusal::Stopping);
@@ -198,7 +204,8 @@
     cx.count_request(&plan.service);
     let result = ask(cx, &mut plan).await;
     record.about = format!(
-        "route={} service={} session={} model={} sends={} sure={:?} ",
+        "config={} route={} service={} session={} model={} sends={} sure={:?} ",
+        plan.site.version,
         plan.route().name,
         plan.service,
         plan.facts.session.as_deref().unwrap_or("-"),
