--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -1,7 +1,8 @@
 //! One request to one endpoint, and the exact ways in which it ends.
 
-use crate::cx::{Cx, Running};
+use crate::cx::Cx;
 use crate::plan::Plan;
+use crate::running::Running;
 use crate::wire::{AnswerFacts, Wire};
 use http::response;
 use hyper::body::Incoming;
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -57,8 +57,7 @@
     let now = cx.now();
     let state = cx.state();
     let host = &cx.settings.host;
-    let life = Duration::from_secs_f64(state.bounds.session_s);
-    let reports = state.roll_outs.reports(now, life, host, |service, target| {
+    let reports = state.roll_outs.reports(now, host, |service, target| {
         state.has_other_work(service, target)
     });
     let mut nodes: Vec<_> = state.nodes.iter(now).collect();
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -1,10 +1,12 @@
 //! One request as the relay handles it, from its head to the end of its answer.
 
-use crate::cx::{Cx, Running, Wanted, hash};
+use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::reply::Refusal;
 use crate::roll_outs::Pace;
+use crate::running::Running;
 use crate::site::{Route, Site};
+use crate::state::{Wanted, hash};
 use crate::wire::{Forward, RequestFacts, Wire};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -1,50 +1,25 @@
 //! Roll-outs of endpoint pools: which software version a request may use, what was seen of the
 //! new one by all nodes, and when the end is to be written.
 
+mod active;
+mod rates;
+mod report;
+mod sessions;
+mod usual;
+
 use crate::update::{RollOut, RollOutEnd};
-use oatdale_policy::relay::{
-    Counts, Exposure, Phase, Rate, Tally, Verdict, is_in_trial, phase, shows_new, switched_for,
-    trial_share, verdict,
-};
-use serde::{Deserialize, Serialize};
+use active::{Active, Peer};
+use oatdale_policy::relay::{Counts, Exposure, Phase, Tally, Verdict, shows_new};
+use rates::Rates;
+use report::{counts, millis, numbers};
+use sessions::Sessions;
 use std::collections::HashMap;
 use std::time::Duration;
+use usual::UsualTimes;
 
-/// What another node said counts for so long; one that stopped has no work left.
-const REPORT_LIFE: Duration = Duration::from_secs(2);
-
-/// Time between two attempts to write the end, which may have been lost.
-const ASK_AGAIN: Duration = Duration::from_millis(1_000);
-
-/// The end is written by the first node by name, and by the next one if nothing was seen of it
-/// after this time, so that not all nodes write at once.
-const TURN: Duration = Duration::from_millis(250);
-
-/// Nodes that take part in these turns, and that others report to: enough that some are alive.
-pub(crate) const JUDGES: usize = 8;
-
-/// The part of the time after the switch at which the end is written though a node still has work
-/// on the old version: an end that is late is no end, and the write may have to be repeated.
-const COMPLETE_ANYWAY: f64 = 0.5;
-
-/// How many times longer than usual an answer has to take to count as slow. Some of the old
-/// version's do as well; what counts is how many more.
-const SLOW: f64 = 2.5;
-
-/// Time that never counts as slow: a few milliseconds more are the network's and the scheduler's.
-const NOT_SLOW: Duration = Duration::from_millis(8);
-
-/// Answers of the old version without which nothing is slow: there is no usual time yet.
-const LEAST_USUAL: u32 = 4;
-
-/// Sessions that one report names at most, so that it fits into a datagram.
-const MAX_TOLD: usize = 90;
-
-/// Answers that the usual time is averaged over.
-const MEMORY: f64 = 20.0;
-
-/// Sessions that are remembered at most; the oldest are forgotten first.
-const MAX_SESSIONS: usize = 20_000;
+pub(crate) use active::JUDGES;
+pub use report::Report;
+pub use usual::Pace;
 
 /// Which software versions a request may use.
 #[derive(Clone, PartialEq, Debug)]
@@ -69,110 +44,19 @@
     Not(String),
 }
 
-/// Time over which the rate of requests is averaged.
-const RATE_MEMORY: Duration = Duration::from_secs(5);
-
-/// How much more requests arrive at endpoints than callers send: some are repeated.
-const ARRIVALS: f64 = 1.4;
-
-/// The class of requests that take about as long as each other.
-pub type Pace = u64;
-
-/// What one node tells others of a roll-out.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
-pub struct Report {
-    /// The node.
-    pub host: String,
-    /// The service.
-    pub service: String,
-    /// The order.
-    pub order: u64,
-    /// The version to move to.
-    pub target: String,
-    /// Time that the order gives, in milliseconds.
-    pub duration_ms: u64,
-    /// How long the node has known of the order, in milliseconds.
-    pub age_ms: u64,
-    /// Answers of the new version: all, failed, timed, slow.
-    pub new: [u64; 4],
-    /// The same of the old versions.
-    pub old: [u64; 4],
-    /// Whether it has requests under way on an old version.
-    pub old_busy: bool,
-    /// The node's requests a second for the service.
-    pub rate: f64,
-    /// Sessions that began on an old version and would try the new one if they were new.
-    pub on_old: Vec<u64>,
-}
-
 /// All roll-outs that a node knows of.
 #[derive(Debug, Default)]
 pub struct RollOuts {
     by_service: HashMap<String, Active>,
     /// Usual times of versions that are not on trial, also from before an order.
-    usual: HashMap<Pace, Usual>,
-    sessions: HashMap<u64, Pin>,
-    /// This node's requests a second by service.
-    rates: HashMap<String, Requests>,
+    usual: UsualTimes,
+    sessions: Sessions,
+    /// This node's requests.
+    rates: Rates,
     /// An order has been heard of that other nodes may not know.
     has_news: bool,
 }
 
-/// One roll-out.
-#[derive(Debug)]
-struct Active {
-    roll_out: RollOut,
-    since: Duration,
-    own: Tally,
-    peers: HashMap<String, Peer>,
-    /// Share of requests that try the new version, settled when the trial begins.
-    share: Option<f64>,
-    asked: Option<Duration>,
-    /// Since when the end could be written.
-    due_since: Option<Duration>,
-    /// What was last found, for a log line when it changes.
-    verdict: Verdict,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Peer {
-    tally: Tally,
-    rate: f64,
-    old_busy: bool,
-    seen: Duration,
-}
-
-/// The version that a session runs on.
-#[derive(Clone, Debug)]
-struct Pin {
-    /// `None` if another node said that it is an old one.
-    version: Option<String>,
-    used: Duration,
-}
-
-/// Requests for one service.
-#[derive(Clone, Copy, Debug)]
-struct Requests {
-    rate: Rate,
-    since: Duration,
-}
-
-impl Requests {
-    /// The average knows nothing of the time before the first request, which would make a node that
-    /// has just started take its service for a quiet one.
-    fn a_second(&self, now: Duration) -> f64 {
-        let known = now.saturating_sub(self.since).as_secs_f64() / RATE_MEMORY.as_secs_f64();
-        self.rate.get(now) / (1.0 - (-known.max(0.05)).exp())
-    }
-}
-
-/// A mean time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Usual {
-    secs: f64,
-    answers: u32,
-}
-
 impl RollOuts {
     /// Takes in a roll-out as the operator and the nodes wrote it.
     pub fn update(&mut self, now: Duration, roll_out: RollOut) {
@@ -220,8 +104,7 @@
         }
         let phase = active.phase(now);
         let trial = phase == Phase::Trial;
-        let pin = session.and_then(|s| self.sessions.get(&s));
-        let is_old = pin.is_some_and(|pin| pin.version.as_ref() != Some(&target));
+        let is_old = session.is_some_and(|s| self.sessions.is_on_old(s, &target));
         let share = active.share.unwrap_or(0.0);
         match shows_new(phase, share, session.unwrap_or(hash)) {
             true if trial && is_old => Allowed::Not(target),
@@ -237,16 +120,7 @@
 
     /// Notes a request for a service.
     pub fn count_request(&mut self, now: Duration, service: &str) {
-        let new = || Requests {
-            rate: Rate::new(now, RATE_MEMORY),
-            since: now,
-        };
-        let requests = self.rates.entry(service.to_owned());
-        requests.or_insert_with(new).rate.add(now);
-    }
-
-    fn rate(&self, now: Duration, service: &str) -> f64 {
-        self.rates.get(service).map_or(0.0, |r| r.a_second(now))
+        self.rates.add(now, service);
     }
 
     /// Settles the share of each trial that has begun: what nodes told of their requests until then
@@ -254,7 +128,7 @@
     pub fn settle_shares(&mut self, now: Duration, allowed: Exposure) {
         let services: Vec<String> = self.by_service.keys().cloned().collect();
         for service in services {
-            let own = self.rate(now, &service);
+            let own = self.rates.get(now, &service);
             if let Some(active) = self.by_service.get_mut(&service) {
                 active.settle_share(now, allowed, own);
             }
@@ -263,15 +137,12 @@
 
     /// Notes which version a session's request went to.
     pub fn pin(&mut self, now: Duration, session: u64, version: &str) {
-        if self.sessions.len() < MAX_SESSIONS {
-            let version = Some(version.to_owned());
-            self.sessions.insert(session, Pin { version, used: now });
-        }
+        self.sessions.pin(now, session, version);
     }
 
     /// Forgets sessions that ended.
     pub fn forget_sessions(&mut self, now: Duration, life: Duration) {
-        self.sessions.retain(|_, p| now < p.used + life);
+        self.sessions.forget(now, life);
     }
 
     /// Notes an answer's head: whether the endpoint failed it, and how long it took, if that says
@@ -305,7 +176,7 @@
             .counts(service, version)
             .is_some_and(|(_, is_new)| is_new);
         if !is_new {
-            self.usual.entry(pace).or_default().learn(took);
+            self.usual.learn(pace, took);
         }
     }
 
@@ -322,8 +193,7 @@
 
     /// The time from which on something of a pace counts as slow, if there is a usual one.
     pub fn slow_after(&self, pace: Pace) -> Option<Duration> {
-        let usual = self.usual.get(&pace)?;
-        usual.slow_after()
+        self.usual.slow_after(pace)
     }
 
     /// Where to count a version's answer, and whether it is the new one, while a roll-out is under
@@ -368,11 +238,7 @@
         active.peers.insert(report.host.clone(), peer);
         active.judge();
         for &session in &report.on_old {
-            let pin = self.sessions.entry(session).or_insert(Pin {
-                version: None,
-                used: now,
-            });
-            pin.used = now;
+            self.sessions.pin_old(now, session);
         }
     }
 
@@ -383,12 +249,10 @@
 
     /// What this node tells others of the roll-outs that are under way.
     ///
-    /// `life` is how long a session keeps its version after its last request; `old_busy` says
-    /// whether this node has work on another version of a service than the target.
+    /// `old_busy` says whether this node has work on another version of a service than the target.
     pub fn reports(
         &self,
         now: Duration,
-        life: Duration,
         host: &str,
         old_busy: impl Fn(&str, &str) -> bool,
     ) -> Vec<Report> {
@@ -405,29 +269,15 @@
                 new: numbers(a.own.new),
                 old: numbers(a.own.old),
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
-                rate: self.rate(now, &a.roll_out.service),
-                on_old: self.own_on_old(now, life, a),
+                rate: self.rates.get(now, &a.roll_out.service),
+                // Until the share is settled, all that it could be.
+                on_old: self
+                    .sessions
+                    .to_tell(&a.roll_out.target, a.share.unwrap_or(1.0)),
             })
             .collect()
     }
 
-    /// Sessions that this node itself sees on an old version and that other nodes would take for
-    /// new ones that try the new version.
-    fn own_on_old(&self, now: Duration, life: Duration, active: &Active) -> Vec<u64> {
-        let target = active.roll_out.target.as_str();
-        let on_old = |pin: &Pin| pin.version.as_deref().is_some_and(|v| v != target);
-        // Until the share is settled, all that it could be.
-        let share = active.share.unwrap_or(1.0);
-        self.sessions
-            .iter()
-            .filter(|(hash, pin)| {
-                is_in_trial(share, **hash) && on_old(pin) && now < pin.used + life
-            })
-            .map(|(hash, _)| *hash)
-            .take(MAX_TOLD)
-            .collect()
-    }
-
     /// The ends that this node is to write now. `rank` is its place among the live nodes by name.
     pub fn due(
         &mut self,
@@ -445,144 +295,3 @@
         due
     }
 }
-
-impl Report {
-    fn roll_out(&self) -> RollOut {
-        RollOut {
-            service: self.service.clone(),
-            target: self.target.clone(),
-            duration: Duration::from_millis(self.duration_ms),
-            order: self.order,
-            end: None,
-        }
-    }
-}
-
-fn numbers(counts: Counts) -> [u64; 4] {
-    [counts.answers, counts.failed, counts.timed, counts.slow]
-}
-
-fn counts([answers, failed, timed, slow]: [u64; 4]) -> Counts {
-    Counts {
-        answers,
-        failed,
-        timed,
-        slow,
-    }
-}
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-impl Active {
-    fn new(since: Duration, roll_out: RollOut) -> Self {
-        Active {
-            roll_out,
-            since,
-            own: Tally::default(),
-            peers: HashMap::new(),
-            share: None,
-            asked: None,
-            due_since: None,
-            verdict: Verdict::Sound,
-        }
-    }
-
-    fn total(&self) -> Tally {
-        self.peers.values().fold(self.own, |sum, peer| Tally {
-            new: sum.new.plus(peer.tally.new),
-            old: sum.old.plus(peer.tally.old),
-        })
-    }
-
-    /// Judges anew; a version that was found bad stays so for this order.
-    fn judge(&mut self) {
-        if self.verdict == Verdict::Bad {
-            return;
-        }
-        let total = self.total();
-        let found = verdict(&total);
-        if found != self.verdict {
-            log::info!(
-                target: "roll-out",
-                "event=verdict service={} target={} order={} verdict={found:?} new={:?} old={:?}",
-                self.roll_out.service, self.roll_out.target, self.roll_out.order,
-                numbers(total.new), numbers(total.old)
-            );
-        }
-        self.verdict = found;
-    }
-
-    fn phase(&self, now: Duration) -> Phase {
-        let since = now.saturating_sub(self.since);
-        phase(since, self.roll_out.duration, self.verdict)
-    }
-
-    fn settle_share(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
-        if self.share.is_some() || self.phase(now) == Phase::Announced {
-            return;
-        }
-        let others: f64 = self.peers.values().map(|p| p.rate).sum();
-        let rate = (own_rate + others) * ARRIVALS;
-        let share = trial_share(allowed, rate, self.roll_out.duration);
-        log::info!(
-            target: "roll-out",
-            "event=trial service={} target={} order={} share={share:.2} rate={rate:.1}",
-            self.roll_out.service, self.roll_out.target, self.roll_out.order
-        );
-        self.share = Some(share);
-    }
-
-    fn due(&mut self, now: Duration, rank: usize, busy: bool) -> Option<RollOutEnd> {
-        if self.roll_out.end.is_some() {
-            return None;
-        }
-        let end = match (self.verdict, self.phase(now)) {
-            (Verdict::Bad, _) => RollOutEnd::RolledBack,
-            (_, Phase::Done) if self.old_is_done(now, busy) => RollOutEnd::Completed,
-            _ => return None,
-        };
-        let since = *self.due_since.get_or_insert(now);
-        let turn = since + TURN * rank.min(JUDGES) as u32;
-        let waits = self.asked.is_some_and(|asked| now < asked + ASK_AGAIN);
-        if now < turn || waits {
-            return None;
-        }
-        self.asked = Some(now);
-        let total = self.total();
-        log::info!(
-            target: "roll-out",
-            "event=ending service={} target={} order={} end={end:?} age_ms={} new={:?} old={:?}",
-            self.roll_out.service, self.roll_out.target, self.roll_out.order,
-            now.saturating_sub(self.since).as_millis(),
-            numbers(total.new), numbers(total.old)
-        );
-        Some(end)
-    }
-
-    /// Whether no node has work on the old version, or there is no time left to wait for it.
-    fn old_is_done(&self, now: Duration, busy: bool) -> bool {
-        let duration = self.roll_out.duration;
-        let left = switched_for(duration).mul_f64(1.0 - COMPLETE_ANYWAY);
-        let last = self.since + duration.saturating_sub(left);
-        let others_busy = self
-            .peers
-            .values()
-            .any(|p| p.old_busy && now < p.seen + REPORT_LIFE);
-        now >= last || !(busy || others_busy)
-    }
-}
-
-impl Usual {
-    fn slow_after(&self) -> Option<Duration> {
-        let bound = Duration::from_secs_f64(self.secs * SLOW) + NOT_SLOW;
-        (self.answers >= LEAST_USUAL).then_some(bound)
-    }
-
-    fn learn(&mut self, took: Duration) {
-        self.answers += 1;
-        let weight = f64::from(self.answers).min(MEMORY);
-        self.secs += (took.as_secs_f64() - self.secs) / weight;
-    }
-}
--- /dev/null
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -0,0 +1,152 @@
+//! One roll-out: its plan, the evidence of all nodes, and its end.
+
+use super::report::numbers;
+use crate::update::{RollOut, RollOutEnd};
+use oatdale_policy::relay::{
+    Exposure, Phase, Tally, Verdict, phase, switched_for, trial_share, verdict,
+};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What another node said counts for so long; one that stopped has no work left.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
+
+/// Time between two attempts to write the end, which may have been lost.
+const ASK_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// The end is written by the first node by name, and by the next one if nothing was seen of it
+/// after this time, so that not all nodes write at once.
+const TURN: Duration = Duration::from_millis(250);
+
+/// Nodes that take part in these turns, and that others report to: enough that some are alive.
+pub(crate) const JUDGES: usize = 8;
+
+/// The part of the time after the switch at which the end is written though a node still has work
+/// on the old version: an end that is late is no end, and the write may have to be repeated.
+const COMPLETE_ANYWAY: f64 = 0.5;
+
+/// How much more requests arrive at endpoints than callers send: some are repeated.
+const ARRIVALS: f64 = 1.4;
+
+/// One roll-out.
+#[derive(Debug)]
+pub(super) struct Active {
+    pub(super) roll_out: RollOut,
+    pub(super) since: Duration,
+    pub(super) own: Tally,
+    pub(super) peers: HashMap<String, Peer>,
+    /// Share of requests that try the new version, settled when the trial begins.
+    pub(super) share: Option<f64>,
+    pub(super) asked: Option<Duration>,
+    /// Since when the end could be written.
+    pub(super) due_since: Option<Duration>,
+    /// What was last found, for a log line when it changes.
+    pub(super) verdict: Verdict,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Peer {
+    pub(super) tally: Tally,
+    pub(super) rate: f64,
+    pub(super) old_busy: bool,
+    pub(super) seen: Duration,
+}
+
+impl Active {
+    pub(super) fn new(since: Duration, roll_out: RollOut) -> Self {
+        Active {
+            roll_out,
+            since,
+            own: Tally::default(),
+            peers: HashMap::new(),
+            share: None,
+            asked: None,
+            due_since: None,
+            verdict: Verdict::Sound,
+        }
+    }
+
+    fn total(&self) -> Tally {
+        self.peers.values().fold(self.own, |sum, peer| Tally {
+            new: sum.new.plus(peer.tally.new),
+            old: sum.old.plus(peer.tally.old),
+        })
+    }
+
+    /// Judges anew; a version that was found bad stays so for this order.
+    pub(super) fn judge(&mut self) {
+        if self.verdict == Verdict::Bad {
+            return;
+        }
+        let total = self.total();
+        let found = verdict(&total);
+        if found != self.verdict {
+            log::info!(
+                target: "roll-out",
+                "event=verdict service={} target={} order={} verdict={found:?} new={:?} old={:?}",
+                self.roll_out.service, self.roll_out.target, self.roll_out.order,
+                numbers(total.new), numbers(total.old)
+            );
+        }
+        self.verdict = found;
+    }
+
+    pub(super) fn phase(&self, now: Duration) -> Phase {
+        let since = now.saturating_sub(self.since);
+        phase(since, self.roll_out.duration, self.verdict)
+    }
+
+    pub(super) fn settle_share(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
+        if self.share.is_some() || self.phase(now) == Phase::Announced {
+            return;
+        }
+        let others: f64 = self.peers.values().map(|p| p.rate).sum();
+        let rate = (own_rate + others) * ARRIVALS;
+        let share = trial_share(allowed, rate, self.roll_out.duration);
+        log::info!(
+            target: "roll-out",
+            "event=trial service={} target={} order={} share={share:.2} rate={rate:.1}",
+            self.roll_out.service, self.roll_out.target, self.roll_out.order
+        );
+        self.share = Some(share);
+    }
+
+    pub(super) fn due(&mut self, now: Duration, rank: usize, busy: bool) -> Option<RollOutEnd> {
+        if self.roll_out.end.is_some() {
+            return None;
+        }
+        let end = match (self.verdict, self.phase(now)) {
+            (Verdict::Bad, _) => RollOutEnd::RolledBack,
+            (_, Phase::Done) if self.old_is_done(now, busy) => RollOutEnd::Completed,
+            _ => return None,
+        };
+        let since = *self.due_since.get_or_insert(now);
+        let turn = since + TURN * rank.min(JUDGES) as u32;
+        let waits = self.asked.is_some_and(|asked| now < asked + ASK_AGAIN);
+        if now < turn || waits {
+            return None;
+        }
+        self.asked = Some(now);
+        let total = self.total();
+        log::info!(
+            target: "roll-out",
+            "event=ending service={} target={} order={} end={end:?} age_ms={} new={:?} old={:?}",
+            self.roll_out.service, self.roll_out.target, self.roll_out.order,
+            now.saturating_sub(self.since).as_millis(),
+            numbers(total.new), numbers(total.old)
+        );
+        Some(end)
+    }
+
+    /// Whether no node has work on the old version, or there is no time left to wait for it.
+    fn old_is_done(&self, now: Duration, busy: bool) -> bool {
+        let duration = self.roll_out.duration;
+        let left = switched_for(duration).mul_f64(1.0 - COMPLETE_ANYWAY);
+        let last = self.since + duration.saturating_sub(left);
+        let others_busy = self
+            .peers
+            .values()
+            .any(|p| p.old_busy && now < p.seen + REPORT_LIFE);
+        now >= last || !(busy || others_busy)
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/running.rs
@@ -0,0 +1,129 @@
+//! Requests under way at endpoints, and what their endpoints do meanwhile.
+
+use crate::cx::Cx;
+use crate::directory::{EndpointKey, Entry};
+use crate::wire::Wire;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an engine may take to say that it is alive.
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A request under way at an endpoint; dropping it takes it off the endpoint's load.
+pub(crate) struct Running<W> {
+    cx: Arc<Cx<W>>,
+    pub(crate) key: EndpointKey,
+    weight: f64,
+    pub(crate) addr: SocketAddr,
+    pub(crate) id: String,
+    pub(crate) version: String,
+    /// The endpoint's load when it was picked, and among how many: for the log.
+    pub(crate) load_before: f64,
+    pub(crate) choices: usize,
+}
+
+impl<W> Running<W> {
+    /// Counts a request at an endpoint that was picked among `choices`.
+    pub(crate) fn begin(
+        cx: Arc<Cx<W>>,
+        key: EndpointKey,
+        entry: &mut Entry,
+        weight: f64,
+        choices: usize,
+    ) -> Self {
+        let load_before = entry.load;
+        entry.running += 1;
+        entry.load += weight;
+        Running {
+            cx,
+            key,
+            weight,
+            addr: entry.endpoint.addr,
+            id: entry.endpoint.id.clone(),
+            version: entry.endpoint.version.clone(),
+            load_before,
+            choices,
+        }
+    }
+}
+
+impl<W> Drop for Running<W> {
+    fn drop(&mut self) {
+        let mut state = self.cx.state();
+        if let Some(entry) = state.directory.get_mut(self.key) {
+            entry.running = entry.running.saturating_sub(1);
+            // Sums of floats drift; an endpoint without work has no load.
+            entry.load = match entry.running {
+                0 => 0.0,
+                _ => (entry.load - self.weight).max(0.0),
+            };
+        }
+    }
+}
+
+impl<W: Wire> Running<W> {
+    /// Bytes came from the endpoint.
+    pub(crate) fn heard(&self) {
+        let now = self.cx.now();
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.heard = now;
+        }
+    }
+
+    /// Whether the endpoint sends nothing at all any more: nothing came for `silence`, and a
+    /// question that an engine answers at once is not answered either.
+    ///
+    /// An engine that reads a long prompt sends nobody anything meanwhile. Without the question
+    /// its streams would be ended for nothing.
+    pub(crate) async fn is_dead(&self, silence: Duration) -> bool {
+        let now = self.cx.now();
+        {
+            let mut state = self.cx.state();
+            let Some(entry) = state.directory.get_mut(self.key) else {
+                return false;
+            };
+            if now < entry.heard + silence {
+                return false;
+            }
+            if entry.health.rests(now) {
+                return true;
+            }
+            // Another request has just asked; its result shows at the next look.
+            if now < entry.probed + PROBE_TIMEOUT * 2 {
+                return false;
+            }
+            entry.probed = now;
+        }
+        let alive = self.cx.probe(self.addr).await;
+        log::info!(target: "probe", "event=probed endpoint={} alive={alive}", self.id);
+        match alive {
+            true => self.heard(),
+            false => self.silent(),
+        }
+        !alive
+    }
+
+    /// An answer came; `good` unless the endpoint failed it.
+    pub(crate) fn answered(&self, good: bool) {
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.health.answered(good);
+        }
+    }
+
+    /// No answer came, though there should have been one.
+    pub(crate) fn silent(&self) {
+        let now = self.cx.now();
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.health.silent(now);
+        }
+    }
+
+    /// Another endpoint lives at its address.
+    pub(crate) fn replaced(&self) {
+        self.cx.pool.forget(self.addr);
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.replaced();
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/state.rs
@@ -0,0 +1,166 @@
+//! What the platform and the answers have told so far, and the picks that follow from it.
+
+use crate::directory::{Directory, EndpointKey};
+use crate::nodes::Nodes;
+use crate::roll_outs::{Allowed, RollOuts};
+use crate::settings::Bounds;
+use crate::site::Site;
+use oatdale_policy::relay::{Budget, Candidate, Mean, Placement, choose};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The part of the site's allowance for repeats that nodes plan to use: the rest is for what nodes
+/// count apart from each other, and for nodes that start again with a full budget.
+const REPEAT_SHARE: f64 = 0.85;
+
+/// Nodes among which the allowance beyond the ratio is dealt out at least: a node that starts does
+/// not know the others yet.
+const LEAST_NODES: usize = 4;
+
+/// Answers over which the wait at largest models is averaged: some seconds of one node's.
+const WAIT_MEMORY: f64 = 12.0;
+
+/// What the platform and the answers have told so far.
+pub(crate) struct State {
+    pub(crate) bounds: Bounds,
+    pub(crate) site: Option<Arc<Site>>,
+    pub(crate) directory: Directory,
+    pub(crate) roll_outs: RollOuts,
+    pub(crate) nodes: Nodes,
+    budgets: HashMap<String, Budget>,
+    /// How long largest models let requests wait, as parts of their targets, by service.
+    waits: HashMap<String, Mean>,
+    /// When the node was told to stop, if it was.
+    pub(crate) stopping: Option<Instant>,
+}
+
+/// What decides where a request is placed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) allowed: &'a Allowed,
+    /// Endpoints that had it already.
+    pub(crate) tried: &'a [EndpointKey],
+    /// Hash of the prompt's shared beginning, if an engine may keep it.
+    pub(crate) prefix: Option<u64>,
+    /// How much it adds to an endpoint's load.
+    pub(crate) weight: f64,
+}
+
+impl State {
+    /// Nothing is known yet.
+    pub(crate) fn new(bounds: Bounds) -> Self {
+        State {
+            bounds,
+            site: None,
+            directory: Directory::default(),
+            roll_outs: RollOuts::default(),
+            nodes: Nodes::default(),
+            budgets: HashMap::new(),
+            waits: HashMap::new(),
+            stopping: None,
+        }
+    }
+
+    /// A service's budget for repeats, with this node's part of what the site allows.
+    pub(crate) fn budget(&mut self, now: Duration, service: &str) -> &mut Budget {
+        let nodes = self.nodes.iter(now).count().max(LEAST_NODES);
+        let cap = (self.bounds.repeat_slack * REPEAT_SHARE / nodes as f64).max(1.0);
+        let ratio = self.bounds.repeat_ratio * REPEAT_SHARE;
+        let budget = self
+            .budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| Budget::new(ratio, cap));
+        budget.set_cap(cap);
+        budget
+    }
+
+    /// Notes how long a largest model let a request wait, as a part of its target.
+    pub(crate) fn note_wait(&mut self, service: &str, part: f64) {
+        let mean = self.waits.entry(service.to_owned());
+        mean.or_insert_with(|| Mean::new(WAIT_MEMORY)).add(part);
+    }
+
+    /// How long largest models let requests wait lately, as a part of their targets.
+    pub(crate) fn wait(&self, service: &str) -> f64 {
+        self.waits.get(service).map_or(0.0, |mean| mean.get_or(0.0))
+    }
+
+    /// Whether this node has work on another version of a service than `target`.
+    pub(crate) fn has_other_work(&self, service: &str, target: &str) -> bool {
+        self.directory
+            .busy(service)
+            .any(|e| e.endpoint.version != target)
+    }
+
+    /// The endpoint for a request, and among how many it was picked.
+    pub(crate) fn pick(
+        &self,
+        now: Duration,
+        wanted: &Wanted<'_>,
+        domain: &str,
+    ) -> Option<(EndpointKey, usize)> {
+        let all: Vec<_> = self
+            .directory
+            .usable(now, wanted.service)
+            .filter(|(key, _)| !wanted.tried.contains(key))
+            .collect();
+        let matching = |prefer: &dyn Fn(&str) -> bool| -> Vec<_> {
+            let fits = all.iter().filter(|(_, e)| prefer(&e.endpoint.version));
+            fits.copied().collect()
+        };
+        let listed = match wanted.allowed {
+            Allowed::All => all,
+            Allowed::Not(version) => matching(&|v| v != version),
+            Allowed::Prefer(version) => match matching(&|v| v == version) {
+                preferred if preferred.is_empty() => all,
+                preferred => preferred,
+            },
+            Allowed::Trial {
+                version,
+                seed,
+                share,
+            } => {
+                let mut new = matching(&|v| v == version);
+                new.retain(|(_, e)| !e.health.rests(now));
+                new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
+                new.truncate((share * new.len() as f64).ceil() as usize);
+                match new.is_empty() {
+                    true => matching(&|v| v != version),
+                    false => new,
+                }
+            }
+        };
+        // Those that seem to be away are asked only when there is no other.
+        let awake: Vec<_> = listed
+            .iter()
+            .filter(|(_, e)| !e.health.rests(now))
+            .copied()
+            .collect();
+        let listed = if awake.is_empty() { listed } else { awake };
+        let candidates: Vec<Candidate> = listed
+            .iter()
+            .map(|(_, e)| Candidate {
+                in_flight: (e.load + 0.1) * e.health.burden(),
+                same_domain: e.endpoint.domain == domain,
+                affinity: wanted.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
+            })
+            .collect();
+        let placement = match wanted.prefix {
+            Some(_) => Placement::Affinity,
+            None => Placement::Load,
+        };
+        let at = choose(&candidates, placement, rand::random())?;
+        Some((listed[at].0, candidates.len()))
+    }
+}
+
+/// The same on every node.
+pub(crate) fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -57,7 +57,7 @@
     let mut here = node();
     let mut there = node();
     there.pin(ms(900), IN_TRIAL, "v1");
-    for report in there.reports(ms(1_500), ms(5_000), "there", |_, _| false) {
+    for report in there.reports(ms(1_500), "there", |_, _| false) {
         here.heard(ms(1_500), &report);
     }
     assert!(is_old(&here.allowed(ms(2_000), "pool", Some(IN_TRIAL), 7)));
@@ -71,7 +71,7 @@
 #[test]
 fn a_node_hears_of_an_order_and_of_its_age_from_others() {
     let mut late = RollOuts::default();
-    for report in node().reports(ms(9_500), ms(5_000), "there", |_, _| true) {
+    for report in node().reports(ms(9_500), "there", |_, _| true) {
         late.heard(ms(100_000), &report);
     }
     let allowed = late.allowed(ms(100_000), "pool", None, u64::MAX);
@@ -93,7 +93,7 @@
     let reports: Vec<_> = nodes
         .iter()
         .zip(["a", "b", "c"])
-        .flat_map(|(n, host)| n.reports(ms(2_000), ms(5_000), host, |_, _| false))
+        .flat_map(|(n, host)| n.reports(ms(2_000), host, |_, _| false))
         .collect();
     let here = &mut nodes[0];
     assert!(here.due(ms(2_000), 0, |_, _| false).is_empty());
