Let a node that stops tell the others by itself

Ruled out: callers that kept old addresses (they keep them for 4.5 s at the most; refusals went on for 7 s). Change: a stopping node says so in three datagrams.

--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -1,10 +1,12 @@
-//! Datagrams by which nodes add up what they saw of a roll-out.
+//! Datagrams by which nodes add up what they saw of a roll-out, and say that they leave.
 //!
-//! A lost datagram is made up for by the next one: each has the sender's counts since the order.
+//! A lost datagram is made up for by the next one: each has the sender's counts since the order, and
+//! a leaving node says so several times.
 
 use crate::cx::Cx;
 use crate::roll_outs::{JUDGES, Report};
 use crate::wire::Wire;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +19,19 @@
 /// The longest datagram that passes every network whole.
 const MAX_DATAGRAM: usize = 1_200;
 
-/// Takes in other nodes' reports.
+/// How often a leaving node says so, and the pause between.
+const SAID: usize = 3;
+const SAID_EVERY: Duration = Duration::from_millis(100);
+
+/// One datagram.
+#[derive(Serialize, Deserialize)]
+enum Message {
+    Report(Report),
+    /// The node with this host name stops.
+    Leaving(String),
+}
+
+/// Takes in other nodes' datagrams.
 pub(crate) async fn listen<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
@@ -32,10 +46,14 @@
 }
 
 fn take<W: Wire>(cx: &Cx<W>, datagram: &[u8], from: SocketAddr) {
-    match ciborium::from_reader::<Report, _>(datagram) {
-        Ok(report) => {
-            let now = cx.now();
-            cx.state().roll_outs.heard(now, &report);
+    let now = cx.now();
+    match ciborium::from_reader(datagram) {
+        Ok(Message::Report(report)) => cx.state().roll_outs.heard(now, &report),
+        Ok(Message::Leaving(host)) => {
+            log::info!(target: "gossip", "event=node_leaves host={host}");
+            let mut state = cx.state();
+            let until = now + state.bounds.stop();
+            state.nodes.leave(until, &host);
         }
         Err(err) => log::warn!(target: "gossip", "event=bad_datagram from={from} err={err}"),
     }
@@ -53,6 +71,39 @@
     }
 }
 
+/// Tells all other nodes that this one stops.
+pub(crate) async fn leave<W: Wire>(cx: &Cx<W>, socket: &UdpSocket) {
+    let host = cx.settings.host.clone();
+    let now = cx.now();
+    let others: Vec<SocketAddr> = {
+        let state = cx.state();
+        let others = state.nodes.iter(now).filter(|n| n.host != host);
+        others.map(|n| n.nodes).collect()
+    };
+    let Some(datagram) = encode(&Message::Leaving(host)) else {
+        return;
+    };
+    for _ in 0..SAID {
+        for to in &others {
+            if let Err(err) = socket.send_to(&datagram, to).await {
+                log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
+            }
+        }
+        tokio::time::sleep(SAID_EVERY).await;
+    }
+}
+
+fn encode(message: &Message) -> Option<Vec<u8>> {
+    let mut datagram = Vec::new();
+    match ciborium::into_writer(message, &mut datagram) {
+        Ok(()) => Some(datagram),
+        Err(err) => {
+            log::warn!(target: "gossip", "event=encode_failed err={err}");
+            None
+        }
+    }
+}
+
 fn datagrams<W: Wire>(cx: &Cx<W>) -> Vec<(Vec<u8>, SocketAddr)> {
     let now = cx.now();
     let state = cx.state();
@@ -70,11 +121,9 @@
         .filter(|n| n.host != *host)
         .collect();
     let mut out = Vec::new();
-    for report in &reports {
-        let mut datagram = Vec::new();
-        match ciborium::into_writer(report, &mut datagram) {
-            Ok(()) => out.extend(others.iter().map(|n| (datagram.clone(), n.nodes))),
-            Err(err) => log::warn!(target: "gossip", "event=encode_failed err={err}"),
+    for report in reports {
+        if let Some(datagram) = encode(&Message::Report(report)) {
+            out.extend(others.iter().map(|n| (datagram.clone(), n.nodes)));
         }
     }
     out
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -35,6 +35,8 @@
     cx: Arc<Cx<W>>,
     commands: mpsc::Sender<Command>,
     stop: watch::Sender<Stop>,
+    /// For datagrams to other nodes.
+    socket: Arc<UdpSocket>,
 }
 
 impl<W: Wire> Relay<W> {
@@ -64,13 +66,18 @@
         tokio::spawn(front::accept(cx.clone(), callers, stopped));
         tokio::spawn(gossip::listen(cx.clone(), socket.clone()));
         tokio::spawn(take_updates(cx.clone(), updates));
-        tokio::spawn(tick(cx.clone(), socket, commands.clone()));
+        tokio::spawn(tick(cx.clone(), socket.clone(), commands.clone()));
         log::info!(
             target: "node",
             "event=started host={} domain={} callers={}",
             cx.settings.host, cx.settings.failure_domain, listen.callers
         );
-        Ok(Relay { cx, commands, stop })
+        Ok(Relay {
+            cx,
+            commands,
+            stop,
+            socket,
+        })
     }
 
     /// Stops in order: leaves the addresses that callers are told, goes on for as long as they
@@ -83,6 +90,7 @@
         if self.commands.send(Command::Leave).await.is_err() {
             log::warn!(target: "node", "event=leave_not_sent reason=\"the adapter has ended\"");
         }
+        gossip::leave(&self.cx, &self.socket).await;
         tokio::time::sleep_until(began + time.mul_f64(STILL_TAKES)).await;
         self.stop.send_replace(Stop::Closing);
         let end = began + time.saturating_sub(LAST);
--- a/crates/oatdale-relay/src/nodes.rs
+++ b/crates/oatdale-relay/src/nodes.rs
@@ -14,6 +14,9 @@
     nodes: BTreeMap<String, Known>,
     /// Until when nodes that go missing are kept; unset in steady times.
     grace: Option<Duration>,
+    /// Nodes that said that they leave, and until when this counts: the host's next process has the
+    /// same name.
+    left: BTreeMap<String, Duration>,
 }
 
 #[derive(Debug)]
@@ -43,6 +46,14 @@
             .retain(|_, k| k.until.is_none_or(|until| until > now));
     }
 
+    /// Notes that a node said itself that it leaves.
+    ///
+    /// While the key-value service is away a stopping node can't take its record back. Callers would
+    /// be told of it until it is gone, and what they send it late would be refused.
+    pub(crate) fn leave(&mut self, until: Duration, host: &str) {
+        self.left.insert(host.to_owned(), until);
+    }
+
     pub(crate) fn store_lost(&mut self) {
         self.grace = Some(Duration::MAX);
     }
@@ -53,9 +64,11 @@
 
     /// Those that are there or may be, by name.
     pub(crate) fn iter(&self, now: Duration) -> impl Iterator<Item = &Node> {
+        let left = move |host: &str| self.left.get(host).is_some_and(|until| *until > now);
         self.nodes
             .values()
             .filter(move |k| k.until.is_none_or(|until| until > now))
             .map(|k| &k.node)
+            .filter(move |node| !left(&node.host))
     }
 }
