--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One request to one endpoint, and the exact ways in which it ends.
 
 use crate::cx::Cx;
+use crate::gossip;
 use crate::plan::Plan;
 use crate::running::Running;
 use crate::wire::{AnswerFacts, Wire};
@@ -76,9 +77,10 @@
     plan: &mut Plan,
     how: Send,
 ) -> Result<Answer<W>, Failure> {
-    let Some(running) = plan.place(cx, &plan.tried) else {
+    let Some(mut running) = plan.place(cx, &plan.tried) else {
         return Err(Failure::NoEndpoint);
     };
+    gossip::tell_heavy(cx, &running);
     plan.tried.push(running.key);
     let sent = Instant::now();
     let result = send(cx, plan, &running, how).await;
@@ -95,6 +97,7 @@
         result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
     );
     learn(cx, plan, &running, &result, took);
+    running.prompt_is_read();
     result.map(|(head, facts, body)| Answer {
         head,
         facts,
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 /// How long a connection to an endpoint may take to open. Endpoints are a few milliseconds away;
@@ -42,6 +43,8 @@
     pub(crate) settings: Settings,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
+    /// For datagrams of and to other nodes.
+    pub(crate) socket: UdpSocket,
     started: Instant,
     state: Mutex<State>,
 }
@@ -53,7 +56,7 @@
 }
 
 impl<W: Wire> Cx<W> {
-    pub(crate) fn new(wire: W, settings: Settings, metrics: Metrics) -> Self {
+    pub(crate) fn new(wire: W, settings: Settings, metrics: Metrics, socket: UdpSocket) -> Self {
         let pool = Pool::new(PoolConfig {
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
@@ -63,6 +66,7 @@
             wire,
             pool,
             metrics,
+            socket,
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds)),
             settings,
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -36,6 +36,8 @@
     pub running: u32,
     /// The same, weighted by their size.
     pub load: f64,
+    /// Long prompts that other nodes sent there: until when they are read, and their weights.
+    others: Vec<(Duration, f64)>,
     /// When it last sent anything to this node.
     pub heard: Duration,
     /// When it was last asked whether it is alive.
@@ -101,6 +103,7 @@
             health: Health::default(),
             running: 0,
             load: 0.0,
+            others: Vec::new(),
             heard: now,
             probed: Duration::ZERO,
             gone: Gone::No,
@@ -150,6 +153,12 @@
         }
     }
 
+    /// The endpoint with this id.
+    pub fn by_id_mut(&mut self, id: &str) -> Option<&mut Entry> {
+        let key = self.by_id.get(id)?;
+        self.entries.get_mut(key)
+    }
+
     /// The endpoints of a service that may get new work.
     pub fn usable<'a>(
         &'a self,
@@ -206,6 +215,18 @@
 }
 
 impl Entry {
+    /// Notes a long prompt that another node sent there.
+    pub fn add_others(&mut self, now: Duration, time: Duration, weight: f64) {
+        self.others.retain(|(until, _)| *until > now);
+        self.others.push((now + time, weight));
+    }
+
+    /// What is under way there as far as this node knows.
+    pub fn known_load(&self, now: Duration) -> f64 {
+        let others = self.others.iter().filter(|(until, _)| *until > now);
+        self.load + others.map(|(_, weight)| weight).sum::<f64>()
+    }
+
     /// Whether it may get new work.
     pub fn takes_work(&self, now: Duration) -> bool {
         let there = match self.gone {
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -1,16 +1,17 @@
-//! Datagrams by which nodes add up what they saw of a roll-out, and say that they leave.
+//! Datagrams by which nodes add up what they saw of a roll-out, say that they leave, and tell of
+//! long prompts that they send.
 //!
 //! A lost datagram is made up for by the next one: each has the sender's counts since the order, and
 //! a leaving node says so several times.
 
 use crate::cx::Cx;
 use crate::roll_outs::{JUDGES, Report};
+use crate::running::Running;
 use crate::wire::Wire;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 
 /// Time between two reports while a roll-out is under way: a bad version is noticed by all within
 /// it, and a site of ten nodes sends some two hundred datagrams a second.
@@ -23,19 +24,39 @@
 const SAID: usize = 3;
 const SAID_EVERY: Duration = Duration::from_millis(100);
 
+/// Requests from this weight on are told of: a prompt of this length holds up all others at its
+/// engine for half a second, and other nodes would send theirs there meanwhile.
+const HEAVY: f64 = 3.0;
+
+/// Nodes that are told of a long prompt.
+const MOST_TOLD: usize = 16;
+
+/// The most that one prompt counts.
+const MOST_WEIGHT: f64 = 50.0;
+
+/// Time for which an engine reads a prompt, for each unit of weight: 3,000 tokens of the largest
+/// model at some 15 to 20 tokens a millisecond.
+const READ_TIME: Duration = Duration::from_millis(200);
+
 /// One datagram.
 #[derive(Serialize, Deserialize)]
 enum Message {
     Report(Report),
     /// The node with this host name stops.
     Leaving(String),
+    /// A long prompt was sent to an endpoint.
+    Heavy {
+        /// The endpoint's id.
+        endpoint: String,
+        weight: f64,
+    },
 }
 
 /// Takes in other nodes' datagrams.
-pub(crate) async fn listen<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
+pub(crate) async fn listen<W: Wire>(cx: Arc<Cx<W>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
-        match socket.recv_from(&mut buf).await {
+        match cx.socket.recv_from(&mut buf).await {
             Ok((len, from)) => take(&cx, &buf[..len], from),
             Err(err) => {
                 log::debug!(target: "gossip", "event=receive_failed err={err}");
@@ -55,6 +76,13 @@
             let until = now + state.bounds.stop();
             state.nodes.leave(until, &host);
         }
+        Ok(Message::Heavy { endpoint, weight }) => {
+            let mut state = cx.state();
+            if let Some(entry) = state.directory.by_id_mut(&endpoint) {
+                let weight = weight.clamp(0.0, MOST_WEIGHT);
+                entry.add_others(now, READ_TIME.mul_f64(weight), weight);
+            }
+        }
         Err(err) => log::warn!(target: "gossip", "event=bad_datagram from={from} err={err}"),
     }
 }
@@ -63,16 +91,46 @@
 ///
 /// All tell the first nodes by name, which judge; these tell all, so that the number of datagrams
 /// grows with the number of nodes and not with its square.
-pub(crate) async fn report<W: Wire>(cx: &Cx<W>, socket: &UdpSocket) {
+pub(crate) async fn report<W: Wire>(cx: &Cx<W>) {
     for (datagram, to) in datagrams(cx) {
-        if let Err(err) = socket.send_to(&datagram, to).await {
+        if let Err(err) = cx.socket.send_to(&datagram, to).await {
+            log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
+        }
+    }
+}
+
+/// Tells other nodes of a request with a long prompt.
+///
+/// Engines report their load late, and each node knows only its own requests: two long prompts that
+/// meet at one engine make everybody there late. In sites with more nodes than these the rest does
+/// without.
+pub(crate) fn tell_heavy<W: Wire>(cx: &Cx<W>, running: &Running<W>) {
+    if running.weight < HEAVY {
+        return;
+    }
+    let message = Message::Heavy {
+        endpoint: running.id.clone(),
+        weight: running.weight,
+    };
+    let Some(datagram) = encode(&message) else {
+        return;
+    };
+    let now = cx.now();
+    let others: Vec<SocketAddr> = {
+        let state = cx.state();
+        let others = state.nodes.iter(now);
+        let others = others.filter(|n| n.host != cx.settings.host);
+        others.map(|n| n.nodes).take(MOST_TOLD).collect()
+    };
+    for to in others {
+        if let Err(err) = cx.socket.try_send_to(&datagram, to) {
             log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
         }
     }
 }
 
 /// Tells all other nodes that this one stops.
-pub(crate) async fn leave<W: Wire>(cx: &Cx<W>, socket: &UdpSocket) {
+pub(crate) async fn leave<W: Wire>(cx: &Cx<W>) {
     let host = cx.settings.host.clone();
     let now = cx.now();
     let others: Vec<SocketAddr> = {
@@ -85,7 +143,7 @@
     };
     for _ in 0..SAID {
         for to in &others {
-            if let Err(err) = socket.send_to(&datagram, to).await {
+            if let Err(err) = cx.socket.send_to(&datagram, to).await {
                 log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
             }
         }
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -35,8 +35,6 @@
     cx: Arc<Cx<W>>,
     commands: mpsc::Sender<Command>,
     stop: watch::Sender<Stop>,
-    /// For datagrams to other nodes.
-    socket: Arc<UdpSocket>,
 }
 
 impl<W: Wire> Relay<W> {
@@ -53,31 +51,25 @@
     ) -> Result<Self> {
         let listen = settings.listen.clone();
         let metrics = Metrics::new().context(MetricsSnafu)?;
-        let cx = Arc::new(Cx::new(wire, settings, metrics));
         let (stop, stopped) = watch::channel(Stop::Open);
         let callers = bind(listen.callers)?;
         let socket = UdpSocket::bind(listen.nodes)
             .await
             .context(ListenSnafu { addr: listen.nodes })?;
+        let cx = Arc::new(Cx::new(wire, settings, metrics, socket));
         for addr in [listen.readiness, listen.addresses, listen.metrics] {
             tokio::spawn(serve_local(cx.clone(), bind(addr)?));
         }
-        let socket = Arc::new(socket);
         tokio::spawn(front::accept(cx.clone(), callers, stopped));
-        tokio::spawn(gossip::listen(cx.clone(), socket.clone()));
+        tokio::spawn(gossip::listen(cx.clone()));
         tokio::spawn(take_updates(cx.clone(), updates));
-        tokio::spawn(tick(cx.clone(), socket.clone(), commands.clone()));
+        tokio::spawn(tick(cx.clone(), commands.clone()));
         log::info!(
             target: "node",
             "event=started host={} domain={} callers={}",
             cx.settings.host, cx.settings.failure_domain, listen.callers
         );
-        Ok(Relay {
-            cx,
-            commands,
-            stop,
-            socket,
-        })
+        Ok(Relay { cx, commands, stop })
     }
 
     /// Stops in order: leaves the addresses that callers are told, goes on for as long as they
@@ -90,7 +82,7 @@
         if self.commands.send(Command::Leave).await.is_err() {
             log::warn!(target: "node", "event=leave_not_sent reason=\"the adapter has ended\"");
         }
-        gossip::leave(&self.cx, &self.socket).await;
+        gossip::leave(&self.cx).await;
         tokio::time::sleep_until(began + time.mul_f64(STILL_TAKES)).await;
         self.stop.send_replace(Stop::Closing);
         let end = began + time.saturating_sub(LAST);
@@ -122,14 +114,14 @@
     log::warn!(target: "node", "event=no_more_news reason=\"the adapter has ended\"");
 }
 
-async fn tick<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>, commands: mpsc::Sender<Command>) {
+async fn tick<W: Wire>(cx: Arc<Cx<W>>, commands: mpsc::Sender<Command>) {
     let mut reported = Instant::now();
     loop {
         tokio::time::sleep(TICK).await;
         let has_news = cx.state().roll_outs.take_news();
         if has_news || reported.elapsed() >= REPORT_EVERY {
             reported = Instant::now();
-            gossip::report(&cx, &socket).await;
+            gossip::report(&cx).await;
         }
         for command in due(&cx) {
             log::info!(target: "roll-out", "event=write {command:?}");
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Weight of a request whose prompt is read.
+const READ_WEIGHT: f64 = 1.0;
+
 /// How long an engine may take to say that it is alive.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -14,7 +17,7 @@
 pub(crate) struct Running<W> {
     cx: Arc<Cx<W>>,
     pub(crate) key: EndpointKey,
-    weight: f64,
+    pub(crate) weight: f64,
     pub(crate) addr: SocketAddr,
     pub(crate) id: String,
     pub(crate) version: String,
@@ -48,6 +51,17 @@
     }
 }
 
+impl<W> Running<W> {
+    /// The prompt is read: from now on the request is one among others in each step.
+    pub(crate) fn prompt_is_read(&mut self) {
+        let rest = self.weight.min(READ_WEIGHT);
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.load = (entry.load - (self.weight - rest)).max(0.0);
+        }
+        self.weight = rest;
+    }
+}
+
 impl<W> Drop for Running<W> {
     fn drop(&mut self) {
         let mut state = self.cx.state();
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -144,7 +144,7 @@
         let candidates: Vec<Candidate> = listed
             .iter()
             .map(|(_, e)| Candidate {
-                in_flight: (e.load + 0.1) * e.health.burden(),
+                in_flight: (e.known_load(now) + 0.1) * e.health.burden(),
                 same_domain: e.endpoint.domain == domain,
                 affinity: wanted.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
             })
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -79,3 +79,17 @@
     assert_eq!(directory.len(), 0);
     assert!(directory.known() < 100, "{}", directory.known());
 }
+
+// Another node sends a long prompt to an endpoint, which holds up all others there for a second. This
+// node must see it as load for as long as the prompt is read, and no longer.
+#[test]
+fn long_prompts_of_other_nodes_count_until_they_are_read() {
+    let mut directory = Directory::default();
+    directory.upsert(ms(0), endpoint("x"));
+    let entry = directory.by_id_mut("x").unwrap();
+    entry.add_others(ms(100), ms(1_000), 5.0);
+    entry.add_others(ms(200), ms(400), 2.0);
+    let loads = [150, 300, 700, 1_200].map(|now| entry.known_load(ms(now)));
+    assert_eq!(loads, [7.0, 7.0, 5.0, 0.0]);
+    assert!(directory.by_id_mut("y").is_none());
+}
