--- a/crates/oatdale-node/tests/relaying.rs
+++ b/crates/oatdale-node/tests/relaying.rs
@@ -5,7 +5,9 @@
 use http_body_util::{BodyExt, Full};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use oatdale_adapter_fakes::{Behaviour, Endpoint, EndpointOptions, Store, StoreFault};
+use oatdale_adapter_fakes::{
+    Behaviour, CONFIGURATION, Endpoint, EndpointOptions, NODES, READINESS, Store, StoreFault,
+};
 use oatdale_platform::{Pool, Reuse};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -84,7 +86,7 @@
     let desk = Endpoint::start(options).await.expect("a port is free");
     store.put(&desk.key(), &desk.record("ready"));
     store.put(
-        "op/config",
+        CONFIGURATION,
         &json!({"version": 1, "routes": [{"name": "look", "host": "desk.example",
             "prefix": "/look/", "kind": "safe", "service": "desk", "max_attempts": 2}]}),
     );
@@ -119,27 +121,21 @@
     for relay in &relays {
         let ready = relay.at(24002);
         until("it is ready", async || {
-            status(ready, "/readiness").await == Some(200)
+            status(ready, READINESS).await == Some(200)
         })
         .await;
         assert_eq!(status(relay.at(24001), "/look/1").await, Some(200));
     }
     assert_eq!(desk.runs().len(), 2);
-    until("both are registered", async || {
-        store.keys("oatdale/nodes/").len() == 2
-    })
-    .await;
+    until("both are registered", async || store.keys(NODES).len() == 2).await;
     relays[0].signal(Signal::SIGTERM);
     let ready = relays[0].at(24002);
     until("it is not ready", async || {
-        status(ready, "/readiness").await != Some(200)
+        status(ready, READINESS).await != Some(200)
     })
     .await;
     assert_eq!(status(relays[0].at(24001), "/look/1").await, Some(200));
-    until("its record is gone", async || {
-        store.keys("oatdale/nodes/").len() == 1
-    })
-    .await;
+    until("its record is gone", async || store.keys(NODES).len() == 1).await;
     let end = Instant::now() + LONG;
     let code = loop {
         match relays[0].child.try_wait().expect("it is our child") {
@@ -160,14 +156,14 @@
     let relay = Process::start(3, store.addr());
     let ready = relay.at(24002);
     until("it is ready", async || {
-        status(ready, "/readiness").await == Some(200)
+        status(ready, READINESS).await == Some(200)
     })
     .await;
     std::fs::write(&relay.settings, "platform: [").expect("the file can be written");
     relay.signal(Signal::SIGHUP);
     sleep(Duration::from_millis(300)).await;
     assert_eq!(status(relay.at(24001), "/look/1").await, Some(200));
-    assert_eq!(status(ready, "/readiness").await, Some(200));
+    assert_eq!(status(ready, READINESS).await, Some(200));
 }
 
 // All nodes lose their power at once, while the key-value service is away. They have to serve again
@@ -178,7 +174,7 @@
     let before = Process::start(4, store.addr());
     let ready = before.at(24002);
     until("it is ready", async || {
-        status(ready, "/readiness").await == Some(200)
+        status(ready, READINESS).await == Some(200)
     })
     .await;
     before.signal(Signal::SIGKILL);
--- /dev/null
+++ b/crates/oatdale-relay/src/heads.rs
@@ -0,0 +1,56 @@
+//! Heads of requests and answers: what is passed on of them.
+
+use http::{HeaderMap, HeaderName, header, response};
+
+/// The one host that a request names.
+pub(crate) fn host(headers: &HeaderMap) -> Option<&str> {
+    let mut hosts = headers.get_all(header::HOST).iter();
+    let host = hosts.next()?.to_str().ok()?;
+    match hosts.next() {
+        None => Some(host),
+        Some(_) => None,
+    }
+}
+
+/// Whether the body is a stream of events.
+pub(crate) fn is_events(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONTENT_TYPE)
+        .is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+}
+
+/// The head of an answer without what concerns the endpoint's connection only.
+pub(crate) fn passed_on(mut head: response::Parts) -> response::Parts {
+    strip(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    head.extensions.clear();
+    head
+}
+
+/// Removes the headers that concern one connection, and the length, which the next one's sender
+/// writes anew from what it really sends.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    let own = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::PROXY_AUTHORIZATION,
+        header::PROXY_AUTHENTICATE,
+        header::EXPECT,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in named.into_iter().chain(own) {
+        headers.remove(name);
+    }
+}
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -3,13 +3,15 @@
 use crate::attempt::{self, Answer, Failure, Send};
 use crate::cx::Cx;
 use crate::guard::ConnWatch;
+use crate::heads::{host, is_events, passed_on, strip};
 use crate::plan::Plan;
+use crate::record::Record;
 use crate::reply::{self, Body, Refusal, refuse};
 use crate::stream::{Relayed, next_piece};
 use crate::wire::Wire;
 use bytes::{Bytes, BytesMut};
 use futures::stream::{self, StreamExt};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header, response};
+use http::{HeaderValue, Request, Response, header, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use oatdale_policy::relay::{Ladder, Step};
@@ -40,64 +42,6 @@
 /// When to come back to a node that knows no configuration yet.
 const START_RETURN: Duration = Duration::from_millis(500);
 
-/// Notes how a request ends: a log line, counters, and the connection's state.
-pub(crate) struct Record<W> {
-    cx: Arc<Cx<W>>,
-    watch: ConnWatch,
-    arrival: Instant,
-    id: String,
-    /// Route, service, endpoint and so on, as far as they are known.
-    about: String,
-    end: Option<String>,
-}
-
-impl<W> Record<W> {
-    fn new(cx: Arc<Cx<W>>, watch: ConnWatch, arrival: Instant, id: Option<&str>) -> Self {
-        cx.metrics.under_way.inc();
-        Record {
-            cx,
-            watch,
-            arrival,
-            id: id.unwrap_or("-").to_owned(),
-            about: String::new(),
-            end: None,
-        }
-    }
-
-    /// Says how the request ended.
-    pub(crate) fn end(&mut self, end: &str) {
-        self.end = Some(end.to_owned());
-    }
-}
-
-impl<W> Drop for Record<W> {
-    fn drop(&mut self) {
-        // Nobody said how it ended: its connection closed first.
-        let end = self.end.as_deref().unwrap_or("caller-left");
-        log::info!(
-            target: "request",
-            "event=request id={} {}end={end:?} took_ms={}",
-            self.id, self.about, self.arrival.elapsed().as_millis()
-        );
-        self.cx
-            .metrics
-            .requests
-            .with_label_values(&[label(end)])
-            .inc();
-        self.cx.metrics.under_way.dec();
-        self.watch.answered();
-    }
-}
-
-/// The ends that are counted; the log lines have the details.
-fn label(end: &str) -> &str {
-    match end {
-        "complete" | "caller-left" => end,
-        end if end.starts_with("refused") => "refused",
-        _ => "failed",
-    }
-}
-
 /// An endpoint's answer that is to be passed on.
 enum Reply<W> {
     Whole(Box<response::Parts>, Bytes, String),
@@ -176,15 +120,6 @@
     Ok(plan)
 }
 
-fn host(headers: &HeaderMap) -> Option<&str> {
-    let mut hosts = headers.get_all(header::HOST).iter();
-    let host = hosts.next()?.to_str().ok()?;
-    match hosts.next() {
-        None => Some(host),
-        Some(_) => None,
-    }
-}
-
 async fn read_body(plan: &Plan, body: Incoming) -> Result<Bytes, Refusal> {
     let limit = plan.site.limits.body_bytes;
     if body.size_hint().lower() > limit as u64 {
@@ -349,12 +284,6 @@
     }
 }
 
-fn is_events(headers: &HeaderMap) -> bool {
-    headers
-        .get(header::CONTENT_TYPE)
-        .is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
-}
-
 /// Reads a body to its end if it is small.
 async fn read_small<W: Wire>(plan: &Plan, mut answer: Answer<W>, impatient: bool) -> Examined<W> {
     let route = plan.route();
@@ -429,39 +358,3 @@
         }
     })
 }
-
-/// The head of an answer without what concerns the endpoint's connection only.
-fn passed_on(mut head: response::Parts) -> response::Parts {
-    strip(&mut head.headers);
-    head.version = http::Version::HTTP_11;
-    head.extensions.clear();
-    head
-}
-
-/// Removes the headers that concern one connection, and the length, which the next one's sender
-/// writes anew from what it really sends.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    let own = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::TRANSFER_ENCODING,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::PROXY_AUTHORIZATION,
-        header::PROXY_AUTHENTICATE,
-        header::EXPECT,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in named.into_iter().chain(own) {
-        headers.remove(name);
-    }
-}
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -4,7 +4,7 @@
 use crate::cx::Cx;
 use crate::events::WholeEvents;
 use crate::plan::Plan;
-use crate::serve::Record;
+use crate::record::Record;
 use crate::site::RouteKind;
 use crate::wire::Wire;
 use bytes::Bytes;
