--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -64,7 +64,7 @@
 
 /// How to send a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) struct Send {
+pub(crate) struct SendOptions {
     /// Go on after this event.
     pub(crate) last_event: Option<u64>,
     /// Whether a silent endpoint is given up early, because another one may be asked.
@@ -75,7 +75,7 @@
 pub(crate) async fn attempt<W: Wire>(
     cx: &Arc<Cx<W>>,
     plan: &mut Plan,
-    how: Send,
+    how: SendOptions,
 ) -> Result<Answer<W>, Failure> {
     let Some(mut running) = plan.place(cx, &plan.tried) else {
         return Err(Failure::NoEndpoint);
@@ -112,7 +112,7 @@
     cx: &Arc<Cx<W>>,
     plan: &Plan,
     running: &Running<W>,
-    how: Send,
+    how: SendOptions,
 ) -> Result<Head, Failure> {
     let req = plan.request(cx, &running.id, how.last_event);
     let mut sending = std::pin::pin!(cx.pool.send(running.addr, req, plan.reuse(), plan.limit));
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to the end of its answer.
 
-use crate::attempt::{self, Answer, Failure, Send};
+use crate::attempt::{self, Answer, Failure, SendOptions};
 use crate::cx::Cx;
 use crate::guard::ConnWatch;
 use crate::heads::{host, is_events, passed_on, strip};
@@ -190,7 +190,7 @@
         if plan.left() < LEAST_TIME && plan.sends == 0 {
             return Err((Refusal::NoTime, "no time left".to_owned()));
         }
-        let how = Send {
+        let how = SendOptions {
             last_event: plan.facts.last_event,
             impatient: idempotent && plan.has_attempts_after_next(),
         };
@@ -337,7 +337,7 @@
     plan: Plan,
     answer: Answer<W>,
     record: Record<W>,
-) -> impl futures::Stream<Item = io::Result<Bytes>> + std::marker::Send + 'static {
+) -> impl futures::Stream<Item = io::Result<Bytes>> + Send + 'static {
     let state = Some((plan, answer, record));
     stream::unfold(state, |state| async move {
         let (plan, mut answer, mut record) = state?;
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -137,8 +137,7 @@
         }
     }
 
-    /// How long a stopping node goes on taking requests: callers may hold its address for some
-    /// multiple of the time they were told.
+    /// Time from the stop signal until the process is killed.
     pub(crate) fn stop(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s.max(0.0))
     }
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -1,6 +1,6 @@
 //! Passes a stream of events on, and goes on at another endpoint if the first one breaks off.
 
-use crate::attempt::{self, Answer, Failure, Send};
+use crate::attempt::{self, Answer, Failure, SendOptions};
 use crate::cx::Cx;
 use crate::events::WholeEvents;
 use crate::plan::Plan;
@@ -39,6 +39,7 @@
     answer: Answer<W>,
     events: WholeEvents,
     record: Record<W>,
+    /// The caller has got the end, or an error in its place.
     over: bool,
     /// The budget has paid for going on elsewhere.
     paid: bool,
@@ -50,6 +51,7 @@
 struct EventPace {
     first: Option<Instant>,
     pieces: u32,
+    /// It has been noted for the endpoint's version, once for each stream.
     told: bool,
 }
 
@@ -195,7 +197,7 @@
             && self.plan.has_attempts()
             && (std::mem::take(&mut self.paid) || self.cx.may_repeat(&self.plan.service))
         {
-            let how = Send {
+            let how = SendOptions {
                 last_event,
                 impatient: self.plan.has_attempts_after_next(),
             };
