--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -77,7 +77,7 @@
     plan: &mut Plan,
     how: SendOptions,
 ) -> Result<Answer<W>, Failure> {
-    let Some(mut running) = plan.place(cx, &plan.tried) else {
+    let Some(mut running) = plan.place(cx) else {
         return Err(Failure::NoEndpoint);
     };
     gossip::tell_heavy(cx, &running);
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -171,11 +171,12 @@
             .map(|(key, e)| (*key, e))
     }
 
-    /// All endpoints of a service that this node still has work on.
-    pub fn busy<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Entry> {
+    /// Whether this node has work on another version of a service than `target`.
+    pub fn has_other_work(&self, service: &str, target: &str) -> bool {
         self.entries
             .values()
-            .filter(move |e| e.endpoint.service == service && e.running > 0)
+            .filter(|e| e.endpoint.service == service && e.running > 0)
+            .any(|e| e.endpoint.version != target)
     }
 
     /// One endpoint.
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -115,14 +115,7 @@
     let Some(datagram) = encode(&message) else {
         return;
     };
-    let now = cx.now();
-    let others: Vec<SocketAddr> = {
-        let state = cx.state();
-        let others = state.nodes.iter(now);
-        let others = others.filter(|n| n.host != cx.settings.host);
-        others.map(|n| n.nodes).take(MOST_TOLD).collect()
-    };
-    for to in others {
+    for to in others(cx, MOST_TOLD) {
         if let Err(err) = cx.socket.try_send_to(&datagram, to) {
             log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
         }
@@ -131,14 +124,9 @@
 
 /// Tells all other nodes that this one stops.
 pub(crate) async fn leave<W: Wire>(cx: &Cx<W>) {
-    let host = cx.settings.host.clone();
-    let now = cx.now();
-    let others: Vec<SocketAddr> = {
-        let state = cx.state();
-        let others = state.nodes.iter(now).filter(|n| n.host != host);
-        others.map(|n| n.nodes).collect()
-    };
-    let Some(datagram) = encode(&Message::Leaving(host)) else {
+    let others = others(cx, usize::MAX);
+    let message = Message::Leaving(cx.settings.host.clone());
+    let Some(datagram) = encode(&message) else {
         return;
     };
     for _ in 0..SAID {
@@ -151,6 +139,15 @@
     }
 }
 
+/// Where other nodes take datagrams, of so many at the most.
+fn others<W: Wire>(cx: &Cx<W>, most: usize) -> Vec<SocketAddr> {
+    let now = cx.now();
+    let state = cx.state();
+    let others = state.nodes.iter(now);
+    let others = others.filter(|n| n.host != cx.settings.host);
+    others.map(|n| n.nodes).take(most).collect()
+}
+
 fn encode(message: &Message) -> Option<Vec<u8>> {
     let mut datagram = Vec::new();
     match ciborium::into_writer(message, &mut datagram) {
@@ -167,7 +164,7 @@
     let state = cx.state();
     let host = &cx.settings.host;
     let reports = state.roll_outs.reports(now, host, |service, target| {
-        state.has_other_work(service, target)
+        state.directory.has_other_work(service, target)
     });
     let mut nodes: Vec<_> = state.nodes.iter(now).collect();
     nodes.sort_by(|a, b| a.host.cmp(&b.host));
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -147,11 +147,9 @@
         .filter(|n| n.host.as_str() < own)
         .count();
     let directory = &state.directory;
-    let busy = |service: &str, target: &str| {
-        let mut busy = directory.busy(service);
-        busy.any(|e| e.endpoint.version != target)
-    };
-    let due = state.roll_outs.due(now, rank, busy);
+    let due = state.roll_outs.due(now, rank, |service, target| {
+        directory.has_other_work(service, target)
+    });
     due.into_iter()
         .map(|(roll_out, end)| Command::EndRollOut {
             service: roll_out.service,
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -168,18 +168,15 @@
         Some(hash(&(&last.0, self.size)))
     }
 
-    pub(crate) fn place<W: Wire>(
-        &self,
-        cx: &Arc<Cx<W>>,
-        tried: &[EndpointKey],
-    ) -> Option<Running<W>> {
+    /// Places it at an endpoint that has not had it.
+    pub(crate) fn place<W: Wire>(&self, cx: &Arc<Cx<W>>) -> Option<Running<W>> {
         // Asked anew for each attempt: a roll-out may have ended since the last one, and the version
         // that was allowed then may be gone.
         let allowed = cx.allowed(&self.service, self.session(), hash(&self.facts.id));
         cx.place(&Wanted {
             service: &self.service,
             allowed: &allowed,
-            tried,
+            tried: &self.tried,
             prefix: self.prefix(),
             weight: self.weight(),
         })
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -49,9 +49,7 @@
             choices,
         }
     }
-}
 
-impl<W> Running<W> {
     /// The prompt is read: from now on the request is one among others in each step.
     pub(crate) fn prompt_is_read(&mut self) {
         let rest = self.weight.min(READ_WEIGHT);
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -89,13 +89,6 @@
         self.waits.get(service).map_or(0.0, |mean| mean.get_or(0.0))
     }
 
-    /// Whether this node has work on another version of a service than `target`.
-    pub(crate) fn has_other_work(&self, service: &str, target: &str) -> bool {
-        self.directory
-            .busy(service)
-            .any(|e| e.endpoint.version != target)
-    }
-
     /// The endpoint for a request, and among how many it was picked.
     pub(crate) fn pick(
         &self,
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -182,7 +182,7 @@
         let silence = gap.mul_f64(PATIENCE);
         let stopped =
             self.answer.running.is_dead(silence).await || began.elapsed() >= gap.mul_f64(STUCK);
-        let has_other = || self.plan.place(&self.cx, &self.plan.tried).is_some();
+        let has_other = || self.plan.place(&self.cx).is_some();
         self.paid = stopped && has_other() && self.cx.may_repeat(&self.plan.service);
         self.paid
     }
