Take a stream's pace from the shorter of its first pauses, against the median

Cause: engines that read long prompts let streams wait once, and the mean of the sums of two pauses followed the few that waited most (mean 226 ms where the median is some 50). Of a version several times slower about a third was below the bound, while 2 to 21% of the old one's streams were above it; so slow versions were not found in 9 s, and good ones on a busy endpoint were undone.

Test: recorded pauses of a good and a slow version; the rule before found 4 of 12 slow streams, now 11 or more.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -17,6 +17,7 @@
 
 mod health;
 mod ladder;
+mod pace;
 mod placement;
 mod roll_out;
 
@@ -24,6 +25,7 @@
 pub use crate::budget::Budget;
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
+pub use crate::relay::pace::{StreamPace, UsualTime};
 pub use crate::relay::placement::{Candidate, Placement, choose};
 pub use crate::relay::roll_out::{
     Counts, Exposure, Phase, Tally, Verdict, is_in_trial, phase, shows_new, switched_for,
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -1,8 +1,8 @@
 //! Decisions about requests that pass through unread.
 
 use oatdale_policy::relay::{
-    Budget, Candidate, Counts, Exposure, Health, Ladder, Phase, Placement, Step, Tally, Verdict,
-    choose, phase, shows_new, switched_for, trial_share, verdict,
+    Budget, Candidate, Counts, Exposure, Health, Ladder, Phase, Placement, Step, StreamPace, Tally,
+    UsualTime, Verdict, choose, phase, shows_new, switched_for, trial_share, verdict,
 };
 use std::time::Duration;
 
@@ -238,3 +238,103 @@
         assert_eq!(verdict(&tally), expected, "{tally:?}");
     }
 }
+
+/// Recorded pauses, in milliseconds, between the first events of streams at engines that also read
+/// long prompts: two a stream.
+const GOOD: [[u64; 2]; 30] = [
+    [122, 60],
+    [131, 162],
+    [24, 24],
+    [317, 13],
+    [126, 246],
+    [21, 1071],
+    [107, 12],
+    [82, 24],
+    [33, 13],
+    [24, 25],
+    [27, 34],
+    [24, 16],
+    [105, 25],
+    [41, 13],
+    [813, 522],
+    [989, 422],
+    [25, 25],
+    [26, 26],
+    [26, 29],
+    [21, 31],
+    [26, 17],
+    [42, 26],
+    [406, 55],
+    [38, 13],
+    [246, 97],
+    [104, 14],
+    [130, 29],
+    [121, 15],
+    [54, 28],
+    [72, 29],
+];
+
+/// The same of a version that is several times slower.
+const SLOW: [[u64; 2]; 12] = [
+    [64, 65],
+    [77, 78],
+    [65, 77],
+    [102, 187],
+    [167, 81],
+    [81, 81],
+    [362, 81],
+    [877, 879],
+    [452, 2009],
+    [2009, 1202],
+    [2351, 95],
+    [119, 95],
+];
+
+/// Plays streams of these pauses and counts those that are found slow; learns from the others.
+fn slow_streams(pauses: &[[u64; 2]], usual: &mut UsualTime) -> usize {
+    let is_slow = |pace: Duration, usual: &UsualTime| usual.slow_after().is_some_and(|b| pace > b);
+    let mut slow = 0;
+    for [first, second] in pauses {
+        let mut stream = StreamPace::default();
+        let ends = [0, *first, first + second].map(Duration::from_millis);
+        let paces: Vec<_> = ends.iter().filter_map(|&now| stream.event(now)).collect();
+        assert_eq!(paces.len(), 1);
+        slow += usize::from(is_slow(paces[0], usual));
+        usual.learn(paces[0]);
+    }
+    slow
+}
+
+// Engines that read long prompts let streams wait, some for a second. A version that is several times
+// slower than the one before must stand out from that, or it is completed and every stream is slow.
+// Before, the sum of both pauses was compared with 2.5 times its mean: of these 12 streams 4 were found
+// slow, of the 30 others 3.
+#[test]
+fn a_slow_version_stands_out_from_streams_that_wait_behind_long_prompts() {
+    let mut usual = UsualTime::default();
+    slow_streams(&GOOD, &mut usual);
+    let good = slow_streams(&GOOD, &mut usual);
+    assert!(good * 5 <= GOOD.len(), "{good} of {} are slow", GOOD.len());
+    let slow = SLOW.iter().filter(|s| {
+        let mut usual = usual.clone();
+        slow_streams(&[**s], &mut usual) == 1
+    });
+    assert!(slow.count() >= 11);
+}
+
+#[test]
+fn a_stream_is_found_slow_before_its_next_event_comes() {
+    let ms = Duration::from_millis;
+    let mut stream = StreamPace::default();
+    assert_eq!(stream.event(ms(100)), None);
+    assert_eq!(stream.slow_at(ms(50)), None);
+    assert_eq!(stream.event(ms(400)), None);
+    assert_eq!(stream.slow_at(ms(50)), Some(ms(450)));
+    stream.found_slow();
+    assert_eq!(stream.event(ms(900)), None);
+    // One pause that is not slow settles it.
+    let mut stream = StreamPace::default();
+    stream.event(ms(100));
+    stream.event(ms(130));
+    assert_eq!(stream.slow_at(ms(50)), None);
+}
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -78,6 +78,11 @@
         self.started.elapsed()
     }
 
+    /// The moment at which so much time has passed since the process began.
+    pub(crate) fn at(&self, time: Duration) -> Instant {
+        self.started + time
+    }
+
     pub(crate) fn site(&self) -> Option<Arc<Site>> {
         self.state().site.clone()
     }
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -11,6 +11,7 @@
 use futures::stream::{self, BoxStream, StreamExt};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use oatdale_policy::relay::StreamPace;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,10 +29,6 @@
 /// prompt first, and the answer is late either way.
 const STUCK: f64 = 4.0;
 
-/// Pauses between events over which a stream's pace is taken: few, so that a slow version is found
-/// before its first streams end.
-const PACE_GAPS: u32 = 2;
-
 /// A stream on its way to its caller.
 pub(crate) struct Relayed<W> {
     cx: Arc<Cx<W>>,
@@ -43,16 +40,7 @@
     over: bool,
     /// The budget has paid for going on elsewhere.
     paid: bool,
-    pace: EventPace,
-}
-
-/// How fast an endpoint sends the events of one stream.
-#[derive(Clone, Copy, Debug, Default)]
-struct EventPace {
-    first: Option<Instant>,
-    pieces: u32,
-    /// It has been noted for the endpoint's version, once for each stream.
-    told: bool,
+    pace: StreamPace,
 }
 
 /// What came next.
@@ -74,7 +62,7 @@
             record,
             over: false,
             paid: false,
-            pace: EventPace::default(),
+            pace: StreamPace::default(),
         }
     }
 
@@ -117,32 +105,28 @@
 
     /// Notes whole events that have come, and once how fast they come.
     fn note_pace(&mut self) {
-        let now = Instant::now();
-        let first = *self.pace.first.get_or_insert(now);
-        self.pace.pieces += 1;
-        if self.pace.told || self.pace.pieces <= PACE_GAPS {
+        let Some(pace) = self.pace.event(self.cx.now()) else {
             return;
-        }
-        self.pace.told = true;
-        let took = now - first;
+        };
         let (service, version) = (&self.plan.service, &self.answer.running.version);
         let mut state = self.cx.state();
         state
             .roll_outs
-            .timed(service, version, self.plan.event_pace(), took);
+            .timed(service, version, self.plan.event_pace(), pace);
     }
 
-    /// When the events are late enough to count as slow: waiting for those of a slow version to
-    /// come would hide for seconds what is slow.
-    fn slow_at(&self) -> Option<Instant> {
-        let first = self.pace.first.filter(|_| !self.pace.told)?;
-        let state = self.cx.state();
-        let bound = state.roll_outs.slow_after(self.plan.event_pace())?;
-        Some(first + bound)
+    /// When the events are late enough to count as slow.
+    fn slow_at(&self) -> Option<Duration> {
+        let bound = self
+            .cx
+            .state()
+            .roll_outs
+            .slow_after(self.plan.event_pace())?;
+        self.pace.slow_at(bound)
     }
 
     fn note_slow(&mut self) {
-        self.pace.told = true;
+        self.pace.found_slow();
         let (service, version) = (&self.plan.service, &self.answer.running.version);
         self.cx.state().roll_outs.judged(service, version, true);
     }
@@ -152,7 +136,7 @@
         let began = Instant::now();
         let mut check = began + gap.mul_f64(PATIENCE);
         loop {
-            let slow_at = self.slow_at();
+            let slow_at = self.slow_at().map(|at| self.cx.at(at));
             let until = check.min(self.plan.limit).min(slow_at.unwrap_or(check));
             match timeout_at(until, next_piece(&mut self.answer.body)).await {
                 Ok(Some(Ok(piece))) => {
@@ -212,7 +196,7 @@
                     );
                     self.cx.metrics.resumed.inc();
                     self.answer = answer;
-                    self.pace = EventPace::default();
+                    self.pace = StreamPace::default();
                     return Ok(());
                 }
                 Ok(answer) => reason = format!("{} on resumption", answer.head.status),
