Judge a new version by route and endpoint, and try it on three endpoints at least

Cause: failures on one route were added to the answers of all routes, where 2 of 60 look like chance; and a trial on one endpoint took that endpoint's own trouble for the version's. Nodes now tell each other counts by route and endpoint (sessions go in datagrams of their own, up to 300 in place of 90); evidence is the mean over all routes and each of them, and has to be left without the endpoint that speaks most against the version.

Tests: one route among thirty answers, one bad endpoint, many routes, datagrams' length. The first two fail with the sums used before.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(choose(&[idle, busy], Placement::Affinity, 0), Some(0));
 //! ```
 
+mod evidence;
 mod health;
 mod ladder;
 mod pace;
@@ -23,11 +24,11 @@
 
 pub use crate::average::{Mean, Rate};
 pub use crate::budget::Budget;
+pub use crate::relay::evidence::{Cells, Counts, Origin, Tally, Verdict, verdict};
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::pace::{StreamPace, UsualTime};
 pub use crate::relay::placement::{Candidate, Placement, choose};
 pub use crate::relay::roll_out::{
-    Counts, Exposure, Phase, Tally, Verdict, is_in_trial, phase, shows_new, switched_for,
-    trial_share, verdict,
+    Exposure, Phase, is_in_trial, phase, shows_new, switched_for, trial_share,
 };
--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -8,7 +8,7 @@
 //! its time is over. What any node sees of the version is added up over the nodes; a version that
 //! fails or is slow more often than the old one is undone at once.
 
-use crate::trial::log_evidence;
+use crate::relay::evidence::Verdict;
 use std::time::Duration;
 
 /// Bounds of the share of requests that try the new version. Less tells nothing in time, more is no
@@ -39,36 +39,6 @@
 /// The part of that time after which the old version is given up, if nothing is under way there.
 const GIVE_UP_OLD: f64 = 0.3;
 
-/// The logarithm of the evidence that a bad version has to leave: one false end in 300 roll-outs
-/// of good ones.
-const BOUND: f64 = 5.7;
-
-/// The share of bad answers by which a version may exceed the old one and still be good: old and
-/// new endpoints never have quite the same load.
-const TOLERANCE: f64 = 0.02;
-
-/// Counts of one version's answers.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct Counts {
-    /// Answers of any kind.
-    pub answers: u64,
-    /// Answers that are failures.
-    pub failed: u64,
-    /// Answers whose time was measured.
-    pub timed: u64,
-    /// Those of them that took several times as long as usual.
-    pub slow: u64,
-}
-
-/// What is known of both versions since the order.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct Tally {
-    /// The new version.
-    pub new: Counts,
-    /// The versions before it.
-    pub old: Counts,
-}
-
 /// Where a roll-out is by its plan.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -82,28 +52,6 @@
     Done,
 }
 
-/// What the counts say.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Verdict {
-    /// Nothing speaks against it. A service with few requests may never see more of it than a few
-    /// answers, and moves on all the same.
-    Sound,
-    /// It has to go.
-    Bad,
-}
-
-impl Counts {
-    /// Adds what another node saw.
-    pub fn plus(self, other: Counts) -> Counts {
-        Counts {
-            answers: self.answers + other.answers,
-            failed: self.failed + other.failed,
-            timed: self.timed + other.timed,
-            slow: self.slow + other.slow,
-        }
-    }
-}
-
 /// Where a roll-out is, `since` the order, while nothing speaks against the version.
 pub fn phase(since: Duration, duration: Duration, verdict: Verdict) -> Phase {
     let switched = switched_for(duration);
@@ -161,25 +109,3 @@
 pub fn is_in_trial(share: f64, hash: u64) -> bool {
     (hash as f64) < share * u64::MAX as f64
 }
-
-/// Judges the new version by the answers so far.
-///
-/// Failures and slow answers are each compared with those of the old version, so that neither hides
-/// the other, and trouble that hits all endpoints alike is not blamed on the new version.
-pub fn verdict(tally: &Tally) -> Verdict {
-    let Tally { new, old } = tally;
-    let failures = log_evidence(new.failed, new.answers, usual(old.failed, old.answers));
-    let slowness = log_evidence(new.slow, new.timed, usual(old.slow, old.timed));
-    match failures.max(slowness) > BOUND {
-        true => Verdict::Bad,
-        false => Verdict::Sound,
-    }
-}
-
-/// The share of bad answers that says nothing against a version, from those of the old one.
-fn usual(bad: u64, of: u64) -> f64 {
-    let of = of as f64 + 4.0;
-    let share = (bad as f64 + 0.2) / of;
-    let error = (share * (1.0 - share) / of).sqrt();
-    (share + error + TOLERANCE).min(0.95)
-}
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -1,8 +1,9 @@
 //! Decisions about requests that pass through unread.
 
 use oatdale_policy::relay::{
-    Budget, Candidate, Counts, Exposure, Health, Ladder, Phase, Placement, Step, StreamPace, Tally,
-    UsualTime, Verdict, choose, phase, shows_new, switched_for, trial_share, verdict,
+    Budget, Candidate, Cells, Counts, Exposure, Health, Ladder, Origin, Phase, Placement, Step,
+    StreamPace, Tally, UsualTime, Verdict, choose, phase, shows_new, switched_for, trial_share,
+    verdict,
 };
 use std::time::Duration;
 
@@ -208,16 +209,26 @@
     assert!(!shows_new(Phase::Announced, 1.0, 0));
 }
 
-fn tally(new: [u64; 4], old: [u64; 4]) -> Tally {
+/// Counts of all answers, failed, timed and slow ones, by route and endpoint.
+fn cells(all: &[(u32, u32, [u64; 4])]) -> Cells {
     let counts = |[answers, failed, timed, slow]: [u64; 4]| Counts {
         answers,
         failed,
         timed,
         slow,
     };
+    let origin = |route, endpoint| Origin { route, endpoint };
+    all.iter()
+        .map(|&(route, endpoint, numbers)| (origin(route, endpoint), counts(numbers)))
+        .collect()
+}
+
+/// Answers of one route, of the new version half from each of two endpoints.
+fn tally(new: [u64; 4], old: [u64; 4]) -> Tally {
+    let halves = [new.map(|n| n / 2), new.map(|n| n - n / 2)];
     Tally {
-        new: counts(new),
-        old: counts(old),
+        new: cells(&[(1, 1, halves[0]), (1, 2, halves[1])]),
+        old: cells(&[(1, 0, old)]),
     }
 }
 
@@ -338,3 +349,73 @@
     stream.event(ms(130));
     assert_eq!(stream.slow_at(ms(50)), None);
 }
+
+// A version fails half of the requests of one route, which has a sixth of all. Among the answers of
+// all routes its few failures look like chance; it would be completed, and that route's callers would
+// be failed from then on.
+#[test]
+fn a_version_that_is_bad_on_one_route_is_found_among_thirty_answers() {
+    let old = cells(&[
+        (1, 0, [300, 0, 0, 0]),
+        (2, 0, [100, 0, 0, 0]),
+        (3, 0, [100, 0, 0, 0]),
+    ]);
+    let bad = cells(&[
+        (1, 1, [9, 0, 0, 0]),
+        (1, 2, [10, 0, 0, 0]),
+        (2, 1, [4, 2, 0, 0]),
+        (2, 2, [3, 2, 0, 0]),
+        (3, 2, [6, 0, 0, 0]),
+    ]);
+    let of = |new| Tally {
+        new,
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&of(bad)), Verdict::Bad);
+    // The same failures spread over the routes are fewer than one in seven everywhere.
+    let spread = cells(&[
+        (1, 1, [9, 1, 0, 0]),
+        (1, 2, [10, 1, 0, 0]),
+        (2, 1, [4, 0, 0, 0]),
+        (3, 2, [6, 1, 0, 0]),
+    ]);
+    assert_eq!(verdict(&of(spread)), Verdict::Sound);
+}
+
+// One endpoint that runs the new version fails half of what it gets, or is slow, while its neighbours
+// are well. That is the endpoint's fault: the version must not be undone for it.
+#[test]
+fn one_bad_endpoint_does_not_make_a_version_bad() {
+    let old = cells(&[(1, 0, [300, 3, 200, 15])]);
+    let one = |bad: [u64; 4]| Tally {
+        new: cells(&[(1, 1, [12, 0, 9, 1]), (1, 2, bad), (1, 3, [11, 0, 8, 0])]),
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&one([14, 8, 3, 0])), Verdict::Sound);
+    assert_eq!(verdict(&one([14, 0, 12, 12])), Verdict::Sound);
+    let two = Tally {
+        new: cells(&[(1, 1, [12, 5, 9, 1]), (1, 2, [14, 8, 3, 0])]),
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&two), Verdict::Bad);
+    // Where the version has a single endpoint there is nothing to compare it with.
+    let only = |failed| Tally {
+        new: cells(&[(1, 1, [20, failed, 0, 0])]),
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&only(8)), Verdict::Sound);
+    assert_eq!(verdict(&only(12)), Verdict::Bad);
+}
+
+// A service has more routes and endpoints than a datagram can tell of apart. None may be left out.
+#[test]
+fn answers_of_many_routes_are_counted_together() {
+    let mut cells = Cells::default();
+    for route in 1..=20 {
+        for endpoint in 1..=9 {
+            cells.at(Origin { route, endpoint }).answers += 1;
+        }
+    }
+    assert_eq!(cells.total().answers, 180);
+    assert!(cells.iter().count() <= 35, "{}", cells.iter().count());
+}
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -211,9 +211,7 @@
         Err(Failure::GivenUp) => {
             running.silent();
             let mut state = cx.state();
-            return state
-                .roll_outs
-                .judged(&plan.service, &running.version, true);
+            return state.roll_outs.judged(&plan.source(running), true);
         }
         Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
         Err(Failure::TimedOut) => true,
@@ -223,8 +221,6 @@
     // little of a version; the pace of its events says more and is noted later.
     let is_timed = !failed && !plan.route().kind.is_stream();
     let took = is_timed.then(|| (plan.answer_pace(), took));
-    let mut state = cx.state();
-    state
-        .roll_outs
-        .answered(&plan.service, &running.version, failed, took);
+    let source = plan.source(running);
+    cx.state().roll_outs.answered(&source, failed, took);
 }
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -5,7 +5,7 @@
 //! a leaving node says so several times.
 
 use crate::cx::Cx;
-use crate::roll_outs::{JUDGES, Report};
+use crate::roll_outs::{JUDGES, OnOld, Report};
 use crate::running::Running;
 use crate::wire::Wire;
 use serde::{Deserialize, Serialize};
@@ -42,6 +42,8 @@
 #[derive(Serialize, Deserialize)]
 enum Message {
     Report(Report),
+    /// Sessions of the sender on old versions.
+    OnOld(OnOld),
     /// The node with this host name stops.
     Leaving(String),
     /// A long prompt was sent to an endpoint.
@@ -70,6 +72,7 @@
     let now = cx.now();
     match ciborium::from_reader(datagram) {
         Ok(Message::Report(report)) => cx.state().roll_outs.heard(now, &report),
+        Ok(Message::OnOld(on_old)) => cx.state().roll_outs.heard_on_old(now, &on_old),
         Ok(Message::Leaving(host)) => {
             log::info!(target: "gossip", "event=node_leaves host={host}");
             let mut state = cx.state();
@@ -176,8 +179,9 @@
         .filter(|n| n.host != *host)
         .collect();
     let mut out = Vec::new();
-    for report in reports {
-        if let Some(datagram) = encode(&Message::Report(report)) {
+    let on_old = state.roll_outs.on_old().into_iter().map(Message::OnOld);
+    for message in reports.into_iter().map(Message::Report).chain(on_old) {
+        if let Some(datagram) = encode(&message) {
             out.extend(others.iter().map(|n| (datagram.clone(), n.nodes)));
         }
     }
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -68,7 +68,7 @@
 pub use crate::error::{Error, Result};
 pub use crate::events::WholeEvents;
 pub use crate::node::Relay;
-pub use crate::roll_outs::{Allowed, Pace, Report, RollOuts};
+pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
 pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
 pub use crate::update::{Command, Endpoint, Node, RollOut, RollOutEnd, Update};
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::reply::Refusal;
-use crate::roll_outs::Pace;
+use crate::roll_outs::{Pace, Source};
 use crate::running::Running;
 use crate::site::{Route, Site};
 use crate::state::{Wanted, hash};
@@ -12,6 +12,7 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use oatdale_platform::Reuse;
+use oatdale_policy::relay::Origin;
 use smallvec::SmallVec;
 use std::sync::Arc;
 use std::time::Duration;
@@ -138,6 +139,18 @@
         sizes > 1 && self.size + 1 == sizes
     }
 
+    /// Where the answer of an endpoint comes from, for roll-outs.
+    pub(crate) fn source<'a, W>(&'a self, running: &'a Running<W>) -> Source<'a> {
+        Source {
+            service: &self.service,
+            version: &running.version,
+            origin: Origin {
+                route: hash(&self.route().name) as u32,
+                endpoint: hash(&running.id) as u32,
+            },
+        }
+    }
+
     /// Answers that take about as long as each other: those of one plain route.
     pub(crate) fn answer_pace(&self) -> Pace {
         hash(&("answer", &self.route().prefix))
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -9,16 +9,16 @@
 
 use crate::update::{RollOut, RollOutEnd};
 use active::{Active, Peer};
-use oatdale_policy::relay::{Counts, Exposure, Phase, Tally, Verdict, shows_new};
+use oatdale_policy::relay::{Counts, Exposure, Origin, Phase, Verdict, shows_new};
 use rates::Rates;
-use report::{counts, millis, numbers};
+use report::millis;
 use sessions::Sessions;
 use std::collections::HashMap;
 use std::time::Duration;
 use usual::UsualTimes;
 
 pub(crate) use active::JUDGES;
-pub use report::Report;
+pub use report::{OnOld, Report};
 pub use usual::Pace;
 
 /// Which software versions a request may use.
@@ -44,6 +44,17 @@
     Not(String),
 }
 
+/// Where an answer came from.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Source<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The endpoint's software version.
+    pub version: &'a str,
+    /// The route and the endpoint.
+    pub origin: Origin,
+}
+
 /// All roll-outs that a node knows of.
 #[derive(Debug, Default)]
 pub struct RollOuts {
@@ -147,46 +158,38 @@
 
     /// Notes an answer's head: whether the endpoint failed it, and how long it took, if that says
     /// anything.
-    pub fn answered(
-        &mut self,
-        service: &str,
-        version: &str,
-        failed: bool,
-        took: Option<(Pace, Duration)>,
-    ) {
-        if let Some((counts, _)) = self.counts(service, version) {
+    pub fn answered(&mut self, source: &Source<'_>, failed: bool, took: Option<(Pace, Duration)>) {
+        if let Some((counts, _)) = self.counts(source) {
             counts.answers += 1;
             counts.failed += u64::from(failed);
         }
         if let Some((pace, took)) = took {
-            self.timed(service, version, pace, took);
+            self.timed(source, pace, took);
         }
-        if let Some(active) = self.by_service.get_mut(service) {
+        if let Some(active) = self.by_service.get_mut(source.service) {
             active.judge();
         }
     }
 
     /// Notes a time that an endpoint took; those of one pace should be about as long.
-    pub fn timed(&mut self, service: &str, version: &str, pace: Pace, took: Duration) {
+    pub fn timed(&mut self, source: &Source<'_>, pace: Pace, took: Duration) {
         let bound = self.slow_after(pace);
         if let Some(bound) = bound {
-            self.judged(service, version, took > bound);
+            self.judged(source, took > bound);
         }
-        let is_new = self
-            .counts(service, version)
-            .is_some_and(|(_, is_new)| is_new);
+        let is_new = self.counts(source).is_some_and(|(_, is_new)| is_new);
         if !is_new {
             self.usual.learn(pace, took);
         }
     }
 
     /// Notes whether an endpoint was slow, where its time is not known: it may not be over.
-    pub fn judged(&mut self, service: &str, version: &str, slow: bool) {
-        if let Some((counts, _)) = self.counts(service, version) {
+    pub fn judged(&mut self, source: &Source<'_>, slow: bool) {
+        if let Some((counts, _)) = self.counts(source) {
             counts.timed += 1;
             counts.slow += u64::from(slow);
         }
-        if let Some(active) = self.by_service.get_mut(service) {
+        if let Some(active) = self.by_service.get_mut(source.service) {
             active.judge();
         }
     }
@@ -198,13 +201,18 @@
 
     /// Where to count a version's answer, and whether it is the new one, while a roll-out is under
     /// way.
-    fn counts(&mut self, service: &str, version: &str) -> Option<(&mut Counts, bool)> {
-        let active = self.by_service.get_mut(service)?;
-        let is_new = active.roll_out.target == version;
+    fn counts(&mut self, source: &Source<'_>) -> Option<(&mut Counts, bool)> {
+        let active = self.by_service.get_mut(source.service)?;
+        let is_new = active.roll_out.target == source.version;
+        // The old version's endpoints are not told apart: they are what is usual.
+        let old = Origin {
+            endpoint: 0,
+            ..source.origin
+        };
         match active.roll_out.end {
             Some(_) => None,
-            None if is_new => Some((&mut active.own.new, true)),
-            None => Some((&mut active.own.old, false)),
+            None if is_new => Some((active.own.new.at(source.origin), true)),
+            None => Some((active.own.old.at(old), false)),
         }
     }
 
@@ -227,17 +235,18 @@
         let age = Duration::from_millis(report.age_ms);
         active.since = active.since.min(now.saturating_sub(age));
         let peer = Peer {
-            tally: Tally {
-                new: counts(report.new),
-                old: counts(report.old),
-            },
+            tally: report.tally(),
             old_busy: report.old_busy,
             rate: report.rate,
             seen: now,
         };
         active.peers.insert(report.host.clone(), peer);
         active.judge();
-        for &session in &report.on_old {
+    }
+
+    /// Takes in which sessions another node has on an old version.
+    pub fn heard_on_old(&mut self, now: Duration, on_old: &OnOld) {
+        for &session in &on_old.sessions {
             self.sessions.pin_old(now, session);
         }
     }
@@ -266,18 +275,26 @@
                 target: a.roll_out.target.clone(),
                 duration_ms: millis(a.roll_out.duration),
                 age_ms: millis(now.saturating_sub(a.since)),
-                new: numbers(a.own.new),
-                old: numbers(a.own.old),
+                new: report::cells(&a.own.new),
+                old: report::cells(&a.own.old),
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
                 rate: self.rates.get(now, &a.roll_out.service),
-                // Until the share is settled, all that it could be.
-                on_old: self
-                    .sessions
-                    .to_tell(&a.roll_out.target, a.share.unwrap_or(1.0)),
             })
             .collect()
     }
 
+    /// The sessions that this node has on old versions and of which others have to know while
+    /// roll-outs are under way.
+    pub fn on_old(&self) -> Vec<OnOld> {
+        let active = self.by_service.values();
+        active
+            .filter(|a| a.roll_out.end.is_none())
+            // Until the share is settled, all that it could be.
+            .map(|a| (a.roll_out.target.as_str(), a.share.unwrap_or(1.0)))
+            .flat_map(|(target, share)| self.sessions.to_tell(target, share))
+            .collect()
+    }
+
     /// The ends that this node is to write now. `rank` is its place among the live nodes by name.
     pub fn due(
         &mut self,
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -44,7 +44,7 @@
     pub(super) verdict: Verdict,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Peer {
     pub(super) tally: Tally,
     pub(super) rate: f64,
@@ -67,10 +67,11 @@
     }
 
     fn total(&self) -> Tally {
-        self.peers.values().fold(self.own, |sum, peer| Tally {
-            new: sum.new.plus(peer.tally.new),
-            old: sum.old.plus(peer.tally.old),
-        })
+        let mut sum = self.own.clone();
+        for peer in self.peers.values() {
+            sum.add(&peer.tally);
+        }
+        sum
     }
 
     /// Judges anew; a version that was found bad stays so for this order.
@@ -85,7 +86,7 @@
                 target: "roll-out",
                 "event=verdict service={} target={} order={} verdict={found:?} new={:?} old={:?}",
                 self.roll_out.service, self.roll_out.target, self.roll_out.order,
-                numbers(total.new), numbers(total.old)
+                numbers(total.new.total()), numbers(total.old.total())
             );
         }
         self.verdict = found;
@@ -133,7 +134,7 @@
             "event=ending service={} target={} order={} end={end:?} age_ms={} new={:?} old={:?}",
             self.roll_out.service, self.roll_out.target, self.roll_out.order,
             now.saturating_sub(self.since).as_millis(),
-            numbers(total.new), numbers(total.old)
+            numbers(total.new.total()), numbers(total.old.total())
         );
         Some(end)
     }
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other of a roll-out.
 
 use crate::update::RollOut;
-use oatdale_policy::relay::Counts;
+use oatdale_policy::relay::{Cells, Counts, Origin, Tally};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -20,16 +20,26 @@
     pub duration_ms: u64,
     /// How long the node has known of the order, in milliseconds.
     pub age_ms: u64,
-    /// Answers of the new version: all, failed, timed, slow.
-    pub new: [u64; 4],
+    /// Answers of the new version.
+    pub new: Vec<CellWire>,
     /// The same of the old versions.
-    pub old: [u64; 4],
+    pub old: Vec<CellWire>,
     /// Whether it has requests under way on an old version.
     pub old_busy: bool,
     /// The node's requests a second for the service.
     pub rate: f64,
-    /// Sessions that began on an old version and would try the new one if they were new.
-    pub on_old: Vec<u64>,
+}
+
+/// Answers of one origin: its route, its endpoint, and how many there were in all, failed, timed
+/// and slow. Without names, so that some dozens of them fit into a datagram.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct CellWire(u32, u32, [u64; 4]);
+
+/// Sessions that began on an old version and would try the new one if they were new.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct OnOld {
+    /// Hashes of their names.
+    pub sessions: Vec<u64>,
 }
 
 impl Report {
@@ -43,21 +53,43 @@
             end: None,
         }
     }
+
+    pub(super) fn tally(&self) -> Tally {
+        let cells = |wire: &[CellWire]| wire.iter().copied().map(Into::into).collect();
+        Tally {
+            new: cells(&self.new),
+            old: cells(&self.old),
+        }
+    }
 }
 
-pub(super) fn numbers(counts: Counts) -> [u64; 4] {
-    [counts.answers, counts.failed, counts.timed, counts.slow]
+pub(super) fn cells(cells: &Cells) -> Vec<CellWire> {
+    cells.iter().map(CellWire::from).collect()
 }
 
-pub(super) fn counts([answers, failed, timed, slow]: [u64; 4]) -> Counts {
-    Counts {
-        answers,
-        failed,
-        timed,
-        slow,
+impl From<(Origin, Counts)> for CellWire {
+    fn from((origin, counts): (Origin, Counts)) -> Self {
+        CellWire(origin.route, origin.endpoint, numbers(counts))
     }
 }
 
+impl From<CellWire> for (Origin, Counts) {
+    fn from(CellWire(route, endpoint, [answers, failed, timed, slow]): CellWire) -> Self {
+        let counts = Counts {
+            answers,
+            failed,
+            timed,
+            slow,
+        };
+        (Origin { route, endpoint }, counts)
+    }
+}
+
+/// All answers, failed ones, timed ones, slow ones: short for logs and datagrams.
+pub(super) fn numbers(counts: Counts) -> [u64; 4] {
+    [counts.answers, counts.failed, counts.timed, counts.slow]
+}
+
 pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/oatdale-relay/src/roll_outs/sessions.rs
+++ b/crates/oatdale-relay/src/roll_outs/sessions.rs
@@ -4,6 +4,7 @@
 //! for a new one and send it to the new version; so nodes tell each other of the sessions for which
 //! this matters.
 
+use super::report::OnOld;
 use oatdale_policy::relay::is_in_trial;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,8 +12,10 @@
 /// Sessions that are remembered at most. More are not pinned, which counts only in a trial.
 const MAX_SESSIONS: usize = 20_000;
 
-/// Sessions that one report names at most, so that it fits into a datagram.
-const MAX_TOLD: usize = 90;
+/// Sessions that one datagram names, and how many datagrams there are at the most. More sessions
+/// may change their version in a trial, which needs some hundred callers a node.
+const TOLD_AT_ONCE: usize = 100;
+const TOLD_TIMES: usize = 3;
 
 /// Sessions by the hash of their names.
 #[derive(Debug, Default)]
@@ -58,13 +61,20 @@
 
     /// Sessions that this node itself sees on an old version and that other nodes would take for
     /// new ones that try the new version, in a trial with this share.
-    pub(super) fn to_tell(&self, target: &str, share: f64) -> Vec<u64> {
+    pub(super) fn to_tell(&self, target: &str, share: f64) -> Vec<OnOld> {
         let on_old = |pin: &Pin| pin.version.as_deref().is_some_and(|v| v != target);
-        self.pins
+        let all: Vec<u64> = self
+            .pins
             .iter()
             .filter(|(hash, pin)| is_in_trial(share, **hash) && on_old(pin))
             .map(|(hash, _)| *hash)
-            .take(MAX_TOLD)
+            .take(TOLD_AT_ONCE * TOLD_TIMES)
+            .collect();
+        let parts = all.chunks(TOLD_AT_ONCE);
+        parts
+            .map(|part| OnOld {
+                sessions: part.to_vec(),
+            })
             .collect()
     }
 }
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -20,6 +20,10 @@
 /// not know the others yet.
 const LEAST_NODES: usize = 4;
 
+/// Endpoints of a new version that a trial uses at least: one that is slow or failing by itself is told
+/// from a bad version by what the others do.
+const LEAST_TRIED: usize = 3;
+
 /// Answers over which the wait at largest models is averaged: some seconds of one node's.
 const WAIT_MEMORY: f64 = 12.0;
 
@@ -120,7 +124,8 @@
                 let mut new = matching(&|v| v == version);
                 new.retain(|(_, e)| !e.health.rests(now));
                 new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
-                new.truncate((share * new.len() as f64).ceil() as usize);
+                let part = (share * new.len() as f64).ceil() as usize;
+                new.truncate(part.max(LEAST_TRIED));
                 match new.is_empty() {
                     true => matching(&|v| v != version),
                     false => new,
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -108,11 +108,9 @@
         let Some(pace) = self.pace.event(self.cx.now()) else {
             return;
         };
-        let (service, version) = (&self.plan.service, &self.answer.running.version);
+        let source = self.plan.source(&self.answer.running);
         let mut state = self.cx.state();
-        state
-            .roll_outs
-            .timed(service, version, self.plan.event_pace(), pace);
+        state.roll_outs.timed(&source, self.plan.event_pace(), pace);
     }
 
     /// When the events are late enough to count as slow.
@@ -127,8 +125,8 @@
 
     fn note_slow(&mut self) {
         self.pace.found_slow();
-        let (service, version) = (&self.plan.service, &self.answer.running.version);
-        self.cx.state().roll_outs.judged(service, version, true);
+        let source = self.plan.source(&self.answer.running);
+        self.cx.state().roll_outs.judged(&source, true);
     }
 
     async fn read(&mut self) -> Next {
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -1,7 +1,7 @@
 //! What a node makes of orders, of its own answers and of other nodes' reports.
 
-use oatdale_policy::relay::Exposure;
-use oatdale_relay::{Allowed, RollOut, RollOutEnd, RollOuts};
+use oatdale_policy::relay::{Exposure, Origin};
+use oatdale_relay::{Allowed, RollOut, RollOutEnd, RollOuts, Source};
 use std::time::Duration;
 
 const USUAL: Exposure = Exposure {
@@ -33,6 +33,15 @@
     node
 }
 
+/// An answer of one of two endpoints of a version, on the only route.
+fn answer(version: &str, endpoint: u32) -> Source<'_> {
+    Source {
+        service: "pool",
+        version,
+        origin: Origin { route: 1, endpoint },
+    }
+}
+
 fn is_old(allowed: &Allowed) -> bool {
     matches!(allowed, Allowed::Not(version) if version == "v2")
 }
@@ -57,8 +66,8 @@
     let mut here = node();
     let mut there = node();
     there.pin(ms(900), IN_TRIAL, "v1");
-    for report in there.reports(ms(1_500), "there", |_, _| false) {
-        here.heard(ms(1_500), &report);
+    for on_old in there.on_old() {
+        here.heard_on_old(ms(1_500), &on_old);
     }
     assert!(is_old(&here.allowed(ms(2_000), "pool", Some(IN_TRIAL), 7)));
     // Once all requests go to the new version, it goes along.
@@ -83,11 +92,11 @@
 fn failures_are_added_up_over_nodes() {
     let mut nodes = [node(), node(), node()];
     for node in &mut nodes {
-        for _ in 0..2 {
-            node.answered("pool", "v2", true, None);
+        for endpoint in 1..=2 {
+            node.answered(&answer("v2", endpoint), true, None);
         }
         for _ in 0..20 {
-            node.answered("pool", "v1", false, None);
+            node.answered(&answer("v1", 3), false, None);
         }
     }
     let reports: Vec<_> = nodes
@@ -146,3 +155,36 @@
     assert!(due_at(0) < due_at(1));
     assert!(due_at(1) < due_at(2));
 }
+
+// A service has many sessions and routes. What a node tells others of them has to fit into datagrams,
+// which arrive whole or not at all.
+#[test]
+fn what_a_node_tells_fits_into_datagrams() {
+    let mut node = node();
+    for n in 0..1_000 {
+        node.pin(ms(1_300), n, "v1");
+        let origin = Origin {
+            route: u32::MAX - n as u32 % 40,
+            endpoint: u32::MAX - n as u32 % 12,
+        };
+        for version in ["v1", "v2"] {
+            let source = Source {
+                origin,
+                ..answer(version, 1)
+            };
+            node.answered(&source, false, None);
+        }
+    }
+    for report in node.reports(ms(1_500), "front-thu-duc-12", |_, _| true) {
+        let mut wire = Vec::new();
+        ciborium::into_writer(&report, &mut wire).unwrap();
+        assert!(wire.len() < 1_150);
+    }
+    let told = node.on_old();
+    assert!(!told.is_empty());
+    for on_old in told {
+        let mut wire = Vec::new();
+        ciborium::into_writer(&on_old, &mut wire).unwrap();
+        assert!(wire.len() < 1_150);
+    }
+}
