End orders 0.5 s before their time at the latest, and switch later when requests become more

Cause: two of three good versions under orders of 9 s were completed 0.25 s before the order's time (the look each 0.2 s after a wait until 0.4 s before) and counted as not done; 0.36 s was in time. Requests that become more after the share of the trial is settled made the requests after the switch exceed what is allowed (229 of 222).

Test: the switch follows a burst, within bounds; the end waits for old work (as before).

--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -34,10 +34,21 @@
 /// new version goes on with the rest.
 const SWITCHED_FOR: f64 = 0.08;
 const SWITCHED_AT_MOST: Duration = Duration::from_millis(1_600);
-const SWITCHED_AT_LEAST: Duration = Duration::from_millis(800);
+const SWITCHED_AT_LEAST: Duration = Duration::from_millis(900);
 
-/// The part of that time after which the old version is given up, if nothing is under way there.
-const GIVE_UP_OLD: f64 = 0.3;
+/// Nodes whose counts differ a little come to the same time if it is a multiple of this.
+const SWITCHED_STEP: Duration = Duration::from_millis(100);
+
+/// The part of that time after which the old version is given up, if nothing is under way there. The
+/// end can't be taken back, and a version that is bad under load or on one route shows it in the first
+/// answers after the switch.
+const GIVE_UP_OLD: f64 = 0.35;
+
+/// The part of that time after which the end is written though old work is left, and the time before
+/// the end of the order in which it is written at the latest: an order that is ended 0.25 s before its
+/// time has been found to count as not ended, and a node looks each 0.2 s.
+const COMPLETE_ANYWAY: f64 = 0.5;
+const WRITTEN_BEFORE: Duration = Duration::from_millis(500);
 
 /// Where a roll-out is by its plan.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -52,24 +63,66 @@
     Done,
 }
 
-/// Where a roll-out is, `since` the order, while nothing speaks against the version.
-pub fn phase(since: Duration, duration: Duration, verdict: Verdict) -> Phase {
-    let switched = switched_for(duration);
-    let switch = duration.saturating_sub(switched);
-    match verdict {
-        _ if since < TRIAL_AT_LATEST.min(duration.mul_f64(TRIAL_AT)) => Phase::Announced,
-        Verdict::Sound if since >= switch + switched.mul_f64(GIVE_UP_OLD) => Phase::Done,
-        Verdict::Sound if since >= switch => Phase::Switched,
-        _ => Phase::Trial,
-    }
+/// The times of one roll-out.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Schedule {
+    duration: Duration,
+    /// How long before the end all requests go to the new version.
+    switched: Duration,
 }
 
-/// How long before the end all requests go to the new version.
-pub fn switched_for(duration: Duration) -> Duration {
-    duration
-        .mul_f64(SWITCHED_FOR)
-        .clamp(SWITCHED_AT_LEAST, SWITCHED_AT_MOST)
-        .min(duration)
+impl Schedule {
+    /// The schedule of an order that gives so much time.
+    pub fn new(duration: Duration) -> Self {
+        let switched = duration
+            .mul_f64(SWITCHED_FOR)
+            .clamp(SWITCHED_AT_LEAST, SWITCHED_AT_MOST)
+            .min(duration);
+        Schedule { duration, switched }
+    }
+
+    /// Where a roll-out is, `since` the order.
+    pub fn phase(&self, since: Duration, verdict: Verdict) -> Phase {
+        let switch = self.switch();
+        let trial = TRIAL_AT_LATEST.min(self.duration.mul_f64(TRIAL_AT));
+        match verdict {
+            _ if since < trial => Phase::Announced,
+            Verdict::Sound if since >= switch + self.switched.mul_f64(GIVE_UP_OLD) => Phase::Done,
+            Verdict::Sound if since >= switch => Phase::Switched,
+            _ => Phase::Trial,
+        }
+    }
+
+    /// Switches later if requests have become more than the trial was planned for.
+    ///
+    /// A burst that begins after the share of the trial was settled would send the new version more
+    /// requests after the switch than are allowed, however late in the order it comes.
+    pub fn follow_rate(&mut self, since: Duration, planned: f64, now: f64) {
+        if since >= self.switch() || planned <= 0.0 {
+            return;
+        }
+        let usual = Schedule::new(self.duration).switched;
+        let steps =
+            usual.as_secs_f64() * (planned / now.max(planned)) / SWITCHED_STEP.as_secs_f64();
+        let switched = SWITCHED_STEP * steps.ceil() as u32;
+        self.switched = switched.max(SWITCHED_AT_LEAST).min(usual);
+    }
+
+    /// How long before the end all requests go to the new version.
+    pub fn switched(&self) -> Duration {
+        self.switched
+    }
+
+    /// The time since the order at which the end is written though old work is left: an end that is
+    /// late is no end, and the write may have to be repeated.
+    pub fn latest_end(&self) -> Duration {
+        let left = self.switched.mul_f64(1.0 - COMPLETE_ANYWAY);
+        self.duration.saturating_sub(left.max(WRITTEN_BEFORE))
+    }
+
+    fn switch(&self) -> Duration {
+        self.duration.saturating_sub(self.switched)
+    }
 }
 
 /// How much of a bad version operators allow.
@@ -85,9 +138,9 @@
 ///
 /// With the requests after the switch it uses up what is allowed if nothing speaks against the
 /// version until the end: as much evidence as possible, and never more exposure.
-pub fn trial_share(allowed: Exposure, rate: f64, duration: Duration) -> f64 {
-    let secs = duration.as_secs_f64();
-    let switched = switched_for(duration).as_secs_f64();
+pub fn trial_share(allowed: Exposure, rate: f64, schedule: &Schedule) -> f64 {
+    let secs = schedule.duration.as_secs_f64();
+    let switched = schedule.switched.as_secs_f64();
     let rate = rate.max(0.01);
     let planned = PLANNED * (allowed.share * secs * rate + allowed.slack);
     let share = (planned - switched * rate) / ((secs - switched).max(0.1) * rate);
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -1,9 +1,8 @@
 //! Decisions about requests that pass through unread.
 
 use oatdale_policy::relay::{
-    Budget, Candidate, Cells, Counts, Exposure, Health, Ladder, Origin, Phase, Placement, Step,
-    StreamPace, Tally, UsualTime, Verdict, choose, phase, shows_new, switched_for, trial_share,
-    verdict,
+    Budget, Candidate, Cells, Counts, Exposure, Health, Ladder, Origin, Phase, Placement, Schedule,
+    Step, StreamPace, Tally, UsualTime, Verdict, choose, shows_new, trial_share, verdict,
 };
 use std::time::Duration;
 
@@ -167,14 +166,15 @@
 fn a_version_whose_fault_never_shows_stays_within_its_exposure() {
     for duration in [5, 9, 12, 16, 24, 60, 600].map(secs) {
         for rate in [1.0, 5.0, 20.0, 75.0, 400.0] {
-            let share = trial_share(USUAL, rate, duration);
+            let schedule = Schedule::new(duration);
+            let share = trial_share(USUAL, rate, &schedule);
             let step = Duration::from_millis(50);
             let mut exposed = 0.0;
             let mut now = Duration::ZERO;
             while now < duration {
                 exposed += rate
                     * 0.05
-                    * match phase(now, duration, Verdict::Sound) {
+                    * match schedule.phase(now, Verdict::Sound) {
                         Phase::Announced => 0.0,
                         Phase::Trial => share,
                         Phase::Switched | Phase::Done => 1.0,
@@ -183,7 +183,7 @@
             }
             let allowed = USUAL.share * rate * duration.as_secs_f64() + USUAL.slack;
             // At the highest rates the time for the switch alone is more than that on short orders.
-            let at_least = switched_for(duration).as_secs_f64() * rate;
+            let at_least = schedule.switched().as_secs_f64() * rate;
             assert!(
                 exposed <= allowed.max(at_least * 1.2),
                 "{duration:?} at {rate}: {exposed:.0} of {allowed:.0}"
@@ -192,11 +192,32 @@
     }
 }
 
+// Requests become twice as many late in the trial. Had the switch come when it was planned, a bad version
+// would have got more of them than operators allow.
+#[test]
+fn a_burst_after_the_trial_has_begun_moves_the_switch() {
+    let mut schedule = Schedule::new(secs(16));
+    let usual = schedule.switched();
+    schedule.follow_rate(secs(14), 70.0, 90.0);
+    assert!(schedule.switched() < usual, "{schedule:?}");
+    // Never so late that the old version's work could not end and the end not be written.
+    schedule.follow_rate(secs(14), 70.0, 700.0);
+    assert_eq!(schedule.switched(), Duration::from_millis(900));
+    assert_eq!(schedule.latest_end(), Duration::from_millis(15_500));
+    // What is switched stays so.
+    schedule.follow_rate(Duration::from_millis(15_200), 70.0, 70.0);
+    assert_eq!(schedule.switched(), Duration::from_millis(900));
+    // Fewer requests are no reason to switch earlier: they may become more again.
+    let mut schedule = Schedule::new(secs(16));
+    schedule.follow_rate(secs(14), 70.0, 20.0);
+    assert_eq!(schedule.switched(), usual);
+}
+
 #[test]
 fn the_phases_follow_each_other_and_a_bad_version_stays_in_its_trial() {
-    let duration = secs(20);
+    let schedule = Schedule::new(secs(20));
     let all: Vec<_> = (0..=200)
-        .map(|n| phase(Duration::from_millis(n * 100), duration, Verdict::Sound))
+        .map(|n| schedule.phase(Duration::from_millis(n * 100), Verdict::Sound))
         .collect();
     let mut seen = all.clone();
     seen.dedup();
@@ -204,7 +225,7 @@
         seen,
         [Phase::Announced, Phase::Trial, Phase::Switched, Phase::Done]
     );
-    assert_eq!(phase(secs(19), duration, Verdict::Bad), Phase::Trial);
+    assert_eq!(schedule.phase(secs(19), Verdict::Bad), Phase::Trial);
     assert!(shows_new(Phase::Switched, 0.0, u64::MAX));
     assert!(!shows_new(Phase::Announced, 1.0, 0));
 }
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -139,7 +139,7 @@
     let session = Duration::from_secs_f64(state.bounds.session_s);
     state.directory.tick(now);
     state.roll_outs.forget_sessions(now, session);
-    state.roll_outs.settle_shares(now, state.bounds.exposure());
+    state.roll_outs.follow_rates(now, state.bounds.exposure());
     let own = cx.settings.host.as_str();
     let rank = state
         .nodes
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -134,14 +134,14 @@
         self.rates.add(now, service);
     }
 
-    /// Settles the share of each trial that has begun: what nodes told of their requests until then
-    /// gives about the same share on all of them.
-    pub fn settle_shares(&mut self, now: Duration, allowed: Exposure) {
+    /// Settles the share of each trial that has begun, and follows the requests that come: what nodes
+    /// told each other of theirs gives about the same share and times on all of them.
+    pub fn follow_rates(&mut self, now: Duration, allowed: Exposure) {
         let services: Vec<String> = self.by_service.keys().cloned().collect();
         for service in services {
             let own = self.rates.get(now, &service);
             if let Some(active) = self.by_service.get_mut(&service) {
-                active.settle_share(now, allowed, own);
+                active.follow_rate(now, allowed, own);
             }
         }
     }
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -2,9 +2,7 @@
 
 use super::report::numbers;
 use crate::update::{RollOut, RollOutEnd};
-use oatdale_policy::relay::{
-    Exposure, Phase, Tally, Verdict, phase, switched_for, trial_share, verdict,
-};
+use oatdale_policy::relay::{Exposure, Phase, Schedule, Tally, Verdict, trial_share, verdict};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -21,10 +19,6 @@
 /// Nodes that take part in these turns, and that others report to: enough that some are alive.
 pub(crate) const JUDGES: usize = 8;
 
-/// The part of the time after the switch at which the end is written though a node still has work
-/// on the old version: an end that is late is no end, and the write may have to be repeated.
-const COMPLETE_ANYWAY: f64 = 0.5;
-
 /// How much more requests arrive at endpoints than callers send: some are repeated.
 const ARRIVALS: f64 = 1.4;
 
@@ -35,8 +29,11 @@
     pub(super) since: Duration,
     pub(super) own: Tally,
     pub(super) peers: HashMap<String, Peer>,
-    /// Share of requests that try the new version, settled when the trial begins.
+    schedule: Schedule,
+    /// Share of requests that try the new version, settled when the trial begins, and the requests a
+    /// second that it was settled for.
     pub(super) share: Option<f64>,
+    planned_rate: f64,
     pub(super) asked: Option<Duration>,
     /// Since when the end could be written.
     pub(super) due_since: Option<Duration>,
@@ -55,6 +52,8 @@
 impl Active {
     pub(super) fn new(since: Duration, roll_out: RollOut) -> Self {
         Active {
+            schedule: Schedule::new(roll_out.duration),
+            planned_rate: 0.0,
             roll_out,
             since,
             own: Tally::default(),
@@ -94,16 +93,28 @@
 
     pub(super) fn phase(&self, now: Duration) -> Phase {
         let since = now.saturating_sub(self.since);
-        phase(since, self.roll_out.duration, self.verdict)
+        self.schedule.phase(since, self.verdict)
     }
 
-    pub(super) fn settle_share(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
-        if self.share.is_some() || self.phase(now) == Phase::Announced {
+    /// Settles the share of the trial when it begins, and then follows the requests that come.
+    pub(super) fn follow_rate(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
+        if self.phase(now) == Phase::Announced {
             return;
         }
         let others: f64 = self.peers.values().map(|p| p.rate).sum();
         let rate = (own_rate + others) * ARRIVALS;
-        let share = trial_share(allowed, rate, self.roll_out.duration);
+        match self.share {
+            Some(_) => {
+                let since = now.saturating_sub(self.since);
+                self.schedule.follow_rate(since, self.planned_rate, rate);
+            }
+            None => self.settle_share(allowed, rate),
+        }
+    }
+
+    fn settle_share(&mut self, allowed: Exposure, rate: f64) {
+        let share = trial_share(allowed, rate, &self.schedule);
+        self.planned_rate = rate;
         log::info!(
             target: "roll-out",
             "event=trial service={} target={} order={} share={share:.2} rate={rate:.1}",
@@ -141,9 +152,7 @@
 
     /// Whether no node has work on the old version, or there is no time left to wait for it.
     fn old_is_done(&self, now: Duration, busy: bool) -> bool {
-        let duration = self.roll_out.duration;
-        let left = switched_for(duration).mul_f64(1.0 - COMPLETE_ANYWAY);
-        let last = self.since + duration.saturating_sub(left);
+        let last = self.since + self.schedule.latest_end();
         let others_busy = self
             .peers
             .values()
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -29,7 +29,7 @@
 fn node() -> RollOuts {
     let mut node = RollOuts::default();
     node.update(ms(0), order(2, None));
-    node.settle_shares(ms(1_200), USUAL);
+    node.follow_rates(ms(1_200), USUAL);
     node
 }
 
