Notice a burst within a second when the switch of a roll-out is planned

The rate over 5 s follows a burst too late to move the switch. Nodes now also tell each other of the requests of the last second, and in a burst the time after the switch may shrink to 0.7 s.

--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -36,6 +36,10 @@
 const SWITCHED_AT_MOST: Duration = Duration::from_millis(1_600);
 const SWITCHED_AT_LEAST: Duration = Duration::from_millis(900);
 
+/// The least of it in a burst: the end is written half a second before the order's time, and what is
+/// short on the old version ends before.
+const SWITCHED_IN_BURST: Duration = Duration::from_millis(700);
+
 /// Nodes whose counts differ a little come to the same time if it is a multiple of this.
 const SWITCHED_STEP: Duration = Duration::from_millis(100);
 
@@ -105,7 +109,7 @@
         let steps =
             usual.as_secs_f64() * (planned / now.max(planned)) / SWITCHED_STEP.as_secs_f64();
         let switched = SWITCHED_STEP * steps.ceil() as u32;
-        self.switched = switched.max(SWITCHED_AT_LEAST).min(usual);
+        self.switched = switched.max(SWITCHED_IN_BURST).min(usual);
     }
 
     /// How long before the end all requests go to the new version.
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -140,8 +140,10 @@
         let services: Vec<String> = self.by_service.keys().cloned().collect();
         for service in services {
             let own = self.rates.get(now, &service);
+            let recent = self.rates.recent(now, &service);
             if let Some(active) = self.by_service.get_mut(&service) {
-                active.follow_rate(now, allowed, own);
+                active.settle_share(now, allowed, own);
+                active.follow_rate(now, recent);
             }
         }
     }
@@ -238,6 +240,7 @@
             tally: report.tally(),
             old_busy: report.old_busy,
             rate: report.rate,
+            recent_rate: report.recent_rate,
             seen: now,
         };
         active.peers.insert(report.host.clone(), peer);
@@ -279,6 +282,7 @@
                 old: report::cells(&a.own.old),
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
                 rate: self.rates.get(now, &a.roll_out.service),
+                recent_rate: self.rates.recent(now, &a.roll_out.service),
             })
             .collect()
     }
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -45,6 +45,7 @@
 pub(super) struct Peer {
     pub(super) tally: Tally,
     pub(super) rate: f64,
+    pub(super) recent_rate: f64,
     pub(super) old_busy: bool,
     pub(super) seen: Duration,
 }
@@ -96,23 +97,13 @@
         self.schedule.phase(since, self.verdict)
     }
 
-    /// Settles the share of the trial when it begins, and then follows the requests that come.
-    pub(super) fn follow_rate(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
-        if self.phase(now) == Phase::Announced {
+    /// Settles the share of the trial when it begins.
+    pub(super) fn settle_share(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
+        if self.share.is_some() || self.phase(now) == Phase::Announced {
             return;
         }
         let others: f64 = self.peers.values().map(|p| p.rate).sum();
         let rate = (own_rate + others) * ARRIVALS;
-        match self.share {
-            Some(_) => {
-                let since = now.saturating_sub(self.since);
-                self.schedule.follow_rate(since, self.planned_rate, rate);
-            }
-            None => self.settle_share(allowed, rate),
-        }
-    }
-
-    fn settle_share(&mut self, allowed: Exposure, rate: f64) {
         let share = trial_share(allowed, rate, &self.schedule);
         self.planned_rate = rate;
         log::info!(
@@ -123,6 +114,14 @@
         self.share = Some(share);
     }
 
+    /// Follows the requests that come after the share was settled.
+    pub(super) fn follow_rate(&mut self, now: Duration, own_rate: f64) {
+        let others: f64 = self.peers.values().map(|p| p.recent_rate).sum();
+        let rate = (own_rate + others) * ARRIVALS;
+        let since = now.saturating_sub(self.since);
+        self.schedule.follow_rate(since, self.planned_rate, rate);
+    }
+
     pub(super) fn due(&mut self, now: Duration, rank: usize, busy: bool) -> Option<RollOutEnd> {
         if self.roll_out.end.is_some() {
             return None;
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -28,6 +28,8 @@
     pub old_busy: bool,
     /// The node's requests a second for the service.
     pub rate: f64,
+    /// The same within the last second or so.
+    pub recent_rate: f64,
 }
 
 /// Answers of one origin: its route, its endpoint, and how many there were in all, failed, timed
