Switch in the last 6 percent of an order, with room for a wave of requests

Cause: the time after the switch took most of what operators allow, so short orders had small trials, and a wave of requests at the end of a long order exceeded it (258 of 250).

--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -30,23 +30,23 @@
 const TRIAL_AT_LATEST: Duration = Duration::from_millis(1_000);
 
 /// The time before the end in which all requests go to the new version: this part of the duration,
-/// and no more and no less than these. Plain calls and half of the streams end within a second; the
-/// new version goes on with the rest.
-const SWITCHED_FOR: f64 = 0.08;
+/// and no more and no less than these. The end is written half a second before the order's time;
+/// what is short on the old version ends before, and the new version goes on with the rest. A longer
+/// time leaves less of what operators allow for the trial, from which a bad version is found.
+const SWITCHED_FOR: f64 = 0.06;
 const SWITCHED_AT_MOST: Duration = Duration::from_millis(1_600);
-const SWITCHED_AT_LEAST: Duration = Duration::from_millis(900);
+const SWITCHED_AT_LEAST: Duration = Duration::from_millis(700);
 
-/// The least of it in a burst: the end is written half a second before the order's time, and what is
-/// short on the old version ends before.
-const SWITCHED_IN_BURST: Duration = Duration::from_millis(700);
+/// How many times more requests than usual are expected after the switch: callers come in waves.
+const PEAK: f64 = 1.15;
 
 /// Nodes whose counts differ a little come to the same time if it is a multiple of this.
 const SWITCHED_STEP: Duration = Duration::from_millis(100);
 
-/// The part of that time after which the old version is given up, if nothing is under way there. The
-/// end can't be taken back, and a version that is bad under load or on one route shows it in the first
-/// answers after the switch.
-const GIVE_UP_OLD: f64 = 0.35;
+/// The time before the latest end from which on it is written if nothing is under way on the old
+/// version. Not sooner: the end can't be taken back, and a version that is bad under load or on one
+/// route shows it in the first answers after the switch.
+const SOONER_IF_IDLE: Duration = Duration::from_millis(100);
 
 /// The part of that time after which the end is written though old work is left, and the time before
 /// the end of the order in which it is written at the latest: an order that is ended 0.25 s before its
@@ -87,12 +87,12 @@
 
     /// Where a roll-out is, `since` the order.
     pub fn phase(&self, since: Duration, verdict: Verdict) -> Phase {
-        let switch = self.switch();
+        let done = self.latest_end().saturating_sub(SOONER_IF_IDLE);
         let trial = TRIAL_AT_LATEST.min(self.duration.mul_f64(TRIAL_AT));
         match verdict {
             _ if since < trial => Phase::Announced,
-            Verdict::Sound if since >= switch + self.switched.mul_f64(GIVE_UP_OLD) => Phase::Done,
-            Verdict::Sound if since >= switch => Phase::Switched,
+            Verdict::Sound if since >= done.max(self.switch()) => Phase::Done,
+            Verdict::Sound if since >= self.switch() => Phase::Switched,
             _ => Phase::Trial,
         }
     }
@@ -109,7 +109,7 @@
         let steps =
             usual.as_secs_f64() * (planned / now.max(planned)) / SWITCHED_STEP.as_secs_f64();
         let switched = SWITCHED_STEP * steps.ceil() as u32;
-        self.switched = switched.max(SWITCHED_IN_BURST).min(usual);
+        self.switched = switched.max(SWITCHED_AT_LEAST).min(usual);
     }
 
     /// How long before the end all requests go to the new version.
@@ -147,7 +147,7 @@
     let switched = schedule.switched.as_secs_f64();
     let rate = rate.max(0.01);
     let planned = PLANNED * (allowed.share * secs * rate + allowed.slack);
-    let share = (planned - switched * rate) / ((secs - switched).max(0.1) * rate);
+    let share = (planned - PEAK * switched * rate) / ((secs - switched).max(0.1) * rate);
     let share = share.clamp(LEAST_TRIAL, MOST_TRIAL);
     (share / SHARE_STEP).floor() * SHARE_STEP
 }
