Ask a silent engine whether it has the request, and note late answers of plain services

Cause: an engine that takes streams and never answers them, but answers others and says that it is alive, was waited for as long as a busy one: 2.5 times the target, 5 to 7.5 s, so its streams were late or left by their callers. A busy engine can be told from it: its report has requests waiting or a prompt being read. A plain call that is sent only once told nothing of its endpoint until its timeout, and then only of its version; now it counts against the endpoint when it is late, and its timeout as silence.

Tests: an engine that says it has no such request is given up, one that may have it is waited for (the first fails without the change).

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(choose(&[idle, busy], Placement::Affinity, 0), Some(0));
 //! ```
 
+mod engine;
 mod evidence;
 mod health;
 mod ladder;
@@ -24,6 +25,7 @@
 
 pub use crate::average::{Mean, Rate};
 pub use crate::budget::Budget;
+pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{Cells, Counts, Origin, Tally, Verdict, verdict};
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
--- a/crates/oatdale-policy/src/relay/health.rs
+++ b/crates/oatdale-policy/src/relay/health.rs
@@ -6,7 +6,8 @@
 /// few enough to notice a recovery within some ten answers.
 const MEMORY: f64 = 8.0;
 
-/// An endpoint that failed this share of its last answers is tried rarely.
+/// An endpoint that failed this share of its last answers is tried rarely; a service whose calls fail one
+/// time in seven by themselves stays below it.
 const FAILING: f64 = 0.3;
 
 /// How long an endpoint is left out after a failure that says that it may be unreachable; doubled
@@ -61,6 +62,12 @@
         now < self.rests_until
     }
 
+    /// Notes that an answer is late, which may never come: for requests that are sent once only, the
+    /// timeout would tell so a second later.
+    pub fn late(&mut self) {
+        self.failed += (1.0 - self.failed) / MEMORY;
+    }
+
     /// How many times its load counts when endpoints are compared: a failing one is used less, and
     /// still often enough to notice that it recovered.
     pub fn burden(&self) -> f64 {
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -1,8 +1,9 @@
 //! Decisions about requests that pass through unread.
 
 use oatdale_policy::relay::{
-    Budget, Candidate, Cells, Counts, Exposure, Health, Ladder, Origin, Phase, Placement, Schedule,
-    Step, StreamPace, Tally, UsualTime, Verdict, choose, shows_new, trial_share, verdict,
+    Budget, Candidate, Cells, Counts, EngineReport, Exposure, Health, Ladder, Origin, Phase,
+    Placement, Schedule, Step, StreamPace, Tally, UsualTime, Verdict, choose, shows_new,
+    trial_share, verdict,
 };
 use std::time::Duration;
 
@@ -93,6 +94,21 @@
     assert!(health.burden() <= 1.0);
 }
 
+// A call that may be sent only once gets no answer. Four of them are enough to prefer other endpoints,
+// before any has reached its timeout.
+#[test]
+fn an_endpoint_whose_answers_are_late_counts_as_loaded() {
+    let mut health = Health::default();
+    for n in 0..70 {
+        health.answered(n % 7 != 0);
+    }
+    assert!(health.burden() <= 1.0);
+    for _ in 0..4 {
+        health.late();
+    }
+    assert!(health.burden() > 3.0);
+}
+
 // Endpoints fail because they are overloaded. Were each request sent again, they would stay so.
 #[test]
 fn repeats_stay_below_their_share_of_the_requests() {
@@ -440,3 +456,17 @@
     assert_eq!(cells.total().answers, 180);
     assert!(cells.iter().count() <= 35, "{}", cells.iter().count());
 }
+
+#[test]
+fn an_engine_that_reads_no_prompt_and_lets_none_wait_has_lost_a_request() {
+    let report = |waiting, active, generating: &[&str]| EngineReport {
+        waiting,
+        active,
+        generating: generating.iter().map(|id| (*id).to_owned()).collect(),
+    };
+    assert!(report(0, 0, &[]).has_lost("a"));
+    assert!(report(0, 2, &["b", "c"]).has_lost("a"));
+    assert!(!report(1, 2, &["b", "c"]).has_lost("a"));
+    assert!(!report(0, 3, &["b", "c"]).has_lost("a"));
+    assert!(!report(0, 2, &["b", "a"]).has_lost("a"));
+}
--- /dev/null
+++ b/crates/oatdale-relay/src/asking.rs
@@ -0,0 +1,152 @@
+//! Asks engines how they are, for requests that wait there.
+//!
+//! An engine that reads a long prompt sends nobody anything meanwhile, one that is away does not either,
+//! and one may have lost a request while it answers others. Streams would be ended for nothing, or
+//! waited for in vain, if the engine were not asked. What it answers serves all requests that wait there.
+
+use crate::cx::Cx;
+use crate::directory::Entry;
+use crate::running::Running;
+use crate::wire::Wire;
+use http::{Request, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use oatdale_platform::Reuse;
+use oatdale_policy::relay::EngineReport;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// How long an engine may take to say that it is alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// After this time an engine's report has a request if it will ever have it: reports are some hundred
+/// milliseconds old.
+const REPORTED: Duration = Duration::from_millis(600);
+
+/// How long a report serves other requests: each call has its price, and in overload many wait.
+const REPORT_LIFE: Duration = Duration::from_millis(600);
+
+/// The longest report of an engine that is read: some hundred requests.
+const MAX_REPORT: usize = 64 << 10;
+
+/// What an engine answered when it was asked.
+#[derive(Clone, PartialEq, Eq, Debug)]
+enum Probed {
+    Away,
+    /// It answered, and may have said what it does.
+    Alive(Option<Arc<EngineReport>>),
+}
+
+/// An engine's report, and when it came.
+#[derive(Clone, Debug)]
+pub(crate) struct Report {
+    at: Duration,
+    report: Arc<EngineReport>,
+}
+
+impl<W: Wire> Running<W> {
+    /// Whether the endpoint sends nothing at all any more: nothing came for `silence`, and a
+    /// question that an engine answers at once is not answered either.
+    pub(crate) async fn is_dead(&self, silence: Duration) -> bool {
+        let now = self.cx.now();
+        {
+            let mut state = self.cx.state();
+            let Some(entry) = state.directory.get_mut(self.key) else {
+                return false;
+            };
+            if now < entry.heard + silence {
+                return false;
+            }
+            if entry.health.rests(now) {
+                return true;
+            }
+            if !takes_turn(entry, now) {
+                return false;
+            }
+        }
+        self.ask().await == Probed::Away
+    }
+
+    /// Whether the endpoint itself says that it does not have the request `id`, which it was sent so
+    /// long ago.
+    pub(crate) async fn is_lost(&self, id: &str, waited: Duration) -> bool {
+        let now = self.cx.now();
+        let sent = now.saturating_sub(waited);
+        {
+            let mut state = self.cx.state();
+            let Some(entry) = state.directory.get_mut(self.key) else {
+                return false;
+            };
+            let known = entry.report.as_ref();
+            let known = known.filter(|r| r.at >= sent + REPORTED && now < r.at + REPORT_LIFE);
+            match known.map(|r| r.report.has_lost(id)) {
+                Some(lost) => return lost,
+                None if waited < REPORTED || !takes_turn(entry, now) => return false,
+                None => {}
+            }
+        }
+        match self.ask().await {
+            Probed::Alive(Some(report)) => report.has_lost(id),
+            Probed::Alive(None) | Probed::Away => false,
+        }
+    }
+
+    async fn ask(&self) -> Probed {
+        let probed = self.cx.probe(self.addr).await;
+        match &probed {
+            Probed::Away => {
+                log::info!(target: "probe", "event=probed endpoint={} alive=false", self.id);
+                self.silent();
+            }
+            Probed::Alive(None) => {
+                log::info!(target: "probe", "event=probed endpoint={} alive=true", self.id);
+                self.heard();
+            }
+            Probed::Alive(Some(report)) => {
+                log::info!(
+                    target: "probe",
+                    "event=probed endpoint={} alive=true waiting={} active={} generating={}",
+                    self.id, report.waiting, report.active, report.generating.len()
+                );
+                self.heard();
+                self.keep(report.clone());
+            }
+        }
+        probed
+    }
+
+    fn keep(&self, report: Arc<EngineReport>) {
+        let at = self.cx.now();
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.report = Some(Report { at, report });
+        }
+    }
+}
+
+impl<W: Wire> Cx<W> {
+    /// Asks an engine how it is; it answers at once unless it is away.
+    async fn probe(&self, addr: SocketAddr) -> Probed {
+        let mut req = Request::new(Full::default());
+        *req.uri_mut() = Uri::from_static(self.wire.probe_path());
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        let Ok(res) = self.pool.send(addr, req, Reuse::Allowed, deadline).await else {
+            return Probed::Away;
+        };
+        let body = Limited::new(res.into_body(), MAX_REPORT).collect();
+        match timeout_at(deadline, body).await {
+            Ok(Ok(body)) => Probed::Alive(self.wire.engine_report(&body.to_bytes()).map(Arc::new)),
+            Ok(Err(_)) | Err(_) => Probed::Alive(None),
+        }
+    }
+}
+
+/// Whether a request may ask now, and notes that it does: what another one has just asked shows at the
+/// next look.
+fn takes_turn(entry: &mut Entry, now: Duration) -> bool {
+    let free = now >= entry.probed + PROBE_TIMEOUT * 2;
+    if free {
+        entry.probed = now;
+    }
+    free
+}
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -118,14 +118,22 @@
     let mut sending = std::pin::pin!(cx.pool.send(running.addr, req, plan.reuse(), plan.limit));
     let sent = Instant::now();
     let mut check = sent + patience(plan);
+    let mut is_late = false;
     let res = loop {
-        let until = match how.impatient {
+        // One that is not given up is looked at once.
+        let until = match how.impatient || !is_late {
             true => check.min(plan.limit),
             false => plan.limit,
         };
         match timeout_at(until, &mut sending).await {
             Ok(res) => break res,
             Err(_) if Instant::now() >= plan.limit => return Err(Failure::TimedOut),
+            Err(_) if !how.impatient => {
+                is_late = true;
+                if !plan.route().kind.is_stream() {
+                    running.late();
+                }
+            }
             Err(_) if is_given_up(plan, running, sent).await => {
                 return Err(Failure::GivenUp);
             }
@@ -156,13 +164,14 @@
 
 /// Whether to ask another endpoint.
 ///
-/// Streams wait for their turn at an engine, which says that it is alive if asked. A plain
-/// service's answer that is late is late for itself.
+/// Streams wait for their turn at an engine, which says if asked that it is alive and whether it has
+/// the request. A plain service's answer that is late is late for itself.
 async fn is_given_up<W: Wire>(plan: &Plan, running: &Running<W>, sent: Instant) -> bool {
-    match plan.route().kind.is_stream() {
-        true => running.is_dead(SILENCE).await || sent.elapsed() >= target(plan).mul_f64(LOST),
-        false => true,
+    if !plan.route().kind.is_stream() || sent.elapsed() >= target(plan).mul_f64(LOST) {
+        return true;
     }
+    let id = plan.facts.id.as_deref().unwrap_or_default();
+    running.is_dead(SILENCE).await || running.is_lost(id, sent.elapsed()).await
 }
 
 /// Sorts out answers that are none.
@@ -214,7 +223,13 @@
             return state.roll_outs.judged(&plan.source(running), true);
         }
         Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
-        Err(Failure::TimedOut) => true,
+        Err(Failure::TimedOut) => {
+            // A caller that waits only a moment says nothing of the endpoint.
+            if took >= patience(plan) {
+                running.silent();
+            }
+            true
+        }
         Err(Failure::NoEndpoint) => return,
     };
     // A stream's first event waits for its engine's queue and for the prompt to be read, which says
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -2,17 +2,14 @@
 
 use crate::metrics::Metrics;
 use crate::roll_outs::Allowed;
-use crate::running::{PROBE_TIMEOUT, Running};
+use crate::running::Running;
 use crate::settings::Settings;
 use crate::site::Site;
 use crate::state::{State, Wanted};
 use crate::update::Update;
 use crate::wire::Wire;
-use http::{Request, Uri};
-use http_body_util::Full;
-use oatdale_platform::{Pool, PoolConfig, Reuse};
+use oatdale_platform::{Pool, PoolConfig};
 use oatdale_policy::relay::Budget;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -177,17 +174,6 @@
         ))
     }
 
-    /// Whether an engine answers at once when asked.
-    pub(crate) async fn probe(&self, addr: SocketAddr) -> bool {
-        let mut req = Request::new(Full::default());
-        *req.uri_mut() = Uri::from_static(self.wire.probe_path());
-        let deadline = Instant::now() + PROBE_TIMEOUT;
-        self.pool
-            .send(addr, req, Reuse::Allowed, deadline)
-            .await
-            .is_ok()
-    }
-
     /// Notes a request for a service, which pays for repeats.
     pub(crate) fn count_request(&self, service: &str) {
         let now = self.now();
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -1,5 +1,6 @@
 //! The endpoints that a node knows of, what it has under way there, and how they did.
 
+use crate::asking::Report;
 use crate::update::Endpoint;
 use oatdale_policy::relay::Health;
 use std::collections::BTreeMap;
@@ -42,6 +43,8 @@
     pub heard: Duration,
     /// When it was last asked whether it is alive.
     pub probed: Duration,
+    /// What it last said of its work.
+    pub(crate) report: Option<Report>,
     gone: Gone,
 }
 
@@ -106,6 +109,7 @@
             others: Vec::new(),
             heard: now,
             probed: Duration::ZERO,
+            report: None,
             gone: Gone::No,
         };
         self.entries.insert(key, entry);
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -38,6 +38,7 @@
 //! assert_eq!(site.route("other.example", "/slots/41"), None);
 //! ```
 
+mod asking;
 mod attempt;
 mod cx;
 mod directory;
@@ -73,3 +74,4 @@
 pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
 pub use crate::update::{Command, Endpoint, Node, RollOut, RollOutEnd, Update};
 pub use crate::wire::{AnswerFacts, Forward, Prompt, RequestFacts, Wire};
+pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -5,17 +5,13 @@
 use crate::wire::Wire;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Weight of a request whose prompt is read.
 const READ_WEIGHT: f64 = 1.0;
 
-/// How long an engine may take to say that it is alive.
-pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// A request under way at an endpoint; dropping it takes it off the endpoint's load.
 pub(crate) struct Running<W> {
-    cx: Arc<Cx<W>>,
+    pub(crate) cx: Arc<Cx<W>>,
     pub(crate) key: EndpointKey,
     pub(crate) weight: f64,
     pub(crate) addr: SocketAddr,
@@ -83,39 +79,6 @@
         }
     }
 
-    /// Whether the endpoint sends nothing at all any more: nothing came for `silence`, and a
-    /// question that an engine answers at once is not answered either.
-    ///
-    /// An engine that reads a long prompt sends nobody anything meanwhile. Without the question
-    /// its streams would be ended for nothing.
-    pub(crate) async fn is_dead(&self, silence: Duration) -> bool {
-        let now = self.cx.now();
-        {
-            let mut state = self.cx.state();
-            let Some(entry) = state.directory.get_mut(self.key) else {
-                return false;
-            };
-            if now < entry.heard + silence {
-                return false;
-            }
-            if entry.health.rests(now) {
-                return true;
-            }
-            // Another request has just asked; its result shows at the next look.
-            if now < entry.probed + PROBE_TIMEOUT * 2 {
-                return false;
-            }
-            entry.probed = now;
-        }
-        let alive = self.cx.probe(self.addr).await;
-        log::info!(target: "probe", "event=probed endpoint={} alive={alive}", self.id);
-        match alive {
-            true => self.heard(),
-            false => self.silent(),
-        }
-        !alive
-    }
-
     /// An answer came; `good` unless the endpoint failed it.
     pub(crate) fn answered(&self, good: bool) {
         if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
@@ -123,6 +86,14 @@
         }
     }
 
+    /// An answer is late.
+    pub(crate) fn late(&self) {
+        log::info!(target: "attempt", "event=late endpoint={}", self.id);
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.health.late();
+        }
+    }
+
     /// No answer came, though there should have been one.
     pub(crate) fn silent(&self) {
         let now = self.cx.now();
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,6 +1,6 @@
 //! What the platform and the answers have told so far, and the picks that follow from it.
 
-use crate::directory::{Directory, EndpointKey};
+use crate::directory::{Directory, EndpointKey, Entry};
 use crate::nodes::Nodes;
 use crate::roll_outs::{Allowed, RollOuts};
 use crate::settings::Bounds;
@@ -100,44 +100,13 @@
         wanted: &Wanted<'_>,
         domain: &str,
     ) -> Option<(EndpointKey, usize)> {
-        let all: Vec<_> = self
-            .directory
-            .usable(now, wanted.service)
+        let usable = self.directory.usable(now, wanted.service);
+        let all: Vec<_> = usable
             .filter(|(key, _)| !wanted.tried.contains(key))
             .collect();
-        let matching = |prefer: &dyn Fn(&str) -> bool| -> Vec<_> {
-            let fits = all.iter().filter(|(_, e)| prefer(&e.endpoint.version));
-            fits.copied().collect()
-        };
-        let listed = match wanted.allowed {
-            Allowed::All => all,
-            Allowed::Not(version) => matching(&|v| v != version),
-            Allowed::Prefer(version) => match matching(&|v| v == version) {
-                preferred if preferred.is_empty() => all,
-                preferred => preferred,
-            },
-            Allowed::Trial {
-                version,
-                seed,
-                share,
-            } => {
-                let mut new = matching(&|v| v == version);
-                new.retain(|(_, e)| !e.health.rests(now));
-                new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
-                let part = (share * new.len() as f64).ceil() as usize;
-                new.truncate(part.max(LEAST_TRIED));
-                match new.is_empty() {
-                    true => matching(&|v| v != version),
-                    false => new,
-                }
-            }
-        };
+        let listed = of_version(now, wanted.allowed, all);
         // Those that seem to be away are asked only when there is no other.
-        let awake: Vec<_> = listed
-            .iter()
-            .filter(|(_, e)| !e.health.rests(now))
-            .copied()
-            .collect();
+        let awake = kept(&listed, |e| !e.health.rests(now));
         let listed = if awake.is_empty() { listed } else { awake };
         let candidates: Vec<Candidate> = listed
             .iter()
@@ -156,6 +125,40 @@
     }
 }
 
+/// An endpoint that may be picked.
+type Listed<'a> = (EndpointKey, &'a Entry);
+
+/// The endpoints whose version a request may use.
+fn of_version<'a>(now: Duration, allowed: &Allowed, all: Vec<Listed<'a>>) -> Vec<Listed<'a>> {
+    let is = |version: &str, e: &Entry| e.endpoint.version == version;
+    match allowed {
+        Allowed::All => all,
+        Allowed::Not(version) => kept(&all, |e| !is(version, e)),
+        Allowed::Prefer(version) => match kept(&all, |e| is(version, e)) {
+            preferred if preferred.is_empty() => all,
+            preferred => preferred,
+        },
+        Allowed::Trial {
+            version,
+            seed,
+            share,
+        } => {
+            let mut new = kept(&all, |e| is(version, e) && !e.health.rests(now));
+            new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
+            let part = (share * new.len() as f64).ceil() as usize;
+            new.truncate(part.max(LEAST_TRIED));
+            match new.is_empty() {
+                true => kept(&all, |e| !is(version, e)),
+                false => new,
+            }
+        }
+    }
+}
+
+fn kept<'a>(all: &[Listed<'a>], keep: impl Fn(&Entry) -> bool) -> Vec<Listed<'a>> {
+    all.iter().filter(|(_, e)| keep(e)).copied().collect()
+}
+
 /// The same on every node.
 pub(crate) fn hash(value: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, request, response};
+use oatdale_policy::relay::EngineReport;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
     /// A path that an engine answers at once, whatever it has to do.
     fn probe_path(&self) -> &'static str;
 
+    /// Reads what an engine answers there; `None` if it says nothing of its work.
+    fn engine_report(&self, body: &[u8]) -> Option<EngineReport>;
+
     /// Whether a path asks if the node is ready.
     fn is_readiness(&self, path: &str) -> bool;
 
