Let a node that the key-value service does not answer ask another one

A neighbour that is served by the service counts as the service's word; one that is not only helps a node that knows nothing. The exchange has an address of its own, since customers' keys are in it.

Ruled out: the datagrams between nodes (a configuration is longer); telling all nodes of each change (nobody needs it in steady times, and it costs nothing now).

--- a/crates/oatdale-node/tests/relaying.rs
+++ b/crates/oatdale-node/tests/relaying.rs
@@ -68,7 +68,7 @@
     format!(
         "platform: registry\nhost: n{ip}\nfailure-domain: a\nlisten:\n  callers: {ip}:24001\n  \
          readiness: {ip}:24002\n  addresses: {ip}:24003\n  nodes: {ip}:24004\n  metrics: \
-         {ip}:24005\nkey-value: {key_value}\nbounds:\n  stop-s: 2\n  addresses-s: 5\n  \
+         {ip}:24005\n  state: {ip}:24006\nkey-value: {key_value}\nbounds:\n  stop-s: 2\n  addresses-s: 5\n  \
          repeat-ratio: 0.9\n  repeat-slack: 50\n  exposure-share: 0.15\n  exposure-slack: 30\n  \
          session-s: 5\n"
     )
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -125,11 +125,13 @@
             Update::Nodes(nodes) => state.nodes.replace(now, nodes),
             Update::StoreLost => {
                 self.metrics.store.set(0);
+                state.store_lost = Some(now);
                 state.directory.store_lost();
                 state.nodes.store_lost();
             }
             Update::StoreBack => {
                 self.metrics.store.set(1);
+                state.store_lost = None;
                 state.directory.store_back(now);
                 state.nodes.store_back(now);
             }
@@ -137,7 +139,7 @@
         self.metrics.endpoints.set(state.directory.len() as i64);
     }
 
-    fn take_site(&self, state: &mut State, site: Arc<Site>) {
+    pub(crate) fn take_site(&self, state: &mut State, site: Arc<Site>) {
         let old = state.site.as_ref().map(|s| s.version);
         if old.is_some_and(|old| site.version <= old) {
             log::debug!(target: "config", "event=not_newer version={} old={old:?}", site.version);
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -193,6 +193,15 @@
         self.entries.get_mut(&key)
     }
 
+    /// All endpoints that are not gone.
+    pub fn iter(&self, now: Duration) -> impl Iterator<Item = &Endpoint> {
+        let there = move |e: &&Entry| match e.gone {
+            Gone::No => true,
+            Gone::At(at) => now < at,
+        };
+        self.entries.values().filter(there).map(|e| &e.endpoint)
+    }
+
     /// How many endpoints are known and not gone.
     pub fn len(&self) -> usize {
         self.entries.values().filter(|e| e.gone == Gone::No).count()
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -52,6 +52,7 @@
 mod metrics;
 mod node;
 mod nodes;
+mod peers;
 mod plan;
 mod record;
 mod reply;
--- a/crates/oatdale-relay/src/local.rs
+++ b/crates/oatdale-relay/src/local.rs
@@ -25,13 +25,21 @@
 /// How long a connection may stay without a request.
 const IDLE: Duration = Duration::from_secs(10);
 
-/// Answers one of the small interfaces.
+/// Answers the small interfaces for callers and operators.
 pub(crate) async fn serve_local<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
+    serve_with(listener, move |req| answer(cx.clone(), req)).await;
+}
+
+/// Answers requests that need no body.
+pub(crate) async fn serve_with<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    A: Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let cx = cx.clone();
-                let service = service_fn(move |req| answer(cx.clone(), req));
+                let service = service_fn(answer.clone());
                 let conn = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(IDLE)
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -6,6 +6,7 @@
 use crate::gossip::{self, REPORT_EVERY};
 use crate::local::serve_local;
 use crate::metrics::Metrics;
+use crate::peers;
 use crate::settings::Settings;
 use crate::update::{Command, Update};
 use crate::wire::Wire;
@@ -60,6 +61,8 @@
         for addr in [listen.readiness, listen.addresses, listen.metrics] {
             tokio::spawn(serve_local(cx.clone(), bind(addr)?));
         }
+        tokio::spawn(peers::serve(cx.clone(), bind(listen.state)?));
+        tokio::spawn(peers::follow(cx.clone()));
         tokio::spawn(front::accept(cx.clone(), callers, stopped));
         tokio::spawn(gossip::listen(cx.clone()));
         tokio::spawn(take_updates(cx.clone(), updates));
--- /dev/null
+++ b/crates/oatdale-relay/src/peers/wire.rs
@@ -0,0 +1,72 @@
+//! What a node tells another one that asks, as CBOR.
+
+use crate::roll_outs::Report;
+use crate::site::{CallerLimits, Customers, Route, ServiceFacts, Site};
+use crate::update::{Endpoint, Node, RollOut};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::io;
+
+/// All that a node knows of the site.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Snapshot {
+    /// Whether the key-value service answers the node that tells it.
+    pub(super) is_current: bool,
+    /// The configuration in force, if it is newer than the one that the other node has.
+    pub(super) site: Option<SiteWire>,
+    /// All endpoints.
+    pub(super) endpoints: Vec<Endpoint>,
+    /// All nodes.
+    pub(super) nodes: Vec<Node>,
+    /// Roll-outs that have ended.
+    pub(super) ended: Vec<RollOut>,
+    /// Those that have not, with what the node saw of them.
+    pub(super) under_way: Vec<Report>,
+}
+
+/// A configuration without what follows from it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct SiteWire {
+    pub(super) version: u64,
+    routes: Vec<Route>,
+    services: HashMap<String, ServiceFacts>,
+    limits: CallerLimits,
+    customers: Option<Customers>,
+}
+
+impl Snapshot {
+    pub(super) fn encode(&self) -> Result<Bytes, ciborium::ser::Error<io::Error>> {
+        let mut body = Vec::new();
+        ciborium::into_writer(self, &mut body)?;
+        Ok(body.into())
+    }
+
+    pub(super) fn decode(body: &[u8]) -> Result<Snapshot, ciborium::de::Error<io::Error>> {
+        ciborium::from_reader(body)
+    }
+}
+
+impl From<&Site> for SiteWire {
+    fn from(site: &Site) -> Self {
+        SiteWire {
+            version: site.version,
+            routes: site.routes.clone(),
+            services: site.services.clone(),
+            limits: site.limits,
+            customers: site.customers.clone(),
+        }
+    }
+}
+
+impl From<SiteWire> for Site {
+    fn from(wire: SiteWire) -> Self {
+        Site::new(
+            wire.version,
+            wire.routes,
+            wire.services,
+            wire.limits,
+            wire.customers,
+        )
+    }
+}
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -287,6 +287,12 @@
             .collect()
     }
 
+    /// The roll-outs that have ended.
+    pub fn ended(&self) -> Vec<RollOut> {
+        let all = self.by_service.values().map(|a| &a.roll_out);
+        all.filter(|r| r.end.is_some()).cloned().collect()
+    }
+
     /// The sessions that this node has on old versions and of which others have to know while
     /// roll-outs are under way.
     pub fn on_old(&self) -> Vec<OnOld> {
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -30,6 +30,10 @@
     /// How far a small model's answer is trusted.
     #[serde(default)]
     pub ladder: Ladder,
+    /// Where some nodes tell what they know of the site, for a node that starts while the key-value
+    /// service is away. They need not be up.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// When the largest model makes an answer again.
@@ -68,6 +72,8 @@
     pub addresses: SocketAddr,
     /// Datagrams of other nodes.
     pub nodes: SocketAddr,
+    /// Other nodes that ask what this one knows of the site, customers' keys among it.
+    pub state: SocketAddr,
     /// Counters and histograms.
     pub metrics: SocketAddr,
 }
--- a/crates/oatdale-relay/src/site.rs
+++ b/crates/oatdale-relay/src/site.rs
@@ -1,6 +1,7 @@
 //! The configuration that a relay follows: routes, services, customers and limits on callers.
 
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -22,7 +23,7 @@
 }
 
 /// Where requests to one host and path prefix go.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for logs.
     pub name: String,
@@ -51,7 +52,7 @@
 }
 
 /// What may be done with a route's requests.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum RouteKind {
     /// May run more than once.
     Idempotent,
@@ -64,7 +65,7 @@
 }
 
 /// What the configuration tells of a service's engines.
-#[derive(Clone, PartialEq, Debug, Default)]
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
 pub struct ServiceFacts {
     /// Connections that one endpoint accepts from all nodes together.
     pub connections: u32,
@@ -73,7 +74,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a request's head.
     pub header_bytes: usize,
@@ -86,14 +87,14 @@
 }
 
 /// Customers by their keys.
-#[derive(Clone, PartialEq, Debug, Default)]
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
 pub struct Customers {
     customers: Vec<Customer>,
     by_key: HashMap<String, usize>,
 }
 
 /// One customer.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Customer {
     /// Its name, as endpoints are told.
     pub name: String,
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -39,6 +39,8 @@
     waits: HashMap<String, Mean>,
     /// When the node was told to stop, if it was.
     pub(crate) stopping: Option<Instant>,
+    /// Since when the key-value service does not answer this node, if it does not.
+    pub(crate) store_lost: Option<Duration>,
 }
 
 /// What decides where a request is placed.
@@ -66,6 +68,8 @@
             budgets: HashMap::new(),
             waits: HashMap::new(),
             stopping: None,
+            // It is lost until it has answered once.
+            store_lost: Some(Duration::ZERO),
         }
     }
 
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -1,6 +1,7 @@
 //! What a platform adapter and the relay tell each other.
 
 use crate::site::Site;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,7 +44,7 @@
 }
 
 /// One start of one endpoint.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Unique to this start.
     pub id: String,
@@ -62,7 +63,7 @@
 }
 
 /// An order to move a service's traffic to a software version, and what became of it.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct RollOut {
     /// The service.
     pub service: String,
@@ -77,7 +78,7 @@
 }
 
 /// How a roll-out ended.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum RollOutEnd {
     /// All traffic is on the new version; the old one stops.
     Completed,
@@ -86,7 +87,7 @@
 }
 
 /// Another node.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Node {
     /// Its host's name.
     pub host: String,
@@ -94,4 +95,6 @@
     pub callers: SocketAddr,
     /// Where it takes other nodes' datagrams.
     pub nodes: SocketAddr,
+    /// Where it tells other nodes what it knows of the site; nodes of an earlier version do not.
+    pub state: Option<SocketAddr>,
 }
