Bound the memory that callers' bodies take

Cause: bodies are read whole, each up to the configured limit (4 MiB on the users' sites). Some 25 callers with such bodies at once would take the 110 MB of a host and end the process with all its requests. Bodies beyond 16 KiB now share 28 MiB; one that finds none within a second is refused with a time to come back, and not run. Memory is taken as bytes come, so that a told length alone holds nothing up.

Ruled out: taking the told length at once (a few callers that send nothing would hold up all others); passing bodies on unread in pieces (repeats, larger models and resumed streams need them again). Test: seven long bodies fill it, the eighth is refused, a short one passes, the memory comes back. Reading of bodies is a module of its own now.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -1,5 +1,6 @@
 //! What all of a relay's requests share.
 
+use crate::body::BodyMemory;
 use crate::metrics::Metrics;
 use crate::roll_outs::Allowed;
 use crate::running::Running;
@@ -40,6 +41,7 @@
     pub(crate) settings: Settings,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
+    pub(crate) body_memory: BodyMemory,
     /// For datagrams of and to other nodes.
     pub(crate) socket: UdpSocket,
     started: Instant,
@@ -63,6 +65,7 @@
             wire,
             pool,
             metrics,
+            body_memory: BodyMemory::default(),
             socket,
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds)),
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -40,6 +40,7 @@
 
 mod asking;
 mod attempt;
+mod body;
 mod cx;
 mod directory;
 mod error;
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -1,5 +1,6 @@
 //! One request as the relay handles it, from its head to the end of its answer.
 
+use crate::body::HeldBody;
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::reply::Refusal;
@@ -33,7 +34,7 @@
     pub(crate) uri: Uri,
     /// The caller's headers without those of its connection.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     pub(crate) arrival: Instant,
     /// When the caller stops waiting or the route's time is up.
     pub(crate) limit: Instant,
@@ -69,7 +70,7 @@
             method: head.method,
             uri: head.uri,
             headers: head.headers,
-            body: Bytes::new(),
+            body: HeldBody::default(),
             arrival,
             limit: arrival + wait,
             urgency: site.routes[route].urgency,
@@ -202,7 +203,7 @@
         endpoint: &str,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::new(self.body.clone()));
+        let mut req = Request::new(Full::new(self.body.bytes.clone()));
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
--- a/crates/oatdale-relay/src/reply.rs
+++ b/crates/oatdale-relay/src/reply.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The body did not come in time.
     SlowBody,
+    /// There is no memory for the body.
+    NoMemory,
     /// This node knows no configuration yet.
     NotReady,
     /// This node stops before the answer would end.
@@ -48,9 +50,11 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Refusal::NotReady | Refusal::Stopping | Refusal::NoEndpoint | Refusal::NoTime => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NoMemory
+            | Refusal::NotReady
+            | Refusal::Stopping
+            | Refusal::NoEndpoint
+            | Refusal::NoTime => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -65,6 +69,7 @@
             Refusal::NoRoute => "no-route",
             Refusal::TooLarge => "too-large",
             Refusal::SlowBody => "slow-body",
+            Refusal::NoMemory => "no-memory",
             Refusal::NotReady => "not-ready",
             Refusal::Stopping => "stopping",
             Refusal::NoEndpoint => "no-endpoint",
@@ -82,7 +87,10 @@
         res.headers_mut().insert(header::RETRY_AFTER, value);
     }
     // The rest of a body that was not read would be taken for the next request.
-    if matches!(refusal, Refusal::TooLarge | Refusal::SlowBody) {
+    if matches!(
+        refusal,
+        Refusal::TooLarge | Refusal::SlowBody | Refusal::NoMemory
+    ) {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -12,8 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::stream::{self, StreamExt};
 use http::{HeaderValue, Request, Response, header, response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use oatdale_policy::relay::{Ladder, Step};
 use rand::RngExt;
 use std::convert::Infallible;
@@ -29,9 +28,6 @@
 /// can be asked for again or be told of by a status.
 const SMALL: usize = 64 << 10;
 
-/// How long a caller may take to send a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// When a refused caller is to come back, as a part of the route's target: soon enough to be in
 /// time, and spread so that those who were refused together do not come back together.
 const RETURN: std::ops::Range<f64> = 0.4..1.2;
@@ -39,7 +35,7 @@
 /// The latest return that is asked for.
 const LATEST_RETURN: Duration = Duration::from_millis(1_500);
 
-/// When to come back to a node that knows no configuration yet.
+/// When to come back to a node that knows no configuration yet, or has no memory for a body.
 const START_RETURN: Duration = Duration::from_millis(500);
 
 /// An endpoint's answer that is to be passed on.
@@ -71,7 +67,7 @@
         Ok(plan) => answer(&cx, plan, record).await,
         Err(refusal) => {
             let retry = match refusal {
-                Refusal::NotReady => Some(START_RETURN),
+                Refusal::NotReady | Refusal::NoMemory => Some(START_RETURN),
                 // Another node can take it at once.
                 Refusal::Stopping => Some(Duration::ZERO),
                 _ => None,
@@ -116,24 +112,10 @@
     if plan.route().kind.is_stream() && !cx.has_time_for_stream() {
         return Err(Refusal::Stopping);
     }
-    plan.body = read_body(&plan, body).await?;
+    plan.body = cx.body_memory.read(&plan, body).await?;
     Ok(plan)
 }
 
-async fn read_body(plan: &Plan, body: Incoming) -> Result<Bytes, Refusal> {
-    let limit = plan.site.limits.body_bytes;
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::TooLarge);
-    }
-    let until = plan.limit.min(plan.arrival + BODY_TIMEOUT);
-    match timeout_at(until, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest),
-        Err(_) => Err(Refusal::SlowBody),
-    }
-}
-
 /// Asks endpoints until one has answered or none may be asked any more.
 async fn answer<W: Wire>(cx: &Arc<Cx<W>>, mut plan: Plan, mut record: Record<W>) -> Response<Body> {
     cx.count_request(&plan.service);
