--- a/crates/oatdale-node/tests/relaying.rs
+++ b/crates/oatdale-node/tests/relaying.rs
@@ -94,6 +94,11 @@
 }
 
 async fn status(addr: SocketAddr, path: &str) -> Option<u16> {
+    Some(get(addr, path).await?.0)
+}
+
+/// An answer's status and body.
+async fn get(addr: SocketAddr, path: &str) -> Option<(u16, Bytes)> {
     let req = Request::get(path)
         .header("host", "desk.example")
         .header("request-id", "r1")
@@ -102,8 +107,8 @@
     let end = Instant::now() + Duration::from_secs(2);
     let sent = Pool::default().send(addr, req, Reuse::Never, end).await;
     let (head, body) = sent.ok()?.into_parts();
-    body.collect().await.ok()?;
-    Some(head.status.as_u16())
+    let body = body.collect().await.ok()?.to_bytes();
+    Some((head.status.as_u16(), body))
 }
 
 async fn until(what: &str, mut test: impl AsyncFnMut() -> bool) {
@@ -166,6 +171,25 @@
     assert_eq!(status(ready, READINESS).await, Some(200));
 }
 
+// The host changes the settings file and tells nobody. Callers would be told for ever to keep addresses for
+// longer than the site promises by now.
+#[tokio::test]
+async fn a_settings_file_that_changes_without_a_signal_is_taken_in() {
+    let (store, _desk) = site().await;
+    let relay = Process::start(5, store.addr());
+    let told = async || {
+        let answer = get(relay.at(24003), "/resolve?name=desk.example").await;
+        let (_, body) = answer.unwrap_or_default();
+        let body: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        body["ttl_s"].as_f64()
+    };
+    until("it tells addresses", async || told().await == Some(1.5)).await;
+    let text = std::fs::read_to_string(&relay.settings).expect("it is there");
+    let changed = text.replace("addresses-s: 5", "addresses-s: 0.5");
+    std::fs::write(&relay.settings, changed).expect("the file can be written");
+    until("the change is in force", async || told().await == Some(0.5)).await;
+}
+
 // All nodes lose their power at once, while the key-value service is away. They have to serve again
 // as soon as it is back, from what lies there alone.
 #[tokio::test]
