Leave answers of failing old endpoints out of what is usual for a version

Answers of old endpoints that fail much when they are picked are not counted now.

What is asked is now noted when the endpoint is picked. Test: failing old endpoints beside a version that fails a quarter.

--- a/crates/oatdale-policy/src/relay/health.rs
+++ b/crates/oatdale-policy/src/relay/health.rs
@@ -68,10 +68,15 @@
         self.failed += (1.0 - self.failed) / MEMORY;
     }
 
+    /// Whether it fails much of what it gets.
+    pub fn is_failing(&self) -> bool {
+        self.failed > FAILING
+    }
+
     /// How many times its load counts when endpoints are compared: a failing one is used less, and
     /// still often enough to notice that it recovered.
     pub fn burden(&self) -> f64 {
-        match self.failed > FAILING {
+        match self.is_failing() {
             true => 1.0 + 10.0 * self.failed,
             false => 1.0,
         }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -219,8 +219,8 @@
         Err(Failure::NotRun(_)) => return running.answered(false),
         Err(Failure::GivenUp) => {
             running.silent();
-            let mut state = cx.state();
-            return state.roll_outs.judged(&plan.source(running), true);
+            let source = plan.source(running);
+            return cx.state().roll_outs.judged(&source, true);
         }
         Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
         Err(Failure::TimedOut) => {
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -143,6 +143,7 @@
     /// Where the answer of an endpoint comes from, for roll-outs.
     pub(crate) fn source<'a, W>(&'a self, running: &'a Running<W>) -> Source<'a> {
         Source {
+            is_failing: running.is_failing,
             service: &self.service,
             version: &running.version,
             origin: Origin {
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -53,6 +53,8 @@
     pub version: &'a str,
     /// The route and the endpoint.
     pub origin: Origin,
+    /// Whether the endpoint fails much of what it gets.
+    pub is_failing: bool,
 }
 
 /// All roll-outs that a node knows of.
@@ -214,6 +216,9 @@
         match active.roll_out.end {
             Some(_) => None,
             None if is_new => Some((active.own.new.at(source.origin), true)),
+            // An old endpoint that fails by itself is not what is usual. With its answers a version
+            // that fails a third of its own looked like the old one, and was completed.
+            None if source.is_failing => None,
             None => Some((active.own.old.at(old), false)),
         }
     }
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -17,6 +17,8 @@
     pub(crate) addr: SocketAddr,
     pub(crate) id: String,
     pub(crate) version: String,
+    /// Whether the endpoint failed much of what it got when it was picked.
+    pub(crate) is_failing: bool,
     /// The endpoint's load when it was picked, and among how many: for the log.
     pub(crate) load_before: f64,
     pub(crate) choices: usize,
@@ -41,6 +43,7 @@
             addr: entry.endpoint.addr,
             id: entry.endpoint.id.clone(),
             version: entry.endpoint.version.clone(),
+            is_failing: entry.health.is_failing(),
             load_before,
             choices,
         }
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -39,6 +39,7 @@
         service: "pool",
         version,
         origin: Origin { route: 1, endpoint },
+        is_failing: false,
     }
 }
 
@@ -188,3 +189,24 @@
         assert!(wire.len() < 1_150);
     }
 }
+
+// Two of the old version's endpoints fail half of what they get, and the new version fails a third of
+// its own. Next to all old answers that looks usual; the version would be completed, and all callers be
+// failed.
+#[test]
+fn failing_endpoints_of_the_old_version_do_not_hide_a_bad_new_one() {
+    let mut node = node();
+    for n in 0..700 {
+        let failing = n % 4 == 0;
+        let source = Source {
+            is_failing: failing,
+            ..answer("v1", 3)
+        };
+        node.answered(&source, failing && n % 8 == 0, None);
+    }
+    for n in 0..42 {
+        node.answered(&answer("v2", n % 3), n % 4 == 1, None);
+    }
+    let due = node.due(ms(2_000), 0, |_, _| false);
+    assert_eq!(due.first().map(|d| d.1), Some(RollOutEnd::RolledBack));
+}
