Read the records about once a second, and tell other nodes of endpoints that leave

Cause: 1.43 watches a second and node, each priced, so that an endpoint that leaves gets nothing new two seconds after its record says so.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -1,6 +1,7 @@
 //! What all of a relay's requests share.
 
 use crate::body::BodyMemory;
+use crate::gossip::{self, Message};
 use crate::metrics::Metrics;
 use crate::roll_outs::Allowed;
 use crate::running::Running;
@@ -118,11 +119,16 @@
                     endpoint.id, endpoint.service, endpoint.addr, endpoint.version,
                     endpoint.leaving
                 );
-                state.directory.upsert(now, endpoint);
+                let id = endpoint.id.clone();
+                if state.directory.upsert(now, endpoint) {
+                    gossip::tell_leaving(self, &state, &Message::EndpointLeaves(id));
+                }
             }
             Update::EndpointGone(id) => {
                 log::info!(target: "directory", "event=endpoint_gone id={id}");
-                state.directory.remove(now, &id);
+                if state.directory.remove(now, &id) {
+                    gossip::tell_leaving(self, &state, &Message::EndpointGone(id));
+                }
             }
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
             Update::Nodes(nodes) => state.nodes.replace(now, nodes),
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -83,20 +83,22 @@
         }
     }
 
-    /// Takes in an endpoint that is new or changed.
-    pub fn upsert(&mut self, now: Duration, endpoint: Endpoint) {
+    /// Takes in an endpoint that is new or changed, and says whether it is news that it leaves.
+    pub fn upsert(&mut self, now: Duration, endpoint: Endpoint) -> bool {
         if let Some(&key) = self.by_id.get(&endpoint.id) {
-            if let Some(entry) = self.entries.get_mut(&key) {
-                // One that announced its leaving never comes back under the same id: a record
-                // that says otherwise is an older one.
-                let leaving = entry.endpoint.leaving || endpoint.leaving;
-                entry.endpoint = Endpoint {
-                    leaving,
-                    ..endpoint
-                };
-                entry.gone = Gone::No;
-            }
-            return;
+            let Some(entry) = self.entries.get_mut(&key) else {
+                return false;
+            };
+            // One that announced its leaving never comes back under the same id: a record that says
+            // otherwise is an older one.
+            let left = entry.endpoint.leaving;
+            let leaving = left || endpoint.leaving;
+            entry.endpoint = Endpoint {
+                leaving,
+                ..endpoint
+            };
+            entry.gone = Gone::No;
+            return leaving && !left;
         }
         let key = EndpointKey(self.next);
         self.next += 1;
@@ -114,14 +116,22 @@
         };
         self.entries.insert(key, entry);
         self.forget(now);
+        false
     }
 
-    /// Notes that an endpoint's entry is missing.
+    /// Notes that an endpoint announced that it leaves, as another node has read it.
+    pub fn leaves(&mut self, id: &str) {
+        if let Some(entry) = self.by_id_mut(id) {
+            entry.endpoint.leaving = true;
+        }
+    }
+
+    /// Notes that an endpoint's entry is missing, and says whether that is news and no outage explains it.
     ///
     /// While the key-value service is away, and a little longer, entries go missing because their
     /// endpoints could not renew them; all endpoints would seem to be gone at once, and every
     /// request would be refused. In steady times a missing entry is a leaving endpoint.
-    pub fn remove(&mut self, now: Duration, id: &str) {
+    pub fn remove(&mut self, now: Duration, id: &str) -> bool {
         let at = match self.store {
             Store::Steady => now,
             Store::Lost => now + RETURN_GRACE,
@@ -132,8 +142,12 @@
             .get(id)
             .and_then(|key| self.entries.get_mut(key))
             .filter(|entry| entry.gone == Gone::No);
-        if let Some(entry) = entry {
-            entry.gone = Gone::At(at);
+        match entry {
+            Some(entry) => {
+                entry.gone = Gone::At(at);
+                self.store == Store::Steady
+            }
+            None => false,
         }
     }
 
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -7,6 +7,7 @@
 use crate::cx::Cx;
 use crate::roll_outs::{JUDGES, OnOld, Report};
 use crate::running::Running;
+use crate::state::State;
 use crate::wire::Wire;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -28,7 +29,7 @@
 /// engine for half a second, and other nodes would send theirs there meanwhile.
 const HEAVY: f64 = 3.0;
 
-/// Nodes that are told of a long prompt.
+/// Nodes that are told of a long prompt, or of an endpoint that leaves.
 const MOST_TOLD: usize = 16;
 
 /// The most that one prompt counts.
@@ -40,12 +41,16 @@
 
 /// One datagram.
 #[derive(Serialize, Deserialize)]
-enum Message {
+pub(crate) enum Message {
     Report(Report),
     /// Sessions of the sender on old versions.
     OnOld(OnOld),
     /// The node with this host name stops.
     Leaving(String),
+    /// The endpoint with this id announced that it leaves.
+    EndpointLeaves(String),
+    /// The record of the endpoint with this id is gone.
+    EndpointGone(String),
     /// A long prompt was sent to an endpoint.
     Heavy {
         /// The endpoint's id.
@@ -79,6 +84,10 @@
             let until = now + state.bounds.stop();
             state.nodes.leave(until, &host);
         }
+        Ok(Message::EndpointLeaves(id)) => cx.state().directory.leaves(&id),
+        Ok(Message::EndpointGone(id)) => {
+            cx.state().directory.remove(now, &id);
+        }
         Ok(Message::Heavy { endpoint, weight }) => {
             let mut state = cx.state();
             if let Some(entry) = state.directory.by_id_mut(&endpoint) {
@@ -125,6 +134,23 @@
     }
 }
 
+/// Tells other nodes of an endpoint that gets no new work, as soon as one of them has read it.
+///
+/// Each node reads the records only about once a second, since each call has its price; together they
+/// look many times a second. A lost datagram is made up for by the node's own next look.
+pub(crate) fn tell_leaving<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
+    let Some(datagram) = encode(message) else {
+        return;
+    };
+    let now = cx.now();
+    let others = state.nodes.iter(now).filter(|n| n.host != cx.settings.host);
+    for node in others.take(MOST_TOLD) {
+        if let Err(err) = cx.socket.try_send_to(&datagram, node.nodes) {
+            log::debug!(target: "gossip", "event=send_failed to={} err={err}", node.nodes);
+        }
+    }
+}
+
 /// Tells all other nodes that this one stops.
 pub(crate) async fn leave<W: Wire>(cx: &Cx<W>) {
     let others = others(cx, usize::MAX);
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -96,6 +96,14 @@
     pub exposure_slack: f64,
     /// Seconds after its last request for which a session keeps its version.
     pub session_s: f64,
+    /// Milliseconds after its record says so in which a leaving endpoint may still get requests.
+    #[serde(default = "usual_leave")]
+    pub leave_ms: u64,
+}
+
+/// The time for endpoints that leave, unless set otherwise.
+fn usual_leave() -> u64 {
+    2_000
 }
 
 /// Why settings can't be used.
