Allow settings without seeds, and forget routes that are gone

A platform that names no seeds fills in null, which ended the process at its start; and what was learned of routes' sizes stayed when the configuration dropped them.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -160,6 +160,7 @@
             site.version, site.routes.len()
         );
         self.metrics.version.set(site.version as i64);
+        state.keep_routes(&site);
         state.site = Some(site);
     }
 
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -110,7 +110,7 @@
     let own = cx.settings.listen.state;
     let state = cx.state();
     let known = state.nodes.iter(now).filter_map(|node| node.state);
-    let all = known.chain(cx.settings.seeds.iter().copied());
+    let all = known.chain(cx.settings.seeds.iter().flatten().copied());
     all.filter(|addr| *addr != own).choose(&mut rand::rng())
 }
 
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -31,9 +31,9 @@
     #[serde(default)]
     pub ladder: Ladder,
     /// Where some nodes tell what they know of the site, for a node that starts while the key-value
-    /// service is away. They need not be up.
+    /// service is away. They need not be up, and there may be none.
     #[serde(default)]
-    pub seeds: Vec<SocketAddr>,
+    pub seeds: Option<Vec<SocketAddr>>,
 }
 
 /// When the largest model makes an answer again.
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -6,7 +6,7 @@
 use crate::settings::Bounds;
 use crate::site::Site;
 use oatdale_policy::relay::{Budget, Candidate, Mean, Placement, choose};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,6 +98,12 @@
         mean.or_insert_with(|| Mean::new(WAIT_MEMORY)).add(part);
     }
 
+    /// Forgets what was learned of routes that a configuration no longer has.
+    pub(crate) fn keep_routes(&mut self, site: &Site) {
+        let names: HashSet<_> = site.routes.iter().map(|r| r.name.as_str()).collect();
+        self.sizes.retain(|name, _| names.contains(name.as_str()));
+    }
+
     /// Notes the size of a generation and returns it as a multiple of the usual one of its route.
     pub(crate) fn relative_size(&mut self, route: &str, size: f64) -> f64 {
         let mean = self.sizes.entry(route.to_owned());
