--- /dev/null
+++ b/crates/oatdale-policy/tests/relay_roll_outs.rs
@@ -0,0 +1,297 @@
+//! Roll-outs of endpoint pools: the schedule, the evidence, the pace of streams.
+
+use oatdale_policy::relay::{
+    Cells, Counts, Exposure, Origin, Phase, Schedule, StreamPace, Tally, UsualTime, Verdict,
+    shows_new, trial_share, verdict,
+};
+use std::time::Duration;
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+const USUAL: Exposure = Exposure {
+    share: 0.15,
+    slack: 30.0,
+};
+
+// A version is bad in a way that its trial never shows, for example under a load that does not come.
+// It must not have had more requests than operators allow when its time is over.
+#[test]
+fn a_version_whose_fault_never_shows_stays_within_its_exposure() {
+    for duration in [5, 9, 12, 16, 24, 60, 600].map(secs) {
+        for rate in [1.0, 5.0, 20.0, 75.0, 400.0] {
+            let schedule = Schedule::new(duration);
+            let share = trial_share(USUAL, rate, &schedule);
+            let step = Duration::from_millis(50);
+            let mut exposed = 0.0;
+            let mut now = Duration::ZERO;
+            while now < duration {
+                exposed += rate
+                    * 0.05
+                    * match schedule.phase(now, Verdict::Sound) {
+                        Phase::Announced => 0.0,
+                        Phase::Trial => share,
+                        Phase::Switched | Phase::Done => 1.0,
+                    };
+                now += step;
+            }
+            let allowed = USUAL.share * rate * duration.as_secs_f64() + USUAL.slack;
+            // At the highest rates the time for the switch alone is more than that on short orders.
+            let at_least = schedule.switched().as_secs_f64() * rate;
+            assert!(
+                exposed <= allowed.max(at_least * 1.2),
+                "{duration:?} at {rate}: {exposed:.0} of {allowed:.0}"
+            );
+        }
+    }
+}
+
+// Requests become twice as many late in the trial. Had the switch come when it was planned, a bad version
+// would have got more of them than operators allow.
+#[test]
+fn a_burst_after_the_trial_has_begun_moves_the_switch() {
+    let mut schedule = Schedule::new(secs(16));
+    let usual = schedule.switched();
+    schedule.follow_rate(secs(14), 70.0, 90.0);
+    assert!(schedule.switched() < usual, "{schedule:?}");
+    // Never so late that the old version's work could not end and the end not be written.
+    schedule.follow_rate(secs(14), 70.0, 700.0);
+    assert_eq!(schedule.switched(), Duration::from_millis(700));
+    assert_eq!(schedule.latest_end(), Duration::from_millis(15_500));
+    // What is switched stays so.
+    schedule.follow_rate(Duration::from_millis(15_400), 70.0, 70.0);
+    assert_eq!(schedule.switched(), Duration::from_millis(700));
+    // Fewer requests are no reason to switch earlier: they may become more again.
+    let mut schedule = Schedule::new(secs(16));
+    schedule.follow_rate(secs(14), 70.0, 20.0);
+    assert_eq!(schedule.switched(), usual);
+}
+
+#[test]
+fn the_phases_follow_each_other_and_a_bad_version_stays_in_its_trial() {
+    let schedule = Schedule::new(secs(20));
+    let all: Vec<_> = (0..=200)
+        .map(|n| schedule.phase(Duration::from_millis(n * 100), Verdict::Sound))
+        .collect();
+    let mut seen = all.clone();
+    seen.dedup();
+    assert_eq!(
+        seen,
+        [Phase::Announced, Phase::Trial, Phase::Switched, Phase::Done]
+    );
+    assert_eq!(schedule.phase(secs(19), Verdict::Bad), Phase::Trial);
+    assert!(shows_new(Phase::Switched, 0.0, u64::MAX));
+    assert!(!shows_new(Phase::Announced, 1.0, 0));
+}
+
+/// Counts of all answers, failed, timed and slow ones, by route and endpoint.
+fn cells(all: &[(u32, u32, [u64; 4])]) -> Cells {
+    let counts = |[answers, failed, timed, slow]: [u64; 4]| Counts {
+        answers,
+        failed,
+        timed,
+        slow,
+    };
+    let origin = |route, endpoint| Origin { route, endpoint };
+    all.iter()
+        .map(|&(route, endpoint, numbers)| (origin(route, endpoint), counts(numbers)))
+        .collect()
+}
+
+/// Answers of one route, of the new version half from each of two endpoints.
+fn tally(new: [u64; 4], old: [u64; 4]) -> Tally {
+    let halves = [new.map(|n| n / 2), new.map(|n| n - n / 2)];
+    Tally {
+        new: cells(&[(1, 1, halves[0]), (1, 2, halves[1])]),
+        old: cells(&[(1, 0, old)]),
+    }
+}
+
+#[test]
+fn a_version_is_judged_by_what_the_old_one_does_at_the_same_time() {
+    let cases = [
+        // Four failures among ten answers, while the old version has none.
+        (tally([10, 4, 8, 0], [200, 1, 150, 2]), Verdict::Bad),
+        // Trouble that hits both alike.
+        (tally([20, 6, 15, 0], [200, 60, 150, 2]), Verdict::Sound),
+        // A service that fails one answer in seven is slow now; its failures must not hide it.
+        (tally([40, 5, 30, 12], [200, 28, 150, 4]), Verdict::Bad),
+        // One failure is chance.
+        (tally([3, 1, 2, 0], [100, 1, 80, 1]), Verdict::Sound),
+        (tally([0, 0, 0, 0], [0, 0, 0, 0]), Verdict::Sound),
+    ];
+    for (tally, expected) in cases {
+        assert_eq!(verdict(&tally), expected, "{tally:?}");
+    }
+}
+
+/// Recorded pauses, in milliseconds, between the first events of streams at engines that also read
+/// long prompts: two a stream.
+const GOOD: [[u64; 2]; 30] = [
+    [122, 60],
+    [131, 162],
+    [24, 24],
+    [317, 13],
+    [126, 246],
+    [21, 1071],
+    [107, 12],
+    [82, 24],
+    [33, 13],
+    [24, 25],
+    [27, 34],
+    [24, 16],
+    [105, 25],
+    [41, 13],
+    [813, 522],
+    [989, 422],
+    [25, 25],
+    [26, 26],
+    [26, 29],
+    [21, 31],
+    [26, 17],
+    [42, 26],
+    [406, 55],
+    [38, 13],
+    [246, 97],
+    [104, 14],
+    [130, 29],
+    [121, 15],
+    [54, 28],
+    [72, 29],
+];
+
+/// The same of a version that is several times slower.
+const SLOW: [[u64; 2]; 12] = [
+    [64, 65],
+    [77, 78],
+    [65, 77],
+    [102, 187],
+    [167, 81],
+    [81, 81],
+    [362, 81],
+    [877, 879],
+    [452, 2009],
+    [2009, 1202],
+    [2351, 95],
+    [119, 95],
+];
+
+/// Plays streams of these pauses and counts those that are found slow; learns from the others.
+fn slow_streams(pauses: &[[u64; 2]], usual: &mut UsualTime) -> usize {
+    let is_slow = |pace: Duration, usual: &UsualTime| usual.slow_after().is_some_and(|b| pace > b);
+    let mut slow = 0;
+    for [first, second] in pauses {
+        let mut stream = StreamPace::default();
+        let ends = [0, *first, first + second].map(Duration::from_millis);
+        let paces: Vec<_> = ends.iter().filter_map(|&now| stream.event(now)).collect();
+        assert_eq!(paces.len(), 1);
+        slow += usize::from(is_slow(paces[0], usual));
+        usual.learn(paces[0]);
+    }
+    slow
+}
+
+// Engines that read long prompts let streams wait, some for a second. A version that is several times
+// slower than the one before must stand out from that, or it is completed and every stream is slow.
+// Before, the sum of both pauses was compared with 2.5 times its mean: of these 12 streams 4 were found
+// slow, of the 30 others 3.
+#[test]
+fn a_slow_version_stands_out_from_streams_that_wait_behind_long_prompts() {
+    let mut usual = UsualTime::default();
+    slow_streams(&GOOD, &mut usual);
+    let good = slow_streams(&GOOD, &mut usual);
+    assert!(good * 5 <= GOOD.len(), "{good} of {} are slow", GOOD.len());
+    let slow = SLOW.iter().filter(|s| {
+        let mut usual = usual.clone();
+        slow_streams(&[**s], &mut usual) == 1
+    });
+    assert!(slow.count() >= 11);
+}
+
+#[test]
+fn a_stream_is_found_slow_before_its_next_event_comes() {
+    let ms = Duration::from_millis;
+    let mut stream = StreamPace::default();
+    assert_eq!(stream.event(ms(100)), None);
+    assert_eq!(stream.slow_at(ms(50)), None);
+    assert_eq!(stream.event(ms(400)), None);
+    assert_eq!(stream.slow_at(ms(50)), Some(ms(450)));
+    stream.found_slow();
+    assert_eq!(stream.event(ms(900)), None);
+    // One pause that is not slow settles it.
+    let mut stream = StreamPace::default();
+    stream.event(ms(100));
+    stream.event(ms(130));
+    assert_eq!(stream.slow_at(ms(50)), None);
+}
+
+// A version fails half of the requests of one route, which has a sixth of all. Among the answers of
+// all routes its few failures look like chance; it would be completed, and that route's callers would
+// be failed from then on.
+#[test]
+fn a_version_that_is_bad_on_one_route_is_found_among_thirty_answers() {
+    let old = cells(&[
+        (1, 0, [300, 0, 0, 0]),
+        (2, 0, [100, 0, 0, 0]),
+        (3, 0, [100, 0, 0, 0]),
+    ]);
+    let bad = cells(&[
+        (1, 1, [9, 0, 0, 0]),
+        (1, 2, [10, 0, 0, 0]),
+        (2, 1, [4, 2, 0, 0]),
+        (2, 2, [3, 2, 0, 0]),
+        (3, 2, [6, 0, 0, 0]),
+    ]);
+    let of = |new| Tally {
+        new,
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&of(bad)), Verdict::Bad);
+    // The same failures spread over the routes are fewer than one in seven everywhere.
+    let spread = cells(&[
+        (1, 1, [9, 1, 0, 0]),
+        (1, 2, [10, 1, 0, 0]),
+        (2, 1, [4, 0, 0, 0]),
+        (3, 2, [6, 1, 0, 0]),
+    ]);
+    assert_eq!(verdict(&of(spread)), Verdict::Sound);
+}
+
+// One endpoint that runs the new version fails half of what it gets, or is slow, while its neighbours
+// are well. That is the endpoint's fault: the version must not be undone for it.
+#[test]
+fn one_bad_endpoint_does_not_make_a_version_bad() {
+    let old = cells(&[(1, 0, [300, 3, 200, 15])]);
+    let one = |bad: [u64; 4]| Tally {
+        new: cells(&[(1, 1, [12, 0, 9, 1]), (1, 2, bad), (1, 3, [11, 0, 8, 0])]),
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&one([14, 8, 3, 0])), Verdict::Sound);
+    assert_eq!(verdict(&one([14, 0, 12, 12])), Verdict::Sound);
+    let two = Tally {
+        new: cells(&[(1, 1, [12, 5, 9, 1]), (1, 2, [14, 8, 3, 0])]),
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&two), Verdict::Bad);
+    // Where the version has a single endpoint there is nothing to compare it with.
+    let only = |failed| Tally {
+        new: cells(&[(1, 1, [20, failed, 0, 0])]),
+        old: old.clone(),
+    };
+    assert_eq!(verdict(&only(8)), Verdict::Sound);
+    assert_eq!(verdict(&only(12)), Verdict::Bad);
+}
+
+// A service has more routes and endpoints than a datagram can tell of apart. None may be left out.
+#[test]
+fn answers_of_many_routes_are_counted_together() {
+    let mut cells = Cells::default();
+    for route in 1..=20 {
+        for endpoint in 1..=9 {
+            cells.at(Origin { route, endpoint }).answers += 1;
+        }
+    }
+    assert_eq!(cells.total().answers, 180);
+    assert!(cells.iter().count() <= 35, "{}", cells.iter().count());
+}
