Take a neighbour's word for nodes that are gone while the key-value service is silent

It asks its neighbours, which are served, but kept what was missing there, as it does in an outage of the whole service.

Now what such a neighbour does not have is left out at once. Ruled out: reading records less often; the nodes that looked by themselves had left the host out.

--- a/crates/oatdale-relay/src/nodes.rs
+++ b/crates/oatdale-relay/src/nodes.rs
@@ -62,6 +62,16 @@
         self.grace = self.grace.map(|_| now + RETURN_GRACE);
     }
 
+    /// Takes over the nodes that another node knows, which the key-value service answers.
+    ///
+    /// What is missing there is gone, although this node can't ask by itself. Otherwise it would go on
+    /// telling callers of hosts that lost their power while it is cut off, and they would try these in vain.
+    pub(crate) fn replace_as_told(&mut self, now: Duration, all: Vec<Node>) {
+        let grace = self.grace.take();
+        self.replace(now, all);
+        self.grace = grace;
+    }
+
     /// Those that are there or may be, by name.
     pub(crate) fn iter(&self, now: Duration) -> impl Iterator<Item = &Node> {
         let left = move |host: &str| self.left.get(host).is_some_and(|until| *until > now);
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -155,7 +155,7 @@
         state.directory.replace(now, snapshot.endpoints);
     }
     if snapshot.is_current || state.nodes.iter(now).next().is_none() {
-        state.nodes.replace(now, snapshot.nodes);
+        state.nodes.replace_as_told(now, snapshot.nodes);
     }
     if let Some(site) = snapshot.site {
         cx.take_site(state, Arc::new(site.into()));
