--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One request to one endpoint, and the exact ways in which it ends.
 
+use crate::answer::Answer;
 use crate::cx::Cx;
 use crate::gossip;
 use crate::plan::Plan;
@@ -27,14 +28,6 @@
 /// What is waited at the least, so that one slow answer does not count as silence.
 const LEAST_PATIENCE: Duration = Duration::from_millis(60);
 
-/// An answer's head, with its body still to be read.
-pub(crate) struct Answer<W> {
-    pub(crate) head: response::Parts,
-    pub(crate) facts: AnswerFacts,
-    pub(crate) body: Incoming,
-    pub(crate) running: Running<W>,
-}
-
 /// Why there is no answer.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub(crate) enum Failure {
@@ -125,7 +118,15 @@
             true => check.min(plan.limit),
             false => plan.limit,
         };
-        match timeout_at(until, &mut sending).await {
+        // What has come counts, also from an endpoint that has started again meanwhile.
+        let res = tokio::select! {
+            biased;
+            res = timeout_at(until, &mut sending) => res,
+            () = running.started_again() => {
+                return Err(Failure::Unknown("the endpoint started again".to_owned()));
+            }
+        };
+        match res {
             Ok(res) => break res,
             Err(_) if Instant::now() >= plan.limit => return Err(Failure::TimedOut),
             Err(_) if !how.impatient => {
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -1,6 +1,7 @@
 //! What all of a relay's requests share.
 
 use crate::body::BodyMemory;
+use crate::directory::News;
 use crate::gossip::{self, Message};
 use crate::metrics::Metrics;
 use crate::roll_outs::Allowed;
@@ -8,7 +9,7 @@
 use crate::settings::Settings;
 use crate::site::Site;
 use crate::state::{State, Wanted};
-use crate::update::Update;
+use crate::update::{Endpoint, Update};
 use crate::wire::Wire;
 use oatdale_platform::{Pool, PoolConfig};
 use oatdale_policy::relay::Budget;
@@ -111,23 +112,25 @@
         let mut state = self.state();
         match update {
             Update::Site(site) => self.take_site(&mut state, site),
-            Update::Endpoints(all) => state.directory.replace(now, all),
+            Update::Endpoints(all) => {
+                for addr in state.directory.replace(now, all) {
+                    self.pool.forget(addr);
+                }
+            }
             Update::Endpoint(endpoint) => {
                 log::info!(
                     target: "directory",
-                    "event=endpoint id={} service={} addr={} version={} leaving={}",
-                    endpoint.id, endpoint.service, endpoint.addr, endpoint.version,
+                    "event=endpoint id={} born={:?} service={} addr={} version={} leaving={}",
+                    endpoint.id, endpoint.born, endpoint.service, endpoint.addr, endpoint.version,
                     endpoint.leaving
                 );
-                let id = endpoint.id.clone();
-                if state.directory.upsert(now, endpoint) {
-                    gossip::tell_leaving(self, &state, &Message::EndpointLeaves(id));
-                }
+                self.take_endpoint(&mut state, now, endpoint);
             }
             Update::EndpointGone(id) => {
                 log::info!(target: "directory", "event=endpoint_gone id={id}");
+                let born = state.directory.by_id_mut(&id).and_then(|e| e.endpoint.born);
                 if state.directory.remove(now, &id) {
-                    gossip::tell_leaving(self, &state, &Message::EndpointGone(id));
+                    gossip::tell_all(self, &state, &Message::EndpointGone { id, born });
                 }
             }
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
@@ -148,6 +151,20 @@
         self.metrics.endpoints.set(state.directory.len() as i64);
     }
 
+    fn take_endpoint(&self, state: &mut State, now: Duration, endpoint: Endpoint) {
+        let (id, born) = (endpoint.id.clone(), endpoint.born);
+        match state.directory.upsert(now, endpoint) {
+            News::None => {}
+            News::Leaves => {
+                gossip::tell_all(self, state, &Message::EndpointLeaves { id, born });
+            }
+            News::StartedAgain(before) => {
+                log::info!(target: "directory", "event=started_again id={id} born={born:?}");
+                self.pool.forget(before);
+            }
+        }
+    }
+
     pub(crate) fn take_site(&self, state: &mut State, site: Arc<Site>) {
         let old = state.site.as_ref().map(|s| s.version);
         if old.is_some_and(|old| site.version <= old) {
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -4,7 +4,9 @@
 use crate::update::Endpoint;
 use oatdale_policy::relay::Health;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 /// How long after the key-value service came back an entry may still be missing because it lapsed
 /// while its endpoint could not renew it. Endpoints write anew within about two seconds.
@@ -13,7 +15,7 @@
 /// How long an endpoint that is gone stays known, so that its last answers find their place.
 const KEEP_GONE: Duration = Duration::from_secs(60);
 
-/// An endpoint's place in the directory; never used again for another one.
+/// The place of one start of an endpoint in the directory; never used again for another one.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct EndpointKey(u32);
 
@@ -45,9 +47,22 @@
     pub probed: Duration,
     /// What it last said of its work.
     pub(crate) report: Option<Report>,
+    /// Cancelled when the endpoint has started again: what it was sent before is lost.
+    pub(crate) life: CancellationToken,
     gone: Gone,
 }
 
+/// What a record has told that others, or requests under way, have to know.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum News {
+    /// Nothing.
+    None,
+    /// The endpoint leaves.
+    Leaves,
+    /// The endpoint has started again under its id; its earlier start was at this address.
+    StartedAgain(SocketAddr),
+}
+
 /// Whether an endpoint's entry is there.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Gone {
@@ -67,8 +82,8 @@
 }
 
 impl Directory {
-    /// Takes over all endpoints there are.
-    pub fn replace(&mut self, now: Duration, all: Vec<Endpoint>) {
+    /// Takes over all endpoints there are, and returns where those were that have started again.
+    pub fn replace(&mut self, now: Duration, all: Vec<Endpoint>) -> Vec<SocketAddr> {
         let missing: Vec<String> = self
             .by_id
             .keys()
@@ -78,54 +93,70 @@
         for id in missing {
             self.remove(now, &id);
         }
+        let mut before = Vec::new();
         for endpoint in all {
-            self.upsert(now, endpoint);
+            if let News::StartedAgain(addr) = self.upsert(now, endpoint) {
+                before.push(addr);
+            }
         }
+        before
     }
 
-    /// Takes in an endpoint that is new or changed, and says whether it is news that it leaves.
-    pub fn upsert(&mut self, now: Duration, endpoint: Endpoint) -> bool {
-        if let Some(&key) = self.by_id.get(&endpoint.id) {
-            let Some(entry) = self.entries.get_mut(&key) else {
-                return false;
-            };
-            // One that announced its leaving never comes back under the same id: a record that says
-            // otherwise is an older one.
-            let left = entry.endpoint.leaving;
-            let leaving = left || endpoint.leaving;
-            entry.endpoint = Endpoint {
-                leaving,
-                ..endpoint
-            };
-            entry.gone = Gone::No;
-            return leaving && !left;
+    /// Takes in an endpoint that is new or changed.
+    ///
+    /// A record of an earlier start than the known one was overtaken on its way and changes nothing. A
+    /// later start takes the place of the known one with nothing of it: not its leaving, its failures,
+    /// its load, nor the requests that it was sent.
+    pub fn upsert(&mut self, now: Duration, endpoint: Endpoint) -> News {
+        let known = self.by_id.get(&endpoint.id).copied();
+        match known.and_then(|key| self.entries.get_mut(&key)) {
+            Some(entry) if endpoint.born < entry.endpoint.born => {
+                log::info!(
+                    target: "directory",
+                    "event=overtaken id={} born={:?} known={:?}",
+                    endpoint.id, endpoint.born, entry.endpoint.born
+                );
+                News::None
+            }
+            Some(entry) if endpoint.born > entry.endpoint.born => {
+                entry.end_life(now);
+                let before = entry.endpoint.addr;
+                self.insert(now, endpoint);
+                News::StartedAgain(before)
+            }
+            Some(entry) => entry.update(endpoint),
+            None => {
+                self.insert(now, endpoint);
+                News::None
+            }
         }
+    }
+
+    fn insert(&mut self, now: Duration, endpoint: Endpoint) {
         let key = EndpointKey(self.next);
         self.next += 1;
         self.by_id.insert(endpoint.id.clone(), key);
-        let entry = Entry {
-            endpoint,
-            health: Health::default(),
-            running: 0,
-            load: 0.0,
-            others: Vec::new(),
-            heard: now,
-            probed: Duration::ZERO,
-            report: None,
-            gone: Gone::No,
-        };
-        self.entries.insert(key, entry);
+        self.entries.insert(key, Entry::new(now, endpoint));
         self.forget(now);
-        false
     }
 
-    /// Notes that an endpoint announced that it leaves, as another node has read it.
-    pub fn leaves(&mut self, id: &str) {
-        if let Some(entry) = self.by_id_mut(id) {
-            entry.endpoint.leaving = true;
+    /// Notes that an endpoint that started at `born` announced that it leaves, as another node has read
+    /// it, and says whether that is news.
+    pub fn leaves(&mut self, id: &str, born: Option<u64>) -> bool {
+        match self.by_id_mut(id) {
+            Some(entry) if entry.endpoint.born <= born => {
+                !std::mem::replace(&mut entry.endpoint.leaving, true)
+            }
+            _ => false,
         }
     }
 
+    /// Notes that the entry of an endpoint that started at `born` is missing, as another node has read it.
+    pub fn remove_start(&mut self, now: Duration, id: &str, born: Option<u64>) -> bool {
+        let is_known = |e: &mut Entry| e.endpoint.born <= born;
+        self.by_id_mut(id).is_some_and(is_known) && self.remove(now, id)
+    }
+
     /// Notes that an endpoint's entry is missing, and says whether that is news and no outage explains it.
     ///
     /// While the key-value service is away, and a little longer, entries go missing because their
@@ -243,6 +274,45 @@
 }
 
 impl Entry {
+    fn new(now: Duration, endpoint: Endpoint) -> Entry {
+        Entry {
+            endpoint,
+            health: Health::default(),
+            running: 0,
+            load: 0.0,
+            others: Vec::new(),
+            heard: now,
+            probed: Duration::ZERO,
+            report: None,
+            life: CancellationToken::new(),
+            gone: Gone::No,
+        }
+    }
+
+    /// Takes in another record of the same start.
+    ///
+    /// One that announced its leaving does not come back without a new start: a record that says
+    /// otherwise is an older one.
+    fn update(&mut self, endpoint: Endpoint) -> News {
+        let left = self.endpoint.leaving;
+        let leaving = left || endpoint.leaving;
+        self.endpoint = Endpoint {
+            leaving,
+            ..endpoint
+        };
+        self.gone = Gone::No;
+        match leaving && !left {
+            true => News::Leaves,
+            false => News::None,
+        }
+    }
+
+    /// The endpoint has started again: this start is over, with all that it was sent.
+    fn end_life(&mut self, now: Duration) {
+        self.gone = Gone::At(now);
+        self.life.cancel();
+    }
+
     /// Notes a long prompt that another node sent there.
     pub fn add_others(&mut self, now: Duration, time: Duration, weight: f64) {
         self.others.retain(|(until, _)| *until > now);
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -47,10 +47,16 @@
     OnOld(OnOld),
     /// The node with this host name stops.
     Leaving(String),
-    /// The endpoint with this id announced that it leaves.
-    EndpointLeaves(String),
-    /// The record of the endpoint with this id is gone.
-    EndpointGone(String),
+    /// The endpoint with this id that started then announced that it leaves.
+    EndpointLeaves {
+        id: String,
+        born: Option<u64>,
+    },
+    /// The record of the endpoint with this id that started then is gone.
+    EndpointGone {
+        id: String,
+        born: Option<u64>,
+    },
     /// A long prompt was sent to an endpoint.
     Heavy {
         /// The endpoint's id.
@@ -84,9 +90,15 @@
             let until = now + state.bounds.stop();
             state.nodes.leave(until, &host);
         }
-        Ok(Message::EndpointLeaves(id)) => cx.state().directory.leaves(&id),
-        Ok(Message::EndpointGone(id)) => {
-            cx.state().directory.remove(now, &id);
+        Ok(Message::EndpointLeaves { id, born }) => {
+            if cx.state().directory.leaves(&id, born) {
+                log::info!(target: "gossip", "event=endpoint_leaves id={id} born={born:?} from={from}");
+            }
+        }
+        Ok(Message::EndpointGone { id, born }) => {
+            if cx.state().directory.remove_start(now, &id, born) {
+                log::info!(target: "gossip", "event=endpoint_gone id={id} born={born:?} from={from}");
+            }
         }
         Ok(Message::Heavy { endpoint, weight }) => {
             let mut state = cx.state();
@@ -124,36 +136,28 @@
         endpoint: running.id.clone(),
         weight: running.weight,
     };
-    let Some(datagram) = encode(&message) else {
-        return;
-    };
-    for to in others(cx, MOST_TOLD) {
-        if let Err(err) = cx.socket.try_send_to(&datagram, to) {
-            log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
-        }
-    }
+    tell_all(cx, &cx.state(), &message);
 }
 
-/// Tells other nodes of an endpoint that gets no new work, as soon as one of them has read it.
+/// Tells other nodes at once of something that their own next look would show them later: an endpoint
+/// that gets no new work, or a long prompt at one.
 ///
 /// Each node reads the records only about once a second, since each call has its price; together they
 /// look many times a second. A lost datagram is made up for by the node's own next look.
-pub(crate) fn tell_leaving<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
+pub(crate) fn tell_all<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
     let Some(datagram) = encode(message) else {
         return;
     };
-    let now = cx.now();
-    let others = state.nodes.iter(now).filter(|n| n.host != cx.settings.host);
-    for node in others.take(MOST_TOLD) {
-        if let Err(err) = cx.socket.try_send_to(&datagram, node.nodes) {
-            log::debug!(target: "gossip", "event=send_failed to={} err={err}", node.nodes);
+    for to in others(cx, state).take(MOST_TOLD) {
+        if let Err(err) = cx.socket.try_send_to(&datagram, to) {
+            log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
         }
     }
 }
 
 /// Tells all other nodes that this one stops.
 pub(crate) async fn leave<W: Wire>(cx: &Cx<W>) {
-    let others = others(cx, usize::MAX);
+    let others: Vec<_> = others(cx, &cx.state()).collect();
     let message = Message::Leaving(cx.settings.host.clone());
     let Some(datagram) = encode(&message) else {
         return;
@@ -168,13 +172,11 @@
     }
 }
 
-/// Where other nodes take datagrams, of so many at the most.
-fn others<W: Wire>(cx: &Cx<W>, most: usize) -> Vec<SocketAddr> {
-    let now = cx.now();
-    let state = cx.state();
-    let others = state.nodes.iter(now);
+/// Where other nodes take datagrams.
+fn others<'a, W: Wire>(cx: &'a Cx<W>, state: &'a State) -> impl Iterator<Item = SocketAddr> + 'a {
+    let others = state.nodes.iter(cx.now());
     let others = others.filter(|n| n.host != cx.settings.host);
-    others.map(|n| n.nodes).take(most).collect()
+    others.map(|n| n.nodes)
 }
 
 fn encode(message: &Message) -> Option<Vec<u8>> {
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -38,6 +38,7 @@
 //! assert_eq!(site.route("other.example", "/slots/41"), None);
 //! ```
 
+mod answer;
 mod asking;
 mod attempt;
 mod body;
@@ -67,7 +68,7 @@
 mod update;
 mod wire;
 
-pub use crate::directory::{Directory, EndpointKey, Entry};
+pub use crate::directory::{Directory, EndpointKey, Entry, News};
 pub use crate::error::{Error, Result};
 pub use crate::events::WholeEvents;
 pub use crate::node::Relay;
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -152,7 +152,9 @@
         false => state.directory.store_lost(),
     }
     if snapshot.is_current || state.directory.is_empty() {
-        state.directory.replace(now, snapshot.endpoints);
+        for addr in state.directory.replace(now, snapshot.endpoints) {
+            cx.pool.forget(addr);
+        }
     }
     if snapshot.is_current || state.nodes.iter(now).next().is_none() {
         state.nodes.replace_as_told(now, snapshot.nodes);
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -5,6 +5,7 @@
 use crate::wire::Wire;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
 
 /// Weight of a request whose prompt is read.
 const READ_WEIGHT: f64 = 1.0;
@@ -22,6 +23,7 @@
     /// The endpoint's load when it was picked, and among how many: for the log.
     pub(crate) load_before: f64,
     pub(crate) choices: usize,
+    life: CancellationToken,
 }
 
 impl<W> Running<W> {
@@ -46,6 +48,7 @@
             is_failing: entry.health.is_failing(),
             load_before,
             choices,
+            life: entry.life.clone(),
         }
     }
 
@@ -74,6 +77,14 @@
 }
 
 impl<W: Wire> Running<W> {
+    /// Resolves when the endpoint is known to have started again: it knows nothing of this request.
+    ///
+    /// Its earlier start may have ended without a word on its connections, which stay open and silent.
+    /// Without this a request waits for its timeout and its caller with it.
+    pub(crate) async fn started_again(&self) {
+        self.life.cancelled().await;
+    }
+
     /// Bytes came from the endpoint.
     pub(crate) fn heard(&self) {
         let now = self.cx.now();
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -1,13 +1,14 @@
 //! One request of a caller, from its head to the end of its answer.
 
-use crate::attempt::{self, Answer, Failure, SendOptions};
+use crate::answer::{Answer, Next};
+use crate::attempt::{self, Failure, SendOptions};
 use crate::cx::Cx;
 use crate::guard::ConnWatch;
 use crate::heads::{host, is_events, passed_on, strip};
 use crate::plan::Plan;
 use crate::record::Record;
 use crate::reply::{self, Body, Refusal, refuse};
-use crate::stream::{Relayed, next_piece};
+use crate::stream::Relayed;
 use crate::wire::Wire;
 use bytes::{Bytes, BytesMut};
 use futures::stream::{self, StreamExt};
@@ -19,7 +20,7 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Time below which a request is not sent once more: no endpoint answers in less.
 const LEAST_TIME: Duration = Duration::from_millis(20);
@@ -278,19 +279,18 @@
     };
     let mut read = BytesMut::new();
     loop {
-        match timeout_at(until, next_piece(&mut answer.body)).await {
-            Ok(Some(Ok(piece))) => read.extend_from_slice(&piece),
-            Ok(None) => {
+        match answer.next(until).await {
+            Next::Piece(piece) => read.extend_from_slice(&piece),
+            Next::End => {
                 let id = answer.running.id.clone();
                 return Examined::Pass(Reply::Whole(Box::new(answer.head), read.freeze(), id));
             }
-            Ok(Some(Err(err))) => {
+            Next::Broken(reason) => {
                 answer.running.silent();
-                return Examined::Failed(Failure::Unknown(err.to_string()));
+                return Examined::Failed(Failure::Unknown(reason));
             }
-            Err(_) => return Examined::Failed(Failure::Unknown("body is late".to_owned())),
+            Next::Late => return Examined::Failed(Failure::Unknown("body is late".to_owned())),
         }
-        answer.running.heard();
         if read.len() > SMALL {
             return Examined::Pass(Reply::Pieces(read.freeze(), Box::new(answer)));
         }
@@ -325,17 +325,17 @@
     let state = Some((plan, answer, record));
     stream::unfold(state, |state| async move {
         let (plan, mut answer, mut record) = state?;
-        match timeout_at(plan.limit, next_piece(&mut answer.body)).await {
-            Ok(Some(Ok(piece))) => Some((Ok(piece), Some((plan, answer, record)))),
-            Ok(None) => {
+        match answer.next(plan.limit).await {
+            Next::Piece(piece) => Some((Ok(piece), Some((plan, answer, record)))),
+            Next::End => {
                 record.end("complete");
                 None
             }
-            Ok(Some(Err(err))) => {
-                record.end(&format!("broken: {err}"));
-                Some((Err(io::Error::other(err)), None))
+            Next::Broken(reason) => {
+                record.end(&format!("broken: {reason}"));
+                Some((Err(io::Error::other(reason)), None))
             }
-            Err(_) => {
+            Next::Late => {
                 record.end("timed-out");
                 Some((Err(io::ErrorKind::TimedOut.into()), None))
             }
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -1,6 +1,7 @@
 //! Passes a stream of events on, and goes on at another endpoint if the first one breaks off.
 
-use crate::attempt::{self, Answer, Failure, SendOptions};
+use crate::answer::{Answer, Next};
+use crate::attempt::{self, Failure, SendOptions};
 use crate::cx::Cx;
 use crate::events::WholeEvents;
 use crate::plan::Plan;
@@ -9,13 +10,11 @@
 use crate::wire::Wire;
 use bytes::Bytes;
 use futures::stream::{self, BoxStream, StreamExt};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use oatdale_policy::relay::StreamPace;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// The part of the pause that callers are content with after which a silent endpoint's stream
 /// goes on elsewhere.
@@ -43,8 +42,8 @@
     pace: StreamPace,
 }
 
-/// What came next.
-enum Next {
+/// What the caller's stream goes on with.
+enum Step {
     Piece(Bytes),
     End,
     Broken(String),
@@ -81,21 +80,21 @@
         }
         loop {
             let broken = match self.read().await {
-                Next::Piece(piece) => match self.events.push(&piece) {
+                Step::Piece(piece) => match self.events.push(&piece) {
                     whole if whole.is_empty() => continue,
                     whole => {
                         self.note_pace();
                         return Some(Ok(whole));
                     }
                 },
-                Next::End if !self.events.is_cut() => {
+                Step::End if !self.events.is_cut() => {
                     self.record.end("complete");
                     self.over = true;
                     return None;
                 }
-                Next::End => "ends within an event".to_owned(),
-                Next::Broken(message) => message,
-                Next::LimitReached => return Some(Err(self.fail("timed-out"))),
+                Step::End => "ends within an event".to_owned(),
+                Step::Broken(message) => message,
+                Step::LimitReached => return Some(Err(self.fail("timed-out"))),
             };
             if let Err(reason) = self.resume(&broken).await {
                 return Some(Err(self.fail(&reason)));
@@ -129,26 +128,23 @@
         self.cx.state().roll_outs.judged(&source, true);
     }
 
-    async fn read(&mut self) -> Next {
+    async fn read(&mut self) -> Step {
         let gap = self.plan.route().target_gap.unwrap_or(USUAL_GAP);
         let began = Instant::now();
         let mut check = began + gap.mul_f64(PATIENCE);
         loop {
             let slow_at = self.slow_at().map(|at| self.cx.at(at));
             let until = check.min(self.plan.limit).min(slow_at.unwrap_or(check));
-            match timeout_at(until, next_piece(&mut self.answer.body)).await {
-                Ok(Some(Ok(piece))) => {
-                    self.answer.running.heard();
-                    return Next::Piece(piece);
+            match self.answer.next(until).await {
+                Next::Piece(piece) => return Step::Piece(piece),
+                Next::Broken(reason) => return Step::Broken(reason),
+                Next::End => return Step::End,
+                Next::Late if Instant::now() >= self.plan.limit => return Step::LimitReached,
+                Next::Late if slow_at.is_some_and(|at| Instant::now() >= at) => self.note_slow(),
+                Next::Late if self.is_better_elsewhere(gap, began).await => {
+                    return Step::Broken("silent".to_owned());
                 }
-                Ok(Some(Err(err))) => return Next::Broken(err.to_string()),
-                Ok(None) => return Next::End,
-                Err(_) if Instant::now() >= self.plan.limit => return Next::LimitReached,
-                Err(_) if slow_at.is_some_and(|at| Instant::now() >= at) => self.note_slow(),
-                Err(_) if self.is_better_elsewhere(gap, began).await => {
-                    return Next::Broken("silent".to_owned());
-                }
-                Err(_) => check = Instant::now() + gap / 4,
+                Next::Late => check = Instant::now() + gap / 4,
             }
         }
     }
@@ -211,16 +207,3 @@
         io::Error::new(io::ErrorKind::ConnectionAborted, reason.to_owned())
     }
 }
-
-/// The next bytes of a body.
-pub(crate) async fn next_piece(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
-    loop {
-        match body.frame().await? {
-            Ok(frame) => match frame.into_data() {
-                Ok(data) => return Some(Ok(data)),
-                Err(_trailers) => continue,
-            },
-            Err(err) => return Some(Err(err)),
-        }
-    }
-}
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -46,8 +46,12 @@
 /// One start of one endpoint.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Unique to this start.
+    /// Its id; one that starts again may have the id that it had.
     pub id: String,
+    /// When it started, in Unix milliseconds by its own clock, if it says so: a later start under the
+    /// same id has a later one.
+    #[serde(default)]
+    pub born: Option<u64>,
     /// The service it serves.
     pub service: String,
     /// Where it takes requests.
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -1,6 +1,6 @@
 //! Endpoints that come, leave and go missing.
 
-use oatdale_relay::{Directory, Endpoint};
+use oatdale_relay::{Directory, Endpoint, News};
 use std::time::Duration;
 
 fn endpoint(id: &str) -> Endpoint {
@@ -12,6 +12,14 @@
         version: "v1".to_owned(),
         slots: 4,
         leaving: false,
+        born: None,
+    }
+}
+
+fn started(id: &str, born: u64) -> Endpoint {
+    Endpoint {
+        born: Some(born),
+        ..endpoint(id)
     }
 }
 
@@ -93,3 +101,49 @@
     assert_eq!(loads, [7.0, 7.0, 5.0, 0.0]);
     assert!(directory.by_id_mut("y").is_none());
 }
+
+// An endpoint announces that it leaves, crashes, and starts again under its id. It must get work again, and
+// what the node believed of its earlier start must not be held against it.
+#[test]
+fn an_endpoint_that_starts_again_begins_anew() {
+    let mut directory = Directory::default();
+    directory.upsert(ms(0), started("x", 1_000));
+    let entry = directory.by_id_mut("x").unwrap();
+    entry.load = 7.0;
+    entry.health.silent(ms(0));
+    let leaving = Endpoint {
+        leaving: true,
+        ..started("x", 1_000)
+    };
+    assert_eq!(directory.upsert(ms(10), leaving), News::Leaves);
+    let again = directory.upsert(ms(20), started("x", 2_000));
+    assert_eq!(again, News::StartedAgain("10.0.0.1:80".parse().unwrap()));
+    assert_eq!(usable(&directory, ms(20)), ["x"]);
+    assert_eq!(directory.len(), 1);
+    let entry = directory.by_id_mut("x").unwrap();
+    assert_eq!((entry.load, entry.running), (0.0, 0));
+    assert!(!entry.health.rests(ms(20)));
+}
+
+// A record of an endpoint's earlier start is read, or told of by another node, after the endpoint has started
+// again. It must not end the new start, nor bring the old one back.
+#[test]
+fn what_comes_late_of_an_earlier_start_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.upsert(ms(0), started("x", 2_000));
+    let leaving = Endpoint {
+        leaving: true,
+        version: "v0".to_owned(),
+        ..started("x", 1_000)
+    };
+    assert_eq!(directory.upsert(ms(10), leaving.clone()), News::None);
+    assert!(!directory.leaves("x", leaving.born));
+    assert!(!directory.remove_start(ms(20), "x", leaving.born));
+    assert!(!directory.remove_start(ms(20), "x", None));
+    assert_eq!(usable(&directory, ms(20)), ["x"]);
+    assert!(directory.leaves("x", Some(2_000)));
+    assert!(usable(&directory, ms(30)).is_empty());
+    // Nor does a record without a start, which is not of a later one.
+    directory.upsert(ms(40), endpoint("x"));
+    assert!(usable(&directory, ms(40)).is_empty());
+}
