Tell all nodes at once of sessions on the old version, also beyond the eight that judge

Nodes told the first eight by name of their sessions, and these told all of their own only: at a site with more nodes, what a node beyond the eight saw was never heard by the rest. And it was told up to 0.4 s after the answer's head, later than callers go on.

Ruled out: too many sessions for the datagrams (some 13 a node are in the share that may try).

Change: a session that may try the new version is told to all nodes when its request is placed, with the last sixteen again for datagrams that are lost; all of them every two seconds while the trial lasts. Until the share is settled only those of the largest share count, not all.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -31,4 +31,6 @@
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::pace::{StreamPace, UsualTime};
 pub use crate::relay::placement::{Candidate, Placement, choose};
-pub use crate::relay::roll_out::{Exposure, Phase, Schedule, is_in_trial, shows_new, trial_share};
+pub use crate::relay::roll_out::{
+    Exposure, MOST_TRIAL, Phase, Schedule, is_in_trial, shows_new, trial_share,
+};
--- a/crates/oatdale-policy/src/relay/roll_out.rs
+++ b/crates/oatdale-policy/src/relay/roll_out.rs
@@ -11,10 +11,12 @@
 use crate::relay::evidence::Verdict;
 use std::time::Duration;
 
-/// Bounds of the share of requests that try the new version. Less tells nothing in time, more is no
+/// Bounds of the share of requests that try the new version: less tells nothing in time, more is no
 /// trial.
 const LEAST_TRIAL: f64 = 0.03;
-const MOST_TRIAL: f64 = 0.25;
+
+/// The largest share of requests that try a new version.
+pub const MOST_TRIAL: f64 = 0.25;
 
 /// The part of the exposure that operators allow which the plan uses up: nodes count apart from each
 /// other, and each request may be sent more than once.
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -73,6 +73,7 @@
     let Some(mut running) = plan.place(cx) else {
         return Err(Failure::NoEndpoint);
     };
+    plan.pin_session(cx, &running);
     gossip::tell_heavy(cx, &running);
     plan.tried.push(running.key);
     let sent = Instant::now();
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -114,7 +114,8 @@
 /// Tells other nodes of the roll-outs under way.
 ///
 /// All tell the first nodes by name, which judge; these tell all, so that the number of datagrams
-/// grows with the number of nodes and not with its square.
+/// grows with the number of nodes and not with its square. Sessions on old versions are told to all by
+/// the node that has them: with more nodes than judges the others would never hear of them.
 pub(crate) async fn report<W: Wire>(cx: &Cx<W>) {
     for (datagram, to) in datagrams(cx) {
         if let Err(err) = cx.socket.send_to(&datagram, to).await {
@@ -136,7 +137,7 @@
         endpoint: running.id.clone(),
         weight: running.weight,
     };
-    tell_all(cx, &cx.state(), &message);
+    tell_some(cx, &cx.state(), &message);
 }
 
 /// Tells other nodes at once of something that their own next look would show them later: an endpoint
@@ -144,11 +145,21 @@
 ///
 /// Each node reads the records only about once a second, since each call has its price; together they
 /// look many times a second. A lost datagram is made up for by the node's own next look.
-pub(crate) fn tell_all<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
+pub(crate) fn tell_some<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
+    send_now(cx, others(cx, state).take(MOST_TOLD), message);
+}
+
+/// Tells all other nodes of a session whose version they have to keep.
+pub(crate) fn tell_on_old<W: Wire>(cx: &Cx<W>, state: &State, on_old: OnOld) {
+    send_now(cx, others(cx, state), &Message::OnOld(on_old));
+}
+
+/// Sends a datagram without waiting: what the socket does not take now is lost.
+fn send_now<W: Wire>(cx: &Cx<W>, to: impl Iterator<Item = SocketAddr>, message: &Message) {
     let Some(datagram) = encode(message) else {
         return;
     };
-    for to in others(cx, state).take(MOST_TOLD) {
+    for to in to {
         if let Err(err) = cx.socket.try_send_to(&datagram, to) {
             log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
         }
@@ -192,8 +203,9 @@
 
 fn datagrams<W: Wire>(cx: &Cx<W>) -> Vec<(Vec<u8>, SocketAddr)> {
     let now = cx.now();
-    let state = cx.state();
+    let mut state = cx.state();
     let host = &cx.settings.host;
+    let on_old = state.roll_outs.on_old(now);
     let reports = state.roll_outs.reports(now, host, |service, target| {
         state.directory.has_other_work(service, target)
     });
@@ -201,17 +213,22 @@
     nodes.sort_by(|a, b| a.host.cmp(&b.host));
     let judges = nodes.iter().take(JUDGES).any(|n| n.host == *host);
     let reach = if judges { nodes.len() } else { JUDGES };
-    let others: Vec<_> = nodes
-        .iter()
-        .take(reach)
-        .filter(|n| n.host != *host)
-        .collect();
+    let others = |most: usize| {
+        let first = nodes.iter().take(most);
+        first.filter(|n| n.host != *host).map(|n| n.nodes)
+    };
     let mut out = Vec::new();
-    let on_old = state.roll_outs.on_old().into_iter().map(Message::OnOld);
-    for message in reports.into_iter().map(Message::Report).chain(on_old) {
-        if let Some(datagram) = encode(&message) {
-            out.extend(others.iter().map(|n| (datagram.clone(), n.nodes)));
-        }
+    for datagram in reports
+        .into_iter()
+        .filter_map(|r| encode(&Message::Report(r)))
+    {
+        out.extend(others(reach).map(|to| (datagram.clone(), to)));
+    }
+    for datagram in on_old
+        .into_iter()
+        .filter_map(|o| encode(&Message::OnOld(o)))
+    {
+        out.extend(others(usize::MAX).map(|to| (datagram.clone(), to)));
     }
     out
 }
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -3,6 +3,7 @@
 use crate::body::HeldBody;
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
+use crate::gossip;
 use crate::reply::Refusal;
 use crate::roll_outs::{Pace, Source};
 use crate::running::Running;
@@ -209,6 +210,22 @@
         })
     }
 
+    /// Notes that the session runs on the endpoint's version, before the request is sent: the session's
+    /// next one may reach another node as soon as this one is answered.
+    pub(crate) fn pin_session<W: Wire>(&self, cx: &Cx<W>, running: &Running<W>) {
+        let Some(session) = self.session() else {
+            return;
+        };
+        let now = cx.now();
+        let mut state = cx.state();
+        let on_old = state
+            .roll_outs
+            .pin(now, &self.service, session, &running.version);
+        if let Some(on_old) = on_old {
+            gossip::tell_on_old(cx, &state, on_old);
+        }
+    }
+
     /// The request as the endpoint gets it.
     pub(crate) fn request<W: Wire>(
         &self,
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -68,8 +68,14 @@
     rates: Rates,
     /// An order has been heard of that other nodes may not know.
     has_news: bool,
+    /// When other nodes were last told of all sessions on old versions.
+    told_sessions: Option<Duration>,
 }
 
+/// Time between two tellings of all sessions on old versions: some lives of a session have several, and a
+/// site of ninety nodes sends each of them some forty datagrams a second while a trial lasts.
+const TELL_SESSIONS: Duration = Duration::from_secs(2);
+
 impl RollOuts {
     /// Takes in a roll-out as the operator and the nodes wrote it.
     pub fn update(&mut self, now: Duration, roll_out: RollOut) {
@@ -89,6 +95,7 @@
                     roll_out.order, roll_out.end
                 );
                 self.has_news = true;
+                self.told_sessions = None;
                 let service = roll_out.service.clone();
                 self.by_service.insert(service, Active::new(now, roll_out));
             }
@@ -150,9 +157,20 @@
         }
     }
 
-    /// Notes which version a session's request went to.
-    pub fn pin(&mut self, now: Duration, session: u64, version: &str) {
+    /// Notes which version a session's request goes to, and returns what other nodes have to know at
+    /// once: that it is on an old version, where they would try the new one with it.
+    pub fn pin(
+        &mut self,
+        now: Duration,
+        service: &str,
+        session: u64,
+        version: &str,
+    ) -> Option<OnOld> {
         self.sessions.pin(now, session, version);
+        let active = self.by_service.get(service)?;
+        let is_old = version != active.roll_out.target;
+        let matters = is_old && active.is_undecided(now) && active.may_try(session);
+        matters.then(|| self.sessions.tell(now, session)).flatten()
     }
 
     /// Forgets sessions that ended.
@@ -299,15 +317,21 @@
     }
 
     /// The sessions that this node has on old versions and of which others have to know while
-    /// roll-outs are under way.
-    pub fn on_old(&self) -> Vec<OnOld> {
+    /// roll-outs are under way; nothing if it told them of all a moment ago.
+    pub fn on_old(&mut self, now: Duration) -> Vec<OnOld> {
+        if self
+            .told_sessions
+            .is_some_and(|told| now < told + TELL_SESSIONS)
+        {
+            return Vec::new();
+        }
         let active = self.by_service.values();
-        active
-            .filter(|a| a.roll_out.end.is_none())
-            // Until the share is settled, all that it could be.
-            .map(|a| (a.roll_out.target.as_str(), a.share.unwrap_or(1.0)))
-            .flat_map(|(target, share)| self.sessions.to_tell(target, share))
-            .collect()
+        let undecided = active.filter(|a| a.is_undecided(now));
+        let all: Vec<OnOld> = undecided
+            .flat_map(|a| self.sessions.to_tell(&a.roll_out.target, |s| a.may_try(s)))
+            .collect();
+        self.told_sessions = Some(now).filter(|_| !all.is_empty());
+        all
     }
 
     /// The ends that this node is to write now. `rank` is its place among the live nodes by name.
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -2,7 +2,9 @@
 
 use super::report::numbers;
 use crate::update::{RollOut, RollOutEnd};
-use oatdale_policy::relay::{Exposure, Phase, Schedule, Tally, Verdict, trial_share, verdict};
+use oatdale_policy::relay::{
+    Exposure, MOST_TRIAL, Phase, Schedule, Tally, Verdict, is_in_trial, trial_share, verdict,
+};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -97,6 +99,18 @@
         self.schedule.phase(since, self.verdict)
     }
 
+    /// Whether requests may still go to either version.
+    pub(super) fn is_undecided(&self, now: Duration) -> bool {
+        let phase = self.phase(now);
+        self.roll_out.end.is_none() && matches!(phase, Phase::Announced | Phase::Trial)
+    }
+
+    /// Whether a session may belong to those that try the new version: until the share is settled, to
+    /// those of the largest one.
+    pub(super) fn may_try(&self, session: u64) -> bool {
+        is_in_trial(self.share.unwrap_or(MOST_TRIAL), session)
+    }
+
     /// Settles the share of the trial when it begins.
     pub(super) fn settle_share(&mut self, now: Duration, allowed: Exposure, own_rate: f64) {
         if self.share.is_some() || self.phase(now) == Phase::Announced {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -233,7 +233,6 @@
     impatient: bool,
 ) -> Examined<W> {
     let status = answer.head.status;
-    pin_session(cx, plan, &answer);
     if status.is_success() {
         let sizes = plan.route().ladder.len();
         let room = plan.has_attempts();
@@ -262,13 +261,6 @@
     read_small(plan, answer, impatient).await
 }
 
-fn pin_session<W: Wire>(cx: &Cx<W>, plan: &Plan, answer: &Answer<W>) {
-    if let Some(session) = plan.session() {
-        let (now, version) = (cx.now(), answer.running.version.as_str());
-        cx.state().roll_outs.pin(now, session, version);
-    }
-}
-
 /// Reads a body to its end if it is small.
 async fn read_small<W: Wire>(plan: &Plan, mut answer: Answer<W>, impatient: bool) -> Examined<W> {
     let route = plan.route();
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -66,8 +66,8 @@
 fn a_session_that_another_node_knows_stays_on_its_version() {
     let mut here = node();
     let mut there = node();
-    there.pin(ms(900), IN_TRIAL, "v1");
-    for on_old in there.on_old() {
+    there.pin(ms(900), "pool", IN_TRIAL, "v1");
+    for on_old in there.on_old(ms(1_000)) {
         here.heard_on_old(ms(1_500), &on_old);
     }
     assert!(is_old(&here.allowed(ms(2_000), "pool", Some(IN_TRIAL), 7)));
@@ -76,6 +76,27 @@
     assert_eq!(late, Allowed::Prefer("v2".to_owned()));
 }
 
+// A session's next request may follow its first within half a second, at any other node, and one datagram
+// may be lost. Others are told as soon as the first is placed, and again with the next session.
+#[test]
+fn other_nodes_are_told_at_once_of_a_session_on_the_old_version() {
+    let mut here = node();
+    let mut there = node();
+    let lost = there.pin(ms(900), "pool", IN_TRIAL, "v1");
+    assert!(lost.is_some());
+    let told = there.pin(ms(950), "pool", IN_TRIAL + 1, "v1");
+    here.heard_on_old(ms(951), &told.expect("it is another session"));
+    for session in [IN_TRIAL, IN_TRIAL + 1] {
+        assert!(is_old(&here.allowed(ms(2_000), "pool", Some(session), 7)));
+    }
+    // Not again and again, and not of what others need not know.
+    assert_eq!(there.pin(ms(1_000), "pool", IN_TRIAL, "v1"), None);
+    assert_eq!(there.pin(ms(1_000), "pool", u64::MAX, "v1"), None);
+    assert_eq!(there.pin(ms(1_000), "pool", 2, "v2"), None);
+    assert_eq!(there.pin(ms(1_000), "desk", 3, "v1"), None);
+    assert!(there.pin(ms(2_600), "pool", IN_TRIAL, "v1").is_some());
+}
+
 // The key-value service turns a node away, which therefore knows of no order. It must not go on
 // with the old version when all others have left it.
 #[test]
@@ -163,7 +184,7 @@
 fn what_a_node_tells_fits_into_datagrams() {
     let mut node = node();
     for n in 0..1_000 {
-        node.pin(ms(1_300), n, "v1");
+        node.pin(ms(1_300), "pool", n, "v1");
         let origin = Origin {
             route: u32::MAX - n as u32 % 40,
             endpoint: u32::MAX - n as u32 % 12,
@@ -181,7 +202,7 @@
         ciborium::into_writer(&report, &mut wire).unwrap();
         assert!(wire.len() < 1_150);
     }
-    let told = node.on_old();
+    let told = node.on_old(ms(1_400));
     assert!(!told.is_empty());
     for on_old in told {
         let mut wire = Vec::new();
