Count repeats over the operators' window instead of a bucket with the node's part of the slack

Hypothesis: on large sites a quarter of the unsure answers is kept for want of repeats, though the site is far below what is allowed. A node could save up its part of the slack only, about two repeats, so two or three unsure answers in a row used it up, at any load.

Change: a node may repeat as often as the requests of the last ten seconds allow, with the same margin of 15% over all nodes. What is allowed in a window follows from the rule itself; the setting is bounds.repeat-window-s. A refused repeat is logged. The bucket of the router keeps its own rule and loses what only relays used.

Test: a replay of a node with six requests a second whose unsure answers come in clumps (the bucket refused a quarter of them), and the rule in each window of a minute of waves.

--- a/crates/oatdale-policy/src/budget.rs
+++ b/crates/oatdale-policy/src/budget.rs
@@ -11,54 +11,28 @@
 /// Without it, endpoints that fail because they are overloaded get each request several times,
 /// which keeps them overloaded after the cause has gone.
 #[derive(Clone, Copy, Debug)]
-pub struct Budget {
+pub(crate) struct Budget {
     balance: f64,
-    /// What each first attempt adds, in retries.
-    deposit: f64,
-    /// The most that may be saved up, in retries.
-    cap: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Budget::new(DEPOSIT, CAP)
+        Budget { balance: CAP }
     }
 }
 
 impl Budget {
-    /// A full budget to which each first attempt adds `deposit` retries, up to `cap`.
-    pub fn new(deposit: f64, cap: f64) -> Self {
-        Budget {
-            balance: cap,
-            deposit,
-            cap,
-        }
-    }
-
     /// Notes a first attempt.
-    pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.deposit).min(self.cap);
+    pub(crate) fn deposit(&mut self) {
+        self.balance = (self.balance + DEPOSIT).min(CAP);
     }
 
     /// Pays for one retry, if the budget allows it.
-    pub fn withdraw(&mut self) -> bool {
-        self.withdraw_above(0.0)
-    }
-
-    /// Pays for one retry if the budget allows it and this part of its cap is left then.
-    ///
-    /// A use that can wait leaves something for one that cannot.
-    pub fn withdraw_above(&mut self, part: f64) -> bool {
-        let allowed = self.balance >= 1.0 + part * self.cap;
+    pub(crate) fn withdraw(&mut self) -> bool {
+        let allowed = self.balance >= 1.0;
         if allowed {
             self.balance -= 1.0;
         }
         allowed
     }
-
-    /// Changes the most that may be saved up.
-    pub fn set_cap(&mut self, cap: f64) {
-        self.cap = cap;
-        self.balance = self.balance.min(cap);
-    }
 }
--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -21,16 +21,17 @@
 mod ladder;
 mod pace;
 mod placement;
+mod repeats;
 mod roll_out;
 
 pub use crate::average::{Mean, Rate};
-pub use crate::budget::Budget;
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{Cells, Counts, Origin, Tally, Verdict, verdict};
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::pace::{StreamPace, UsualTime};
 pub use crate::relay::placement::{Candidate, Placement, choose};
+pub use crate::relay::repeats::{Allowance, Repeats};
 pub use crate::relay::roll_out::{
     Exposure, MOST_TRIAL, Phase, Schedule, is_in_trial, shows_new, trial_share,
 };
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -1,7 +1,7 @@
 //! Decisions about requests that pass through unread.
 
 use oatdale_policy::relay::{
-    Budget, Candidate, EngineReport, Health, Ladder, Placement, Step, choose,
+    Allowance, Candidate, EngineReport, Health, Ladder, Placement, Repeats, Step, choose,
 };
 use std::time::Duration;
 
@@ -107,32 +107,88 @@
     assert!(health.burden() > 3.0);
 }
 
-// Endpoints fail because they are overloaded. Were each request sent again, they would stay so.
+const WINDOW: Allowance = Allowance {
+    window: Duration::from_secs(10),
+    ratio: 0.5,
+    slack: 4.0,
+};
+
+// Endpoints fail because they are overloaded. Were each request sent again, they would stay so: in no span
+// of the window, whenever it begins, may there be more repeats than its requests allow. Callers come in
+// waves; the requests of the window before count too, as operators state it.
 #[test]
 fn repeats_stay_below_their_share_of_the_requests() {
-    let mut budget = Budget::new(0.5, 4.0);
-    let mut spent = 0;
-    for _ in 0..100 {
-        budget.deposit();
-        while budget.withdraw() {
-            spent += 1;
+    let planned = Allowance {
+        ratio: WINDOW.ratio * 0.85,
+        slack: WINDOW.slack * 0.85,
+        ..WINDOW
+    };
+    let mut repeats = Repeats::default();
+    let mut requested = Vec::new();
+    let mut repeated = Vec::new();
+    for tick in 0..6_000_u64 {
+        let now = Duration::from_millis(tick * 10);
+        let many = (tick / 700) % 3 == 1;
+        let few = tick % 40 == 0;
+        if many || few {
+            repeats.request(now, &planned);
+            requested.push(now);
+        }
+        while repeats.repeat(now, &planned, 0.0) {
+            repeated.push(now);
         }
     }
-    assert_eq!(spent, 53);
+    let within = |times: &[Duration], from: Duration| {
+        let until = from + WINDOW.window;
+        times.iter().filter(|t| **t >= from && **t < until).count() as f64
+    };
+    for from in (0..50_000).step_by(50).map(Duration::from_millis) {
+        let before = from.saturating_sub(WINDOW.window / 2);
+        let requests = within(&requested, from).max(within(&requested, before));
+        let most = requests * WINDOW.ratio + WINDOW.slack;
+        assert!(within(&repeated, from) <= most, "{from:?}");
+    }
+    // And not far below.
+    assert!(repeated.len() as f64 > 0.8 * WINDOW.ratio * requested.len() as f64);
 }
 
 #[test]
 fn a_use_that_can_wait_leaves_some_of_the_budget() {
-    let mut budget = Budget::new(0.5, 10.0);
-    let mut waited = 0;
-    while budget.withdraw_above(0.2) {
-        waited += 1;
-    }
-    let mut left = 0;
-    while budget.withdraw() {
-        left += 1;
+    let mut repeats = Repeats::default();
+    let allowed = Allowance {
+        slack: 10.0,
+        ..WINDOW
+    };
+    let now = Duration::from_secs(1);
+    let waited = (0..20).filter(|_| repeats.repeat(now, &allowed, 0.2));
+    assert_eq!(waited.count(), 8);
+    let left = (0..20).filter(|_| repeats.repeat(now, &allowed, 0.0));
+    assert_eq!(left.count(), 2);
+}
+
+// A site has ninety nodes with six requests a second each, of which four in ten are not sure enough and are
+// made again: half of what is allowed. They come in clumps. Callers must not get an unsure answer because
+// two or three of them came one after the other.
+#[test]
+fn a_node_with_few_requests_may_repeat_what_it_has_earned() {
+    let allowed = Allowance {
+        window: Duration::from_secs(10),
+        ratio: 0.765,
+        slack: 2.1,
+    };
+    let mut repeats = Repeats::default();
+    let mut refused = 0;
+    let mut unsure = 0;
+    for n in 0..600_u64 {
+        let now = Duration::from_millis(n * 160);
+        repeats.request(now, &allowed);
+        // Four of ten, one after the other.
+        if n % 10 < 4 {
+            unsure += 1;
+            refused += u32::from(!repeats.repeat(now, &allowed, 0.2));
+        }
     }
-    assert_eq!((waited, left), (8, 2));
+    assert!(refused * 50 < unsure, "{refused} of {unsure} were refused");
 }
 
 #[test]
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -12,7 +12,6 @@
 use crate::update::{Endpoint, Update};
 use crate::wire::Wire;
 use oatdale_platform::{Pool, PoolConfig};
-use oatdale_policy::relay::Budget;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -28,7 +27,7 @@
 /// Unused connections kept for one endpoint.
 const MAX_IDLE: usize = 16;
 
-/// The part of what a node may save up that larger models leave: a stream that breaks off is lost
+/// The part of the repeats that larger models leave: a stream that breaks off is lost
 /// without a repeat, an answer of a small model is only worse. When an endpoint with several
 /// streams of one node dies, all of them need one at once.
 const KEPT_FOR_BROKEN: f64 = 0.2;
@@ -207,21 +206,29 @@
     pub(crate) fn count_request(&self, service: &str) {
         let now = self.now();
         self.state().roll_outs.count_request(now, service);
-        self.with_budget(service, Budget::deposit);
+        let mut state = self.state();
+        let allowed = state.allowance(now);
+        state.repeats(service).request(now, &allowed);
     }
 
     /// Whether a request for a service may be sent once more.
     pub(crate) fn may_repeat(&self, service: &str) -> bool {
-        self.with_budget(service, Budget::withdraw)
+        self.repeat(service, 0.0)
     }
 
     /// Whether a request for a service may be sent once more only to get a better answer.
     pub(crate) fn may_escalate(&self, service: &str) -> bool {
-        self.with_budget(service, |b| b.withdraw_above(KEPT_FOR_BROKEN))
+        self.repeat(service, KEPT_FOR_BROKEN)
     }
 
-    fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget) -> T) -> T {
+    fn repeat(&self, service: &str, kept: f64) -> bool {
         let now = self.now();
-        f(self.state().budget(now, service))
+        let mut state = self.state();
+        let allowed = state.allowance(now);
+        let may = state.repeats(service).repeat(now, &allowed, kept);
+        if !may {
+            log::info!(target: "attempt", "event=no_repeat service={service} kept={kept}");
+        }
+        may
     }
 }
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -90,6 +90,9 @@
     pub repeat_ratio: f64,
     /// Repeats that all nodes together may add beyond that part.
     pub repeat_slack: f64,
+    /// Seconds over which repeats and requests are counted for these two.
+    #[serde(default = "usual_window")]
+    pub repeat_window_s: f64,
     /// Requests that a bad version may get during its roll-out, as a part of all for the service.
     pub exposure_share: f64,
     /// Requests that it may get beyond that part.
@@ -101,6 +104,11 @@
     pub leave_ms: u64,
 }
 
+/// The window for repeats, unless set otherwise.
+fn usual_window() -> f64 {
+    10.0
+}
+
 /// The time for endpoints that leave, unless set otherwise.
 fn usual_leave() -> u64 {
     2_000
@@ -143,6 +151,11 @@
     }
 }
 
+/// Windows for repeats that are taken as they are set: a shorter one counts nothing, and a longer one
+/// outlives what a node remembers of its requests.
+const LEAST_WINDOW_S: f64 = 0.1;
+const MOST_WINDOW_S: f64 = 600.0;
+
 impl Bounds {
     pub(crate) fn exposure(&self) -> Exposure {
         Exposure {
@@ -151,6 +164,11 @@
         }
     }
 
+    /// Time over which repeats and requests are counted.
+    pub(crate) fn repeat_window(&self) -> Duration {
+        Duration::from_secs_f64(self.repeat_window_s.clamp(LEAST_WINDOW_S, MOST_WINDOW_S))
+    }
+
     /// Time from the stop signal until the process is killed.
     pub(crate) fn stop(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s.max(0.0))
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -5,7 +5,7 @@
 use crate::roll_outs::{Allowed, RollOuts};
 use crate::settings::Bounds;
 use crate::site::Site;
-use oatdale_policy::relay::{Budget, Candidate, Mean, Placement, choose};
+use oatdale_policy::relay::{Allowance, Candidate, Mean, Placement, Repeats, choose};
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 /// The part of the site's allowance for repeats that nodes plan to use: the rest is for what nodes
-/// count apart from each other, and for nodes that start again with a full budget.
+/// count apart from each other, and for nodes that start again and know nothing of their repeats.
 const REPEAT_SHARE: f64 = 0.85;
 
 /// Nodes among which the allowance beyond the ratio is dealt out at least: a node that starts does
@@ -34,7 +34,7 @@
     pub(crate) directory: Directory,
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
-    budgets: HashMap<String, Budget>,
+    repeats: HashMap<String, Repeats>,
     /// How long largest models let requests wait, as parts of their targets, by service.
     waits: HashMap<String, Mean>,
     /// Mean sizes of generations by route.
@@ -70,7 +70,7 @@
             directory: Directory::default(),
             roll_outs: RollOuts::default(),
             nodes: Nodes::default(),
-            budgets: HashMap::new(),
+            repeats: HashMap::new(),
             waits: HashMap::new(),
             sizes: HashMap::new(),
             stopping: None,
@@ -79,17 +79,19 @@
         }
     }
 
-    /// A service's budget for repeats, with this node's part of what the site allows.
-    pub(crate) fn budget(&mut self, now: Duration, service: &str) -> &mut Budget {
+    /// This node's part of the repeats that the site allows.
+    pub(crate) fn allowance(&self, now: Duration) -> Allowance {
         let nodes = self.nodes.iter(now).count().max(LEAST_NODES);
-        let cap = (self.bounds.repeat_slack * REPEAT_SHARE / nodes as f64).max(1.0);
-        let ratio = self.bounds.repeat_ratio * REPEAT_SHARE;
-        let budget = self
-            .budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| Budget::new(ratio, cap));
-        budget.set_cap(cap);
-        budget
+        Allowance {
+            window: self.bounds.repeat_window(),
+            ratio: self.bounds.repeat_ratio * REPEAT_SHARE,
+            slack: (self.bounds.repeat_slack * REPEAT_SHARE / nodes as f64).max(1.0),
+        }
+    }
+
+    /// A service's requests and repeats at this node.
+    pub(crate) fn repeats(&mut self, service: &str) -> &mut Repeats {
+        self.repeats.entry(service.to_owned()).or_default()
     }
 
     /// Notes how long a largest model let a request wait, as a part of its target.
