Revert the readers, and wait for answers of the key-value service while something of them comes

An answer is read now for as long as something comes each 0.6 s, from the service and from neighbours alike, by one function.

--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -35,6 +35,7 @@
 //! # }
 //! ```
 
+mod body;
 mod cache_events;
 mod call;
 pub mod chat;
@@ -50,6 +51,7 @@
 mod weights;
 pub mod wire;
 
+pub use crate::body::{BodyError, read_body};
 pub use crate::cache_events::{CacheEvents, Seen};
 pub use crate::call::{Answer, Call, CallError};
 pub use crate::config_store::{
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -2,21 +2,19 @@
 
 use crate::body::BodyMemory;
 use crate::directory::News;
-use crate::gossip::Message;
+use crate::gossip::{self, Message};
 use crate::metrics::Metrics;
 use crate::roll_outs::Allowed;
 use crate::running::Running;
 use crate::settings::Settings;
 use crate::site::Site;
-use crate::spread;
 use crate::state::{State, Wanted};
-use crate::update::{Command, Update};
+use crate::update::{Endpoint, Update};
 use crate::wire::Wire;
 use oatdale_platform::{Pool, PoolConfig};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 /// How long a connection to an endpoint may take to open. Endpoints are a few milliseconds away;
@@ -47,8 +45,6 @@
     pub(crate) body_memory: BodyMemory,
     /// For datagrams of and to other nodes.
     pub(crate) socket: UdpSocket,
-    /// To the platform's adapter.
-    pub(crate) commands: mpsc::Sender<Command>,
     started: Instant,
     state: Mutex<State>,
 }
@@ -60,13 +56,7 @@
 }
 
 impl<W: Wire> Cx<W> {
-    pub(crate) fn new(
-        wire: W,
-        settings: Settings,
-        metrics: Metrics,
-        socket: UdpSocket,
-        commands: mpsc::Sender<Command>,
-    ) -> Self {
+    pub(crate) fn new(wire: W, settings: Settings, metrics: Metrics, socket: UdpSocket) -> Self {
         let pool = Pool::new(PoolConfig {
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
@@ -78,7 +68,6 @@
             metrics,
             body_memory: BodyMemory::default(),
             socket,
-            commands,
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds)),
             settings,
@@ -116,9 +105,8 @@
         state.site.is_some() && !state.directory.is_empty() && state.stopping.is_none()
     }
 
-    /// Takes in news from the platform, and returns what other nodes have to be told of it.
-    pub(crate) fn update(&self, update: Update) -> Vec<Message> {
-        let mut to_tell = Vec::new();
+    /// Takes in news from the platform.
+    pub(crate) fn update(&self, update: Update) {
         let now = self.now();
         let mut state = self.state();
         match update {
@@ -135,16 +123,15 @@
                     endpoint.id, endpoint.born, endpoint.service, endpoint.addr, endpoint.version,
                     endpoint.leaving
                 );
-                if let News::StartedAgain(before) = state.directory.upsert(now, endpoint) {
-                    self.pool.forget(before);
-                }
+                self.take_endpoint(&mut state, now, endpoint);
             }
             Update::EndpointGone(id) => {
                 log::info!(target: "directory", "event=endpoint_gone id={id}");
-                state.directory.remove(now, &id);
+                let born = state.directory.by_id_mut(&id).and_then(|e| e.endpoint.born);
+                if state.directory.remove(now, &id) {
+                    gossip::tell_some(self, &state, &Message::EndpointGone { id, born });
+                }
             }
-            Update::Read(reading) => to_tell = spread::to_tell(&mut state, reading),
-            Update::Told(reading) => state.spread.heard(reading),
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
             Update::Nodes(nodes) => state.nodes.replace(now, nodes),
             Update::StoreLost => {
@@ -161,7 +148,20 @@
             }
         }
         self.metrics.endpoints.set(state.directory.len() as i64);
-        to_tell
+    }
+
+    fn take_endpoint(&self, state: &mut State, now: Duration, endpoint: Endpoint) {
+        let (id, born) = (endpoint.id.clone(), endpoint.born);
+        match state.directory.upsert(now, endpoint) {
+            News::None => {}
+            News::Leaves => {
+                gossip::tell_some(self, state, &Message::EndpointLeaves { id, born });
+            }
+            News::StartedAgain(before) => {
+                log::info!(target: "directory", "event=started_again id={id} born={born:?}");
+                self.pool.forget(before);
+            }
+        }
     }
 
     pub(crate) fn take_site(&self, state: &mut State, site: Arc<Site>) {
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -52,11 +52,13 @@
     gone: Gone,
 }
 
-/// What a record has told that requests under way have to know.
+/// What a record has told that others, or requests under way, have to know.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum News {
     /// Nothing.
     None,
+    /// The endpoint leaves.
+    Leaves,
     /// The endpoint has started again under its id; its earlier start was at this address.
     StartedAgain(SocketAddr),
 }
@@ -122,10 +124,7 @@
                 self.insert(now, endpoint);
                 News::StartedAgain(before)
             }
-            Some(entry) => {
-                entry.update(endpoint);
-                News::None
-            }
+            Some(entry) => entry.update(endpoint),
             None => {
                 self.insert(now, endpoint);
                 News::None
@@ -141,12 +140,29 @@
         self.forget(now);
     }
 
-    /// Notes that an endpoint's entry is missing.
+    /// Notes that an endpoint that started at `born` announced that it leaves, as another node has read
+    /// it, and says whether that is news.
+    pub fn leaves(&mut self, id: &str, born: Option<u64>) -> bool {
+        match self.by_id_mut(id) {
+            Some(entry) if entry.endpoint.born <= born => {
+                !std::mem::replace(&mut entry.endpoint.leaving, true)
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes that the entry of an endpoint that started at `born` is missing, as another node has read it.
+    pub fn remove_start(&mut self, now: Duration, id: &str, born: Option<u64>) -> bool {
+        let is_known = |e: &mut Entry| e.endpoint.born <= born;
+        self.by_id_mut(id).is_some_and(is_known) && self.remove(now, id)
+    }
+
+    /// Notes that an endpoint's entry is missing, and says whether that is news and no outage explains it.
     ///
     /// While the key-value service is away, and a little longer, entries go missing because their
     /// endpoints could not renew them; all endpoints would seem to be gone at once, and every
     /// request would be refused. In steady times a missing entry is a leaving endpoint.
-    pub fn remove(&mut self, now: Duration, id: &str) {
+    pub fn remove(&mut self, now: Duration, id: &str) -> bool {
         let at = match self.store {
             Store::Steady => now,
             Store::Lost => now + RETURN_GRACE,
@@ -157,8 +173,12 @@
             .get(id)
             .and_then(|key| self.entries.get_mut(key))
             .filter(|entry| entry.gone == Gone::No);
-        if let Some(entry) = entry {
-            entry.gone = Gone::At(at);
+        match entry {
+            Some(entry) => {
+                entry.gone = Gone::At(at);
+                self.store == Store::Steady
+            }
+            None => false,
         }
     }
 
@@ -273,13 +293,18 @@
     ///
     /// One that announced its leaving does not come back without a new start: a record that says
     /// otherwise is an older one.
-    fn update(&mut self, endpoint: Endpoint) {
-        let leaving = self.endpoint.leaving || endpoint.leaving;
+    fn update(&mut self, endpoint: Endpoint) -> News {
+        let left = self.endpoint.leaving;
+        let leaving = left || endpoint.leaving;
         self.endpoint = Endpoint {
             leaving,
             ..endpoint
         };
         self.gone = Gone::No;
+        match leaving && !left {
+            true => News::Leaves,
+            false => News::None,
+        }
     }
 
     /// The endpoint has started again: this start is over, with all that it was sent.
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -8,9 +8,7 @@
 use crate::roll_outs::{JUDGES, OnOld, Report};
 use crate::running::Running;
 use crate::state::State;
-use crate::update::{Command, Reading};
 use crate::wire::Wire;
-use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,7 +29,7 @@
 /// engine for half a second, and other nodes would send theirs there meanwhile.
 const HEAVY: f64 = 3.0;
 
-/// Nodes that are told of a long prompt.
+/// Nodes that are told of a long prompt, or of an endpoint that leaves.
 const MOST_TOLD: usize = 16;
 
 /// The most that one prompt counts.
@@ -49,8 +47,16 @@
     OnOld(OnOld),
     /// The node with this host name stops.
     Leaving(String),
-    /// What the sender has read for others.
-    Read(Reading),
+    /// The endpoint with this id that started then announced that it leaves.
+    EndpointLeaves {
+        id: String,
+        born: Option<u64>,
+    },
+    /// The record of the endpoint with this id that started then is gone.
+    EndpointGone {
+        id: String,
+        born: Option<u64>,
+    },
     /// A long prompt was sent to an endpoint.
     Heavy {
         /// The endpoint's id.
@@ -84,11 +90,16 @@
             let until = now + state.bounds.stop();
             state.nodes.leave(until, &host);
         }
-        // One that is lost is made up for by the next.
-        Ok(Message::Read(reading)) => match cx.commands.try_send(Command::Told(reading)) {
-            Ok(()) => {}
-            Err(err) => log::info!(target: "gossip", "event=not_taken from={from} err={err}"),
-        },
+        Ok(Message::EndpointLeaves { id, born }) => {
+            if cx.state().directory.leaves(&id, born) {
+                log::info!(target: "gossip", "event=endpoint_leaves id={id} born={born:?} from={from}");
+            }
+        }
+        Ok(Message::EndpointGone { id, born }) => {
+            if cx.state().directory.remove_start(now, &id, born) {
+                log::info!(target: "gossip", "event=endpoint_gone id={id} born={born:?} from={from}");
+            }
+        }
         Ok(Message::Heavy { endpoint, weight }) => {
             let mut state = cx.state();
             if let Some(entry) = state.directory.by_id_mut(&endpoint) {
@@ -126,29 +137,21 @@
         endpoint: running.id.clone(),
         weight: running.weight,
     };
-    send_now(cx, others(cx, &cx.state()).take(MOST_TOLD), &message);
+    tell_some(cx, &cx.state(), &message);
 }
 
-/// Tells all other nodes, as fast as this node's link takes it.
+/// Tells other nodes at once of something that their own next look would show them later: an endpoint
+/// that gets no new work, or a long prompt at one.
 ///
-/// What is sent without waiting is lost where the socket is full, and always to the same nodes; so they
-/// are told in another order each time.
-pub(crate) async fn send_to_all<W: Wire>(cx: &Cx<W>, message: &Message) {
-    let Some(datagram) = encode(message) else {
-        return;
-    };
-    let mut others: Vec<_> = others(cx, &cx.state()).collect();
-    others.shuffle(&mut rand::rng());
-    for to in others {
-        if let Err(err) = cx.socket.send_to(&datagram, to).await {
-            log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
-        }
-    }
+/// Each node reads the records only about once a second, since each call has its price; together they
+/// look many times a second. A lost datagram is made up for by the node's own next look.
+pub(crate) fn tell_some<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
+    send_now(cx, others(cx, state).take(MOST_TOLD), message);
 }
 
-/// Tells all other nodes, without waiting.
-pub(crate) fn tell_all<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
-    send_now(cx, others(cx, state), message);
+/// Tells all other nodes of a session whose version they have to keep.
+pub(crate) fn tell_on_old<W: Wire>(cx: &Cx<W>, state: &State, on_old: OnOld) {
+    send_now(cx, others(cx, state), &Message::OnOld(on_old));
 }
 
 /// Sends a datagram without waiting: what the socket does not take now is lost.
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -63,7 +63,6 @@
 mod serve;
 mod settings;
 mod site;
-mod spread;
 mod state;
 mod stream;
 mod update;
@@ -76,8 +75,6 @@
 pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
 pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
-pub use crate::update::{
-    Change, Command, Content, Endpoint, Node, Reading, RollOut, RollOutEnd, Update,
-};
+pub use crate::update::{Command, Endpoint, Node, RollOut, RollOutEnd, Update};
 pub use crate::wire::{AnswerFacts, Forward, Prompt, RequestFacts, Wire};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -8,7 +8,6 @@
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::settings::Settings;
-use crate::spread;
 use crate::update::{Command, Update};
 use crate::wire::Wire;
 use snafu::ResultExt;
@@ -35,6 +34,7 @@
 /// A running relay.
 pub struct Relay<W> {
     cx: Arc<Cx<W>>,
+    commands: mpsc::Sender<Command>,
     stop: watch::Sender<Stop>,
 }
 
@@ -57,7 +57,7 @@
         let socket = UdpSocket::bind(listen.nodes)
             .await
             .context(ListenSnafu { addr: listen.nodes })?;
-        let cx = Arc::new(Cx::new(wire, settings, metrics, socket, commands));
+        let cx = Arc::new(Cx::new(wire, settings, metrics, socket));
         for addr in [listen.readiness, listen.addresses, listen.metrics] {
             tokio::spawn(serve_local(cx.clone(), bind(addr)?));
         }
@@ -66,13 +66,13 @@
         tokio::spawn(front::accept(cx.clone(), callers, stopped));
         tokio::spawn(gossip::listen(cx.clone()));
         tokio::spawn(take_updates(cx.clone(), updates));
-        tokio::spawn(tick(cx.clone()));
+        tokio::spawn(tick(cx.clone(), commands.clone()));
         log::info!(
             target: "node",
             "event=started host={} domain={} callers={}",
             cx.settings.host, cx.settings.failure_domain, listen.callers
         );
-        Ok(Relay { cx, stop })
+        Ok(Relay { cx, commands, stop })
     }
 
     /// Stops in order: leaves the addresses that callers are told, goes on for as long as they
@@ -82,7 +82,7 @@
         let time = self.cx.state().bounds.stop();
         log::info!(target: "node", "event=stopping under_way={}", self.under_way());
         self.cx.state().stopping = Some(began);
-        if self.cx.commands.send(Command::Leave).await.is_err() {
+        if self.commands.send(Command::Leave).await.is_err() {
             log::warn!(target: "node", "event=leave_not_sent reason=\"the adapter has ended\"");
         }
         gossip::leave(&self.cx).await;
@@ -112,14 +112,12 @@
 
 async fn take_updates<W: Wire>(cx: Arc<Cx<W>>, mut updates: mpsc::Receiver<Update>) {
     while let Some(update) = updates.recv().await {
-        for message in cx.update(update) {
-            gossip::send_to_all(&cx, &message).await;
-        }
+        cx.update(update);
     }
     log::warn!(target: "node", "event=no_more_news reason=\"the adapter has ended\"");
 }
 
-async fn tick<W: Wire>(cx: Arc<Cx<W>>) {
+async fn tick<W: Wire>(cx: Arc<Cx<W>>, commands: mpsc::Sender<Command>) {
     let mut reported = Instant::now();
     loop {
         tokio::time::sleep(TICK).await;
@@ -128,14 +126,9 @@
             reported = Instant::now();
             gossip::report(&cx).await;
         }
-        if let Some(command) = spread::change_part(&cx) {
-            if cx.commands.send(command).await.is_err() {
-                log::warn!(target: "spread", "event=part_not_told reason=\"the adapter has ended\"");
-            }
-        }
         for command in due(&cx) {
             log::info!(target: "roll-out", "event=write {command:?}");
-            if cx.commands.try_send(command).is_err() {
+            if commands.try_send(command).is_err() {
                 log::warn!(target: "roll-out", "event=write_postponed reason=\"adapter is busy\"");
             }
         }
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -12,16 +12,16 @@
 use crate::wire::Wire;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use oatdale_platform::Reuse;
+use oatdale_platform::{Reuse, read_body};
 use rand::seq::IteratorRandom;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 use wire::Snapshot;
 
 /// Time between two questions. Endpoints that leave must get nothing new two seconds later, and the
@@ -32,8 +32,7 @@
 /// failed calls.
 const PATIENCE: Duration = Duration::from_millis(700);
 
-/// How long an answer may take: nodes are a few milliseconds apart, and a configuration of some
-/// thousand routes has a megabyte.
+/// How long an answer's head may take, and each pause in its body: nodes are a few milliseconds apart.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// The longest answer: several times the largest value that the key-value service holds.
@@ -122,10 +121,8 @@
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let sent = cx.pool.send(peer, req, Reuse::Allowed, deadline).await;
     let res = sent.map_err(|err| err.to_string())?;
-    let body = Limited::new(res.into_body(), MAX_ANSWER).collect();
-    let body = timeout_at(deadline, body).await;
-    let body = body.map_err(|_| "its answer is late".to_owned())?;
-    let body = body.map_err(|err| err.to_string())?.to_bytes();
+    let body = read_body(res.into_body(), MAX_ANSWER, ANSWER_TIMEOUT).await;
+    let body = body.map_err(|err| err.to_string())?;
     Snapshot::decode(&body).map_err(|err| err.to_string())
 }
 
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -5,7 +5,6 @@
 use crate::roll_outs::{Allowed, RollOuts};
 use crate::settings::Bounds;
 use crate::site::Site;
-use crate::spread::Spread;
 use oatdale_policy::relay::{Allowance, Candidate, Mean, Placement, Repeats, choose};
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -35,7 +34,6 @@
     pub(crate) directory: Directory,
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
-    pub(crate) spread: Spread,
     repeats: HashMap<String, Repeats>,
     /// How long largest models let requests wait, as parts of their targets, by service.
     waits: HashMap<String, Mean>,
@@ -72,7 +70,6 @@
             directory: Directory::default(),
             roll_outs: RollOuts::default(),
             nodes: Nodes::default(),
-            spread: Spread::default(),
             repeats: HashMap::new(),
             waits: HashMap::new(),
             sizes: HashMap::new(),
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -1,7 +1,6 @@
 //! What a platform adapter and the relay tell each other.
 
 use crate::site::Site;
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,10 +21,6 @@
     RollOut(RollOut),
     /// All other nodes there are.
     Nodes(Vec<Node>),
-    /// What this node has just read, for nodes that do not read by themselves.
-    Read(Reading),
-    /// What this node has taken in of another one's reading.
-    Told(Reading),
     /// The platform's key-value service does not answer this node.
     StoreLost,
     /// It answers again, and all that was read since is news of after its return.
@@ -46,50 +41,10 @@
     },
     /// Take this node off the list that callers are told.
     Leave,
-    /// Whether to read for other nodes too, or only what they do not tell.
-    ReadForOthers(bool),
-    /// Take in what another node has read.
-    Told(Reading),
-}
-
-/// All that changed in the platform's records between two revisions, as far as it matters: renewals of
-/// records that say the same are left out. The records stay in the platform's own form.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct Reading {
-    /// A node that has read up to here, or further, misses nothing if it takes this in.
-    pub from: u64,
-    /// It has read up to here then.
-    pub upto: u64,
-    /// Whether this is all that there was when it was read, and no part of it.
-    pub whole: bool,
-    /// The changes, oldest first.
-    pub changes: Vec<Change>,
-}
-
-/// A record that changed.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct Change {
-    /// Its key.
-    pub key: String,
-    /// The revision of the change.
-    pub revision: u64,
-    /// What the record holds now.
-    pub content: Content,
-}
-
-/// What a record holds.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub enum Content {
-    /// It is gone.
-    Gone,
-    /// This.
-    Value(Bytes),
-    /// Too much for a datagram: it has to be read.
-    TooLong,
 }
 
 /// One start of one endpoint.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Its id; one that starts again may have the id that it had.
     pub id: String,
@@ -140,9 +95,6 @@
 pub struct Node {
     /// Its host's name.
     pub host: String,
-    /// Its failure domain; empty for nodes of an earlier version.
-    #[serde(default)]
-    pub domain: String,
     /// Where it takes callers' requests.
     pub callers: SocketAddr,
     /// Where it takes other nodes' datagrams.
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -115,8 +115,7 @@
         leaving: true,
         ..started("x", 1_000)
     };
-    directory.upsert(ms(10), leaving);
-    assert!(usable(&directory, ms(10)).is_empty());
+    assert_eq!(directory.upsert(ms(10), leaving), News::Leaves);
     let again = directory.upsert(ms(20), started("x", 2_000));
     assert_eq!(again, News::StartedAgain("10.0.0.1:80".parse().unwrap()));
     assert_eq!(usable(&directory, ms(20)), ["x"]);
@@ -126,7 +125,8 @@
     assert!(!entry.health.rests(ms(20)));
 }
 
-// A record of an endpoint's earlier start is read after the endpoint has started again. It must not end the new start, nor bring the old one back.
+// A record of an endpoint's earlier start is read, or told of by another node, after the endpoint has started
+// again. It must not end the new start, nor bring the old one back.
 #[test]
 fn what_comes_late_of_an_earlier_start_changes_nothing() {
     let mut directory = Directory::default();
@@ -136,13 +136,12 @@
         version: "v0".to_owned(),
         ..started("x", 1_000)
     };
-    assert_eq!(directory.upsert(ms(10), leaving), News::None);
+    assert_eq!(directory.upsert(ms(10), leaving.clone()), News::None);
+    assert!(!directory.leaves("x", leaving.born));
+    assert!(!directory.remove_start(ms(20), "x", leaving.born));
+    assert!(!directory.remove_start(ms(20), "x", None));
     assert_eq!(usable(&directory, ms(20)), ["x"]);
-    let leaving = Endpoint {
-        leaving: true,
-        ..started("x", 2_000)
-    };
-    directory.upsert(ms(30), leaving);
+    assert!(directory.leaves("x", Some(2_000)));
     assert!(usable(&directory, ms(30)).is_empty());
     // Nor does a record without a start, which is not of a later one.
     directory.upsert(ms(40), endpoint("x"));
