Deal endpoints into groups where the loads of all would fill the links of those who add them up

With 300 nodes and 300 endpoints the two nodes that add up would send 26 Mbit/s of sums, over links of 10. Up to 8,191 nodes times endpoints nothing changes (all sites that were measured); beyond, each of a power of two of groups has two nodes of its own, and from 32 groups on loads are told less often and count for longer. Computed, not played at this size yet.

Test: what one of them sends, and datagrams a node, from 7 nodes to 360 with 2,100 endpoints.

--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -5,7 +5,7 @@
 //! a leaving node says so several times.
 
 use crate::cx::Cx;
-use crate::loads::{ADDERS, Load, MOST, TOLD_EVERY};
+use crate::loads::{ADDERS, Load, MOST, Scheme};
 use crate::roll_outs::{JUDGES, OnOld, Report};
 use crate::running::Running;
 use crate::state::{State, hash};
@@ -171,36 +171,54 @@
     send_now(cx, others(cx, state), message);
 }
 
-/// Tells two nodes this one's loads again and again, and those that told theirs the sums.
+/// Tells this node's loads to those who add them up, again and again, and the sums to those who told theirs.
 pub(crate) async fn share_loads<W: Wire>(cx: Arc<Cx<W>>) {
     loop {
-        tokio::time::sleep(TOLD_EVERY).await;
-        let mut guard = cx.state();
-        let state = &mut *guard;
-        let now = cx.now();
-        let own = state.shared.tell(state.directory.loads());
-        let adders = adders(&cx, state);
-        let own_addr = cx.settings.listen.nodes;
-        if adders.contains(&own_addr) {
-            state.adder.take(now, own_addr, &own);
-        }
-        let others = adders.into_iter().filter(|to| *to != own_addr);
-        send_loads(&cx, others, &own, Message::Loads);
-        let (nodes, sums, told) = state.adder.sum(now);
-        if nodes == 0 {
-            continue;
+        let every = cx.state().shared.scheme().every;
+        tokio::time::sleep(every).await;
+        let mut state = cx.state();
+        tell_loads(&cx, &mut state);
+        tell_sums(&cx, &mut state);
+    }
+}
+
+/// Tells the loads of each group of endpoints to the two nodes that add them up.
+fn tell_loads<W: Wire>(cx: &Cx<W>, state: &mut State) {
+    let now = cx.now();
+    let nodes = state.nodes.iter(now).count();
+    let scheme = Scheme::new(nodes, state.directory.len());
+    state.shared.set_scheme(scheme);
+    state.adder.set_scheme(scheme);
+    let own = state.shared.tell(state.directory.loads());
+    for group in 0..scheme.groups {
+        let loads = own.iter().filter(|l| scheme.group(l.endpoint) == group);
+        let loads: Vec<_> = loads.copied().collect();
+        for to in adders(cx, state, group) {
+            match to == cx.settings.listen.nodes {
+                true => state.adder.take(now, to, &loads),
+                false => send_loads(cx, [to].into_iter(), &loads, Message::Loads),
+            }
         }
-        state.shared.take(now, nodes, &sums);
-        let told = told.into_iter().filter(|to| *to != own_addr);
-        let sums_of = |loads| Message::Sums { nodes, loads };
-        send_loads(&cx, told, &sums, sums_of);
     }
 }
 
-/// The nodes that this one tells its loads: the first ones by a hash that is the same on every node.
-fn adders<W: Wire>(cx: &Cx<W>, state: &State) -> Vec<SocketAddr> {
+fn tell_sums<W: Wire>(cx: &Cx<W>, state: &mut State) {
+    let now = cx.now();
+    let (nodes, sums, told) = state.adder.sum(now);
+    if nodes == 0 {
+        return;
+    }
+    state.shared.take(now, nodes, &sums);
+    let told = told.into_iter();
+    let told = told.filter(|to| *to != cx.settings.listen.nodes);
+    let sums_of = |loads| Message::Sums { nodes, loads };
+    send_loads(cx, told, &sums, sums_of);
+}
+
+/// The nodes that add up a group's loads: the first ones by a hash that is the same on every node.
+fn adders<W: Wire>(cx: &Cx<W>, state: &State, group: u32) -> Vec<SocketAddr> {
     let mut nodes: Vec<_> = state.nodes.iter(cx.now()).collect();
-    nodes.sort_by_key(|n| hash(&n.host));
+    nodes.sort_by_cached_key(|n| hash(&(group, &n.host)));
     let first = nodes.into_iter().take(ADDERS);
     first.map(|n| n.nodes).collect()
 }
--- a/crates/oatdale-relay/src/loads.rs
+++ b/crates/oatdale-relay/src/loads.rs
@@ -4,14 +4,17 @@
 //! popular beginning of prompts looks idle, until half of its requests wait there while other engines have room.
 //! So each node tells two others its loads, which add up what they are told and tell the sums to those who told
 //! them. Which two is found by each node for itself; where nodes differ, the sum over more nodes counts.
+//!
+//! What those two send grows with nodes times endpoints. So on larger sites endpoints are dealt into groups, each
+//! with two nodes of its own that add up, and beyond a number of groups nodes tell less often.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long what was told counts: four times the pause between two tellings, so that some may be lost.
-const FRESH: Duration = Duration::from_millis(1_000);
+/// How long what was told counts, as a multiple of the pause between two tellings: some may be lost.
+const FRESH: u32 = 4;
 
 /// Loads in one datagram: each takes up to nine bytes of the 1,200 that pass every network.
 pub const MOST: usize = 120;
@@ -20,7 +23,25 @@
 pub(crate) const ADDERS: usize = 2;
 
 /// Time between two tellings: an engine of a busy site gets some two requests meanwhile.
-pub(crate) const TOLD_EVERY: Duration = Duration::from_millis(250);
+const EVERY: Duration = Duration::from_millis(250);
+
+/// Nodes times endpoints for each group. A node that adds up so many sends 150 kB a second, a tenth of a link of
+/// 10 Mbit/s.
+const GROUP: usize = 4_096;
+
+/// Groups up to which nodes tell each quarter of a second: for each group a node sends and gets eight datagrams
+/// a second, for 16 groups a hundredth of the time of a slow host's processor.
+const MOST_GROUPS: usize = 16;
+
+/// How loads are told on a site of this size.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Scheme {
+    /// Into how many groups endpoints are dealt; a power of two, so that nodes that know of a few more or less
+    /// mostly agree.
+    pub groups: u32,
+    /// Time between two tellings.
+    pub every: Duration,
+}
 
 /// The part of the nodes of the last sum that another one must have to take its place: two nodes add up, and
 /// one that has just become one of them knows few loads.
@@ -36,6 +57,34 @@
     pub tenths: u16,
 }
 
+impl Scheme {
+    /// The scheme for so many nodes and endpoints.
+    pub fn new(nodes: usize, endpoints: usize) -> Self {
+        let groups = (nodes * endpoints / GROUP).max(1).ilog2();
+        let groups = 1_usize << groups;
+        let slower = (groups / MOST_GROUPS).max(1);
+        Scheme {
+            groups: u32::try_from(groups).unwrap_or(u32::MAX),
+            every: EVERY * u32::try_from(slower).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// The group of an endpoint.
+    pub fn group(&self, endpoint: u32) -> u32 {
+        endpoint % self.groups
+    }
+
+    fn fresh(&self) -> Duration {
+        self.every * FRESH
+    }
+}
+
+impl Default for Scheme {
+    fn default() -> Self {
+        Scheme::new(1, 1)
+    }
+}
+
 /// Loads as they were told last; says what is to be told next.
 #[derive(Clone, Debug, Default)]
 struct Told(BTreeMap<u32, u16>);
@@ -43,6 +92,7 @@
 /// Adds up what other nodes tell.
 #[derive(Clone, Debug, Default)]
 pub struct Adder {
+    scheme: Scheme,
     /// When each node last told something, and what.
     nodes: BTreeMap<SocketAddr, (Duration, Known)>,
     told: Told,
@@ -51,6 +101,7 @@
 /// The sums as a node has heard them.
 #[derive(Clone, Debug, Default)]
 pub struct Shared {
+    scheme: Scheme,
     own: Told,
     sums: Known,
     /// When a sum last came, and over how many nodes it was.
@@ -96,18 +147,24 @@
 }
 
 impl Adder {
+    /// Goes on with another scheme.
+    pub fn set_scheme(&mut self, scheme: Scheme) {
+        self.scheme = scheme;
+    }
+
     /// Takes in what a node tells of its loads.
     pub fn take(&mut self, now: Duration, from: SocketAddr, loads: &[Load]) {
         let (at, known) = self.nodes.entry(from).or_default();
         *at = now;
-        known.take(now, loads);
+        known.take(now, self.scheme.fresh(), loads);
     }
 
     /// The sums over all nodes that told lately, over how many, and who they are. Forgets the others.
     pub fn sum(&mut self, now: Duration) -> (usize, Vec<Load>, Vec<SocketAddr>) {
-        self.nodes.retain(|_, (at, _)| now < *at + FRESH);
+        let fresh = self.scheme.fresh();
+        self.nodes.retain(|_, (at, _)| now < *at + fresh);
         let mut sums: BTreeMap<u32, f64> = BTreeMap::new();
-        for (endpoint, load) in self.nodes.values().flat_map(|(_, k)| k.fresh(now)) {
+        for (endpoint, load) in self.nodes.values().flat_map(|(_, k)| k.fresh(now, fresh)) {
             *sums.entry(endpoint).or_default() += load;
         }
         let loads = self.told.next(sums.into_iter());
@@ -117,6 +174,16 @@
 }
 
 impl Shared {
+    /// Goes on with another scheme.
+    pub fn set_scheme(&mut self, scheme: Scheme) {
+        self.scheme = scheme;
+    }
+
+    /// The scheme that is followed.
+    pub fn scheme(&self) -> Scheme {
+        self.scheme
+    }
+
     /// What to tell of this node's own loads.
     pub fn tell(&mut self, own: impl Iterator<Item = (u32, f64)>) -> Vec<Load> {
         self.own.next(own)
@@ -124,44 +191,44 @@
 
     /// Takes in a sum over so many nodes, this one among them.
     pub fn take(&mut self, now: Duration, nodes: usize, sums: &[Load]) {
-        let last = self.last.filter(|(at, _)| now < *at + FRESH);
+        let last = self.last.filter(|(at, _)| now < *at + self.scheme.fresh());
         if last.is_some_and(|(_, least)| (nodes as f64) < least as f64 * LEAST_PART) {
             return;
         }
         self.last = Some((now, nodes));
-        self.sums.take(now, sums);
+        self.sums.take(now, self.scheme.fresh(), sums);
     }
 
     /// What the other nodes have at an endpoint, in requests; nothing if it was not told lately.
     pub fn others(&self, now: Duration, endpoint: u32) -> f64 {
-        let sum = self.sums.get(now, endpoint);
+        let sum = self.sums.get(now, self.scheme.fresh(), endpoint);
         (sum - self.own.requests(endpoint)).max(0.0)
     }
 
     /// When sums last came, if lately.
     pub fn heard(&self, now: Duration) -> Option<Duration> {
         let (at, _) = self.last?;
-        (now < at + FRESH).then_some(at)
+        (now < at + self.scheme.fresh()).then_some(at)
     }
 }
 
 impl Known {
-    fn take(&mut self, now: Duration, loads: &[Load]) {
+    fn take(&mut self, now: Duration, fresh: Duration, loads: &[Load]) {
         let told = loads
             .iter()
             .map(|l| (l.endpoint, (now, f64::from(l.tenths) / 10.0)));
         self.0.extend(told);
-        self.0.retain(|_, (at, _)| now < *at + FRESH);
+        self.0.retain(|_, (at, _)| now < *at + fresh);
     }
 
-    fn get(&self, now: Duration, endpoint: u32) -> f64 {
-        let known = self.0.get(&endpoint).filter(|(at, _)| now < *at + FRESH);
+    fn get(&self, now: Duration, fresh: Duration, endpoint: u32) -> f64 {
+        let known = self.0.get(&endpoint).filter(|(at, _)| now < *at + fresh);
         known.map_or(0.0, |(_, load)| *load)
     }
 
-    fn fresh(&self, now: Duration) -> impl Iterator<Item = (u32, f64)> {
-        let fresh = self.0.iter().filter(move |(_, (at, _))| now < *at + FRESH);
-        fresh.map(|(endpoint, (_, load))| (*endpoint, *load))
+    fn fresh(&self, now: Duration, fresh: Duration) -> impl Iterator<Item = (u32, f64)> {
+        let known = self.0.iter().filter(move |(_, (at, _))| now < *at + fresh);
+        known.map(|(endpoint, (_, load))| (*endpoint, *load))
     }
 }
 
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,7 +1,7 @@
 //! What the platform and the answers have told so far, and the picks that follow from it.
 
 use crate::directory::{Directory, EndpointKey, Entry};
-use crate::loads::{Adder, Shared, TOLD_EVERY};
+use crate::loads::{Adder, Shared};
 use crate::nodes::Nodes;
 use crate::roll_outs::{Allowed, RollOuts};
 use crate::settings::Bounds;
@@ -167,7 +167,7 @@
     fn load(&self, now: Duration, wanted: &Wanted<'_>, entry: &Entry) -> f64 {
         match (wanted.prefix, self.shared.heard(now)) {
             (Some(_), Some(heard)) => {
-                let summed = heard.saturating_sub(2 * TOLD_EVERY);
+                let summed = heard.saturating_sub(2 * self.shared.scheme().every);
                 entry.known_load(now, Some(summed)) + self.shared.others(now, entry.number)
             }
             _ => entry.known_load(now, None),
--- a/crates/oatdale-relay/tests/loads.rs
+++ b/crates/oatdale-relay/tests/loads.rs
@@ -1,6 +1,6 @@
 //! Loads that nodes tell each other, and their sums.
 
-use oatdale_relay::{Adder, Load, MOST, Shared};
+use oatdale_relay::{Adder, Load, MOST, Scheme, Shared};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -82,3 +82,33 @@
     ciborium::into_writer(&all, &mut datagram).expect("loads are plain numbers");
     assert!(datagram.len() < 1_150, "{} bytes", datagram.len());
 }
+
+// A site has 300 nodes and as many endpoints, or six times as many of these. Were two nodes to add up all of it,
+// their links of 10 Mbit/s would be full of sums, and callers' answers would wait behind them.
+#[test]
+fn who_adds_up_sends_little_at_any_size() {
+    for (nodes, endpoints) in [(7, 12), (66, 117), (87, 90), (300, 300), (360, 2_100)] {
+        let scheme = Scheme::new(nodes, endpoints);
+        let a_second = 1.0 / scheme.every.as_secs_f64();
+        let in_group = endpoints as f64 / f64::from(scheme.groups);
+        // A node of two groups, with 60 bytes for each datagram beside nine for each endpoint.
+        let sent = 2.0 * nodes as f64 * a_second * (60.0 + 9.0 * in_group);
+        assert!(
+            sent < 0.5 * 10e6 / 8.0,
+            "{nodes} nodes: {sent} bytes a second"
+        );
+        let datagrams = 2.0 * f64::from(scheme.groups) * a_second;
+        assert!(datagrams <= 256.0, "{nodes} nodes: {datagrams} datagrams");
+    }
+    assert_eq!(Scheme::new(66, 63).groups, 1);
+}
+
+#[test]
+fn what_is_told_less_often_counts_for_longer() {
+    let mut shared = Shared::default();
+    let scheme = Scheme::new(360, 2_100);
+    assert!(scheme.every > ms(1_000), "{scheme:?}");
+    shared.set_scheme(scheme);
+    shared.take(ms(0), 360, &[load(1, 50)]);
+    assert_eq!(shared.others(ms(3_000), 1), 5.0);
+}
