--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -5,7 +5,7 @@
 //! a leaving node says so several times.
 
 use crate::cx::Cx;
-use crate::loads::{ADDERS, Load, MOST, Scheme};
+use crate::loads::{ADDERS, Load, MOST_LOADS, Scheme};
 use crate::roll_outs::{JUDGES, OnOld, Report};
 use crate::running::Running;
 use crate::state::{State, hash};
@@ -116,7 +116,9 @@
             state.adder.take(now, from, &loads);
         }),
         Ok(Message::Sums { nodes, loads }) => take_from_known(cx, from, |state| {
-            state.shared.take(now, nodes, &loads);
+            // No sum is over more nodes than there are; one that says so would keep others out.
+            let known = state.nodes.iter(now).count();
+            state.shared.take(now, nodes.min(known), &loads);
         }),
         Err(err) => log::warn!(target: "gossip", "event=bad_datagram from={from} err={err}"),
     }
@@ -231,7 +233,9 @@
 ) {
     let to: Vec<_> = to.collect();
     // Without any load too: those who tell nothing are told nothing.
-    let parts = loads.chunks(MOST).chain(loads.is_empty().then_some(loads));
+    let parts = loads
+        .chunks(MOST_LOADS)
+        .chain(loads.is_empty().then_some(loads));
     for part in parts {
         send_now(cx, to.iter().copied(), &message(part.to_vec()));
     }
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -72,7 +72,7 @@
 pub use crate::directory::{Directory, EndpointKey, Entry, News};
 pub use crate::error::{Error, Result};
 pub use crate::events::WholeEvents;
-pub use crate::loads::{Adder, Load, MOST, Scheme, Shared};
+pub use crate::loads::{Adder, Load, MOST_LOADS, Scheme, Shared};
 pub use crate::node::Relay;
 pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
--- a/crates/oatdale-relay/src/loads.rs
+++ b/crates/oatdale-relay/src/loads.rs
@@ -8,41 +8,21 @@
 //! What those two send grows with nodes times endpoints. So on larger sites endpoints are dealt into groups, each
 //! with two nodes of its own that add up, and beyond a number of groups nodes tell less often.
 
+mod scheme;
+
+pub use crate::loads::scheme::Scheme;
+
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long what was told counts, as a multiple of the pause between two tellings: some may be lost.
-const FRESH: u32 = 4;
-
 /// Loads in one datagram: each takes up to nine bytes of the 1,200 that pass every network.
-pub const MOST: usize = 120;
+pub const MOST_LOADS: usize = 120;
 
 /// Nodes that add up: one would do; while one is gone and the others do not know it, the other one goes on.
 pub(crate) const ADDERS: usize = 2;
 
-/// Time between two tellings: an engine of a busy site gets some two requests meanwhile.
-const EVERY: Duration = Duration::from_millis(250);
-
-/// Nodes times endpoints for each group. A node that adds up so many sends 150 kB a second, a tenth of a link of
-/// 10 Mbit/s.
-const GROUP: usize = 4_096;
-
-/// Groups up to which nodes tell each quarter of a second: for each group a node sends and gets eight datagrams
-/// a second, for 16 groups a hundredth of the time of a slow host's processor.
-const MOST_GROUPS: usize = 16;
-
-/// How loads are told on a site of this size.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Scheme {
-    /// Into how many groups endpoints are dealt; a power of two, so that nodes that know of a few more or less
-    /// mostly agree.
-    pub groups: u32,
-    /// Time between two tellings.
-    pub every: Duration,
-}
-
 /// The part of the nodes of the last sum that another one must have to take its place: two nodes add up, and
 /// one that has just become one of them knows few loads.
 const LEAST_PART: f64 = 0.8;
@@ -57,34 +37,6 @@
     pub tenths: u16,
 }
 
-impl Scheme {
-    /// The scheme for so many nodes and endpoints.
-    pub fn new(nodes: usize, endpoints: usize) -> Self {
-        let groups = (nodes * endpoints / GROUP).max(1).ilog2();
-        let groups = 1_usize << groups;
-        let slower = (groups / MOST_GROUPS).max(1);
-        Scheme {
-            groups: u32::try_from(groups).unwrap_or(u32::MAX),
-            every: EVERY * u32::try_from(slower).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// The group of an endpoint.
-    pub fn group(&self, endpoint: u32) -> u32 {
-        endpoint % self.groups
-    }
-
-    fn fresh(&self) -> Duration {
-        self.every * FRESH
-    }
-}
-
-impl Default for Scheme {
-    fn default() -> Self {
-        Scheme::new(1, 1)
-    }
-}
-
 /// Loads as they were told last; says what is to be told next.
 #[derive(Clone, Debug, Default)]
 struct Told(BTreeMap<u32, u16>);
@@ -131,12 +83,10 @@
         let now: BTreeMap<u32, u16> = loads.filter(|(_, tenths)| *tenths > 0).collect();
         let gone = self.0.keys().filter(|endpoint| !now.contains_key(endpoint));
         let gone = gone.map(|endpoint| (*endpoint, 0));
-        let all = now.iter().map(|(endpoint, tenths)| (*endpoint, *tenths));
-        let all = all.chain(gone);
-        let all = all.map(|(endpoint, tenths)| Load { endpoint, tenths });
-        let all = all.collect();
+        let there = now.iter().map(|(endpoint, tenths)| (*endpoint, *tenths));
+        let told = there.chain(gone).map(Load::from).collect();
         self.0 = now;
-        all
+        told
     }
 
     fn requests(&self, endpoint: u32) -> f64 {
--- a/crates/oatdale-relay/tests/loads.rs
+++ b/crates/oatdale-relay/tests/loads.rs
@@ -1,6 +1,6 @@
 //! Loads that nodes tell each other, and their sums.
 
-use oatdale_relay::{Adder, Load, MOST, Scheme, Shared};
+use oatdale_relay::{Adder, Load, MOST_LOADS, Scheme, Shared};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -77,7 +77,7 @@
 // sites would know theirs.
 #[test]
 fn the_most_loads_that_are_told_at_once_fit_into_a_datagram() {
-    let all = vec![load(u32::MAX, u16::MAX); MOST];
+    let all = vec![load(u32::MAX, u16::MAX); MOST_LOADS];
     let mut datagram = Vec::new();
     ciborium::into_writer(&all, &mut datagram).expect("loads are plain numbers");
     assert!(datagram.len() < 1_150, "{} bytes", datagram.len());
