Let two nodes of each failure domain read the key-value service for the others

Each node watched endpoints and operators' records by itself, so calls grew with the nodes.

In a domain of four nodes and more the two with the fastest links (then by a hash) watch the service and keep a replica of the records; the others ask one of them over TCP what is new after the revision that they have, and the answer comes as soon as there is something. A reader that the service does not answer says so at once to all who wait. A follower whose reader fails reads at the service before it asks the other reader: two that hang one after the other would take more than the time of a leaving endpoint. Long values are not passed on over a link that they would fill. A node that starts looks once, at a tenth of the price, which nodes there are, and asks a reader for the rest. Domains of fewer than four nodes go on as before.

--- a/crates/oatdale-node/src/relaying.rs
+++ b/crates/oatdale-node/src/relaying.rs
@@ -35,7 +35,7 @@
     let mut hup = listen(SignalKind::hangup())?;
     let link = oatdale_adapter::start(settings.clone())
         .map_err(|err| format!("can't start the platform's thread: {err}"))?;
-    let mut relay = Relay::start(settings, Headers, link.updates, link.commands)
+    let mut relay = Relay::start(settings, Headers, link)
         .await
         .map_err(|err| err.to_string())?;
     let mut in_use = std::fs::read_to_string(path).unwrap_or_default();
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -128,12 +128,13 @@
             Update::EndpointGone(id) => {
                 log::info!(target: "directory", "event=endpoint_gone id={id}");
                 let born = state.directory.by_id_mut(&id).and_then(|e| e.endpoint.born);
-                if state.directory.remove(now, &id) {
+                if state.directory.remove(now, &id) && state.reads_alone {
                     gossip::tell_all(self, &state, &Message::EndpointGone { id, born });
                 }
             }
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
             Update::Nodes(nodes) => state.nodes.replace(now, nodes),
+            Update::ReadsAlone(alone) => state.reads_alone = alone,
             Update::StoreLost => {
                 self.metrics.store.set(0);
                 state.store_lost = Some(now);
@@ -153,14 +154,14 @@
     fn take_endpoint(&self, state: &mut State, now: Duration, endpoint: Endpoint) {
         let (id, born) = (endpoint.id.clone(), endpoint.born);
         match state.directory.upsert(now, endpoint) {
-            News::None => {}
-            News::Leaves => {
+            News::Leaves if state.reads_alone => {
                 gossip::tell_all(self, state, &Message::EndpointLeaves { id, born });
             }
             News::StartedAgain(before) => {
                 log::info!(target: "directory", "event=started_again id={id} born={born:?}");
                 self.pool.forget(before);
             }
+            News::None | News::Leaves => {}
         }
     }
 
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -58,6 +58,7 @@
 mod peers;
 mod plan;
 mod record;
+mod replica;
 mod reply;
 mod roll_outs;
 mod running;
@@ -74,9 +75,12 @@
 pub use crate::events::WholeEvents;
 pub use crate::loads::{Adder, Load, MOST_LOADS, Scheme, Shared};
 pub use crate::node::Relay;
+pub use crate::replica::{
+    AskError, Content, Record, RecordsClient, Replica, Told, ToldRecord, Topic,
+};
 pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
 pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
-pub use crate::update::{Command, Endpoint, Node, RollOut, RollOutEnd, Update};
+pub use crate::update::{Command, Endpoint, Link, Node, RollOut, RollOutEnd, Update};
 pub use crate::wire::{AnswerFacts, Forward, Prompt, RequestFacts, Wire};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -8,7 +8,7 @@
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::settings::Settings;
-use crate::update::{Command, Update};
+use crate::update::{Command, Link, Update};
 use crate::wire::Wire;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -44,12 +44,12 @@
     /// # Errors
     ///
     /// One of its addresses can't be listened on.
-    pub async fn start(
-        settings: Settings,
-        wire: W,
-        updates: mpsc::Receiver<Update>,
-        commands: mpsc::Sender<Command>,
-    ) -> Result<Self> {
+    pub async fn start(settings: Settings, wire: W, link: Link) -> Result<Self> {
+        let Link {
+            updates,
+            commands,
+            records,
+        } = link;
         let listen = settings.listen.clone();
         let metrics = Metrics::new().context(MetricsSnafu)?;
         let (stop, stopped) = watch::channel(Stop::Open);
@@ -61,7 +61,7 @@
         for addr in [listen.readiness, listen.addresses, listen.metrics] {
             tokio::spawn(serve_local(cx.clone(), bind(addr)?));
         }
-        tokio::spawn(peers::serve(cx.clone(), bind(listen.state)?));
+        tokio::spawn(peers::serve(cx.clone(), records, bind(listen.state)?));
         tokio::spawn(peers::follow(cx.clone()));
         tokio::spawn(front::accept(cx.clone(), callers, stopped));
         tokio::spawn(gossip::listen(cx.clone()));
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -8,6 +8,7 @@
 
 use crate::cx::Cx;
 use crate::local::serve_with;
+use crate::replica::{self, Question, Replica};
 use crate::reply::{Body, plain};
 use crate::wire::Wire;
 use bytes::Bytes;
@@ -41,14 +42,21 @@
 const PATH: &str = "/v1/state";
 
 /// Tells other nodes what this one knows.
-pub(crate) async fn serve<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
-    serve_with(listener, move |req| answer(cx.clone(), req)).await;
+pub(crate) async fn serve<W: Wire>(cx: Arc<Cx<W>>, records: Arc<Replica>, listener: TcpListener) {
+    serve_with(listener, move |req| {
+        answer(cx.clone(), records.clone(), req)
+    })
+    .await;
 }
 
 async fn answer<W: Wire>(
     cx: Arc<Cx<W>>,
+    records: Arc<Replica>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    if let Some(question) = Question::read(req.uri().path()) {
+        return Ok(replica::answer(&records, question).await);
+    }
     let after = req.uri().query().and_then(|q| q.strip_prefix("after="));
     let after = after.and_then(|version| version.parse().ok());
     let res = match (req.uri().path(), after) {
--- /dev/null
+++ b/crates/oatdale-relay/src/replica.rs
@@ -0,0 +1,337 @@
+//! The platform's records in memory, for other nodes that read them here instead of at the key-value service.
+//!
+//! Records are keys and bytes; what they mean is the adapter's business. Each follower goes on from the
+//! service's revision up to which it has read, at whichever node it asks: the revisions of one service are the
+//! same at all of them.
+
+mod ask;
+mod serve;
+
+pub use crate::replica::ask::{AskError, RecordsClient};
+pub(crate) use crate::replica::serve::{Question, answer};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+/// Changes that are remembered; who has read none of the later ones gets everything.
+const MOST_CHANGES: usize = 4_096;
+
+/// Records that are followed together.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Topic {
+    /// What operators write, up to a megabyte at once.
+    Operators,
+    /// What endpoints and nodes write: short, and urgent when an endpoint leaves.
+    Endpoints,
+}
+
+/// A record as the key-value service has it.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value; `None` if the key was deleted.
+    pub value: Option<Bytes>,
+    /// The service's revision of this change.
+    pub revision: u64,
+}
+
+/// What one node tells another of a topic.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// The service's revision up to which this is all.
+    pub revision: u64,
+    /// Whether these are all records, and not only those that changed.
+    pub is_whole: bool,
+    /// The records, in the order of their revisions unless they are all.
+    pub records: Vec<ToldRecord>,
+    /// How long ago the service came back to the node that tells this, if it was away.
+    pub back: Option<Duration>,
+}
+
+/// A record that one node tells another.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ToldRecord {
+    /// The key.
+    pub key: String,
+    /// The service's revision of its last change.
+    pub revision: u64,
+    /// What became of it.
+    pub content: Content,
+}
+
+/// What a record holds.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Content {
+    /// This value.
+    Value(Bytes),
+    /// Nothing: the key was deleted.
+    Deleted,
+    /// A value too long to be passed on: it has to be read at the service.
+    TooLong,
+}
+
+/// The records of both topics as a reader has them.
+#[derive(Debug, Default)]
+pub struct Replica {
+    state: Mutex<State>,
+    /// Rises with each change, for those who wait.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    service: Service,
+    /// When the service came back, if it was away.
+    back: Option<Instant>,
+    /// Bytes of the longest value that is passed on.
+    longest: usize,
+    operators: Option<Records>,
+    endpoints: Option<Records>,
+}
+
+/// Whether the key-value service answers this node, so that what it says is of now.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+enum Service {
+    /// It has not been read yet.
+    #[default]
+    Unread,
+    Answers,
+    Away,
+}
+
+/// The records of a topic.
+#[derive(Clone, Debug)]
+struct Records {
+    all: BTreeMap<String, (u64, Bytes)>,
+    /// The last changes, oldest first: revision and key.
+    changes: VecDeque<(u64, String)>,
+    /// All changes after this revision are among them.
+    since: u64,
+    /// The revision up to which all is known.
+    revision: u64,
+}
+
+impl Replica {
+    /// Takes in all records of a topic.
+    pub fn replace(&self, topic: Topic, revision: u64, all: &[Record]) {
+        let mut state = self.lock();
+        match state.topic(topic) {
+            Some(records) => records.replace(revision, all),
+            none => *none = Some(Records::new(revision, all)),
+        }
+        state.note_answer(topic);
+        self.wake(state);
+    }
+
+    /// Takes in the changes of a topic up to a revision; without all records before them they are worth nothing.
+    pub fn change(&self, topic: Topic, revision: u64, changes: &[Record]) {
+        let mut state = self.lock();
+        if let Some(records) = state.topic(topic) {
+            records.change(revision, changes);
+        }
+        state.note_answer(topic);
+        self.wake(state);
+    }
+
+    /// The key-value service does not answer any more: followers are sent elsewhere at once.
+    pub fn suspend(&self) {
+        let mut state = self.lock();
+        if state.service == Service::Answers {
+            state.service = Service::Away;
+        }
+        self.wake(state);
+    }
+
+    /// This node reads for nobody any more.
+    pub fn clear(&self) {
+        let longest = self.lock().longest;
+        *self.lock() = State {
+            longest,
+            ..State::default()
+        };
+        self.wake(self.lock());
+    }
+
+    /// Sets the length from which on values are not passed on, in bytes.
+    pub fn set_longest(&self, longest: usize) {
+        self.lock().longest = longest;
+    }
+
+    /// Whether all records of a topic are there.
+    pub fn has(&self, topic: Topic) -> bool {
+        self.lock().topic(topic).is_some()
+    }
+
+    /// What is new of a topic after a revision, or everything if `after` is unset or too long ago; waits up to
+    /// `wait` for it. `None` if this node does not read by itself, or the service does not answer it.
+    pub async fn tell(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Option<Told> {
+        let end = Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            let told = self.lock().told(topic, after)?;
+            let is_late = Instant::now() >= end;
+            if is_late || told.is_whole || !told.records.is_empty() {
+                return Some(told);
+            }
+            // Either way what is there then is told.
+            let _ = timeout_at(end, changed.changed()).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wake(&self, state: MutexGuard<'_, State>) {
+        drop(state);
+        self.changed.send_modify(|n| *n += 1);
+    }
+}
+
+impl State {
+    fn topic(&mut self, topic: Topic) -> &mut Option<Records> {
+        match topic {
+            Topic::Operators => &mut self.operators,
+            Topic::Endpoints => &mut self.endpoints,
+        }
+    }
+
+    /// The service answered. Only the watch of the endpoints shows within a bound when it does not.
+    fn note_answer(&mut self, topic: Topic) {
+        if topic == Topic::Operators {
+            return;
+        }
+        if std::mem::replace(&mut self.service, Service::Answers) == Service::Away {
+            self.back = Some(Instant::now());
+        }
+    }
+
+    fn told(&mut self, topic: Topic, after: Option<u64>) -> Option<Told> {
+        if self.service != Service::Answers {
+            return None;
+        }
+        let (longest, back) = (self.longest, self.back.map(|at| at.elapsed()));
+        let records = self.topic(topic).as_ref()?;
+        let (is_whole, known) = match after {
+            Some(after) if after >= records.since => (false, records.after(after)),
+            _ => (true, records.whole()),
+        };
+        Some(Told {
+            revision: records.revision.max(after.unwrap_or(0)),
+            is_whole,
+            records: known.into_iter().map(|r| r.told(longest)).collect(),
+            back,
+        })
+    }
+}
+
+impl Records {
+    fn new(revision: u64, all: &[Record]) -> Self {
+        let mut records = Records {
+            all: BTreeMap::new(),
+            changes: VecDeque::new(),
+            since: revision,
+            revision,
+        };
+        for record in all {
+            records.put(record);
+        }
+        records
+    }
+
+    /// Takes in all records as changes, so that followers need not read all of them again.
+    fn replace(&mut self, revision: u64, all: &[Record]) {
+        let there: BTreeSet<&str> = all.iter().map(|r| r.key.as_str()).collect();
+        let gone = self.all.keys().filter(|key| !there.contains(key.as_str()));
+        let gone: Vec<_> = gone.cloned().collect();
+        let differs = |r: &&Record| self.all.get(&r.key).is_none_or(|(at, _)| *at < r.revision);
+        let mut changes: Vec<_> = all.iter().filter(differs).cloned().collect();
+        changes.extend(gone.into_iter().map(|key| Record {
+            key,
+            value: None,
+            revision,
+        }));
+        self.change(revision, &changes);
+    }
+
+    fn change(&mut self, revision: u64, changes: &[Record]) {
+        for record in changes {
+            self.put(record);
+            // Pages that were read after the first one may hold later changes.
+            let at = record.revision.max(self.revision + 1);
+            self.changes.push_back((at, record.key.clone()));
+        }
+        while self.changes.len() > MOST_CHANGES {
+            if let Some((at, _)) = self.changes.pop_front() {
+                self.since = at;
+            }
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes in a record, unless a later one was read before it.
+    fn put(&mut self, record: &Record) {
+        let known = self.all.get(&record.key);
+        if known.is_some_and(|(revision, _)| *revision > record.revision) {
+            return;
+        }
+        match &record.value {
+            Some(value) => {
+                let value = (record.revision, value.clone());
+                self.all.insert(record.key.clone(), value);
+            }
+            None => {
+                self.all.remove(&record.key);
+            }
+        }
+    }
+
+    fn whole(&self) -> Vec<Record> {
+        self.all.keys().map(|key| self.get(key, 0)).collect()
+    }
+
+    /// What changed after a revision, each key once as it is now.
+    fn after(&self, after: u64) -> Vec<Record> {
+        let mut last: BTreeMap<&str, u64> = BTreeMap::new();
+        let later = self.changes.iter().filter(|(at, _)| *at > after);
+        last.extend(later.map(|(at, key)| (key.as_str(), *at)));
+        let mut changed: Vec<_> = last
+            .into_iter()
+            .map(|(key, at)| self.get(key, at))
+            .collect();
+        changed.sort_by_key(|record| record.revision);
+        changed
+    }
+
+    /// A record as it is; one that is gone with the revision at which that was read.
+    fn get(&self, key: &str, gone: u64) -> Record {
+        let known = self.all.get(key);
+        Record {
+            key: key.to_owned(),
+            value: known.map(|(_, value)| value.clone()),
+            revision: known.map_or(gone, |(revision, _)| *revision),
+        }
+    }
+}
+
+impl Record {
+    fn told(self, longest: usize) -> ToldRecord {
+        let content = match self.value {
+            Some(value) if value.len() > longest => Content::TooLong,
+            Some(value) => Content::Value(value),
+            None => Content::Deleted,
+        };
+        ToldRecord {
+            key: self.key,
+            revision: self.revision,
+            content,
+        }
+    }
+}
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -27,6 +27,13 @@
     pub key_value: SocketAddr,
     /// Times that the site promises.
     pub bounds: Bounds,
+    /// The speed of the host's link in Mbit/s; 0 if it is not known. Hosts with faster ones read the records for
+    /// others of their failure domain.
+    #[serde(default)]
+    pub link_mbps: f64,
+    /// Whether all nodes start for the first time just now: then they wait until they know each other.
+    #[serde(default)]
+    pub first_start: bool,
     /// How far a small model's answer is trusted.
     #[serde(default)]
     pub ladder: Ladder,
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -46,6 +46,8 @@
     sizes: HashMap<String, Mean>,
     /// When the node was told to stop, if it was.
     pub(crate) stopping: Option<Instant>,
+    /// Whether this node reads the records for itself only.
+    pub(crate) reads_alone: bool,
     /// Since when the key-value service does not answer this node, if it does not.
     pub(crate) store_lost: Option<Duration>,
 }
@@ -81,6 +83,7 @@
             waits: HashMap::new(),
             sizes: HashMap::new(),
             stopping: None,
+            reads_alone: true,
             // It is lost until it has answered once.
             store_lost: Some(Duration::ZERO),
         }
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -1,10 +1,24 @@
 //! What a platform adapter and the relay tell each other.
 
+use crate::replica::Replica;
+use crate::settings::Settings;
 use crate::site::Site;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// A relay's connection to a platform's adapter.
+#[derive(Debug)]
+pub struct Link {
+    /// What the platform tells.
+    pub updates: mpsc::Receiver<Update>,
+    /// What the relay asks for.
+    pub commands: mpsc::Sender<Command>,
+    /// The records that the adapter reads, for other nodes that ask this one.
+    pub records: Arc<Replica>,
+}
 
 /// News from the platform.
 #[derive(Clone, Debug)]
@@ -21,6 +35,9 @@
     RollOut(RollOut),
     /// All other nodes there are.
     Nodes(Vec<Node>),
+    /// Whether this node reads the records for itself only: then it tells all others what it reads. Others are
+    /// told by readers, or would all tell the same at once.
+    ReadsAlone(bool),
     /// The platform's key-value service does not answer this node.
     StoreLost,
     /// It answers again, and all that was read since is news of after its return.
@@ -101,4 +118,23 @@
     pub nodes: SocketAddr,
     /// Where it tells other nodes what it knows of the site; nodes of an earlier version do not.
     pub state: Option<SocketAddr>,
+    /// Its failure domain; nodes of an earlier version do not tell it.
+    #[serde(default)]
+    pub domain: Option<String>,
+    /// The speed of its link in Mbit/s; 0 if it does not tell it.
+    #[serde(default)]
+    pub link_mbps: u32,
+}
+
+impl From<&Settings> for Node {
+    fn from(settings: &Settings) -> Self {
+        Node {
+            host: settings.host.clone(),
+            callers: settings.listen.callers,
+            nodes: settings.listen.nodes,
+            state: Some(settings.listen.state),
+            domain: Some(settings.failure_domain.clone()),
+            link_mbps: settings.link_mbps.round() as u32,
+        }
+    }
 }
