Tell callers of the nodes of their own failure domain first

An answer holds 64 addresses, and it held the node asked and the first 63 by name.

Nodes of the caller's domain come first, then others in an order by a hash of domain and name, which is the same on every node: callers keep connections while the answers agree. With 64 nodes and fewer all are told, as before.

Ruled out: the asked node always among them (callers would leave open connections at the next answer of another node).

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(choose(&[idle, busy], Placement::Affinity, 0), Some(0));
 //! ```
 
+mod addresses;
 mod engine;
 mod evidence;
 mod health;
@@ -26,6 +27,7 @@
 mod roll_out;
 
 pub use crate::average::{Mean, Rate};
+pub use crate::relay::addresses::{AddressCandidate, told_addresses};
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{Cells, Counts, Origin, Tally, Verdict, verdict};
 pub use crate::relay::health::Health;
--- a/crates/oatdale-relay/src/local.rs
+++ b/crates/oatdale-relay/src/local.rs
@@ -2,6 +2,8 @@
 
 use crate::cx::Cx;
 use crate::reply::{Body, plain};
+use crate::state::hash;
+use crate::update::Node;
 use crate::wire::Wire;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -9,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use oatdale_policy::relay::{AddressCandidate, told_addresses};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -67,15 +70,16 @@
         "/metrics" => plain(StatusCode::OK, cx.metrics.text().into()),
         _ if cx.wire.is_readiness(path) && cx.is_ready() => plain(StatusCode::OK, Bytes::new()),
         _ if cx.wire.is_readiness(path) => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        _ if cx.wire.is_addresses(path) => addresses(&cx),
+        _ if cx.wire.is_addresses(path) => addresses(&cx, req.uri().query()),
         _ => plain(StatusCode::NOT_FOUND, Bytes::new()),
     };
     Ok(res)
 }
 
-fn addresses<W: Wire>(cx: &Cx<W>) -> Response<Body> {
+fn addresses<W: Wire>(cx: &Cx<W>, query: Option<&str>) -> Response<Body> {
     let life = ADDRESSES_LIFE.min(Duration::from_secs_f64(cx.state().bounds.addresses_s));
-    let addrs = known_addresses(cx);
+    let domain = query.and_then(|query| cx.wire.caller_domain(query));
+    let addrs = known_addresses(cx, domain.as_deref());
     let mut res = match addrs.is_empty() {
         true => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         false => plain(StatusCode::OK, cx.wire.addresses(&addrs, life)),
@@ -85,17 +89,21 @@
     res
 }
 
-/// This node if it is ready, and the others that are.
-fn known_addresses<W: Wire>(cx: &Cx<W>) -> Vec<SocketAddr> {
-    let own = cx.settings.listen.callers;
+/// Nodes for a caller of a failure domain: this one if it is ready, and others.
+fn known_addresses<W: Wire>(cx: &Cx<W>, domain: Option<&str>) -> Vec<SocketAddr> {
+    let own = Node::from(&cx.settings);
     let ready = cx.is_ready();
     let now = cx.now();
     let state = cx.state();
-    let others = state
-        .nodes
-        .iter(now)
-        .map(|n| n.callers)
-        .filter(|a| *a != own);
-    let all = ready.then_some(own).into_iter().chain(others);
-    all.take(MAX_ADDRESSES).collect()
+    let others = state.nodes.iter(now).filter(|n| n.callers != own.callers);
+    let all: Vec<_> = ready.then_some(&own).into_iter().chain(others).collect();
+    let candidates: Vec<_> = all
+        .iter()
+        .map(|node| AddressCandidate {
+            same_domain: domain.is_some() && node.domain.as_deref() == domain,
+            hash: hash(&(domain, &node.host)),
+        })
+        .collect();
+    let told = told_addresses(&candidates, MAX_ADDRESSES).into_iter();
+    told.map(|i| all[i].callers).collect()
 }
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -30,6 +30,9 @@
     /// Whether a path asks for the nodes' addresses.
     fn is_addresses(&self, path: &str) -> bool;
 
+    /// The failure domain of a caller that asks for addresses, if it tells it.
+    fn caller_domain(&self, query: &str) -> Option<String>;
+
     /// The answer to a caller that asks for addresses.
     fn addresses(&self, addrs: &[SocketAddr], keep: Duration) -> Bytes;
 }
