Keep three records of nodes in a failure domain, and list the others by the questions that they ask

In a domain of four nodes and more three register: the two readers and one that takes a reader's place. The others send their own addresses with the questions that they ask a reader; it lists those that asked lately in its own record, written once a second at the most. A node that stops says so as before; one that dies is left out 1.8 s after its last question (a lease lapsed after 4 s). Where too few are registered, as many as are missing take their place, in an order that all nodes know. Nodes that all start at once wait up to 0.6 s, fast links less, so that not all register. A node that is asked before it reads for others holds the question until it does.

Tests first: three records for eight nodes, renewals, a follower that stops, all registered nodes gone at once, heartbeats by questions, who asks too early.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -34,7 +34,10 @@
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::pace::{StreamPace, UsualTime};
 pub use crate::relay::placement::{Candidate, Placement, choose};
-pub use crate::relay::readers::{READERS, ReaderCandidate, Sources, longest_passed_on, readers};
+pub use crate::relay::readers::{
+    READERS, REGISTERED, ReaderCandidate, Sources, first_wait, longest_passed_on, ranked, readers,
+    registers_after,
+};
 pub use crate::relay::repeats::{Allowance, Repeats};
 pub use crate::relay::roll_out::{
     Exposure, MOST_TRIAL, Phase, Schedule, is_in_trial, shows_new, trial_share,
--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -1,4 +1,5 @@
-//! Which nodes read the key-value service for the others of their failure domain, and where a node reads.
+//! Which nodes read the key-value service for the others of their failure domain, which have a record there, and
+//! where a node reads.
 //!
 //! The load pattern: hundreds of nodes that each watch the same records. The service then answers in
 //! proportion to the nodes, each call has its price, and each change is answered to all of them at the same
@@ -14,6 +15,21 @@
 /// and each call that is left would come a step later.
 const LEAST_NODES: usize = 4;
 
+/// Nodes of a failure domain that keep a record of their own in the service: the readers, and one that takes a
+/// reader's place when it dies. The others are told of by the readers at which they read, since leases of all of
+/// them are renewed again and again.
+pub const REGISTERED: usize = 3;
+
+/// Time between two nodes that take the place of registered ones which are gone: the first is known to the others
+/// by then.
+const NEXT: Duration = Duration::from_millis(700);
+
+/// The longest wait of a node that starts with all others.
+const FIRST_WAIT: Duration = Duration::from_millis(600);
+
+/// Link speed in Mbit/s of a node that waits for half of that.
+const USUAL_LINK: f64 = 20.0;
+
 /// The part of a second for which a change may fill a reader's link.
 const LINK_TIME: f64 = 1.0;
 
@@ -22,7 +38,7 @@
 
 /// How long a reader that did not answer is left alone: the first time, doubled each time up to the last.
 const FIRST_REST: Duration = Duration::from_secs(1);
-const LAST_REST: Duration = Duration::from_secs(8);
+const LAST_REST: Duration = Duration::from_secs(2);
 
 /// A node of the own failure domain.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -33,17 +49,39 @@
     pub hash: u64,
 }
 
-/// The nodes that read for a failure domain, as positions, the best first; none if each reads for itself.
-pub fn readers(nodes: &[ReaderCandidate]) -> Vec<usize> {
-    if nodes.len() < LEAST_NODES {
+/// The nodes that read for a failure domain of so many nodes, as positions among the registered ones, the best
+/// first; none if each reads for itself.
+pub fn readers(registered: &[ReaderCandidate], nodes: usize) -> Vec<usize> {
+    if nodes < LEAST_NODES {
         return Vec::new();
     }
+    let mut ranked = ranked(registered);
+    ranked.truncate(READERS);
+    ranked
+}
+
+/// The order in which nodes become readers.
+pub fn ranked(nodes: &[ReaderCandidate]) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..nodes.len()).collect();
     ranked.sort_by_key(|&i| std::cmp::Reverse((nodes[i].link_mbps, nodes[i].hash)));
-    ranked.truncate(READERS);
     ranked
 }
 
+/// How long after too few other nodes are registered the one of this rank among the rest registers too; `None` if
+/// there are enough.
+pub fn registers_after(registered: usize, rank: usize) -> Option<Duration> {
+    let missing = REGISTERED.checked_sub(registered).filter(|n| *n > 0)?;
+    let turn = u32::try_from(rank / missing).unwrap_or(u32::MAX);
+    Some(NEXT.saturating_mul(turn))
+}
+
+/// How long a node waits that starts when all others do: those with fast links are registered when the others look
+/// who is there. `draw` is from 0 to 1; nodes with equal links would come all at once.
+pub fn first_wait(link_mbps: u32, draw: f64) -> Duration {
+    let slowness = USUAL_LINK / (USUAL_LINK + f64::from(link_mbps));
+    FIRST_WAIT.mul_f64(slowness * (1.0 + draw) / 2.0)
+}
+
 /// Bytes up to which a reader passes a record on to so many followers; those of longer ones read it themselves.
 ///
 /// A configuration of some thousand routes is a megabyte. Sent to thirty followers over a slow link it would
--- a/crates/oatdale-policy/tests/relay_readers.rs
+++ b/crates/oatdale-policy/tests/relay_readers.rs
@@ -1,6 +1,9 @@
 //! Which nodes read for the others, and where a node reads while some of them fail.
 
-use oatdale_policy::relay::{READERS, ReaderCandidate, Sources, longest_passed_on, readers};
+use oatdale_policy::relay::{
+    READERS, REGISTERED, ReaderCandidate, Sources, first_wait, longest_passed_on, readers,
+    registers_after,
+};
 use std::time::Duration;
 
 fn node(link_mbps: u32, hash: u64) -> ReaderCandidate {
@@ -11,8 +14,10 @@
 #[test]
 fn readers_do_not_grow_with_the_nodes() {
     for nodes in [4, 20, 60, 200] {
-        let all: Vec<_> = (0..nodes).map(|n| node(20, n * 7919 % 1009)).collect();
-        assert_eq!(readers(&all).len(), READERS, "{nodes} nodes");
+        let all: Vec<_> = (0..nodes as u64)
+            .map(|n| node(20, n * 7919 % 1009))
+            .collect();
+        assert_eq!(readers(&all, nodes).len(), READERS, "{nodes} nodes");
     }
 }
 
@@ -20,8 +25,8 @@
 #[test]
 fn a_few_nodes_read_for_themselves() {
     for nodes in 0..4 {
-        let all: Vec<_> = (0..nodes).map(|n| node(20, n)).collect();
-        assert!(readers(&all).is_empty(), "{nodes} nodes");
+        let all: Vec<_> = (0..nodes as u64).map(|n| node(20, n)).collect();
+        assert!(readers(&all, nodes).is_empty(), "{nodes} nodes");
     }
 }
 
@@ -35,7 +40,7 @@
         node(200, 2),
         node(20, 7),
     ];
-    assert_eq!(readers(&all), [3, 1]);
+    assert_eq!(readers(&all, 5), [3, 1]);
 }
 
 // Nodes that know the others in different orders must agree, or each asks nodes that read nothing.
@@ -45,7 +50,10 @@
     let mut reversed = all.clone();
     reversed.reverse();
     let chosen = |nodes: &[ReaderCandidate]| -> Vec<_> {
-        readers(nodes).into_iter().map(|i| nodes[i].hash).collect()
+        readers(nodes, 30)
+            .into_iter()
+            .map(|i| nodes[i].hash)
+            .collect()
     };
     assert_eq!(chosen(&all), chosen(&reversed));
 }
@@ -87,3 +95,35 @@
     fails(&mut sources, 4_000, 1);
     assert_eq!(sources.pick(at(5_001), &[1, 2]), Some(1));
 }
+
+// All nodes of a domain start at the same moment. If each registered at once there would be a lease and its
+// renewals for each; if none did, nobody would read for the others.
+#[test]
+fn nodes_that_start_together_do_not_all_register() {
+    let mut waits: Vec<_> = (0..60)
+        .map(|n| first_wait(if n < 3 { 200 } else { 20 }, f64::from(n % 20) / 20.0))
+        .collect();
+    let slow = waits.split_off(3);
+    let last_fast = waits.iter().max().expect("there are three");
+    let first_slow = slow.iter().min().expect("there are many");
+    // A record is written and read within a few milliseconds.
+    assert!(*first_slow > *last_fast + Duration::from_millis(50));
+}
+
+// Registered nodes have lost their power, and fifty others see their records lapse at the same moment. As many as
+// are missing take their place; if the next ones are gone too, those after them do.
+#[test]
+fn as_many_as_are_missing_take_their_place() {
+    for registered in 0..=REGISTERED + 1 {
+        let missing = REGISTERED.saturating_sub(registered);
+        let waits: Vec<_> = (0..50)
+            .map(|rank| registers_after(registered, rank))
+            .collect();
+        let at_once = waits.iter().filter(|w| **w == Some(Duration::ZERO));
+        assert_eq!(at_once.count(), missing);
+        assert_eq!(waits.iter().all(Option::is_none), missing == 0);
+        let soon = Some(Duration::from_secs(1));
+        let within = waits.iter().filter(|w| w.is_some() && **w < soon);
+        assert_eq!(within.count(), missing * 2);
+    }
+}
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -76,7 +76,7 @@
 pub use crate::loads::{Adder, Load, MOST_LOADS, Scheme, Shared};
 pub use crate::node::Relay;
 pub use crate::replica::{
-    AskError, Content, Record, RecordsClient, Replica, Told, ToldRecord, Topic,
+    AskError, Content, Members, Question, Record, RecordsClient, Replica, Told, ToldRecord, Topic,
 };
 pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -8,7 +8,7 @@
 
 use crate::cx::Cx;
 use crate::local::serve_with;
-use crate::replica::{self, Question, Replica};
+use crate::replica::{self, Replica};
 use crate::reply::{Body, plain};
 use crate::wire::Wire;
 use bytes::Bytes;
@@ -54,8 +54,8 @@
     records: Arc<Replica>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    if let Some(question) = Question::read(req.uri().path()) {
-        return Ok(replica::answer(&records, question).await);
+    if req.uri().path() == replica::PATH {
+        return Ok(replica::answer(&records, req.into_body()).await);
     }
     let after = req.uri().query().and_then(|q| q.strip_prefix("after="));
     let after = after.and_then(|version| version.parse().ok());
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -2,20 +2,26 @@
 //!
 //! Records are keys and bytes; what they mean is the adapter's business. Each follower goes on from the
 //! service's revision up to which it has read, at whichever node it asks: the revisions of one service are the
-//! same at all of them.
+//! same at all of them. By its questions it is also known to run, so that it needs no record of its own.
 
 mod ask;
+mod members;
+mod question;
 mod serve;
 
 pub use crate::replica::ask::{AskError, RecordsClient};
-pub(crate) use crate::replica::serve::{Question, answer};
+pub use crate::replica::members::Members;
+pub(crate) use crate::replica::question::PATH;
+pub use crate::replica::question::Question;
+pub(crate) use crate::replica::serve::answer;
 
+use crate::update::Node;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
 /// Changes that are remembered; who has read none of the later ones gets everything.
@@ -77,11 +83,30 @@
 }
 
 /// The records of both topics as a reader has them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Replica {
+    began: Instant,
     state: Mutex<State>,
     /// Rises with each change, for those who wait.
     changed: watch::Sender<u64>,
+    /// Someone asked though nothing was read for others yet.
+    wanted: Notify,
+    members: Mutex<Members>,
+}
+
+/// A question that waits for its answer.
+struct Asking<'a> {
+    replica: &'a Replica,
+    host: String,
+}
+
+/// What becomes of a question.
+enum Answer {
+    Told(Told),
+    /// Nothing is read for others yet.
+    NotYet,
+    /// The service does not answer this node.
+    Elsewhere,
 }
 
 #[derive(Debug, Default)]
@@ -168,23 +193,53 @@
         self.lock().topic(topic).is_some()
     }
 
-    /// What is new of a topic after a revision, or everything if `after` is unset or too long ago; waits up to
-    /// `wait` for it. `None` if this node does not read by itself, or the service does not answer it.
-    pub async fn tell(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Option<Told> {
-        let end = Instant::now() + wait;
+    /// What is new of a topic after a revision, or everything if the revision is unset or too long ago; waits for
+    /// it. `None` if this node does not read for others, or the service does not answer it.
+    pub async fn tell(&self, question: Question) -> Option<Told> {
+        let end = Instant::now() + question.wait();
+        let _asking = question.node.map(|node| self.asks(node));
         let mut changed = self.changed.subscribe();
         loop {
             changed.mark_unchanged();
-            let told = self.lock().told(topic, after)?;
+            let answer = self.lock().answer(question.topic, question.after);
             let is_late = Instant::now() >= end;
-            if is_late || told.is_whole || !told.records.is_empty() {
-                return Some(told);
+            match answer {
+                Answer::Elsewhere => return None,
+                Answer::NotYet if is_late => return None,
+                Answer::NotYet => self.wanted.notify_one(),
+                Answer::Told(told) if is_late || told.is_news() => return Some(told),
+                Answer::Told(_) => {}
             }
             // Either way what is there then is told.
             let _ = timeout_at(end, changed.changed()).await;
         }
     }
 
+    /// Ends when someone asked though nothing was read for others yet.
+    pub async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    /// The nodes that read at this one, by name.
+    pub fn members(&self) -> Vec<Node> {
+        let now = self.began.elapsed();
+        self.lock_members().running(now)
+    }
+
+    fn asks(&self, node: Node) -> Asking<'_> {
+        let host = node.host.clone();
+        let now = self.began.elapsed();
+        self.lock_members().asks(now, node);
+        Asking {
+            replica: self,
+            host,
+        }
+    }
+
+    fn lock_members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -195,6 +250,31 @@
     }
 }
 
+impl Default for Replica {
+    fn default() -> Self {
+        Replica {
+            began: Instant::now(),
+            state: Mutex::default(),
+            changed: watch::Sender::default(),
+            wanted: Notify::new(),
+            members: Mutex::default(),
+        }
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let now = self.replica.began.elapsed();
+        self.replica.lock_members().answered(now, &self.host);
+    }
+}
+
+impl Told {
+    fn is_news(&self) -> bool {
+        self.is_whole || !self.records.is_empty()
+    }
+}
+
 impl State {
     fn topic(&mut self, topic: Topic) -> &mut Option<Records> {
         match topic {
@@ -213,17 +293,19 @@
         }
     }
 
-    fn told(&mut self, topic: Topic, after: Option<u64>) -> Option<Told> {
-        if self.service != Service::Answers {
-            return None;
-        }
+    fn answer(&mut self, topic: Topic, after: Option<u64>) -> Answer {
         let (longest, back) = (self.longest, self.back.map(|at| at.elapsed()));
-        let records = self.topic(topic).as_ref()?;
+        let service = self.service;
+        let records = match self.topic(topic) {
+            _ if service == Service::Away => return Answer::Elsewhere,
+            Some(records) if service == Service::Answers => records,
+            _ => return Answer::NotYet,
+        };
         let (is_whole, known) = match after {
             Some(after) if after >= records.since => (false, records.after(after)),
             _ => (true, records.whole()),
         };
-        Some(Told {
+        Answer::Told(Told {
             revision: records.revision.max(after.unwrap_or(0)),
             is_whole,
             records: known.into_iter().map(|r| r.told(longest)).collect(),
--- a/crates/oatdale-relay/src/replica/ask.rs
+++ b/crates/oatdale-relay/src/replica/ask.rs
@@ -1,8 +1,8 @@
 //! Asks a reader.
 
-use crate::replica::serve::Question;
-use crate::replica::{Told, Topic};
-use http::{Request, StatusCode, Uri};
+use crate::replica::question::PATH;
+use crate::replica::{Question, Told};
+use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use oatdale_platform::{BodyError, Pool, PoolConfig, Reuse, SendError, read_body};
 use snafu::{ResultExt, Snafu};
@@ -21,6 +21,12 @@
 /// Why a reader told nothing.
 #[derive(Debug, Snafu)]
 pub enum AskError {
+    /// The question could not be written.
+    #[snafu(display("not written: {source}"))]
+    NotWritten {
+        /// What was seen.
+        source: ciborium::ser::Error<io::Error>,
+    },
     /// It could not be asked, or did not answer in time.
     #[snafu(display("no answer: {source}"))]
     NoAnswer {
@@ -64,26 +70,18 @@
 }
 
 impl RecordsClient {
-    /// Asks for what is new of a topic after a revision, or for everything; the reader waits up to `wait` for it.
+    /// Asks for what is new of a topic.
     ///
     /// # Errors
     ///
     /// [`AskError`]; in each case another node, or the service, has to be asked.
-    pub async fn ask(
-        &self,
-        reader: SocketAddr,
-        topic: Topic,
-        after: Option<u64>,
-        wait: Duration,
-    ) -> Result<Told, AskError> {
-        let question = Question {
-            topic,
-            after,
-            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
-        };
-        let mut req = Request::new(Full::default());
-        *req.uri_mut() = Uri::try_from(question.path()).expect("the path is of letters and digits");
-        let deadline = Instant::now() + wait + ANSWER_TIMEOUT;
+    pub async fn ask(&self, reader: SocketAddr, question: &Question) -> Result<Told, AskError> {
+        let mut body = Vec::new();
+        ciborium::into_writer(question, &mut body).context(NotWrittenSnafu)?;
+        let mut req = Request::new(Full::from(body));
+        *req.method_mut() = Method::POST;
+        *req.uri_mut() = Uri::from_static(PATH);
+        let deadline = Instant::now() + question.wait() + ANSWER_TIMEOUT;
         let sent = self.pool.send(reader, req, Reuse::Allowed, deadline).await;
         let res = sent.context(NoAnswerSnafu)?;
         if res.status() != StatusCode::OK {
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -1,66 +1,40 @@
 //! Answers followers.
 
-use crate::replica::{Replica, Told, Topic};
+use crate::replica::{Question, Replica, Told};
 use crate::reply::{Body, plain};
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use serde::{Deserialize, Serialize};
+use hyper::body::Incoming;
+use oatdale_platform::read_body;
 use std::time::Duration;
 
-/// The longest wait that a follower may ask for.
-const MOST_WAIT: Duration = Duration::from_secs(10);
+/// The longest question, in bytes: a few numbers, names and addresses.
+const MOST_QUESTION: usize = 4 << 10;
 
-/// What a follower asks for, as the path of its request.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub(crate) struct Question {
-    pub(crate) topic: Topic,
-    /// The revision up to which it has read; unset for everything.
-    pub(crate) after: Option<u64>,
-    pub(crate) wait_ms: u64,
-}
-
-const PATH: &str = "/v1/records/";
-
-impl Question {
-    pub(crate) fn path(self) -> String {
-        let topic = match self.topic {
-            Topic::Operators => "operators",
-            Topic::Endpoints => "endpoints",
-        };
-        let after = self.after.map_or(String::new(), |after| after.to_string());
-        format!("{PATH}{topic}/{after}/{}", self.wait_ms)
-    }
-
-    /// Reads a path; `None` if it asks for something else.
-    pub(crate) fn read(path: &str) -> Option<Question> {
-        let mut parts = path.strip_prefix(PATH)?.split('/');
-        let topic = match parts.next()? {
-            "operators" => Topic::Operators,
-            "endpoints" => Topic::Endpoints,
-            _ => return None,
-        };
-        let after = match parts.next()? {
-            "" => None,
-            after => Some(after.parse().ok()?),
-        };
-        let wait_ms = parts.next()?.parse().ok()?;
-        Some(Question {
-            topic,
-            after,
-            wait_ms,
-        })
-    }
-}
+/// How long each pause in a question may be: it is one packet.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The answer to a follower; 503 if it should ask elsewhere.
-pub(crate) async fn answer(replica: &Replica, question: Question) -> Response<Body> {
-    let wait = Duration::from_millis(question.wait_ms).min(MOST_WAIT);
-    match replica.tell(question.topic, question.after, wait).await {
+pub(crate) async fn answer(replica: &Replica, body: Incoming) -> Response<Body> {
+    let question = match read_question(body).await {
+        Ok(question) => question,
+        Err(reason) => {
+            log::warn!(target: "replica", "event=bad_question reason=\"{reason}\"");
+            return plain(StatusCode::BAD_REQUEST, Bytes::new());
+        }
+    };
+    match replica.tell(question).await {
         Some(told) => encoded(&told),
         None => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
 }
 
+async fn read_question(body: Incoming) -> Result<Question, String> {
+    let body = read_body(body, MOST_QUESTION, QUESTION_TIMEOUT).await;
+    let body = body.map_err(|err| err.to_string())?;
+    ciborium::from_reader(body.as_ref()).map_err(|err| err.to_string())
+}
+
 fn encoded(told: &Told) -> Response<Body> {
     let mut body = Vec::new();
     match ciborium::into_writer(told, &mut body) {
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -3,6 +3,8 @@
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::site::Site;
+use crate::state::hash;
+use oatdale_policy::relay::ReaderCandidate;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -138,3 +140,12 @@
         }
     }
 }
+
+impl From<&Node> for ReaderCandidate {
+    fn from(node: &Node) -> Self {
+        ReaderCandidate {
+            link_mbps: node.link_mbps,
+            hash: hash(&node.host),
+        }
+    }
+}
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -1,7 +1,7 @@
 //! Records that a node keeps for others that follow them.
 
 use bytes::Bytes;
-use oatdale_relay::{Content, Record, Replica, Told, Topic};
+use oatdale_relay::{Content, Members, Node, Question, Record, Replica, Told, Topic};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -38,8 +38,33 @@
     told.records.iter().map(|r| r.key.as_str()).collect()
 }
 
+fn question(after: Option<u64>, wait: Duration) -> Question {
+    Question {
+        topic: TOPIC,
+        after,
+        wait_ms: u64::try_from(wait.as_millis()).expect("it is short"),
+        node: None,
+    }
+}
+
+fn node(host: &str) -> Node {
+    let addr = ([127, 255, 0, 1], 1).into();
+    Node {
+        host: host.to_owned(),
+        callers: addr,
+        nodes: addr,
+        state: Some(addr),
+        domain: None,
+        link_mbps: 0,
+    }
+}
+
+fn hosts(nodes: &[Node]) -> Vec<&str> {
+    nodes.iter().map(|n| n.host.as_str()).collect()
+}
+
 async fn tell(replica: &Replica, after: Option<u64>) -> Option<Told> {
-    replica.tell(TOPIC, after, NO_WAIT).await
+    replica.tell(question(after, NO_WAIT)).await
 }
 
 #[tokio::test(start_paused = true)]
@@ -123,7 +148,7 @@
 async fn who_waits_is_told_at_once() {
     let replica = Arc::new(replica());
     let asked = replica.clone();
-    let waiting = tokio::spawn(async move { asked.tell(TOPIC, Some(10), WAIT).await });
+    let waiting = tokio::spawn(async move { asked.tell(question(Some(10), WAIT)).await });
     tokio::time::sleep(WAIT / 4).await;
     let began = Instant::now();
     replica.change(TOPIC, 11, &[gone("a", 11)]);
@@ -136,7 +161,7 @@
 async fn who_waits_for_nothing_is_told_so_in_the_end() {
     let replica = replica();
     let began = Instant::now();
-    let told = replica.tell(TOPIC, Some(10), WAIT).await;
+    let told = replica.tell(question(Some(10), WAIT)).await;
     assert_eq!(keys(&told.expect("it is current")), Vec::<&str>::new());
     assert_eq!(began.elapsed(), WAIT);
 }
@@ -147,7 +172,7 @@
 async fn who_waits_is_sent_elsewhere_when_the_service_is_silent() {
     let replica = Arc::new(replica());
     let asked = replica.clone();
-    let waiting = tokio::spawn(async move { asked.tell(TOPIC, Some(10), WAIT).await });
+    let waiting = tokio::spawn(async move { asked.tell(question(Some(10), WAIT)).await });
     tokio::time::sleep(WAIT / 4).await;
     replica.suspend();
     let told = timeout(WAIT / 100, waiting).await;
@@ -192,3 +217,59 @@
     assert_eq!(told.records[0].content, Content::TooLong);
     assert_eq!(told.records[0].revision, 11);
 }
+
+// All nodes start at once, and one is asked before it knows that it is to read for others. Were it to refuse, all
+// others would read everything by themselves.
+#[tokio::test(start_paused = true)]
+async fn who_asks_too_early_waits_until_the_records_are_read() {
+    let replica = Arc::new(Replica::default());
+    let asked = replica.clone();
+    let waiting = tokio::spawn(async move { asked.tell(question(None, WAIT)).await });
+    timeout(WAIT / 4, replica.wanted())
+        .await
+        .expect("it is wanted");
+    replica.replace(TOPIC, 10, &[record("a", 3)]);
+    let told = waiting.await.expect("it ends").expect("it is current");
+    assert_eq!(keys(&told), ["a"]);
+    assert_eq!(Replica::default().tell(question(None, WAIT)).await, None);
+}
+
+// Nodes that read at another one have no record of their own. Callers are to be told of them while they run, and
+// soon no more once they have lost their power.
+#[tokio::test(start_paused = true)]
+async fn who_asks_is_known_to_run() {
+    let replica = Arc::new(replica());
+    let mut asking = question(Some(10), WAIT);
+    asking.node = Some(node("f"));
+    for _ in 0..5 {
+        let asked = replica.clone();
+        let question = asking.clone();
+        let waiting = tokio::spawn(async move { asked.tell(question).await });
+        tokio::time::sleep(WAIT / 2).await;
+        assert_eq!(hosts(&replica.members()), ["f"]);
+        waiting.await.expect("it ends");
+    }
+    // Its connection breaks while it waits for an answer.
+    let asked = replica.clone();
+    let waiting = tokio::spawn(async move { asked.tell(asking).await });
+    tokio::time::sleep(WAIT / 2).await;
+    waiting.abort();
+    tokio::time::sleep(WAIT).await;
+    assert_eq!(hosts(&replica.members()), ["f"]);
+    tokio::time::sleep(WAIT).await;
+    assert!(replica.members().is_empty());
+}
+
+// A process ends and the next one of its host asks at once, before the connection of the first is known to be gone.
+#[test]
+fn the_next_process_of_a_host_takes_its_place() {
+    let mut members = Members::default();
+    let at = Duration::from_secs;
+    members.asks(at(0), node("f"));
+    members.asks(at(1), node("f"));
+    members.answered(at(2), "f");
+    assert_eq!(hosts(&members.running(at(9))), ["f"]);
+    members.answered(at(10), "f");
+    assert_eq!(hosts(&members.running(at(11))), ["f"]);
+    assert!(members.running(at(12)).is_empty());
+}
