Let hosts that start again together serve at once, while records of their last processes are there

All hosts lose their power and start again; the records of their last processes have not lapsed. Each reader took the other one for a reader and itself for none until it had registered, and held the other's question: they waited for each other for as long as a question waits, and all others for them.

A question that comes before anything is read is held for 80 ms at the most, and a node that knows nothing waits 0.1 s for a reader, then reads at the service.

--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -27,6 +27,10 @@
 /// Changes that are remembered; who has read none of the later ones gets everything.
 const MOST_CHANGES: usize = 4_096;
 
+/// How long a question is held that comes before this node reads for others. It reads everything within some
+/// hundredths of a second; what a node that starts asks next is the service.
+const FIRST_READ: Duration = Duration::from_millis(80);
+
 /// Records that are followed together.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum Topic {
@@ -196,22 +200,27 @@
     /// What is new of a topic after a revision, or everything if the revision is unset or too long ago; waits for
     /// it. `None` if this node does not read for others, or the service does not answer it.
     pub async fn tell(&self, question: Question) -> Option<Told> {
-        let end = Instant::now() + question.wait();
+        let began = Instant::now();
+        let end = began + question.wait();
+        let read_by = began + FIRST_READ;
         let _asking = question.node.map(|node| self.asks(node));
         let mut changed = self.changed.subscribe();
         loop {
             changed.mark_unchanged();
             let answer = self.lock().answer(question.topic, question.after);
-            let is_late = Instant::now() >= end;
-            match answer {
+            let now = Instant::now();
+            let until = match answer {
                 Answer::Elsewhere => return None,
-                Answer::NotYet if is_late => return None,
-                Answer::NotYet => self.wanted.notify_one(),
-                Answer::Told(told) if is_late || told.is_news() => return Some(told),
-                Answer::Told(_) => {}
-            }
+                Answer::NotYet if now >= read_by => return None,
+                Answer::NotYet => {
+                    self.wanted.notify_one();
+                    read_by
+                }
+                Answer::Told(told) if now >= end || told.is_news() => return Some(told),
+                Answer::Told(_) => end,
+            };
             // Either way what is there then is told.
-            let _ = timeout_at(end, changed.changed()).await;
+            let _ = timeout_at(until, changed.changed()).await;
         }
     }
 
--- a/crates/oatdale-relay/src/replica/ask.rs
+++ b/crates/oatdale-relay/src/replica/ask.rs
@@ -11,9 +11,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time for a connection, for an answer's head beside the time that it waits, and for each pause in its body:
-/// readers are less than a millisecond away.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a connection, and for each pause in an answer's body.
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// The longest answer: several times the largest value that the key-value service holds.
 const MAX_ANSWER: usize = 8 << 20;
@@ -62,7 +61,7 @@
 impl Default for RecordsClient {
     fn default() -> Self {
         let pool = Pool::new(PoolConfig {
-            connect_timeout: ANSWER_TIMEOUT,
+            connect_timeout: PAUSE,
             ..PoolConfig::default()
         });
         RecordsClient { pool }
@@ -70,25 +69,30 @@
 }
 
 impl RecordsClient {
-    /// Asks for what is new of a topic.
+    /// Asks for what is new of a topic; the answer begins within `patience` beside the time that the question waits.
     ///
     /// # Errors
     ///
     /// [`AskError`]; in each case another node, or the service, has to be asked.
-    pub async fn ask(&self, reader: SocketAddr, question: &Question) -> Result<Told, AskError> {
+    pub async fn ask(
+        &self,
+        reader: SocketAddr,
+        question: &Question,
+        patience: Duration,
+    ) -> Result<Told, AskError> {
         let mut body = Vec::new();
         ciborium::into_writer(question, &mut body).context(NotWrittenSnafu)?;
         let mut req = Request::new(Full::from(body));
         *req.method_mut() = Method::POST;
         *req.uri_mut() = Uri::from_static(PATH);
-        let deadline = Instant::now() + question.wait() + ANSWER_TIMEOUT;
+        let deadline = Instant::now() + question.wait() + patience;
         let sent = self.pool.send(reader, req, Reuse::Allowed, deadline).await;
         let res = sent.context(NoAnswerSnafu)?;
         if res.status() != StatusCode::OK {
             let status = res.status();
             return RefusedSnafu { status }.fail();
         }
-        let body = read_body(res.into_body(), MAX_ANSWER, ANSWER_TIMEOUT).await;
+        let body = read_body(res.into_body(), MAX_ANSWER, PAUSE).await;
         let body = body.context(BrokenOffSnafu)?;
         ciborium::from_reader(body.as_ref()).context(UnreadableSnafu)
     }
