--- a/crates/oatdale-relay/src/replica/members.rs
+++ b/crates/oatdale-relay/src/replica/members.rs
@@ -8,6 +8,9 @@
 /// service if this node did not answer it.
 const LAPSE: Duration = Duration::from_millis(1_800);
 
+/// The most nodes that are listed: a record of them stays well below the longest value that the service takes.
+const MOST: usize = 1_024;
+
 /// The nodes that read at this one.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
@@ -26,7 +29,12 @@
 impl Members {
     /// Notes that a question of a node came.
     pub fn asks(&mut self, now: Duration, node: Node) {
-        let asking = self.seen.get(&node.host).map_or(0, |seen| seen.asking);
+        let known = self.seen.get(&node.host).map(|seen| seen.asking);
+        if known.is_none() && self.seen.len() >= MOST {
+            log::warn!(target: "replica", "event=too_many_nodes host={}", node.host);
+            return;
+        }
+        let asking = known.unwrap_or(0);
         let host = node.host.clone();
         let seen = Seen {
             node,
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -273,3 +273,13 @@
     assert_eq!(hosts(&members.running(at(11))), ["f"]);
     assert!(members.running(at(12)).is_empty());
 }
+
+// Something asks under ever new names. The list of nodes must not grow until the record can't be written any more.
+#[test]
+fn the_nodes_that_are_listed_are_bounded() {
+    let mut members = Members::default();
+    for n in 0..5_000 {
+        members.asks(Duration::ZERO, node(&format!("f-{n}")));
+    }
+    assert!(members.running(Duration::ZERO).len() <= 1_024);
+}
