--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -31,6 +31,9 @@
 /// hundredths of a second; what a node that starts asks next is the service.
 const FIRST_READ: Duration = Duration::from_millis(80);
 
+/// Times of reading anew that are remembered; who is behind all of them gets everything.
+const MOST_GAPS: usize = 64;
+
 /// Records that are followed together.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum Topic {
@@ -144,6 +147,9 @@
     since: u64,
     /// The revision up to which all is known.
     revision: u64,
+    /// After the first and up to the second of these revisions this node read everything anew, and knows nothing of
+    /// records that were written and deleted again meanwhile.
+    gaps: VecDeque<(u64, u64)>,
 }
 
 impl Replica {
@@ -311,7 +317,7 @@
             _ => return Answer::NotYet,
         };
         let (is_whole, known) = match after {
-            Some(after) if after >= records.since => (false, records.after(after)),
+            Some(after) if records.covers(after) => (false, records.after(after)),
             _ => (true, records.whole()),
         };
         Answer::Told(Told {
@@ -330,6 +336,7 @@
             changes: VecDeque::new(),
             since: revision,
             revision,
+            gaps: VecDeque::new(),
         };
         for record in all {
             records.put(record);
@@ -349,9 +356,21 @@
             value: None,
             revision,
         }));
+        self.gaps.push_back((self.revision, revision));
+        if self.gaps.len() > MOST_GAPS {
+            self.gaps.pop_front();
+            self.since = self.since.max(self.gaps[0].0);
+        }
         self.change(revision, &changes);
     }
 
+    /// Whether the changes tell a follower at this revision all that it lacks. One that was ahead of this node in a
+    /// gap may hold a record of which this node has never heard.
+    fn covers(&self, after: u64) -> bool {
+        let in_gap = |(from, upto): &(u64, u64)| *from < after && after < *upto;
+        after >= self.since && !self.gaps.iter().any(in_gap)
+    }
+
     fn change(&mut self, revision: u64, changes: &[Record]) {
         for record in changes {
             self.put(record);
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -131,6 +131,26 @@
     assert_eq!(told.records[1].content, Content::Deleted);
 }
 
+// A follower has heard from another reader of an endpoint that this one never knew: it came and went while this one
+// was cut off. Told only what differs for this reader, the follower would send requests there for ever.
+#[tokio::test(start_paused = true)]
+async fn who_was_ahead_of_a_reader_that_reads_anew_gets_everything() {
+    let replica = replica();
+    replica.replace(TOPIC, 20, &[record("a", 3), record("b", 7)]);
+    let told = tell(&replica, Some(15)).await.expect("it is current");
+    assert!(told.is_whole);
+    let told = tell(&replica, Some(10)).await.expect("it is current");
+    assert!(!told.is_whole);
+    let told = tell(&replica, Some(20)).await.expect("it is current");
+    assert!(!told.is_whole);
+    for n in 0..200 {
+        replica.replace(TOPIC, 30 + n, &[record("a", 3), record("b", 7)]);
+    }
+    // Gaps are not remembered without end; who is behind them gets everything.
+    let told = tell(&replica, Some(15)).await.expect("it is current");
+    assert!(told.is_whole);
+}
+
 // A change is written while everything is read page by page: a later page holds it, with a revision after that
 // of the first page, which is what the reader goes on from. It must be told even to who is at that revision.
 #[tokio::test(start_paused = true)]
