--- a/crates/oatdale-relay/tests/replica_spec.rs
+++ b/crates/oatdale-relay/tests/replica_spec.rs
@@ -234,11 +234,11 @@
     fn steps(&self, world: &World) -> Vec<(String, World)> {
         let mut steps = Vec::new();
         if world.changes.len() < CHANGES {
-            for key in 0..KEYS.len() {
+            for (key, name) in KEYS.iter().enumerate() {
                 let is_there = held(&world.changes, world.changes.len(), key).is_some();
                 let mut next = world.clone();
                 next.changes.push((key, !is_there));
-                steps.push((format!("{} changes", KEYS[key]), next));
+                steps.push((format!("{name} changes"), next));
             }
         }
         for at in 0..READERS {
