Log under which requests endpoints crash, by a fingerprint that copies of a request share

Logs could not tell a request that crashes its endpoints from one that shares them: each copy has a new id, and a connection that breaks looks the same whether its endpoint crashed or not. No decision reads either yet.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -18,6 +18,7 @@
 mod addresses;
 mod engine;
 mod evidence;
+mod fingerprint;
 mod health;
 mod ladder;
 mod pace;
@@ -30,6 +31,7 @@
 pub use crate::relay::addresses::{AddressCandidate, told_addresses};
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{Cells, Counts, Origin, Tally, Verdict, verdict};
+pub use crate::relay::fingerprint::Fingerprint;
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::pace::{StreamPace, UsualTime};
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One request to one endpoint, and the exact ways in which it ends.
 
 use crate::answer::Answer;
+use crate::crashes;
 use crate::cx::Cx;
 use crate::gossip;
 use crate::plan::Plan;
@@ -91,6 +92,9 @@
         result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
     );
     learn(cx, plan, &running, &result, took);
+    if matches!(result, Err(Failure::Unknown(_) | Failure::GivenUp)) {
+        crashes::note_broken(cx, plan, &running);
+    }
     running.prompt_is_read();
     result.map(|(head, facts, body)| Answer {
         head,
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -250,6 +250,13 @@
         self.entries.get(&key)
     }
 
+    /// Whether an endpoint has started again since it got this place.
+    pub(crate) fn started_again(&self, key: EndpointKey) -> bool {
+        self.entries
+            .get(&key)
+            .is_some_and(|e| e.life.is_cancelled())
+    }
+
     /// One endpoint, to note what it did.
     pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Entry> {
         self.entries.get_mut(&key)
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod asking;
 mod attempt;
 mod body;
+mod crashes;
 mod cx;
 mod directory;
 mod error;
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -4,6 +4,7 @@
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::gossip::{self, Message};
+use crate::heads::host;
 use crate::reply::Refusal;
 use crate::roll_outs::{Pace, Source};
 use crate::running::Running;
@@ -14,9 +15,10 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use oatdale_platform::Reuse;
-use oatdale_policy::relay::Origin;
+use oatdale_policy::relay::{Fingerprint, Origin};
+use sha2::{Digest, Sha256};
 use smallvec::SmallVec;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -50,6 +52,7 @@
     pub(crate) relative_size: f64,
     /// What the models that were asked said of their answers.
     pub(crate) confidences: SmallVec<[u8; 2]>,
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Plan {
@@ -82,6 +85,7 @@
             sends: 0,
             relative_size: 1.0,
             confidences: SmallVec::new(),
+            fingerprint: OnceLock::new(),
             site,
         })
     }
@@ -128,6 +132,32 @@
         self.sends < self.route().attempts.max(1)
     }
 
+    /// Identifies copies of this request: the same caller sends the same body to the same target.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let fields: [&[u8]; 5] = [
+                self.method.as_str().as_bytes(),
+                host(&self.headers).unwrap_or_default().as_bytes(),
+                self.uri
+                    .path_and_query()
+                    .map_or(&[], |t| t.as_str().as_bytes()),
+                self.customer.as_deref().unwrap_or_default().as_bytes(),
+                &self.body.bytes,
+            ];
+            let mut hasher = Sha256::new();
+            for field in fields {
+                // Lengths keep the end of one field from passing for the beginning of the next.
+                hasher.update((field.len() as u64).to_le_bytes());
+                hasher.update(field);
+            }
+            let digest: [u8; 32] = hasher.finalize().into();
+            let (half, _) = digest.split_at(16);
+            Fingerprint(u128::from_le_bytes(
+                half.try_into().expect("half of 32 bytes"),
+            ))
+        })
+    }
+
     /// Hash of the session, the same on every node.
     pub(crate) fn session(&self) -> Option<u64> {
         self.facts.session.as_ref().map(hash)
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -85,6 +85,14 @@
         self.life.cancelled().await;
     }
 
+    /// Whether the endpoint announced that it leaves, or its record is gone: then it ends by plan.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let now = self.cx.now();
+        let state = self.cx.state();
+        let entry = state.directory.get(self.key);
+        !self.life.is_cancelled() && entry.is_none_or(|e| !e.takes_work(now))
+    }
+
     /// Bytes came from the endpoint.
     pub(crate) fn heard(&self) {
         let now = self.cx.now();
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{Answer, Next};
 use crate::attempt::{self, Failure, SendOptions};
+use crate::crashes;
 use crate::cx::Cx;
 use crate::guard::ConnWatch;
 use crate::heads::{host, is_events, passed_on, strip};
@@ -258,11 +259,16 @@
     if status.is_success() && plan.route().kind.is_stream() && is_events(&answer.head.headers) {
         return Examined::Pass(Reply::Pieces(Bytes::new(), Box::new(answer)));
     }
-    read_small(plan, answer, impatient).await
+    read_small(cx, plan, answer, impatient).await
 }
 
 /// Reads a body to its end if it is small.
-async fn read_small<W: Wire>(plan: &Plan, mut answer: Answer<W>, impatient: bool) -> Examined<W> {
+async fn read_small<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    plan: &Plan,
+    mut answer: Answer<W>,
+    impatient: bool,
+) -> Examined<W> {
     let route = plan.route();
     let target = route.target_latency.unwrap_or(route.timeout);
     let until = match impatient {
@@ -279,6 +285,7 @@
             }
             Next::Broken(reason) => {
                 answer.running.silent();
+                crashes::note_broken(cx, plan, &answer.running);
                 return Examined::Failed(Failure::Unknown(reason));
             }
             Next::Late => return Examined::Failed(Failure::Unknown("body is late".to_owned())),
@@ -302,7 +309,9 @@
         true => Relayed::new(cx.clone(), plan, answer, record).into_stream(),
         false => {
             let first = stream::once(async move { Ok(read) });
-            first.chain(plain_pieces(plan, answer, record)).boxed()
+            first
+                .chain(plain_pieces(cx.clone(), plan, answer, record))
+                .boxed()
         }
     };
     Response::from_parts(head, reply::pieces(body))
@@ -310,20 +319,22 @@
 
 /// The rest of a body that is too long to be read whole.
 fn plain_pieces<W: Wire>(
+    cx: Arc<Cx<W>>,
     plan: Plan,
     answer: Answer<W>,
     record: Record<W>,
 ) -> impl futures::Stream<Item = io::Result<Bytes>> + Send + 'static {
-    let state = Some((plan, answer, record));
+    let state = Some((cx, plan, answer, record));
     stream::unfold(state, |state| async move {
-        let (plan, mut answer, mut record) = state?;
+        let (cx, plan, mut answer, mut record) = state?;
         match answer.next(plan.limit).await {
-            Next::Piece(piece) => Some((Ok(piece), Some((plan, answer, record)))),
+            Next::Piece(piece) => Some((Ok(piece), Some((cx, plan, answer, record)))),
             Next::End => {
                 record.end("complete");
                 None
             }
             Next::Broken(reason) => {
+                crashes::note_broken(&cx, &plan, &answer.running);
                 record.end(&format!("broken: {reason}"));
                 Some((Err(io::Error::other(reason)), None))
             }
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,5 +1,6 @@
 //! What the platform and the answers have told so far, and the picks that follow from it.
 
+use crate::crashes::Broken;
 use crate::directory::{Directory, EndpointKey, Entry};
 use crate::loads::{Adder, Shared};
 use crate::nodes::Nodes;
@@ -33,6 +34,8 @@
     pub(crate) bounds: Bounds,
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) directory: Directory,
+    /// Requests whose connections to endpoints broke, until it is known why.
+    pub(crate) broken: Broken,
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
     /// What other nodes tell of their loads, to be added up.
@@ -75,6 +78,7 @@
             bounds,
             site: None,
             directory: Directory::default(),
+            broken: Broken::default(),
             roll_outs: RollOuts::default(),
             nodes: Nodes::default(),
             adder: Adder::default(),
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{Answer, Next};
 use crate::attempt::{self, Failure, SendOptions};
+use crate::crashes;
 use crate::cx::Cx;
 use crate::events::WholeEvents;
 use crate::plan::Plan;
@@ -168,6 +169,7 @@
     /// Goes on at another endpoint, or says why not.
     async fn resume(&mut self, broken: &str) -> Result<(), String> {
         self.answer.running.silent();
+        crashes::note_broken(&self.cx, &self.plan, &self.answer.running);
         self.events.drop_part();
         let last_event = self.events.last();
         let mut reason = broken.to_owned();
