Refuse a request on all nodes once three endpoints crashed under it

Cause: attempts and repeats are bounded for one request of a caller, and nothing is kept of what it asked for. Each copy has a new id, reaches any node, and gets three attempts.

A stream that is sent once does the same, so the node's own repeats are not the cause; without the one body no engine ends.

Why this works: nodes report endpoints that crashed under a fingerprint to three nodes that it picks; after the third one the decision goes to all by datagram and, for nodes that start or missed it, by a record. Copies that wait at an endpoint are taken back. A copy that completes clears the count.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -23,6 +23,7 @@
 mod ladder;
 mod pace;
 mod placement;
+mod quarantine;
 mod readers;
 mod repeats;
 mod roll_out;
@@ -36,6 +37,7 @@
 pub use crate::relay::ladder::{Ladder, Step};
 pub use crate::relay::pace::{StreamPace, UsualTime};
 pub use crate::relay::placement::{Candidate, Placement, choose};
+pub use crate::relay::quarantine::{Cleared, MAX_CRASHES, QUARANTINE_TIME, Quarantine};
 pub use crate::relay::readers::{
     READERS, REGISTERED, ReaderCandidate, Sources, first_wait, longest_passed_on, ranked, readers,
     registers_after,
--- /dev/null
+++ b/crates/oatdale-policy/src/relay/quarantine.rs
@@ -0,0 +1,144 @@
+//! Requests that crash the endpoints that run them.
+//!
+//! An endpoint that crashes takes all requests with it that it runs, and from outside they look alike. The one that
+//! is at fault crashes the next endpoint too and never completes; the others complete there. So the endpoints that
+//! crashed under a request are counted until a copy of it completes.
+
+use crate::relay::Fingerprint;
+use smallvec::SmallVec;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Endpoints that crash under a request before it is sent to no other one.
+///
+/// Of some requests that share a crashing endpoint, few are sent to the same next one, and hardly any shares a third.
+pub const MAX_CRASHES: usize = 3;
+
+/// How long copies of a quarantined request are refused. The software that it crashes may be mended by then, and a
+/// request that was held by mistake must not be refused for good.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+
+/// How long crashes under a request are remembered.
+const SUSPECT_TIME: Duration = Duration::from_secs(60);
+
+/// Requests that are tracked at the most.
+const MAX_TRACKED: usize = 4_096;
+
+/// What one node knows of requests under which endpoints crashed.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    tracked: HashMap<Fingerprint, Tracked>,
+}
+
+#[derive(Clone, Debug)]
+struct Tracked {
+    state: State,
+    /// When it is forgotten.
+    until: Duration,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    /// The endpoints that crashed under it, each once.
+    Suspected(SmallVec<[u32; MAX_CRASHES]>),
+    Quarantined,
+}
+
+/// What was known of a request that has completed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Cleared {
+    /// Nothing.
+    Unknown,
+    /// Endpoints had crashed under it.
+    Suspected,
+    /// It was refused everywhere.
+    Quarantined,
+}
+
+impl Quarantine {
+    /// Whether no request is tracked, so that none has to be identified.
+    pub fn is_empty(&self) -> bool {
+        self.tracked.is_empty()
+    }
+
+    /// Notes that an endpoint crashed under a request, and says whether this was one too many.
+    ///
+    /// `endpoint` stands for one start of it: several nodes report the same crash.
+    pub fn note_crash(&mut self, now: Duration, request: Fingerprint, endpoint: u32) -> bool {
+        self.make_room(now, request);
+        let tracked = self.tracked.entry(request).or_insert_with(|| Tracked {
+            state: State::Suspected(SmallVec::new()),
+            until: now,
+        });
+        let State::Suspected(crashed) = &mut tracked.state else {
+            return false;
+        };
+        if !crashed.contains(&endpoint) {
+            crashed.push(endpoint);
+        }
+        tracked.until = now + SUSPECT_TIME;
+        crashed.len() >= MAX_CRASHES && self.hold(now, request)
+    }
+
+    /// Quarantines a request, and says whether it was not yet.
+    pub fn hold(&mut self, now: Duration, request: Fingerprint) -> bool {
+        if self.left(now, request).is_some() {
+            return false;
+        }
+        self.make_room(now, request);
+        let tracked = Tracked {
+            state: State::Quarantined,
+            until: now + QUARANTINE_TIME,
+        };
+        self.tracked.insert(request, tracked);
+        true
+    }
+
+    /// How much longer a request is refused, if it is.
+    pub fn left(&self, now: Duration, request: Fingerprint) -> Option<Duration> {
+        let tracked = self.tracked.get(&request)?;
+        match tracked.state {
+            State::Quarantined => tracked
+                .until
+                .checked_sub(now)
+                .filter(|left| !left.is_zero()),
+            State::Suspected(_) => None,
+        }
+    }
+
+    /// Notes that a copy of a request completed: it crashes no endpoint.
+    pub fn clear(&mut self, request: Fingerprint) -> Cleared {
+        match self.tracked.remove(&request).map(|t| t.state) {
+            None => Cleared::Unknown,
+            Some(State::Suspected(_)) => Cleared::Suspected,
+            Some(State::Quarantined) => Cleared::Quarantined,
+        }
+    }
+
+    /// Forgets what is old.
+    pub fn expire(&mut self, now: Duration) {
+        self.tracked.retain(|_, t| t.until > now);
+    }
+
+    /// The requests that are refused now.
+    pub fn held(&self, now: Duration) -> impl Iterator<Item = Fingerprint> {
+        let requests = self.tracked.keys().copied();
+        requests.filter(move |request| self.left(now, *request).is_some())
+    }
+
+    /// Makes room for a request that is not tracked: suspected ones go first.
+    fn make_room(&mut self, now: Duration, request: Fingerprint) {
+        if self.tracked.get(&request).is_some_and(|t| t.until > now) {
+            return;
+        }
+        self.expire(now);
+        if self.tracked.len() < MAX_TRACKED {
+            return;
+        }
+        let rank = |t: &Tracked| (matches!(t.state, State::Quarantined), t.until);
+        let first = self.tracked.iter().min_by_key(|(_, t)| rank(t));
+        if let Some(request) = first.map(|(request, _)| *request) {
+            self.tracked.remove(&request);
+        }
+    }
+}
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -44,6 +44,8 @@
     TimedOut,
     /// No endpoint may take it.
     NoEndpoint,
+    /// It crashes endpoints, which turned out before or after it was sent to this one.
+    Quarantined { sent: bool },
 }
 
 impl Failure {
@@ -51,7 +53,10 @@
     pub(crate) fn is_not_run(&self) -> bool {
         matches!(
             self,
-            Failure::NotSent(_) | Failure::NotRun(_) | Failure::NoEndpoint
+            Failure::NotSent(_)
+                | Failure::NotRun(_)
+                | Failure::NoEndpoint
+                | Failure::Quarantined { sent: false }
         )
     }
 }
@@ -71,6 +76,9 @@
     plan: &mut Plan,
     how: SendOptions,
 ) -> Result<Answer<W>, Failure> {
+    if cx.quarantine_left(plan).is_some() {
+        return Err(Failure::Quarantined { sent: false });
+    }
     let Some(mut running) = plan.place(cx) else {
         return Err(Failure::NoEndpoint);
     };
@@ -130,6 +138,7 @@
             () = running.started_again() => {
                 return Err(Failure::Unknown("the endpoint started again".to_owned()));
             }
+            () = cx.quarantined(plan) => return Err(Failure::Quarantined { sent: true }),
         };
         match res {
             Ok(res) => break res,
@@ -236,7 +245,7 @@
             }
             true
         }
-        Err(Failure::NoEndpoint) => return,
+        Err(Failure::NoEndpoint | Failure::Quarantined { .. }) => return,
     };
     // A stream's first event waits for its engine's queue and for the prompt to be read, which says
     // little of a version; the pace of its events says more and is noted later.
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -1,87 +1,158 @@
-//! Finds out which endpoints crashed, and under which requests.
+//! Requests that crash the endpoints that run them: found by all nodes together, and refused by each.
 //!
-//! A connection that breaks may have been reset alone, by the endpoint or on its way. An endpoint that crashed
-//! refuses new connections.
+//! A connection that breaks may have been reset alone, by the endpoint or on its way; an endpoint that crashed refuses
+//! new connections. Each node reports the requests whose endpoints crashed to a few nodes that are picked by the
+//! request, and these count over all nodes. A request that is held is sent to all nodes at once and recorded at the
+//! platform, for nodes that miss it or start later.
+
+mod check;
+mod records;
+
+pub(crate) use crate::crashes::check::{Broken, note_broken};
+pub(crate) use crate::crashes::records::Unrecorded;
 
 use crate::cx::Cx;
-use crate::directory::EndpointKey;
+use crate::gossip::{self, Message};
 use crate::plan::Plan;
-use crate::running::Running;
+use crate::state::{State, hash};
+use crate::update::Command;
 use crate::wire::Wire;
-use oatdale_policy::relay::Fingerprint;
+use oatdale_policy::relay::{Cleared, Fingerprint};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
 
-/// Pauses before the connections by which an endpoint is checked. A process that ends may close its listener
-/// after its connections.
-const CHECK_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(200)];
+/// Nodes that count the crashes of one request. One may have just started, and a datagram may be lost.
+const COUNTERS: usize = 3;
 
-/// How long such a connection may take to open.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Requests in one datagram.
+const MAX_REPORTED: usize = 40;
 
-/// Requests whose connections broke, by the endpoint that is being checked for it.
-#[derive(Debug, Default)]
-pub(crate) struct Broken(HashMap<EndpointKey, Vec<Fingerprint>>);
+impl<W: Wire> Cx<W> {
+    /// How much longer a request is refused, if it is.
+    pub(crate) fn quarantine_left(&self, plan: &Plan) -> Option<Duration> {
+        if self.state().quarantine.is_empty() {
+            return None;
+        }
+        let request = plan.fingerprint();
+        self.state().quarantine.left(self.now(), request)
+    }
 
-impl Broken {
-    /// Adds a request, and says whether it is the first one of its endpoint.
-    fn add(&mut self, endpoint: EndpointKey, request: Fingerprint) -> bool {
-        let requests = self.0.entry(endpoint).or_default();
-        requests.push(request);
-        requests.len() == 1
+    /// Ends when the request is to be refused.
+    pub(crate) async fn quarantined(&self, plan: &Plan) {
+        let mut held = self.held.subscribe();
+        while self.quarantine_left(plan).is_none() {
+            // The sender lives as long as this.
+            if held.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
-    fn take(&mut self, endpoint: EndpointKey) -> Vec<Fingerprint> {
-        self.0.remove(&endpoint).unwrap_or_default()
+    /// Notes that an endpoint has answered a request to its end.
+    pub(crate) fn note_completed(&self, plan: &Plan) {
+        if self.state().quarantine.is_empty() {
+            return;
+        }
+        let request = plan.fingerprint();
+        let mut state = self.state();
+        let message = Message::Completed { request: request.0 };
+        match state.quarantine.clear(request) {
+            Cleared::Unknown => {}
+            Cleared::Suspected => gossip::send_now(self, counters(self, &state, request), &message),
+            Cleared::Quarantined => {
+                log::warn!(target: "quarantine", "event=released request={request} reason=\"a copy completed\"");
+                state.unrecorded.add(self.now(), request, false);
+                gossip::tell_all(self, &state, &message);
+            }
+        }
     }
 }
 
-/// Notes that an endpoint's connection broke while it had the request, and checks whether the endpoint crashed.
-///
-/// One that was about to leave ends by plan, with what it still has.
-pub(crate) fn note_broken<W: Wire>(cx: &Arc<Cx<W>>, plan: &Plan, running: &Running<W>) {
-    if running.is_leaving() {
-        return;
+/// Reports that an endpoint crashed under these requests.
+fn report<W: Wire>(cx: &Cx<W>, state: &mut State, endpoint: u32, requests: &[Fingerprint]) {
+    note_crash(cx, state, endpoint, requests);
+    let mut reports: HashMap<SocketAddr, Vec<u128>> = HashMap::new();
+    for request in requests {
+        for to in counters(cx, state, *request) {
+            reports.entry(to).or_default().push(request.0);
+        }
     }
-    let request = plan.fingerprint();
-    log::info!(
-        target: "attempt",
-        "event=broken id={} request={request} endpoint={}",
-        plan.facts.id.as_deref().unwrap_or("-"), running.id
-    );
-    if cx.state().broken.add(running.key, request) {
-        tokio::spawn(check(cx.clone(), running.key, running.addr));
+    for (to, requests) in reports {
+        for part in requests.chunks(MAX_REPORTED) {
+            let message = Message::Crashed {
+                endpoint,
+                requests: part.to_vec(),
+            };
+            gossip::send_now(cx, [to].into_iter(), &message);
+        }
     }
 }
 
-/// Checks one endpoint for all requests whose connections to it broke.
-async fn check<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr) {
-    let has_crashed = cx.state().directory.started_again(key) || refuses(addr).await;
-    let mut state = cx.state();
-    let requests = state.broken.take(key);
-    let id = state.directory.get(key).map_or("-", |e| &e.endpoint.id);
-    log::info!(
-        target: "attempt",
-        "event=checked endpoint={id} crashed={has_crashed} requests={}",
-        requests.len()
-    );
+/// Counts a crash for these requests, and holds those for which it was one too many.
+pub(crate) fn note_crash<W: Wire>(
+    cx: &Cx<W>,
+    state: &mut State,
+    endpoint: u32,
+    requests: &[Fingerprint],
+) {
+    let now = cx.now();
+    for request in requests {
+        if !state.quarantine.note_crash(now, *request, endpoint) {
+            continue;
+        }
+        log::warn!(
+            target: "quarantine",
+            "event=quarantined request={request} reason=\"endpoints crashed under it\" endpoint={endpoint}"
+        );
+        let rank = ranked(state, now, *request).position(|to| to == cx.settings.listen.nodes);
+        state
+            .unrecorded
+            .add_ranked(now, *request, rank.unwrap_or(COUNTERS));
+        gossip::tell_all(cx, state, &Message::Quarantined { request: request.0 });
+        cx.note_held(state);
+    }
 }
 
-/// Whether nobody listens at an address.
-///
-/// A host that can't be reached says nothing of the endpoint's process.
-async fn refuses(addr: SocketAddr) -> bool {
-    for pause in CHECK_PAUSES {
-        sleep(pause).await;
-        let opened = timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await;
-        if matches!(opened, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused) {
-            return true;
-        }
+/// Takes in that another node, or the record of one, holds a request or does not any more.
+pub(crate) fn take<W: Wire>(cx: &Cx<W>, state: &mut State, request: Fingerprint, is_held: bool) {
+    let now = cx.now();
+    let is_news = match is_held {
+        true => state.quarantine.hold(now, request),
+        false => state.quarantine.clear(request) != Cleared::Unknown,
+    };
+    if is_news {
+        log::info!(target: "quarantine", "event=learned request={request} held={is_held}");
+        cx.note_held(state);
     }
-    false
+}
+
+/// The writes of this node's decisions that are due.
+pub(crate) fn due(state: &mut State, now: Duration) -> Vec<Command> {
+    state.quarantine.expire(now);
+    let due = state.unrecorded.due(now).into_iter();
+    due.map(|(request, is_held)| Command::RecordQuarantine { request, is_held })
+        .collect()
+}
+
+/// The nodes that count the crashes of a request, the most preferred first, this node among them.
+fn ranked(
+    state: &State,
+    now: Duration,
+    request: Fingerprint,
+) -> impl Iterator<Item = SocketAddr> + use<> {
+    let mut nodes: Vec<_> = state.nodes.iter(now).collect();
+    nodes.sort_by_cached_key(|n| hash(&(request.0, &n.host)));
+    let first: Vec<_> = nodes.iter().take(COUNTERS).map(|n| n.nodes).collect();
+    first.into_iter()
+}
+
+/// Those among them that are other nodes.
+fn counters<W: Wire>(
+    cx: &Cx<W>,
+    state: &State,
+    request: Fingerprint,
+) -> impl Iterator<Item = SocketAddr> + use<W> {
+    let own = cx.settings.listen.nodes;
+    ranked(state, cx.now(), request).filter(move |to| *to != own)
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -1,6 +1,7 @@
 //! What all of a relay's requests share.
 
 use crate::body::BodyMemory;
+use crate::crashes;
 use crate::directory::News;
 use crate::gossip::{self, Message};
 use crate::metrics::Metrics;
@@ -15,6 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// How long a connection to an endpoint may take to open. Endpoints are a few milliseconds away;
@@ -45,6 +47,8 @@
     pub(crate) body_memory: BodyMemory,
     /// For datagrams of and to other nodes.
     pub(crate) socket: UdpSocket,
+    /// Changes when a request is quarantined, for its copies that are under way.
+    pub(crate) held: watch::Sender<()>,
     started: Instant,
     state: Mutex<State>,
 }
@@ -68,6 +72,7 @@
             metrics,
             body_memory: BodyMemory::default(),
             socket,
+            held: watch::Sender::default(),
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds)),
             settings,
@@ -133,6 +138,10 @@
                 }
             }
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
+            Update::Quarantine { request, is_held } => {
+                state.unrecorded.note_record(request, is_held);
+                crashes::take(self, &mut state, request, is_held);
+            }
             Update::Nodes(nodes) => state.nodes.replace(now, nodes),
             Update::ReadsAlone(alone) => state.reads_alone = alone,
             Update::StoreLost => {
@@ -181,6 +190,13 @@
         state.site = Some(site);
     }
 
+    /// Notes that the requests that are held have changed.
+    pub(crate) fn note_held(&self, state: &State) {
+        let held = state.quarantine.held(self.now()).count();
+        self.metrics.quarantined.set(held as i64);
+        self.held.send_replace(());
+    }
+
     /// Which software versions a request may use now. `own` is the request's hash.
     pub(crate) fn allowed(&self, service: &str, session: Option<u64>, own: u64) -> Allowed {
         let now = self.now();
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -4,12 +4,14 @@
 //! A lost datagram is made up for by the next one: each has the sender's counts since the order, and
 //! a leaving node says so several times.
 
+use crate::crashes;
 use crate::cx::Cx;
 use crate::loads::{ADDERS, Load, MOST_LOADS, Scheme};
 use crate::roll_outs::{JUDGES, OnOld, Report};
 use crate::running::Running;
 use crate::state::{State, hash};
 use crate::wire::Wire;
+use oatdale_policy::relay::Fingerprint;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,6 +65,20 @@
     },
     /// The sender's loads, to be added up.
     Loads(Vec<Load>),
+    /// An endpoint crashed under these requests.
+    Crashed {
+        /// The endpoint's number.
+        endpoint: u32,
+        requests: Vec<u128>,
+    },
+    /// A request crashes endpoints, and is to be refused.
+    Quarantined {
+        request: u128,
+    },
+    /// A request that endpoints had crashed under has completed.
+    Completed {
+        request: u128,
+    },
     /// What so many nodes together have at endpoints.
     Sums {
         nodes: usize,
@@ -115,6 +131,16 @@
         Ok(Message::Loads(loads)) => take_from_known(cx, from, |state| {
             state.adder.take(now, from, &loads);
         }),
+        Ok(Message::Crashed { endpoint, requests }) => take_from_known(cx, from, |state| {
+            let requests: Vec<_> = requests.into_iter().map(Fingerprint).collect();
+            crashes::note_crash(cx, state, endpoint, &requests);
+        }),
+        Ok(Message::Quarantined { request }) => take_from_known(cx, from, |state| {
+            crashes::take(cx, state, Fingerprint(request), true);
+        }),
+        Ok(Message::Completed { request }) => take_from_known(cx, from, |state| {
+            crashes::take(cx, state, Fingerprint(request), false);
+        }),
         Ok(Message::Sums { nodes, loads }) => take_from_known(cx, from, |state| {
             // No sum is over more nodes than there are; one that says so would keep others out.
             let known = state.nodes.iter(now).count();
@@ -124,14 +150,14 @@
     }
 }
 
-/// Takes in loads if a node of the list tells them: they decide where requests go.
+/// Takes in what decides where requests go, if a node of the list says it.
 fn take_from_known<W: Wire>(cx: &Cx<W>, from: SocketAddr, take: impl FnOnce(&mut State)) {
     let now = cx.now();
     let mut state = cx.state();
     let is_known = state.nodes.iter(now).any(|n| n.nodes == from);
     match is_known {
         true => take(&mut state),
-        false => log::debug!(target: "gossip", "event=loads_of_unknown from={from}"),
+        false => log::debug!(target: "gossip", "event=datagram_of_unknown from={from}"),
     }
 }
 
@@ -241,7 +267,11 @@
 }
 
 /// Sends a datagram without waiting: what the socket does not take now is lost.
-fn send_now<W: Wire>(cx: &Cx<W>, to: impl Iterator<Item = SocketAddr>, message: &Message) {
+pub(crate) fn send_now<W: Wire>(
+    cx: &Cx<W>,
+    to: impl Iterator<Item = SocketAddr>,
+    message: &Message,
+) {
     let Some(datagram) = encode(message) else {
         return;
     };
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -21,6 +21,10 @@
     pub(crate) escalations: IntCounter,
     /// Streams that another endpoint went on with.
     pub(crate) resumed: IntCounter,
+    /// Endpoints that crashed while this node had requests there.
+    pub(crate) crashes: IntCounter,
+    /// Requests that are refused since they crash endpoints.
+    pub(crate) quarantined: IntGauge,
     /// Time to the head of the answer that was passed on, in seconds.
     pub(crate) first_byte: Histogram,
     /// Version of the configuration in force.
@@ -49,6 +53,14 @@
                 "resumed_total",
                 "Streams that another endpoint went on with",
             )?,
+            crashes: IntCounter::new(
+                "endpoint_crashes_total",
+                "Endpoints that crashed under requests",
+            )?,
+            quarantined: IntGauge::new(
+                "quarantined_requests",
+                "Requests refused for crashing endpoints",
+            )?,
             first_byte: Histogram::with_opts(histogram)?,
             version: IntGauge::new("configuration_version", "Configuration in force")?,
             endpoints: IntGauge::new("endpoints", "Endpoints known")?,
@@ -62,11 +74,13 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let all: [Box<dyn prometheus::core::Collector>; 10] = [
+        let all: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.requests.clone()),
             Box::new(self.repeats.clone()),
             Box::new(self.escalations.clone()),
             Box::new(self.resumed.clone()),
+            Box::new(self.crashes.clone()),
+            Box::new(self.quarantined.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
             Box::new(self.endpoints.clone()),
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -1,5 +1,6 @@
 //! A relay as a whole: its listeners, its news and its end.
 
+use crate::crashes;
 use crate::cx::Cx;
 use crate::error::{ListenSnafu, MetricsSnafu, Result};
 use crate::front::{self, Stop};
@@ -128,9 +129,9 @@
             gossip::report(&cx).await;
         }
         for command in due(&cx) {
-            log::info!(target: "roll-out", "event=write {command:?}");
+            log::info!(target: "node", "event=write {command:?}");
             if commands.try_send(command).is_err() {
-                log::warn!(target: "roll-out", "event=write_postponed reason=\"adapter is busy\"");
+                log::warn!(target: "node", "event=write_postponed reason=\"adapter is busy\"");
             }
         }
     }
@@ -151,16 +152,15 @@
         .filter(|n| n.host.as_str() < own)
         .count();
     let directory = &state.directory;
-    let due = state.roll_outs.due(now, rank, |service, target| {
+    let ends = state.roll_outs.due(now, rank, |service, target| {
         directory.has_other_work(service, target)
     });
-    due.into_iter()
-        .map(|(roll_out, end)| Command::EndRollOut {
-            service: roll_out.service,
-            target: roll_out.target,
-            end,
-        })
-        .collect()
+    let ends = ends.into_iter().map(|(roll_out, end)| Command::EndRollOut {
+        service: roll_out.service,
+        target: roll_out.target,
+        end,
+    });
+    ends.chain(crashes::due(state, now)).collect()
 }
 
 fn bind(addr: SocketAddr) -> Result<TcpListener> {
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -6,6 +6,7 @@
 
 mod wire;
 
+use crate::crashes;
 use crate::cx::Cx;
 use crate::local::serve_with;
 use crate::replica::{self, Replica};
@@ -16,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use oatdale_platform::{Reuse, read_body};
+use oatdale_policy::relay::Fingerprint;
 use rand::seq::IteratorRandom;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -87,6 +89,11 @@
         under_way: state.roll_outs.reports(now, host, |service, target| {
             state.directory.has_other_work(service, target)
         }),
+        quarantined: state
+            .quarantine
+            .held(now)
+            .map(|request| request.0)
+            .collect(),
     }
 }
 
@@ -156,6 +163,9 @@
         true => state.directory.store_back(now),
         false => state.directory.store_lost(),
     }
+    for request in snapshot.quarantined {
+        crashes::take(cx, state, Fingerprint(request), true);
+    }
     if snapshot.is_current || state.directory.is_empty() {
         for addr in state.directory.replace(now, snapshot.endpoints) {
             cx.pool.forget(addr);
--- a/crates/oatdale-relay/src/peers/wire.rs
+++ b/crates/oatdale-relay/src/peers/wire.rs
@@ -23,6 +23,9 @@
     pub(super) ended: Vec<RollOut>,
     /// Those that have not, with what the node saw of them.
     pub(super) under_way: Vec<Report>,
+    /// Requests that are refused since they crash endpoints; nodes of an earlier version do not tell them.
+    #[serde(default)]
+    pub(super) quarantined: Vec<u128>,
 }
 
 /// A configuration without what follows from it.
--- a/crates/oatdale-relay/src/reply.rs
+++ b/crates/oatdale-relay/src/reply.rs
@@ -36,6 +36,8 @@
     NoEndpoint,
     /// The time was up before an endpoint was sent it.
     NoTime,
+    /// It crashes the endpoints that run it; this time none has run it.
+    Quarantined,
     /// An endpoint may have run it, and its answer is lost.
     Lost,
     /// An endpoint may have run it, and gave no answer in time.
@@ -54,7 +56,8 @@
             | Refusal::NotReady
             | Refusal::Stopping
             | Refusal::NoEndpoint
-            | Refusal::NoTime => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::NoTime
+            | Refusal::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -74,6 +77,7 @@
             Refusal::Stopping => "stopping",
             Refusal::NoEndpoint => "no-endpoint",
             Refusal::NoTime => "no-time",
+            Refusal::Quarantined => "quarantined",
             Refusal::Lost => "answer-lost",
             Refusal::TimedOut => "timed-out",
         })
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -136,6 +136,7 @@
     let first_byte = plan.arrival.elapsed().as_secs_f64();
     match result {
         Ok(Reply::Whole(head, body, endpoint)) => {
+            cx.note_completed(&plan);
             cx.metrics.first_byte.observe(first_byte);
             record.about += &format!("endpoint={endpoint} status={} ", head.status.as_u16());
             record.end("complete");
@@ -153,8 +154,12 @@
         }
         Err((refusal, why)) => {
             record.end(&format!("refused {refusal}: {why}"));
-            let retry = refusal.status().as_u16() == 503;
-            refuse(refusal, retry.then(|| come_back(&plan)))
+            let retry = match refusal {
+                Refusal::Quarantined => cx.quarantine_left(&plan),
+                _ if refusal.status().as_u16() == 503 => Some(come_back(&plan)),
+                _ => None,
+            };
+            refuse(refusal, retry)
         }
     }
 }
@@ -200,7 +205,7 @@
         };
         may_have_run |= !failure.is_not_run();
         let again = match &failure {
-            Failure::NoEndpoint | Failure::TimedOut => false,
+            Failure::NoEndpoint | Failure::TimedOut | Failure::Quarantined { .. } => false,
             // It costs no endpoint anything and ends when all have been tried.
             Failure::NotSent(_) => plan.left() > LEAST_TIME,
             Failure::NotRun(_) => may_repeat(cx, plan) && (idempotent || !may_have_run),
@@ -213,6 +218,10 @@
             (Some(reply), _) => Ok(reply),
             (None, Failure::TimedOut) => Err((Refusal::TimedOut, "no answer".to_owned())),
             (None, _) if may_have_run => Err((Refusal::Lost, format!("{failure:?}"))),
+            (None, Failure::Quarantined { .. }) => {
+                let request = plan.fingerprint();
+                Err((Refusal::Quarantined, format!("request={request}")))
+            }
             (None, _) => Err((Refusal::NoEndpoint, format!("{failure:?}"))),
         };
     }
@@ -330,6 +339,7 @@
         match answer.next(plan.limit).await {
             Next::Piece(piece) => Some((Ok(piece), Some((cx, plan, answer, record)))),
             Next::End => {
+                cx.note_completed(&plan);
                 record.end("complete");
                 None
             }
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,13 +1,13 @@
 //! What the platform and the answers have told so far, and the picks that follow from it.
 
-use crate::crashes::Broken;
+use crate::crashes::{Broken, Unrecorded};
 use crate::directory::{Directory, EndpointKey, Entry};
 use crate::loads::{Adder, Shared};
 use crate::nodes::Nodes;
 use crate::roll_outs::{Allowed, RollOuts};
 use crate::settings::Bounds;
 use crate::site::Site;
-use oatdale_policy::relay::{Allowance, Candidate, Mean, Placement, Repeats, choose};
+use oatdale_policy::relay::{Allowance, Candidate, Mean, Placement, Quarantine, Repeats, choose};
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -36,6 +36,10 @@
     pub(crate) directory: Directory,
     /// Requests whose connections to endpoints broke, until it is known why.
     pub(crate) broken: Broken,
+    /// Requests that crash endpoints.
+    pub(crate) quarantine: Quarantine,
+    /// This node's decisions about these that the platform's records do not have yet.
+    pub(crate) unrecorded: Unrecorded,
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
     /// What other nodes tell of their loads, to be added up.
@@ -79,6 +83,8 @@
             site: None,
             directory: Directory::default(),
             broken: Broken::default(),
+            quarantine: Quarantine::default(),
+            unrecorded: Unrecorded::default(),
             roll_outs: RollOuts::default(),
             nodes: Nodes::default(),
             adder: Adder::default(),
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -89,6 +89,7 @@
                     }
                 },
                 Step::End if !self.events.is_cut() => {
+                    self.cx.note_completed(&self.plan);
                     self.record.end("complete");
                     self.over = true;
                     return None;
@@ -197,6 +198,7 @@
                 }
                 Ok(answer) => reason = format!("{} on resumption", answer.head.status),
                 Err(Failure::NoEndpoint) => return Err(format!("{reason}, no other endpoint")),
+                Err(Failure::Quarantined { .. }) => return Err(format!("{reason}, quarantined")),
                 Err(err) => reason = format!("{err:?}"),
             }
         }
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -4,7 +4,7 @@
 use crate::settings::Settings;
 use crate::site::Site;
 use crate::state::hash;
-use oatdale_policy::relay::ReaderCandidate;
+use oatdale_policy::relay::{Fingerprint, ReaderCandidate};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,6 +37,13 @@
     RollOut(RollOut),
     /// All other nodes there are.
     Nodes(Vec<Node>),
+    /// What a node recorded of a request that crashes endpoints.
+    Quarantine {
+        /// The request.
+        request: Fingerprint,
+        /// Whether it is to be refused.
+        is_held: bool,
+    },
     /// Whether this node reads the records for itself only: then it tells all others what it reads. Others are
     /// told by readers, or would all tell the same at once.
     ReadsAlone(bool),
@@ -58,6 +65,13 @@
         /// How it ended.
         end: RollOutEnd,
     },
+    /// Record for all nodes whether a request is to be refused since it crashes endpoints.
+    RecordQuarantine {
+        /// The request.
+        request: Fingerprint,
+        /// Whether it is.
+        is_held: bool,
+    },
     /// Take this node off the list that callers are told.
     Leave,
 }
