Read from answers that an endpoint leaves or wants a pause, and log it

Logs could not tell whether an endpoint had said so: the headers were not read. Attempts now log event=endpoint_announced. No decision reads it yet.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -163,6 +163,13 @@
     };
     running.heard();
     let facts = cx.wire.answer(&head);
+    if facts.leaving || facts.pause.is_some() {
+        log::info!(
+            target: "attempt",
+            "event=endpoint_announced endpoint={} leaving={} pause={:?}",
+            running.id, facts.leaving, facts.pause
+        );
+    }
     sort(plan, running, &facts, &head)?;
     Ok((head, facts, body))
 }
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -95,4 +95,8 @@
     pub signed: bool,
     /// How sure the model is of its answer, from 0 to 100.
     pub confidence: Option<u8>,
+    /// The endpoint leaves, and wants no new requests.
+    pub leaving: bool,
+    /// For how long the endpoint, which has not run the request, wants no other one from this node.
+    pub pause: Option<Duration>,
 }
