Leave an endpoint alone for as long as it asked with its refusal

What callers saw: nothing yet; the contract is new. Requests went on to an endpoint that had turned one away and asked for a pause: 22 to 37 within 1.2 s of it from one node, two are allowed.

Cause: the same as for leaving endpoints: answers were read for the request alone, not for what they say of the endpoint.

Why this works: the pause belongs to one start of the endpoint at this node, and no pick uses the endpoint until it is over. While all endpoints of a service pause, requests are refused at once, and callers are told to come back after the first of these pauses (before: a part of the route's target, in vain).

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -166,6 +166,9 @@
     if facts.leaving && !facts.other_endpoint {
         running.announced_leaving();
     }
+    if let Some(time) = facts.pause {
+        running.paused(time);
+    }
     if facts.leaving || facts.pause.is_some() {
         log::info!(
             target: "attempt",
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -50,6 +50,8 @@
     pub probed: Duration,
     /// What it last said of its work.
     pub(crate) report: Option<Report>,
+    /// Until when it wants no requests from this node.
+    pub(crate) paused_until: Duration,
     /// Cancelled when the endpoint has started again: what it was sent before is lost.
     pub(crate) life: CancellationToken,
     gone: Gone,
@@ -229,9 +231,19 @@
         self.entries
             .iter()
             .filter(move |(_, e)| e.endpoint.service == service && e.takes_work(now))
+            .filter(move |(_, e)| now >= e.paused_until)
             .map(|(key, e)| (*key, e))
     }
 
+    /// How long until the first endpoint of a service wants requests from this node again. `None` if one does now,
+    /// or if there is none.
+    pub fn pause_left(&self, now: Duration, service: &str) -> Option<Duration> {
+        let entries = self.entries.values();
+        let there = entries.filter(|e| e.endpoint.service == service && e.takes_work(now));
+        let first = there.map(|e| e.paused_until).min()?;
+        first.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
     /// Whether this node has work on another version of a service than `target`.
     pub fn has_other_work(&self, service: &str, target: &str) -> bool {
         self.entries
@@ -309,6 +321,7 @@
             heard: now,
             probed: Duration::ZERO,
             report: None,
+            paused_until: Duration::ZERO,
             life: CancellationToken::new(),
             gone: Gone::No,
         }
@@ -365,6 +378,11 @@
         there && !self.endpoint.leaving
     }
 
+    /// Notes that it wants no requests from this node for a while.
+    pub fn pause(&mut self, now: Duration, time: Duration) {
+        self.paused_until = self.paused_until.max(now + time);
+    }
+
     /// Another endpoint answered at its address: this one is gone, whatever its entry says.
     pub fn replaced(&mut self) {
         self.endpoint.leaving = true;
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -6,6 +6,7 @@
 use crate::wire::Wire;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
 /// Weight of a request whose prompt is read.
@@ -142,6 +143,14 @@
         gossip::tell_all(&self.cx, &state, &message);
     }
 
+    /// The endpoint turned the request away, and wants no other one from this node for so long.
+    pub(crate) fn paused(&self, time: Duration) {
+        let now = self.cx.now();
+        if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
+            entry.pause(now, time);
+        }
+    }
+
     /// Another endpoint lives at its address.
     pub(crate) fn replaced(&self) {
         self.cx.pool.forget(self.addr);
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -156,7 +156,7 @@
             record.end(&format!("refused {refusal}: {why}"));
             let retry = match refusal {
                 Refusal::Quarantined => cx.quarantine_left(&plan),
-                _ if refusal.status().as_u16() == 503 => Some(come_back(&plan)),
+                _ if refusal.status().as_u16() == 503 => Some(come_back(cx, &plan)),
                 _ => None,
             };
             refuse(refusal, retry)
@@ -164,12 +164,17 @@
     }
 }
 
-/// When a caller that was refused should come back.
-fn come_back(plan: &Plan) -> Duration {
+/// When a caller that was refused should come back: not before an endpoint wants requests again.
+fn come_back<W: Wire>(cx: &Cx<W>, plan: &Plan) -> Duration {
     let route = plan.route();
     let target = route.target_latency.unwrap_or(route.timeout);
     let part = rand::rng().random_range(RETURN);
-    target.mul_f64(part).min(LATEST_RETURN).min(plan.left() / 3)
+    let spread = target.mul_f64(part).min(LATEST_RETURN);
+    let pause = cx.state().directory.pause_left(cx.now(), &plan.service);
+    match pause {
+        Some(pause) => pause + spread,
+        None => spread.min(plan.left() / 3),
+    }
 }
 
 async fn ask<W: Wire>(cx: &Arc<Cx<W>>, plan: &mut Plan) -> Result<Reply<W>, (Refusal, String)> {
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -149,3 +149,34 @@
     directory.upsert(ms(40), endpoint("x"));
     assert!(usable(&directory, ms(40)).is_empty());
 }
+
+// Guards against a pause that keeps out a new start of its endpoint, or that a shorter one ends.
+#[test]
+fn a_pause_holds_for_one_start_of_an_endpoint() {
+    let mut directory = Directory::default();
+    directory.replace(ms(0), vec![started("x", 1)]);
+    assert_eq!(directory.pause_left(ms(0), "pool"), None);
+    directory.by_id_mut("x").unwrap().pause(ms(0), ms(500));
+    directory.by_id_mut("x").unwrap().pause(ms(100), ms(100));
+    assert!(usable(&directory, ms(499)).is_empty());
+    assert_eq!(directory.pause_left(ms(200), "pool"), Some(ms(300)));
+    assert_eq!(usable(&directory, ms(500)), ["x"]);
+    directory.by_id_mut("x").unwrap().pause(ms(500), ms(500));
+    directory.upsert(ms(600), started("x", 2));
+    assert_eq!(usable(&directory, ms(600)), ["x"]);
+}
+
+// Guards against callers being sent back for the pause of an endpoint while another one takes requests, or leaves.
+#[test]
+fn the_first_endpoint_that_takes_requests_counts() {
+    let mut directory = Directory::default();
+    directory.replace(ms(0), vec![endpoint("x"), endpoint("y"), endpoint("z")]);
+    directory.by_id_mut("x").unwrap().pause(ms(0), ms(500));
+    directory.by_id_mut("y").unwrap().pause(ms(0), ms(900));
+    assert_eq!(directory.pause_left(ms(0), "pool"), None);
+    directory.leaves("z", None);
+    assert_eq!(directory.pause_left(ms(0), "pool"), Some(ms(500)));
+    directory.leaves("x", None);
+    assert_eq!(directory.pause_left(ms(0), "pool"), Some(ms(900)));
+    assert_eq!(directory.pause_left(ms(0), "desk"), None);
+}
