Record a quarantined request at once, by the node that decided it

What callers would see: after all nodes were killed, copies of a request that crashes engines reached six of them more.

Cause: nodes that decide at once wrote one after the other, by their rank among those that count. But the first decision reaches the others before they decide, so that a node of rank 2, which decided alone, wrote three seconds later; killed before, it left no record.

The nodes that count write only if they read no record in time, in case that the one that decided has ended.

--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -105,16 +105,25 @@
             target: "quarantine",
             "event=quarantined request={request} reason=\"endpoints crashed under it\" endpoint={endpoint}"
         );
-        let rank = ranked(state, now, *request).position(|to| to == cx.settings.listen.nodes);
-        state
-            .unrecorded
-            .add_ranked(now, *request, rank.unwrap_or(COUNTERS));
+        state.unrecorded.add(now, *request, true);
         gossip::tell_all(cx, state, &Message::Quarantined { request: request.0 });
         cx.note_held(state);
     }
 }
 
-/// Takes in that another node, or the record of one, holds a request or does not any more.
+/// Takes in that another node has just held a request. The nodes that count its crashes see to it that it is recorded,
+/// should that node end before.
+pub(crate) fn take_decision<W: Wire>(cx: &Cx<W>, state: &mut State, request: Fingerprint) {
+    let now = cx.now();
+    let own = cx.settings.listen.nodes;
+    let rank = ranked(state, now, request).position(|node| node == own);
+    if let Some(rank) = rank.filter(|_| state.quarantine.left(now, request).is_none()) {
+        state.unrecorded.add_fallback(now, request, rank);
+    }
+    take(cx, state, request, true);
+}
+
+/// Takes in whether a request is held, as another node or a record says.
 pub(crate) fn take<W: Wire>(cx: &Cx<W>, state: &mut State, request: Fingerprint, is_held: bool) {
     let now = cx.now();
     let is_news = match is_held {
--- a/crates/oatdale-relay/src/crashes/records.rs
+++ b/crates/oatdale-relay/src/crashes/records.rs
@@ -4,11 +4,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time between two writes of one decision until the record is read. Nodes that decide the same at once write one
-/// after the other, so that mostly one of them does.
+/// Time between two writes of one decision until the record is read.
 const WRITE_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Decisions of this node that it has not read from the platform yet.
+/// Decisions that this node sees to, and has not read from the platform yet.
 #[derive(Debug, Default)]
 pub(crate) struct Unrecorded(BTreeMap<Fingerprint, Decision>);
 
@@ -20,14 +19,15 @@
 }
 
 impl Unrecorded {
-    /// Adds a decision that only this node makes.
+    /// Adds a decision of this node.
     pub(crate) fn add(&mut self, now: Duration, request: Fingerprint, is_held: bool) {
         self.0.insert(request, Decision { is_held, due: now });
     }
 
-    /// Adds a request that other nodes hold at the same moment; `rank` is this node's place among them.
-    pub(crate) fn add_ranked(&mut self, now: Duration, request: Fingerprint, rank: usize) {
-        let wait = WRITE_INTERVAL * u32::try_from(rank).unwrap_or(u32::MAX);
+    /// Adds a request that another node has held and records; `rank` is this node's place among those that do so if
+    /// that node does not.
+    pub(crate) fn add_fallback(&mut self, now: Duration, request: Fingerprint, rank: usize) {
+        let wait = WRITE_INTERVAL * u32::try_from(rank + 1).unwrap_or(u32::MAX);
         let decision = Decision {
             is_held: true,
             due: now + wait,
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -136,7 +136,7 @@
             crashes::note_crash(cx, state, endpoint, &requests);
         }),
         Ok(Message::Quarantined { request }) => take_from_known(cx, from, |state| {
-            crashes::take(cx, state, Fingerprint(request), true);
+            crashes::take_decision(cx, state, Fingerprint(request));
         }),
         Ok(Message::Completed { request }) => take_from_known(cx, from, |state| {
             crashes::take(cx, state, Fingerprint(request), false);
