Check what a suspected request was sent to before it is sent on, dropped answers included

- A stream whose engine breaks off is resumed within milliseconds, while the check whether the engine crashed takes 20.
So a request was resumed twice more after the crash that was one too many.
A request under which an endpoint has crashed already now waits for the check of the last one.
- An answer that is dropped for a larger model's is not there any more as its engine crashes, and nobody counted that.
All endpoints that a request was sent to are checked when one of them breaks off.

--- a/crates/oatdale-policy/src/relay/quarantine.rs
+++ b/crates/oatdale-policy/src/relay/quarantine.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Whether endpoints crashed under a request, though too few to refuse it.
+    pub fn is_suspected(&self, now: Duration, request: Fingerprint) -> bool {
+        let tracked = self.tracked.get(&request).filter(|t| t.until > now);
+        tracked.is_some_and(|t| matches!(t.state, State::Suspected(_)))
+    }
+
     /// Notes that a copy of a request completed: it crashes no endpoint.
     pub fn clear(&mut self, request: Fingerprint) -> Cleared {
         match self.tracked.remove(&request).map(|t| t.state) {
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -76,6 +76,7 @@
     plan: &mut Plan,
     how: SendOptions,
 ) -> Result<Answer<W>, Failure> {
+    crashes::settle(cx, plan).await;
     if cx.quarantine_left(plan).is_some() {
         return Err(Failure::Quarantined { sent: false });
     }
@@ -85,6 +86,9 @@
     plan.pin_session(cx, &running);
     gossip::tell_heavy(cx, &running);
     plan.tried.push(running.key);
+    if !plan.sent_to.contains(&running.key) {
+        plan.sent_to.push(running.key);
+    }
     let sent = Instant::now();
     let result = send(cx, plan, &running, how).await;
     let took = sent.elapsed();
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -8,7 +8,7 @@
 mod check;
 mod records;
 
-pub(crate) use crate::crashes::check::{Broken, note_broken};
+pub(crate) use crate::crashes::check::{Checks, note_broken, settle};
 pub(crate) use crate::crashes::records::Unrecorded;
 
 use crate::cx::Cx;
@@ -38,6 +38,12 @@
         self.state().quarantine.left(self.now(), request)
     }
 
+    /// Whether endpoints crashed under a request, though too few to refuse it.
+    fn is_suspected(&self, plan: &Plan) -> bool {
+        let request = plan.fingerprint();
+        self.state().quarantine.is_suspected(self.now(), request)
+    }
+
     /// Ends when the request is to be refused.
     pub(crate) async fn quarantined(&self, plan: &Plan) {
         let mut held = self.held.subscribe();
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Pauses before the connections by which an endpoint is checked. A process that ends may close its listener
@@ -21,25 +22,63 @@
 /// How long such a connection may take to open.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Requests whose connections broke, by the endpoint that is being checked for it.
+/// Checks of endpoints that are under way.
 #[derive(Debug, Default)]
-pub(crate) struct Broken(HashMap<EndpointKey, Vec<Fingerprint>>);
+pub(crate) struct Checks(HashMap<EndpointKey, Check>);
 
-impl Broken {
-    /// Adds a request, and says whether it is the first one of its endpoint.
+/// A check of one endpoint.
+#[derive(Debug, Default)]
+struct Check {
+    /// Requests whose connections to it broke.
+    requests: Vec<Fingerprint>,
+    /// Closed when the check has ended.
+    done: watch::Sender<()>,
+}
+
+impl Checks {
+    /// Adds a request, and says whether a check of the endpoint has to be begun.
     fn add(&mut self, endpoint: EndpointKey, request: Fingerprint) -> bool {
-        let requests = self.0.entry(endpoint).or_default();
-        requests.push(request);
-        requests.len() == 1
+        let check = self.0.entry(endpoint).or_default();
+        check.requests.push(request);
+        check.requests.len() == 1
     }
 
-    fn take(&mut self, endpoint: EndpointKey) -> Vec<Fingerprint> {
-        self.0.remove(&endpoint).unwrap_or_default()
+    fn end(&mut self, endpoint: EndpointKey) -> Vec<Fingerprint> {
+        self.0
+            .remove(&endpoint)
+            .map_or_else(Vec::new, |c| c.requests)
+    }
+
+    /// A check of one of these endpoints, if one is under way.
+    fn of(&self, endpoints: &[EndpointKey]) -> Option<watch::Receiver<()>> {
+        let check = endpoints.iter().find_map(|key| self.0.get(key))?;
+        Some(check.done.subscribe())
+    }
+}
+
+/// Waits until it is known whether the endpoints that a suspected request was sent to have crashed: one crash more may
+/// be one too many.
+pub(crate) async fn settle<W: Wire>(cx: &Cx<W>, plan: &Plan) {
+    loop {
+        let check = {
+            let state = cx.state();
+            match state.quarantine.is_empty() || plan.sent_to.is_empty() {
+                true => None,
+                false => state.checks.of(&plan.sent_to),
+            }
+        };
+        let Some(mut check) = check else { return };
+        if !cx.is_suspected(plan) {
+            return;
+        }
+        // It ends with its sender.
+        while check.changed().await.is_ok() {}
     }
 }
 
 /// Notes that an endpoint's connection broke while it had the request, and checks whether the endpoint crashed.
 ///
+/// Endpoints whose answers to the request were dropped before are checked too: nobody was there to see them crash.
 /// One that was about to leave ends by plan, with what it still has.
 pub(crate) fn note_broken<W: Wire>(cx: &Arc<Cx<W>>, plan: &Plan, running: &Running<W>) {
     if running.is_leaving() {
@@ -51,8 +90,16 @@
         "event=broken id={} request={request} endpoint={}",
         plan.facts.id.as_deref().unwrap_or("-"), running.id
     );
-    if cx.state().broken.add(running.key, request) {
-        tokio::spawn(check(cx.clone(), running.key, running.addr));
+    let now = cx.now();
+    let mut state = cx.state();
+    let state = &mut *state;
+    for key in &plan.sent_to {
+        let Some(entry) = state.directory.get(*key) else {
+            continue;
+        };
+        if !entry.left_by_plan(now) && state.checks.add(*key, request) {
+            tokio::spawn(check(cx.clone(), *key, entry.endpoint.addr));
+        }
     }
 }
 
@@ -60,7 +107,7 @@
 async fn check<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr) {
     let has_crashed = cx.state().directory.started_again(key) || refuses(addr).await;
     let mut state = cx.state();
-    let requests = state.broken.take(key);
+    let requests = state.checks.end(key);
     let Some(entry) = state.directory.get(key) else {
         return;
     };
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -369,6 +369,11 @@
         self.load + others.map(|h| h.weight).sum::<f64>()
     }
 
+    /// Whether it was to end: it announced that it leaves or its record is gone, and it has not started again.
+    pub(crate) fn left_by_plan(&self, now: Duration) -> bool {
+        !self.takes_work(now) && !self.life.is_cancelled()
+    }
+
     /// Whether it may get new work.
     pub fn takes_work(&self, now: Duration) -> bool {
         let there = match self.gone {
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -46,6 +46,8 @@
     pub(crate) size: usize,
     /// Endpoints that it was sent to.
     pub(crate) tried: Vec<EndpointKey>,
+    /// All endpoints that it was sent to, those among them whose answers were dropped.
+    pub(crate) sent_to: SmallVec<[EndpointKey; 4]>,
     /// How many endpoints may have begun with it or refused it.
     pub(crate) sends: u32,
     /// Size of the generation as a multiple of the route's usual one.
@@ -82,6 +84,7 @@
             urgency: site.routes[route].urgency,
             size: 0,
             tried: Vec::new(),
+            sent_to: SmallVec::new(),
             sends: 0,
             relative_size: 1.0,
             confidences: SmallVec::new(),
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -92,7 +92,7 @@
         let now = self.cx.now();
         let state = self.cx.state();
         let entry = state.directory.get(self.key);
-        !self.life.is_cancelled() && entry.is_none_or(|e| !e.takes_work(now))
+        entry.is_none_or(|e| e.left_by_plan(now))
     }
 
     /// Bytes came from the endpoint.
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,6 +1,6 @@
 //! What the platform and the answers have told so far, and the picks that follow from it.
 
-use crate::crashes::{Broken, Unrecorded};
+use crate::crashes::{Checks, Unrecorded};
 use crate::directory::{Directory, EndpointKey, Entry};
 use crate::loads::{Adder, Shared};
 use crate::nodes::Nodes;
@@ -34,8 +34,8 @@
     pub(crate) bounds: Bounds,
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) directory: Directory,
-    /// Requests whose connections to endpoints broke, until it is known why.
-    pub(crate) broken: Broken,
+    /// Checks whether endpoints crashed.
+    pub(crate) checks: Checks,
     /// Requests that crash endpoints.
     pub(crate) quarantine: Quarantine,
     /// This node's decisions about these that the platform's records do not have yet.
@@ -82,7 +82,7 @@
             bounds,
             site: None,
             directory: Directory::default(),
-            broken: Broken::default(),
+            checks: Checks::default(),
             quarantine: Quarantine::default(),
             unrecorded: Unrecorded::default(),
             roll_outs: RollOuts::default(),
