--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -142,6 +142,17 @@
     }
 }
 
+/// Sees to it that the requests that are held are recorded, since their records may be lost. Those that are not cancel
+/// this when they are read.
+pub(crate) fn record_again(state: &mut State, now: Duration) {
+    let held: Vec<_> = state.quarantine.held(now).collect();
+    for request in held {
+        state
+            .unrecorded
+            .add_fallback(now, request, rand::random_range(0..COUNTERS));
+    }
+}
+
 /// The writes of this node's decisions that are due.
 pub(crate) fn due(state: &mut State, now: Duration) -> Vec<Command> {
     state.quarantine.expire(now);
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -142,6 +142,12 @@
                 state.unrecorded.note_record(request, is_held);
                 crashes::take(self, &mut state, request, is_held);
             }
+            Update::RollOutEndLost(service) => state.roll_outs.end_lost(now, &service),
+            Update::Restored { kept } => {
+                self.metrics.restores.inc();
+                log::warn!(target: "node", "event=store_restored kept={kept}");
+                crashes::record_again(&mut state, now);
+            }
             Update::Nodes(nodes) => state.nodes.replace(now, nodes),
             Update::ReadsAlone(alone) => state.reads_alone = alone,
             Update::StoreLost => {
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -61,6 +61,7 @@
 mod record;
 mod replica;
 mod reply;
+mod revision;
 mod roll_outs;
 mod running;
 mod serve;
@@ -69,6 +70,7 @@
 mod state;
 mod stream;
 mod update;
+mod versions;
 mod wire;
 
 pub use crate::directory::{Directory, EndpointKey, Entry, News};
@@ -79,9 +81,11 @@
 pub use crate::replica::{
     AskError, Content, Members, Question, Record, RecordsClient, Replica, Told, ToldRecord, Topic,
 };
+pub use crate::revision::Revision;
 pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
 pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
 pub use crate::update::{Command, Endpoint, Link, Node, RollOut, RollOutEnd, Update};
+pub use crate::versions::{Keep, KeptRecord, Versions};
 pub use crate::wire::{AnswerFacts, Forward, Prompt, RequestFacts, Wire};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -11,18 +11,20 @@
 
 pub use crate::replica::ask::{AskError, RecordsClient};
 pub use crate::replica::members::Members;
-pub(crate) use crate::replica::question::PATH;
 pub use crate::replica::question::Question;
-pub(crate) use crate::replica::serve::answer;
+pub(crate) use crate::replica::question::{KEPT_PATH, PATH};
+pub(crate) use crate::replica::serve::{answer, answer_kept};
 
+use crate::revision::Revision;
 use crate::update::Node;
+use crate::versions::KeptRecord;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Changes that are remembered; who has read none of the later ones gets everything.
 const MOST_CHANGES: usize = 4_096;
@@ -31,11 +33,14 @@
 /// hundredths of a second; what a node that starts asks next is the service.
 const FIRST_READ: Duration = Duration::from_millis(80);
 
+/// How long a node that starts in a later era waits for this one to read everything in it.
+const KEPT_WAIT: Duration = Duration::from_millis(200);
+
 /// Times of reading anew that are remembered; who is behind all of them gets everything.
 const MOST_GAPS: usize = 64;
 
 /// Records that are followed together.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
 pub enum Topic {
     /// What operators write, up to a megabyte at once.
     Operators,
@@ -51,14 +56,14 @@
     /// The value; `None` if the key was deleted.
     pub value: Option<Bytes>,
     /// The service's revision of this change.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// What one node tells another of a topic.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Told {
     /// The service's revision up to which this is all.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether these are all records, and not only those that changed.
     pub is_whole: bool,
     /// The records, in the order of their revisions unless they are all.
@@ -73,7 +78,7 @@
     /// The key.
     pub key: String,
     /// The service's revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// What became of it.
     pub content: Content,
 }
@@ -99,6 +104,10 @@
     /// Someone asked though nothing was read for others yet.
     wanted: Notify,
     members: Mutex<Members>,
+    /// Records that are kept though the service says otherwise, by topic, and in which era.
+    kept: watch::Sender<BTreeMap<Topic, (u64, Vec<KeptRecord>)>>,
+    /// The latest era of which a node that starts told.
+    told_era: watch::Sender<u64>,
 }
 
 /// A question that waits for its answer.
@@ -140,21 +149,21 @@
 /// The records of a topic.
 #[derive(Clone, Debug)]
 struct Records {
-    all: BTreeMap<String, (u64, Bytes)>,
+    all: BTreeMap<String, (Revision, Bytes)>,
     /// The last changes, oldest first: revision and key.
-    changes: VecDeque<(u64, String)>,
+    changes: VecDeque<(Revision, String)>,
     /// All changes after this revision are among them.
-    since: u64,
+    since: Revision,
     /// The revision up to which all is known.
-    revision: u64,
+    revision: Revision,
     /// After the first and up to the second of these revisions this node read everything anew, and knows nothing of
     /// records that were written and deleted again meanwhile.
-    gaps: VecDeque<(u64, u64)>,
+    gaps: VecDeque<(Revision, Revision)>,
 }
 
 impl Replica {
     /// Takes in all records of a topic.
-    pub fn replace(&self, topic: Topic, revision: u64, all: &[Record]) {
+    pub fn replace(&self, topic: Topic, revision: Revision, all: &[Record]) {
         let mut state = self.lock();
         match state.topic(topic) {
             Some(records) => records.replace(revision, all),
@@ -165,7 +174,7 @@
     }
 
     /// Takes in the changes of a topic up to a revision; without all records before them they are worth nothing.
-    pub fn change(&self, topic: Topic, revision: u64, changes: &[Record]) {
+    pub fn change(&self, topic: Topic, revision: Revision, changes: &[Record]) {
         let mut state = self.lock();
         if let Some(records) = state.topic(topic) {
             records.change(revision, changes);
@@ -230,6 +239,54 @@
         }
     }
 
+    /// Sets the records of a topic that this node keeps in an era though the service says otherwise.
+    pub fn set_kept(&self, topic: Topic, era: u64, kept: Vec<KeptRecord>) {
+        self.kept.send_modify(|all| {
+            all.insert(topic, (era, kept));
+        });
+    }
+
+    /// Those of both topics, for a node that starts in this era. `None` if this node has not read them in it, and does
+    /// not within [`KEPT_WAIT`].
+    pub(crate) async fn kept(&self, era: u64) -> Option<Vec<KeptRecord>> {
+        self.told_era.send_if_modified(|told| {
+            let is_later = era > *told;
+            *told = era.max(*told);
+            is_later
+        });
+        let mut kept = self.kept.subscribe();
+        let in_era = kept.wait_for(|all| {
+            let topics = [Topic::Operators, Topic::Endpoints];
+            topics
+                .iter()
+                .all(|t| all.get(t).is_some_and(|(at, _)| *at >= era))
+        });
+        let all = timeout(KEPT_WAIT, in_era).await.ok()?.ok()?;
+        Some(all.values().flat_map(|(_, kept)| kept).cloned().collect())
+    }
+
+    /// Ends when a node that starts tells of an era after this one, and returns it.
+    pub async fn era_after(&self, era: u64) -> u64 {
+        let mut told = self.told_era.subscribe();
+        let later = told.wait_for(|told| *told > era).await.map(|told| *told);
+        match later {
+            Ok(later) => later,
+            // The sender lives as long as this.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Forgets an era that the service did not confirm.
+    pub fn reject_era(&self, era: u64) {
+        self.told_era.send_if_modified(|told| {
+            let is_it = *told == era;
+            if is_it {
+                *told = 0;
+            }
+            is_it
+        });
+    }
+
     /// Ends when someone asked though nothing was read for others yet.
     pub async fn wanted(&self) {
         self.wanted.notified().await;
@@ -273,6 +330,8 @@
             changed: watch::Sender::default(),
             wanted: Notify::new(),
             members: Mutex::default(),
+            kept: watch::Sender::default(),
+            told_era: watch::Sender::default(),
         }
     }
 }
@@ -308,7 +367,7 @@
         }
     }
 
-    fn answer(&mut self, topic: Topic, after: Option<u64>) -> Answer {
+    fn answer(&mut self, topic: Topic, after: Option<Revision>) -> Answer {
         let (longest, back) = (self.longest, self.back.map(|at| at.elapsed()));
         let service = self.service;
         let records = match self.topic(topic) {
@@ -321,7 +380,7 @@
             _ => (true, records.whole()),
         };
         Answer::Told(Told {
-            revision: records.revision.max(after.unwrap_or(0)),
+            revision: records.revision.max(after.unwrap_or_default()),
             is_whole,
             records: known.into_iter().map(|r| r.told(longest)).collect(),
             back,
@@ -330,7 +389,7 @@
 }
 
 impl Records {
-    fn new(revision: u64, all: &[Record]) -> Self {
+    fn new(revision: Revision, all: &[Record]) -> Self {
         let mut records = Records {
             all: BTreeMap::new(),
             changes: VecDeque::new(),
@@ -345,7 +404,7 @@
     }
 
     /// Takes in all records as changes, so that followers need not read all of them again.
-    fn replace(&mut self, revision: u64, all: &[Record]) {
+    fn replace(&mut self, revision: Revision, all: &[Record]) {
         let there: BTreeSet<&str> = all.iter().map(|r| r.key.as_str()).collect();
         let gone = self.all.keys().filter(|key| !there.contains(key.as_str()));
         let gone: Vec<_> = gone.cloned().collect();
@@ -366,16 +425,16 @@
 
     /// Whether the changes tell a follower at this revision all that it lacks. One that was ahead of this node in a
     /// gap may hold a record of which this node has never heard.
-    fn covers(&self, after: u64) -> bool {
-        let in_gap = |(from, upto): &(u64, u64)| *from < after && after < *upto;
+    fn covers(&self, after: Revision) -> bool {
+        let in_gap = |(from, upto): &(Revision, Revision)| *from < after && after < *upto;
         after >= self.since && !self.gaps.iter().any(in_gap)
     }
 
-    fn change(&mut self, revision: u64, changes: &[Record]) {
+    fn change(&mut self, revision: Revision, changes: &[Record]) {
         for record in changes {
             self.put(record);
             // Pages that were read after the first one may hold later changes.
-            let at = record.revision.max(self.revision + 1);
+            let at = record.revision.max(self.revision.next());
             self.changes.push_back((at, record.key.clone()));
         }
         while self.changes.len() > MOST_CHANGES {
@@ -404,12 +463,15 @@
     }
 
     fn whole(&self) -> Vec<Record> {
-        self.all.keys().map(|key| self.get(key, 0)).collect()
+        self.all
+            .keys()
+            .map(|key| self.get(key, Revision::default()))
+            .collect()
     }
 
     /// What changed after a revision, each key once as it is now.
-    fn after(&self, after: u64) -> Vec<Record> {
-        let mut last: BTreeMap<&str, u64> = BTreeMap::new();
+    fn after(&self, after: Revision) -> Vec<Record> {
+        let mut last: BTreeMap<&str, Revision> = BTreeMap::new();
         let later = self.changes.iter().filter(|(at, _)| *at > after);
         last.extend(later.map(|(at, key)| (key.as_str(), *at)));
         let mut changed: Vec<_> = last
@@ -421,7 +483,7 @@
     }
 
     /// A record as it is; one that is gone with the revision at which that was read.
-    fn get(&self, key: &str, gone: u64) -> Record {
+    fn get(&self, key: &str, gone: Revision) -> Record {
         let known = self.all.get(key);
         Record {
             key: key.to_owned(),
--- a/crates/oatdale-relay/src/replica/ask.rs
+++ b/crates/oatdale-relay/src/replica/ask.rs
@@ -1,10 +1,13 @@
 //! Asks a reader.
 
-use crate::replica::question::PATH;
+use crate::replica::question::{KEPT_PATH, PATH};
 use crate::replica::{Question, Told};
+use crate::versions::KeptRecord;
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use oatdale_platform::{BodyError, Pool, PoolConfig, Reuse, SendError, read_body};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -80,13 +83,39 @@
         question: &Question,
         patience: Duration,
     ) -> Result<Told, AskError> {
+        let time = question.wait() + patience;
+        self.exchange(reader, PATH, question, time).await
+    }
+
+    /// Asks a node that runs for the records that it keeps in an era though the service says otherwise.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ask`](RecordsClient::ask).
+    pub async fn ask_kept(
+        &self,
+        node: SocketAddr,
+        era: u64,
+        patience: Duration,
+    ) -> Result<Vec<KeptRecord>, AskError> {
+        self.exchange(node, KEPT_PATH, &era, patience).await
+    }
+
+    /// Sends a question; the answer begins within `time`.
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        node: SocketAddr,
+        path: &'static str,
+        question: &impl Serialize,
+        time: Duration,
+    ) -> Result<T, AskError> {
         let mut body = Vec::new();
         ciborium::into_writer(question, &mut body).context(NotWrittenSnafu)?;
         let mut req = Request::new(Full::from(body));
         *req.method_mut() = Method::POST;
-        *req.uri_mut() = Uri::from_static(PATH);
-        let deadline = Instant::now() + question.wait() + patience;
-        let sent = self.pool.send(reader, req, Reuse::Allowed, deadline).await;
+        *req.uri_mut() = Uri::from_static(path);
+        let deadline = Instant::now() + time;
+        let sent = self.pool.send(node, req, Reuse::Allowed, deadline).await;
         let res = sent.context(NoAnswerSnafu)?;
         if res.status() != StatusCode::OK {
             let status = res.status();
--- a/crates/oatdale-relay/src/replica/question.rs
+++ b/crates/oatdale-relay/src/replica/question.rs
@@ -1,6 +1,7 @@
 //! What a follower asks, and how it travels.
 
 use crate::replica::Topic;
+use crate::revision::Revision;
 use crate::update::Node;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -8,6 +9,9 @@
 /// Where questions are asked.
 pub(crate) const PATH: &str = "/v1/records";
 
+/// Where a node that starts asks for the records that another one keeps.
+pub(crate) const KEPT_PATH: &str = "/v1/records/kept";
+
 /// The longest wait that a follower may ask for.
 const MOST_WAIT: Duration = Duration::from_secs(10);
 
@@ -17,7 +21,7 @@
     /// The records that it follows.
     pub topic: Topic,
     /// The revision up to which it has read; unset for everything.
-    pub after: Option<u64>,
+    pub after: Option<Revision>,
     /// How long it waits for something new, in milliseconds.
     pub wait_ms: u64,
     /// Itself, if callers and other nodes are to know of it by this.
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -1,11 +1,13 @@
 //! Answers followers.
 
-use crate::replica::{Question, Replica, Told};
+use crate::replica::Replica;
 use crate::reply::{Body, plain};
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use oatdale_platform::read_body;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::time::Duration;
 
 /// The longest question, in bytes: a few numbers, names and addresses.
@@ -18,26 +20,40 @@
 pub(crate) async fn answer(replica: &Replica, body: Incoming) -> Response<Body> {
     let question = match read_question(body).await {
         Ok(question) => question,
-        Err(reason) => {
-            log::warn!(target: "replica", "event=bad_question reason=\"{reason}\"");
-            return plain(StatusCode::BAD_REQUEST, Bytes::new());
-        }
+        Err(reason) => return bad_question(&reason),
     };
     match replica.tell(question).await {
-        Some(told) => encoded(&told),
+        Some(told) => encode(&told),
         None => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
 }
 
-async fn read_question(body: Incoming) -> Result<Question, String> {
+async fn read_question<T: DeserializeOwned>(body: Incoming) -> Result<T, String> {
     let body = read_body(body, MOST_QUESTION, QUESTION_TIMEOUT).await;
     let body = body.map_err(|err| err.to_string())?;
     ciborium::from_reader(body.as_ref()).map_err(|err| err.to_string())
 }
 
-fn encoded(told: &Told) -> Response<Body> {
+/// The answer to a node that starts; 503 if this one knows nothing of the era.
+pub(crate) async fn answer_kept(replica: &Replica, body: Incoming) -> Response<Body> {
+    let era = match read_question(body).await {
+        Ok(era) => era,
+        Err(reason) => return bad_question(&reason),
+    };
+    match replica.kept(era).await {
+        Some(kept) => encode(&kept),
+        None => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
+}
+
+fn bad_question(reason: &str) -> Response<Body> {
+    log::warn!(target: "replica", "event=bad_question reason=\"{reason}\"");
+    plain(StatusCode::BAD_REQUEST, Bytes::new())
+}
+
+fn encode(value: &impl Serialize) -> Response<Body> {
     let mut body = Vec::new();
-    match ciborium::into_writer(told, &mut body) {
+    match ciborium::into_writer(value, &mut body) {
         Ok(()) => plain(StatusCode::OK, body.into()),
         Err(err) => {
             log::warn!(target: "replica", "event=encode_failed err={err}");
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -7,6 +7,7 @@
 mod sessions;
 mod usual;
 
+use crate::state;
 use crate::update::{RollOut, RollOutEnd};
 use active::{Active, Peer};
 use oatdale_policy::relay::{Counts, Exposure, Origin, Phase, Verdict, shows_new};
@@ -81,11 +82,7 @@
     pub fn update(&mut self, now: Duration, roll_out: RollOut) {
         let known = self.by_service.get_mut(&roll_out.service);
         match known {
-            Some(active) if active.roll_out.order == roll_out.order => {
-                // An end stays one: only a new order begins anew.
-                let end = active.roll_out.end.or(roll_out.end);
-                active.roll_out.end = end;
-            }
+            Some(active) if active.roll_out.is_same_order(&roll_out) => active.update(&roll_out),
             Some(active) if active.roll_out.order > roll_out.order => {}
             _ => {
                 log::info!(
@@ -102,6 +99,13 @@
         }
     }
 
+    /// Notes that the record of how a service's last roll-out ended is lost.
+    pub fn end_lost(&mut self, now: Duration, service: &str) {
+        if let Some(active) = self.by_service.get_mut(service) {
+            active.end_lost(now);
+        }
+    }
+
     /// Which versions a request may use. `hash` is of its session or, without one, of itself.
     pub fn allowed(
         &self,
@@ -130,7 +134,7 @@
             true if trial && is_old => Allowed::Not(target),
             true if trial => Allowed::Trial {
                 version: target,
-                seed: active.roll_out.order,
+                seed: state::hash(&(service, &active.roll_out.target)),
                 share,
             },
             true => Allowed::Prefer(target),
@@ -247,14 +251,15 @@
     /// of its age in this way. Otherwise it would begin the plan anew when it hears of the order,
     /// and send to the old version what others send to the new one.
     pub fn heard(&mut self, now: Duration, report: &Report) {
-        let known = self.by_service.get(&report.service);
-        if known.is_none_or(|active| active.roll_out.order < report.order) {
-            self.update(now, report.roll_out());
+        let reported = report.roll_out();
+        let known = self.by_service.get(&report.service).map(|a| &a.roll_out);
+        if known.is_none_or(|known| known.is_overtaken_by(&reported)) {
+            self.update(now, reported.clone());
         }
         let Some(active) = self.by_service.get_mut(&report.service) else {
             return;
         };
-        if active.roll_out.order != report.order {
+        if !active.roll_out.is_same_order(&reported) {
             return;
         }
         let age = Duration::from_millis(report.age_ms);
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -39,6 +39,8 @@
     pub(super) asked: Option<Duration>,
     /// Since when the end could be written.
     pub(super) due_since: Option<Duration>,
+    /// The end is known, but its record is lost.
+    is_end_lost: bool,
     /// What was last found, for a log line when it changes.
     pub(super) verdict: Verdict,
 }
@@ -64,10 +66,28 @@
             share: None,
             asked: None,
             due_since: None,
+            is_end_lost: false,
             verdict: Verdict::Sound,
         }
     }
 
+    /// Takes in another record of the same order.
+    ///
+    /// An end stays one: only a new order begins anew. An order that was written again is under its last revision, as
+    /// at nodes that know no other one.
+    pub(super) fn update(&mut self, roll_out: &RollOut) {
+        self.roll_out.order = self.roll_out.order.max(roll_out.order);
+        self.is_end_lost &= roll_out.end.is_none();
+        self.roll_out.end = self.roll_out.end.or(roll_out.end);
+    }
+
+    /// The record of the end is lost: it is due once more.
+    pub(super) fn end_lost(&mut self, now: Duration) {
+        self.is_end_lost = self.roll_out.end.is_some();
+        self.due_since = Some(now);
+        self.asked = None;
+    }
+
     fn total(&self) -> Tally {
         let mut sum = self.own.clone();
         for peer in self.peers.values() {
@@ -137,10 +157,9 @@
     }
 
     pub(super) fn due(&mut self, now: Duration, rank: usize, busy: bool) -> Option<RollOutEnd> {
-        if self.roll_out.end.is_some() {
-            return None;
-        }
         let end = match (self.verdict, self.phase(now)) {
+            _ if self.roll_out.end.is_some() && !self.is_end_lost => return None,
+            _ if self.is_end_lost => self.roll_out.end?,
             (Verdict::Bad, _) => RollOutEnd::RolledBack,
             (_, Phase::Done) if self.old_is_done(now, busy) => RollOutEnd::Completed,
             _ => return None,
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -1,5 +1,6 @@
 //! What nodes tell each other of a roll-out.
 
+use crate::revision::Revision;
 use crate::update::RollOut;
 use oatdale_policy::relay::{Cells, Counts, Origin, Tally};
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,7 @@
     /// The service.
     pub service: String,
     /// The order.
-    pub order: u64,
+    pub order: Revision,
     /// The version to move to.
     pub target: String,
     /// Time that the order gives, in milliseconds.
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -1,6 +1,7 @@
 //! What a platform adapter and the relay tell each other.
 
 use crate::replica::Replica;
+use crate::revision::Revision;
 use crate::settings::Settings;
 use crate::site::Site;
 use crate::state::hash;
@@ -35,6 +36,13 @@
     EndpointGone(String),
     /// A roll-out as it stands.
     RollOut(RollOut),
+    /// The record of how this service's roll-out ended is lost.
+    RollOutEndLost(String),
+    /// The key-value service came back from an older copy of itself.
+    Restored {
+        /// Records that the node keeps against the copy.
+        kept: usize,
+    },
     /// All other nodes there are.
     Nodes(Vec<Node>),
     /// What a node recorded of a request that crashes endpoints.
@@ -109,11 +117,32 @@
     /// Time that the order gives.
     pub duration: Duration,
     /// Rises with each order.
-    pub order: u64,
+    pub order: Revision,
     /// How it ended.
     pub end: Option<RollOutEnd>,
 }
 
+impl RollOut {
+    /// Whether both are records of one order.
+    ///
+    /// A copy of the key-value service shows an order in a later era under its number, and an order that the copy lacks
+    /// is written again under another one.
+    pub(crate) fn is_same_order(&self, other: &RollOut) -> bool {
+        let (own, other_order) = (self.order, other.order);
+        let is_again = own.number == other_order.number || own.era != other_order.era;
+        let is_like = self.target == other.target && self.duration == other.duration;
+        own == other_order || is_again && is_like
+    }
+
+    /// Whether another node's order is a later one.
+    ///
+    /// One of a later era may stem from an older copy, which that node cannot tell if it has just started. Then the
+    /// records decide.
+    pub(crate) fn is_overtaken_by(&self, other: &RollOut) -> bool {
+        self.order < other.order && self.order.era == other.order.era
+    }
+}
+
 /// How a roll-out ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum RollOutEnd {
--- /dev/null
+++ b/crates/oatdale-relay/src/versions.rs
@@ -0,0 +1,305 @@
+//! Versions of records that a node has read, to tell what an older copy brings back from what is news.
+//!
+//! A key-value service that comes back from an older copy of itself shows records as they were, and lacks some. Whoever
+//! wrote them writes again after a while. Until then what the node has read counts: endpoints that ended or leave stay
+//! so, keys that were taken away are not let in, and an order that was overtaken is not followed again.
+
+use crate::replica::Record;
+use crate::revision::Revision;
+use crate::state::hash;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// How long a record under a lease is kept that the copy lacks: who runs has written it again by then.
+const MISSING_TIME: Duration = Duration::from_millis(1_900);
+
+/// How long a record under a lease is left out that the copy brings back. One that is still there then is believed: its
+/// lease is renewed.
+const OVERTAKEN_TIME: Duration = Duration::from_secs(10);
+
+/// How long an older version is remembered. Copies are some seconds old.
+const VERSION_TIME: Duration = Duration::from_secs(60);
+
+/// Versions of one key that are remembered.
+const MAX_VERSIONS: usize = 64;
+
+/// For how long what was read of a key goes before what an older copy says.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Keep {
+    /// Not at all: nodes write it again themselves.
+    Never,
+    /// For as long as its lease may take to end, and its owner to write it again.
+    WhileLeased,
+    /// Until it is written again.
+    UntilWritten,
+}
+
+/// The versions of the records of one topic.
+#[derive(Debug)]
+pub struct Versions {
+    keep: fn(&str) -> Keep,
+    era: Option<u64>,
+    /// When the last restore was noticed.
+    restored: Option<Duration>,
+    keys: BTreeMap<String, KeyVersions>,
+}
+
+/// The versions of one key.
+#[derive(Debug)]
+struct KeyVersions {
+    newest: Record,
+    /// When the newest one was read.
+    read: Duration,
+    /// Those before it, the oldest first, and when each was overtaken.
+    older: VecDeque<(Version, Duration)>,
+    kept: Option<Kept>,
+}
+
+/// One version of a record.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Version {
+    revision: Revision,
+    hash: u64,
+}
+
+/// Why a record is kept though the service says otherwise.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Kept {
+    /// The service lacks it.
+    Missing,
+    /// The service has this older version of it.
+    Overtaken(Version),
+}
+
+/// A record that a node keeps though the service says otherwise, for a node that starts.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct KeptRecord {
+    /// The key.
+    pub key: String,
+    /// The value that counts; `None` if the key was deleted.
+    pub value: Option<Bytes>,
+    /// Where it was written.
+    pub revision: Revision,
+    /// Where the version was written that the service has, and its hash; `None` if it has none.
+    pub overtaken: Option<(Revision, u64)>,
+}
+
+impl Versions {
+    /// No record was read yet.
+    pub fn new(keep: fn(&str) -> Keep) -> Self {
+        Versions {
+            keep,
+            era: None,
+            restored: None,
+            keys: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in all records as they were read at a revision, and returns those that count.
+    pub fn take_all(&mut self, now: Duration, revision: Revision, all: Vec<Record>) -> Vec<Record> {
+        self.note_era(now, revision.era);
+        let there: BTreeSet<String> = all.iter().map(|r| r.key.clone()).collect();
+        let mut count: Vec<Record> = all.into_iter().filter_map(|r| self.admit(now, r)).collect();
+        count.extend(self.keep_missing(now, revision, &there));
+        self.forget(now);
+        count
+    }
+
+    /// Takes in changes up to a revision. All of them count: they were written after the copy.
+    pub fn take_changes(&mut self, now: Duration, revision: Revision, changes: &[Record]) {
+        self.note_era(now, revision.era);
+        for record in changes {
+            match self.keys.get_mut(&record.key) {
+                Some(key) if key.newest == *record => key.kept = None,
+                Some(key) => key.push(now, record.clone()),
+                None => self.insert(now, record.clone()),
+            }
+        }
+    }
+
+    /// Takes in what another node keeps, before anything is read.
+    pub fn learn(&mut self, now: Duration, kept: Vec<KeptRecord>) {
+        for kept in kept {
+            self.restored = Some(now);
+            let record = Record {
+                key: kept.key,
+                value: kept.value,
+                revision: kept.revision,
+            };
+            let mut key = KeyVersions::new(now, record.clone());
+            let overtaken = kept.overtaken;
+            key.older
+                .extend(overtaken.map(|(revision, hash)| (Version { revision, hash }, now)));
+            self.keys.insert(record.key, key);
+        }
+    }
+
+    /// The records that are kept though the service says otherwise.
+    pub fn kept(&self, now: Duration) -> Vec<KeptRecord> {
+        let kept = self
+            .keys
+            .iter()
+            .filter_map(|(key, v)| Some((key, v, v.kept?)));
+        let kept = kept.filter(|(key, _, kept)| self.keeps(now, key, kept.time()));
+        kept.map(|(key, versions, kept)| KeptRecord {
+            key: key.clone(),
+            value: versions.newest.value.clone(),
+            revision: versions.newest.revision,
+            overtaken: match kept {
+                Kept::Missing => None,
+                Kept::Overtaken(version) => Some((version.revision, version.hash)),
+            },
+        })
+        .collect()
+    }
+
+    /// When everything has to be read again, since records that are kept are not any more from then on.
+    pub fn recheck_at(&self) -> Option<Duration> {
+        let restored = self.restored?;
+        let kept = self.keys.iter().filter_map(|(key, v)| Some((key, v.kept?)));
+        let leased = kept.filter(|(key, _)| (self.keep)(key) == Keep::WhileLeased);
+        let times = leased.map(|(_, kept)| kept.time());
+        times.min().map(|time| restored + time)
+    }
+
+    fn note_era(&mut self, now: Duration, era: u64) {
+        if self.era.is_some_and(|known| known < era) {
+            self.restored = Some(now);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    /// Whether a key's record goes before what the service says, where that holds for `time` after a restore.
+    fn keeps(&self, now: Duration, key: &str, time: Duration) -> bool {
+        match ((self.keep)(key), self.restored) {
+            (Keep::Never, _) | (_, None) => false,
+            (Keep::WhileLeased, Some(restored)) => now < restored + time,
+            (Keep::UntilWritten, Some(_)) => true,
+        }
+    }
+
+    /// The record that counts for one that was read; `None` if its key was deleted.
+    fn admit(&mut self, now: Duration, record: Record) -> Option<Record> {
+        let keeps = self.keeps(now, &record.key, OVERTAKEN_TIME);
+        let Some(key) = self.keys.get_mut(&record.key) else {
+            self.insert(now, record.clone());
+            return Some(record);
+        };
+        let version = Version::of(&record);
+        let older = key.older.iter().map(|(version, _)| *version);
+        let older = older.rev().find(|v| v.is_same_write(version));
+        match older {
+            _ if key.version().is_same_write(version) => {
+                key.kept = None;
+                Some(key.newest.clone())
+            }
+            Some(older) if keeps => {
+                key.kept = Some(Kept::Overtaken(older));
+                key.newest.value.is_some().then(|| key.newest.clone())
+            }
+            _ => {
+                key.push(now, record.clone());
+                Some(record)
+            }
+        }
+    }
+
+    /// The records that are not there but count.
+    fn keep_missing(
+        &mut self,
+        now: Duration,
+        revision: Revision,
+        there: &BTreeSet<String>,
+    ) -> Vec<Record> {
+        let known = self
+            .keys
+            .iter()
+            .filter(|(_, key)| key.newest.value.is_some());
+        let missing = known.filter(|(name, _)| !there.contains(*name));
+        let missing: Vec<_> = missing.map(|(name, _)| name.clone()).collect();
+        let mut kept = Vec::new();
+        for name in missing {
+            let keeps = self.keeps(now, &name, MISSING_TIME);
+            let Some(key) = self.keys.get_mut(&name) else {
+                continue;
+            };
+            if keeps {
+                key.kept = Some(Kept::Missing);
+                kept.push(key.newest.clone());
+                continue;
+            }
+            let gone = Record {
+                key: name,
+                value: None,
+                revision,
+            };
+            key.push(now, gone);
+        }
+        kept
+    }
+
+    fn insert(&mut self, now: Duration, record: Record) {
+        let key = record.key.clone();
+        self.keys.insert(key, KeyVersions::new(now, record));
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let is_old = |at: Duration| now > at + VERSION_TIME;
+        self.keys.retain(|_, key| {
+            let is_kept = key.kept.is_some();
+            key.older.retain(|(_, at)| is_kept || !is_old(*at));
+            key.newest.value.is_some() || is_kept || !is_old(key.read)
+        });
+    }
+}
+
+impl KeyVersions {
+    fn new(now: Duration, newest: Record) -> Self {
+        KeyVersions {
+            newest,
+            read: now,
+            older: VecDeque::new(),
+            kept: None,
+        }
+    }
+
+    fn version(&self) -> Version {
+        Version::of(&self.newest)
+    }
+
+    fn push(&mut self, now: Duration, record: Record) {
+        self.older.push_back((self.version(), now));
+        if self.older.len() > MAX_VERSIONS {
+            self.older.pop_front();
+        }
+        self.newest = record;
+        self.read = now;
+        self.kept = None;
+    }
+}
+
+impl Kept {
+    /// How long it is kept under a lease.
+    fn time(self) -> Duration {
+        match self {
+            Kept::Missing => MISSING_TIME,
+            Kept::Overtaken(_) => OVERTAKEN_TIME,
+        }
+    }
+}
+
+impl Version {
+    fn of(record: &Record) -> Self {
+        Version {
+            revision: record.revision,
+            hash: hash(&record.value),
+        }
+    }
+
+    /// Whether both are the same write, which a copy shows in a later era under the same number.
+    fn is_same_write(self, other: Version) -> bool {
+        self.revision.number == other.revision.number && self.hash == other.hash
+    }
+}
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -1,7 +1,7 @@
 //! Records that a node keeps for others that follow them.
 
 use bytes::Bytes;
-use oatdale_relay::{Content, Members, Node, Question, Record, Replica, Told, Topic};
+use oatdale_relay::{Content, Members, Node, Question, Record, Replica, Revision, Told, Topic};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -10,11 +10,16 @@
 const NO_WAIT: Duration = Duration::ZERO;
 const WAIT: Duration = Duration::from_secs(1);
 
+/// A place in the service's history.
+const fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn record(key: &str, revision: u64) -> Record {
     Record {
         key: key.to_owned(),
         value: Some(Bytes::from(revision.to_string())),
-        revision,
+        revision: at(revision),
     }
 }
 
@@ -22,7 +27,7 @@
     Record {
         key: key.to_owned(),
         value: None,
-        revision,
+        revision: at(revision),
     }
 }
 
@@ -30,7 +35,7 @@
 fn replica() -> Replica {
     let replica = Replica::default();
     replica.set_longest(100);
-    replica.replace(TOPIC, 10, &[record("a", 3), record("b", 7)]);
+    replica.replace(TOPIC, at(10), &[record("a", 3), record("b", 7)]);
     replica
 }
 
@@ -38,7 +43,7 @@
     told.records.iter().map(|r| r.key.as_str()).collect()
 }
 
-fn question(after: Option<u64>, wait: Duration) -> Question {
+fn question(after: Option<Revision>, wait: Duration) -> Question {
     Question {
         topic: TOPIC,
         after,
@@ -63,7 +68,7 @@
     nodes.iter().map(|n| n.host.as_str()).collect()
 }
 
-async fn tell(replica: &Replica, after: Option<u64>) -> Option<Told> {
+async fn tell(replica: &Replica, after: Option<Revision>) -> Option<Told> {
     replica.tell(question(after, NO_WAIT)).await
 }
 
@@ -71,7 +76,7 @@
 async fn a_follower_that_knows_nothing_gets_everything() {
     let told = tell(&replica(), None).await.expect("it is current");
     assert!(told.is_whole);
-    assert_eq!((told.revision, keys(&told)), (10, vec!["a", "b"]));
+    assert_eq!((told.revision.number, keys(&told)), (10, vec!["a", "b"]));
     assert_eq!(told.back, None);
 }
 
@@ -80,42 +85,44 @@
     let replica = replica();
     replica.change(
         TOPIC,
-        14,
+        at(14),
         &[record("c", 11), gone("a", 12), record("c", 14)],
     );
-    let told = tell(&replica, Some(10)).await.expect("it is current");
+    let told = tell(&replica, Some(at(10))).await.expect("it is current");
     assert!(!told.is_whole);
-    assert_eq!((told.revision, keys(&told)), (14, vec!["a", "c"]));
+    assert_eq!((told.revision.number, keys(&told)), (14, vec!["a", "c"]));
     assert_eq!(told.records[0].content, Content::Deleted);
-    let told = tell(&replica, Some(12)).await.expect("it is current");
+    let told = tell(&replica, Some(at(12))).await.expect("it is current");
     assert_eq!(keys(&told), ["c"]);
-    let told = tell(&replica, Some(14)).await.expect("it is current");
-    assert_eq!((told.revision, keys(&told)), (14, vec![]));
+    let told = tell(&replica, Some(at(14))).await.expect("it is current");
+    assert_eq!((told.revision.number, keys(&told)), (14, vec![]));
 }
 
 // A follower comes from another reader that is ahead. It must not fall back to what this one knows.
 #[tokio::test(start_paused = true)]
 async fn a_follower_that_is_ahead_stays_there() {
     let replica = replica();
-    let told = tell(&replica, Some(20)).await.expect("it is current");
-    assert_eq!((told.revision, keys(&told)), (20, vec![]));
-    replica.change(TOPIC, 21, &[record("b", 21)]);
-    let told = tell(&replica, Some(20)).await.expect("it is current");
-    assert_eq!((told.revision, keys(&told)), (21, vec!["b"]));
+    let told = tell(&replica, Some(at(20))).await.expect("it is current");
+    assert_eq!((told.revision.number, keys(&told)), (20, vec![]));
+    replica.change(TOPIC, at(21), &[record("b", 21)]);
+    let told = tell(&replica, Some(at(20))).await.expect("it is current");
+    assert_eq!((told.revision.number, keys(&told)), (21, vec!["b"]));
 }
 
 // Changes that nobody remembers any more, or that were before this node began to read, can't be told one by one.
 #[tokio::test(start_paused = true)]
 async fn who_is_too_far_behind_gets_everything() {
     let replica = replica();
-    let told = tell(&replica, Some(9)).await.expect("it is current");
+    let told = tell(&replica, Some(at(9))).await.expect("it is current");
     assert!(told.is_whole);
     for revision in 11..6_000 {
-        replica.change(TOPIC, revision, &[record("a", revision)]);
+        replica.change(TOPIC, at(revision), &[record("a", revision)]);
     }
-    let told = tell(&replica, Some(11)).await.expect("it is current");
+    let told = tell(&replica, Some(at(11))).await.expect("it is current");
     assert!(told.is_whole);
-    let told = tell(&replica, Some(5_900)).await.expect("it is current");
+    let told = tell(&replica, Some(at(5_900)))
+        .await
+        .expect("it is current");
     assert!(!told.is_whole);
 }
 
@@ -124,10 +131,10 @@
 #[tokio::test(start_paused = true)]
 async fn reading_anew_tells_what_differs() {
     let replica = replica();
-    replica.replace(TOPIC, 20, &[record("b", 7), record("c", 18)]);
-    let told = tell(&replica, Some(10)).await.expect("it is current");
+    replica.replace(TOPIC, at(20), &[record("b", 7), record("c", 18)]);
+    let told = tell(&replica, Some(at(10))).await.expect("it is current");
     assert!(!told.is_whole);
-    assert_eq!((told.revision, keys(&told)), (20, vec!["c", "a"]));
+    assert_eq!((told.revision.number, keys(&told)), (20, vec!["c", "a"]));
     assert_eq!(told.records[1].content, Content::Deleted);
 }
 
@@ -136,18 +143,18 @@
 #[tokio::test(start_paused = true)]
 async fn who_was_ahead_of_a_reader_that_reads_anew_gets_everything() {
     let replica = replica();
-    replica.replace(TOPIC, 20, &[record("a", 3), record("b", 7)]);
-    let told = tell(&replica, Some(15)).await.expect("it is current");
+    replica.replace(TOPIC, at(20), &[record("a", 3), record("b", 7)]);
+    let told = tell(&replica, Some(at(15))).await.expect("it is current");
     assert!(told.is_whole);
-    let told = tell(&replica, Some(10)).await.expect("it is current");
+    let told = tell(&replica, Some(at(10))).await.expect("it is current");
     assert!(!told.is_whole);
-    let told = tell(&replica, Some(20)).await.expect("it is current");
+    let told = tell(&replica, Some(at(20))).await.expect("it is current");
     assert!(!told.is_whole);
     for n in 0..200 {
-        replica.replace(TOPIC, 30 + n, &[record("a", 3), record("b", 7)]);
+        replica.replace(TOPIC, at(30 + n), &[record("a", 3), record("b", 7)]);
     }
     // Gaps are not remembered without end; who is behind them gets everything.
-    let told = tell(&replica, Some(15)).await.expect("it is current");
+    let told = tell(&replica, Some(at(15))).await.expect("it is current");
     assert!(told.is_whole);
 }
 
@@ -156,10 +163,10 @@
 #[tokio::test(start_paused = true)]
 async fn what_later_pages_hold_is_told() {
     let replica = replica();
-    replica.replace(TOPIC, 20, &[record("b", 7), record("c", 25)]);
-    let told = tell(&replica, Some(10)).await.expect("it is current");
+    replica.replace(TOPIC, at(20), &[record("b", 7), record("c", 25)]);
+    let told = tell(&replica, Some(at(10))).await.expect("it is current");
     assert_eq!(keys(&told), ["a", "c"]);
-    let told = tell(&replica, Some(20)).await.expect("it is current");
+    let told = tell(&replica, Some(at(20))).await.expect("it is current");
     assert_eq!(keys(&told), ["c"]);
 }
 
@@ -168,10 +175,10 @@
 async fn who_waits_is_told_at_once() {
     let replica = Arc::new(replica());
     let asked = replica.clone();
-    let waiting = tokio::spawn(async move { asked.tell(question(Some(10), WAIT)).await });
+    let waiting = tokio::spawn(async move { asked.tell(question(Some(at(10)), WAIT)).await });
     tokio::time::sleep(WAIT / 4).await;
     let began = Instant::now();
-    replica.change(TOPIC, 11, &[gone("a", 11)]);
+    replica.change(TOPIC, at(11), &[gone("a", 11)]);
     let told = waiting.await.expect("it ends").expect("it is current");
     assert_eq!(keys(&told), ["a"]);
     assert!(began.elapsed() < Duration::from_millis(1));
@@ -181,7 +188,7 @@
 async fn who_waits_for_nothing_is_told_so_in_the_end() {
     let replica = replica();
     let began = Instant::now();
-    let told = replica.tell(question(Some(10), WAIT)).await;
+    let told = replica.tell(question(Some(at(10)), WAIT)).await;
     assert_eq!(keys(&told.expect("it is current")), Vec::<&str>::new());
     assert_eq!(began.elapsed(), WAIT);
 }
@@ -192,15 +199,15 @@
 async fn who_waits_is_sent_elsewhere_when_the_service_is_silent() {
     let replica = Arc::new(replica());
     let asked = replica.clone();
-    let waiting = tokio::spawn(async move { asked.tell(question(Some(10), WAIT)).await });
+    let waiting = tokio::spawn(async move { asked.tell(question(Some(at(10)), WAIT)).await });
     tokio::time::sleep(WAIT / 4).await;
     replica.suspend();
     let told = timeout(WAIT / 100, waiting).await;
     assert_eq!(told.expect("at once").expect("it ends"), None);
-    assert_eq!(tell(&replica, Some(10)).await, None);
+    assert_eq!(tell(&replica, Some(at(10))).await, None);
     // The operators' watch alone says nothing of the endpoints.
-    replica.replace(Topic::Operators, 12, &[]);
-    assert_eq!(tell(&replica, Some(10)).await, None);
+    replica.replace(Topic::Operators, at(12), &[]);
+    assert_eq!(tell(&replica, Some(at(10))).await, None);
 }
 
 // Endpoints whose records lapsed during an outage write them anew a moment later. A follower that did not notice
@@ -209,9 +216,9 @@
 async fn followers_hear_that_the_service_was_away() {
     let replica = replica();
     replica.suspend();
-    replica.replace(TOPIC, 20, &[record("b", 7)]);
+    replica.replace(TOPIC, at(20), &[record("b", 7)]);
     tokio::time::sleep(WAIT).await;
-    let told = tell(&replica, Some(10)).await.expect("it is current");
+    let told = tell(&replica, Some(at(10))).await.expect("it is current");
     assert_eq!(told.back, Some(WAIT));
 }
 
@@ -222,7 +229,7 @@
     replica.clear();
     assert!(!replica.has(TOPIC));
     assert_eq!(tell(&replica, None).await, None);
-    replica.change(TOPIC, 30, &[record("a", 30)]);
+    replica.change(TOPIC, at(30), &[record("a", 30)]);
     assert_eq!(tell(&replica, None).await, None);
 }
 
@@ -232,10 +239,10 @@
     let replica = replica();
     let mut long = record("a", 11);
     long.value = Some(Bytes::from(vec![b'x'; 101]));
-    replica.change(TOPIC, 11, &[long]);
-    let told = tell(&replica, Some(10)).await.expect("it is current");
+    replica.change(TOPIC, at(11), &[long]);
+    let told = tell(&replica, Some(at(10))).await.expect("it is current");
     assert_eq!(told.records[0].content, Content::TooLong);
-    assert_eq!(told.records[0].revision, 11);
+    assert_eq!(told.records[0].revision, at(11));
 }
 
 // All nodes start at once, and one is asked before it knows that it is to read for others. Were it to refuse, all
@@ -248,7 +255,7 @@
     timeout(WAIT / 4, replica.wanted())
         .await
         .expect("it is wanted");
-    replica.replace(TOPIC, 10, &[record("a", 3)]);
+    replica.replace(TOPIC, at(10), &[record("a", 3)]);
     let told = waiting.await.expect("it ends").expect("it is current");
     assert_eq!(keys(&told), ["a"]);
     assert_eq!(Replica::default().tell(question(None, WAIT)).await, None);
@@ -259,7 +266,7 @@
 #[tokio::test(start_paused = true)]
 async fn who_asks_is_known_to_run() {
     let replica = Arc::new(replica());
-    let mut asking = question(Some(10), WAIT);
+    let mut asking = question(Some(at(10)), WAIT);
     asking.node = Some(node("f"));
     for _ in 0..5 {
         let asked = replica.clone();
--- a/crates/oatdale-relay/tests/replica_spec.rs
+++ b/crates/oatdale-relay/tests/replica_spec.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use oatdale_check::{Counterexample, Spec, explore};
-use oatdale_relay::{Content, Question, Record, Replica, Told, Topic};
+use oatdale_relay::{Content, Question, Record, Replica, Revision, Told, Topic};
 use tokio::runtime::Builder;
 
 const READERS: usize = 2;
@@ -75,6 +75,11 @@
     broken: Break,
 }
 
+/// The place of a change in the service's history.
+fn at(number: usize) -> Revision {
+    Revision::new(1, number as u64)
+}
+
 /// What a key holds after the first `revision` changes.
 fn held(changes: &[Change], revision: usize, key: usize) -> Option<usize> {
     let last = (0..revision).rev().find(|&i| changes[i].0 == key)?;
@@ -85,7 +90,7 @@
     Record {
         key: KEYS[key].to_owned(),
         value: held.map(|at| Bytes::from(at.to_string())),
-        revision: revision as u64,
+        revision: at(revision),
     }
 }
 
@@ -120,7 +125,7 @@
         for read in &reader.read {
             match *read {
                 Read::All(at) => {
-                    replica.replace(Topic::Endpoints, at as u64, &all(&world.changes, at));
+                    replica.replace(Topic::Endpoints, self::at(at), &all(&world.changes, at));
                 }
                 Read::Changes(from, upto) => {
                     let revision = match self.broken {
@@ -128,7 +133,7 @@
                         _ => upto,
                     };
                     let changes = between(&world.changes, from, upto);
-                    replica.change(Topic::Endpoints, revision as u64, &changes);
+                    replica.change(Topic::Endpoints, at(revision), &changes);
                 }
             }
         }
@@ -137,7 +142,7 @@
         }
         let question = Question {
             topic: Topic::Endpoints,
-            after: after.map(|after| after as u64),
+            after: after.map(at),
             wait_ms: 0,
             node: None,
         };
@@ -166,11 +171,11 @@
             let key = KEYS.iter().position(|k| *k == record.key);
             let key = key.expect("it is one of them");
             follower.holds[key] = match &record.content {
-                Content::Value(_) => Some(record.revision as usize),
+                Content::Value(_) => Some(record.revision.number as usize),
                 Content::Deleted | Content::TooLong => None,
             };
         }
-        let revision = told.revision as usize;
+        let revision = told.revision.number as usize;
         if follower.after.is_some_and(|after| revision < after) {
             world.wrong = Some("a follower went back");
         }
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -1,7 +1,7 @@
 //! What a node makes of orders, of its own answers and of other nodes' reports.
 
 use oatdale_policy::relay::{Exposure, Origin};
-use oatdale_relay::{Allowed, RollOut, RollOutEnd, RollOuts, Source};
+use oatdale_relay::{Allowed, Revision, RollOut, RollOutEnd, RollOuts, Source};
 use std::time::Duration;
 
 const USUAL: Exposure = Exposure {
@@ -21,7 +21,7 @@
         service: "pool".to_owned(),
         target: format!("v{number}"),
         duration: ms(10_000),
-        order: number,
+        order: Revision::new(1, number),
         end,
     }
 }
--- /dev/null
+++ b/crates/oatdale-relay/tests/versions.rs
@@ -0,0 +1,204 @@
+//! Which records count when the key-value service came back from an older copy.
+
+use bytes::Bytes;
+use oatdale_relay::{Keep, Record, Revision, Versions};
+use std::time::Duration;
+
+const OLD: u64 = 1;
+const NEW: u64 = 2;
+
+fn keep(key: &str) -> Keep {
+    match key.split('/').next() {
+        Some("leased") => Keep::WhileLeased,
+        Some("ours") => Keep::Never,
+        _ => Keep::UntilWritten,
+    }
+}
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn written(key: &str, era: u64, number: u64, value: &str) -> Record {
+    Record {
+        key: key.to_owned(),
+        value: Some(Bytes::copy_from_slice(value.as_bytes())),
+        revision: Revision::new(era, number),
+    }
+}
+
+fn deleted(key: &str, era: u64, number: u64) -> Record {
+    Record {
+        key: key.to_owned(),
+        value: None,
+        revision: Revision::new(era, number),
+    }
+}
+
+/// Versions of which all records were read in the old era, and then some changes.
+fn read(all: Vec<Record>, changes: &[Record]) -> Versions {
+    let mut versions = Versions::new(keep);
+    versions.take_all(secs(0), Revision::new(OLD, 10), all);
+    versions.take_changes(secs(0), Revision::new(OLD, 20), changes);
+    versions
+}
+
+/// The values that count at `now` if the service shows these records at a revision of the new era.
+fn counting(versions: &mut Versions, now: Duration, all: Vec<Record>) -> Vec<(String, String)> {
+    let all = versions.take_all(now, Revision::new(NEW, 12), all);
+    all.into_iter()
+        .map(|r| {
+            (
+                r.key,
+                String::from_utf8_lossy(&r.value.unwrap_or_default()).into_owned(),
+            )
+        })
+        .collect()
+}
+
+fn pair(key: &str, value: &str) -> (String, String) {
+    (key.to_owned(), value.to_owned())
+}
+
+// Guards against a value that was overtaken coming back, and against its rewriting being taken for the copy.
+#[test]
+fn an_older_version_does_not_count_until_the_key_is_written_again() {
+    let old = written("op", OLD, 5, "old");
+    let mut versions = read(vec![old], &[written("op", OLD, 15, "new")]);
+    let copy = vec![written("op", NEW, 5, "old")];
+    assert_eq!(
+        counting(&mut versions, secs(1), copy.clone()),
+        [pair("op", "new")]
+    );
+    assert_eq!(
+        counting(&mut versions, secs(3_600), copy),
+        [pair("op", "new")]
+    );
+    let again = vec![written("op", NEW, 11, "old")];
+    assert_eq!(
+        counting(&mut versions, secs(3_601), again),
+        [pair("op", "old")]
+    );
+    assert!(versions.kept(secs(3_601)).is_empty());
+}
+
+// Guards against a record that stayed as it was being taken for another one since it is read in a later era.
+#[test]
+fn the_newest_version_keeps_its_place() {
+    let mut versions = read(vec![written("op", OLD, 5, "same")], &[]);
+    let all = vec![written("op", NEW, 5, "same")];
+    let all = versions.take_all(secs(1), Revision::new(NEW, 12), all);
+    assert_eq!(all, [written("op", OLD, 5, "same")]);
+}
+
+// Guards against endpoints that are refused since the copy lacks them, and against dead ones that stay for good.
+#[test]
+fn a_missing_record_under_a_lease_counts_for_two_seconds() {
+    let mut versions = read(Vec::new(), &[written("leased/a", OLD, 15, "a")]);
+    assert_eq!(
+        counting(&mut versions, secs(100), Vec::new()),
+        [pair("leased/a", "a")]
+    );
+    assert!(versions.recheck_at().is_some_and(|at| at <= secs(102)));
+    assert_eq!(counting(&mut versions, secs(102), Vec::new()), []);
+    assert_eq!(versions.recheck_at(), None);
+    let again = vec![written("leased/a", NEW, 13, "a")];
+    assert_eq!(
+        counting(&mut versions, secs(103), again),
+        [pair("leased/a", "a")]
+    );
+}
+
+// Guards against an endpoint that ended being used since the copy has it, and against one that is alive being left out.
+#[test]
+fn a_record_that_was_deleted_counts_only_if_it_stays() {
+    let there = written("leased/a", OLD, 5, "a");
+    let mut versions = read(vec![there], &[deleted("leased/a", OLD, 15)]);
+    let copy = vec![written("leased/a", NEW, 5, "a")];
+    assert_eq!(counting(&mut versions, secs(100), copy.clone()), []);
+    assert_eq!(counting(&mut versions, secs(105), copy.clone()), []);
+    assert_eq!(versions.recheck_at(), Some(secs(110)));
+    assert_eq!(
+        counting(&mut versions, secs(111), copy),
+        [pair("leased/a", "a")]
+    );
+}
+
+// Guards against nodes that don't notice that their own record is lost.
+#[test]
+fn records_that_nodes_write_again_are_as_the_service_has_them() {
+    let old = written("ours/a", OLD, 5, "old");
+    let mut versions = read(
+        vec![old],
+        &[
+            written("ours/a", OLD, 15, "new"),
+            written("ours/b", OLD, 16, "b"),
+        ],
+    );
+    let copy = vec![written("ours/a", NEW, 5, "old")];
+    assert_eq!(
+        counting(&mut versions, secs(1), copy),
+        [pair("ours/a", "old")]
+    );
+}
+
+// Guards against usual reads being taken for copies: a value may come back, and a read may show what was read before.
+#[test]
+fn in_one_era_everything_counts_as_it_is_read() {
+    let old = written("op", OLD, 5, "a");
+    let mut versions = read(
+        vec![old],
+        &[written("op", OLD, 15, "b"), deleted("leased/x", OLD, 16)],
+    );
+    let all = vec![
+        written("op", OLD, 21, "a"),
+        written("leased/x", OLD, 22, "x"),
+    ];
+    let all = versions.take_all(secs(5), Revision::new(OLD, 22), all);
+    assert_eq!(all.len(), 2);
+    let all = versions.take_all(secs(6), Revision::new(OLD, 23), Vec::new());
+    assert!(all.is_empty());
+}
+
+// Guards against a node that starts after a restore and believes the copy, though another one knows better.
+#[test]
+fn a_node_that_starts_takes_over_what_another_one_keeps() {
+    let old = written("op", OLD, 5, "old");
+    let mut versions = read(
+        vec![old],
+        &[
+            written("op", OLD, 15, "new"),
+            written("leased/a", OLD, 16, "a"),
+        ],
+    );
+    let copy = vec![
+        written("op", NEW, 5, "old"),
+        written("leased/b", NEW, 7, "b"),
+    ];
+    counting(&mut versions, secs(100), copy.clone());
+    let mut started = Versions::new(keep);
+    started.learn(secs(0), versions.kept(secs(100)));
+    let mut count = counting(&mut started, secs(0), copy);
+    count.sort();
+    assert_eq!(
+        count,
+        [
+            pair("leased/a", "a"),
+            pair("leased/b", "b"),
+            pair("op", "new")
+        ]
+    );
+}
+
+// Guards against two restores, one right after the other, of which the second is not noticed as one.
+#[test]
+fn each_restore_begins_anew() {
+    let mut versions = read(Vec::new(), &[written("leased/a", OLD, 15, "a")]);
+    assert_eq!(counting(&mut versions, secs(100), Vec::new()).len(), 1);
+    let again = versions.take_all(secs(101), Revision::new(NEW + 1, 12), Vec::new());
+    assert_eq!(again.len(), 1);
+    let again = versions.take_all(secs(102), Revision::new(NEW + 1, 12), Vec::new());
+    assert_eq!(again.len(), 1);
+    let again = versions.take_all(secs(103), Revision::new(NEW + 1, 12), Vec::new());
+    assert!(again.is_empty());
+}
