--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -86,6 +86,6 @@
 pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
 pub use crate::site::{CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, Site};
 pub use crate::update::{Command, Endpoint, Link, Node, RollOut, RollOutEnd, Update};
-pub use crate::versions::{Keep, KeptRecord, Versions};
+pub use crate::versions::{Keep, KeptVersion, KnownVersions, Versions};
 pub use crate::wire::{AnswerFacts, Forward, Prompt, RequestFacts, Wire};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -59,8 +59,8 @@
     if req.uri().path() == replica::PATH {
         return Ok(replica::answer(&records, req.into_body()).await);
     }
-    if req.uri().path() == replica::KEPT_PATH {
-        return Ok(replica::answer_kept(&records, req.into_body()).await);
+    if req.uri().path() == replica::KNOWN_PATH {
+        return Ok(replica::answer_known(&records, req.into_body()).await);
     }
     let after = req.uri().query().and_then(|q| q.strip_prefix("after="));
     let after = after.and_then(|version| version.parse().ok());
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -12,12 +12,12 @@
 pub use crate::replica::ask::{AskError, RecordsClient};
 pub use crate::replica::members::Members;
 pub use crate::replica::question::Question;
-pub(crate) use crate::replica::question::{KEPT_PATH, PATH};
-pub(crate) use crate::replica::serve::{answer, answer_kept};
+pub(crate) use crate::replica::question::{KNOWN_PATH, PATH};
+pub(crate) use crate::replica::serve::{answer, answer_known};
 
 use crate::revision::Revision;
 use crate::update::Node;
-use crate::versions::KeptRecord;
+use crate::versions::KnownVersions;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -34,7 +34,7 @@
 const FIRST_READ: Duration = Duration::from_millis(80);
 
 /// How long a node that starts in a later era waits for this one to read everything in it.
-const KEPT_WAIT: Duration = Duration::from_millis(200);
+const KNOWN_WAIT: Duration = Duration::from_millis(200);
 
 /// Times of reading anew that are remembered; who is behind all of them gets everything.
 const MOST_GAPS: usize = 64;
@@ -49,7 +49,7 @@
 }
 
 /// A record as the key-value service has it.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
 pub struct Record {
     /// The key.
     pub key: String,
@@ -104,8 +104,8 @@
     /// Someone asked though nothing was read for others yet.
     wanted: Notify,
     members: Mutex<Members>,
-    /// Records that are kept though the service says otherwise, by topic, and in which era.
-    kept: watch::Sender<BTreeMap<Topic, (u64, Vec<KeptRecord>)>>,
+    /// What is known of overtaken versions, by topic, and in which era.
+    versions: watch::Sender<BTreeMap<Topic, (u64, Vec<KnownVersions>)>>,
     /// The latest era of which a node that starts told.
     told_era: watch::Sender<u64>,
 }
@@ -239,30 +239,30 @@
         }
     }
 
-    /// Sets the records of a topic that this node keeps in an era though the service says otherwise.
-    pub fn set_kept(&self, topic: Topic, era: u64, kept: Vec<KeptRecord>) {
-        self.kept.send_modify(|all| {
-            all.insert(topic, (era, kept));
+    /// Sets what this node knows in an era of a topic's versions.
+    pub fn set_known(&self, topic: Topic, era: u64, versions: Vec<KnownVersions>) {
+        self.versions.send_modify(|all| {
+            all.insert(topic, (era, versions));
         });
     }
 
     /// Those of both topics, for a node that starts in this era. `None` if this node has not read them in it, and does
-    /// not within [`KEPT_WAIT`].
-    pub(crate) async fn kept(&self, era: u64) -> Option<Vec<KeptRecord>> {
+    /// not within [`KNOWN_WAIT`].
+    pub(crate) async fn versions(&self, era: u64) -> Option<Vec<KnownVersions>> {
         self.told_era.send_if_modified(|told| {
             let is_later = era > *told;
             *told = era.max(*told);
             is_later
         });
-        let mut kept = self.kept.subscribe();
-        let in_era = kept.wait_for(|all| {
+        let mut versions = self.versions.subscribe();
+        let in_era = versions.wait_for(|all| {
             let topics = [Topic::Operators, Topic::Endpoints];
             topics
                 .iter()
                 .all(|t| all.get(t).is_some_and(|(at, _)| *at >= era))
         });
-        let all = timeout(KEPT_WAIT, in_era).await.ok()?.ok()?;
-        Some(all.values().flat_map(|(_, kept)| kept).cloned().collect())
+        let all = timeout(KNOWN_WAIT, in_era).await.ok()?.ok()?;
+        Some(all.values().flat_map(|(_, known)| known).cloned().collect())
     }
 
     /// Ends when a node that starts tells of an era after this one, and returns it.
@@ -330,7 +330,7 @@
             changed: watch::Sender::default(),
             wanted: Notify::new(),
             members: Mutex::default(),
-            kept: watch::Sender::default(),
+            versions: watch::Sender::default(),
             told_era: watch::Sender::default(),
         }
     }
--- a/crates/oatdale-relay/src/replica/ask.rs
+++ b/crates/oatdale-relay/src/replica/ask.rs
@@ -1,8 +1,8 @@
 //! Asks a reader.
 
-use crate::replica::question::{KEPT_PATH, PATH};
+use crate::replica::question::{KNOWN_PATH, PATH};
 use crate::replica::{Question, Told};
-use crate::versions::KeptRecord;
+use crate::versions::KnownVersions;
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use oatdale_platform::{BodyError, Pool, PoolConfig, Reuse, SendError, read_body};
@@ -87,18 +87,18 @@
         self.exchange(reader, PATH, question, time).await
     }
 
-    /// Asks a node that runs for the records that it keeps in an era though the service says otherwise.
+    /// Asks a node that runs what it knows in an era of the records' versions.
     ///
     /// # Errors
     ///
     /// As for [`ask`](RecordsClient::ask).
-    pub async fn ask_kept(
+    pub async fn ask_known(
         &self,
         node: SocketAddr,
         era: u64,
         patience: Duration,
-    ) -> Result<Vec<KeptRecord>, AskError> {
-        self.exchange(node, KEPT_PATH, &era, patience).await
+    ) -> Result<Vec<KnownVersions>, AskError> {
+        self.exchange(node, KNOWN_PATH, &era, patience).await
     }
 
     /// Sends a question; the answer begins within `time`.
--- a/crates/oatdale-relay/src/replica/question.rs
+++ b/crates/oatdale-relay/src/replica/question.rs
@@ -9,8 +9,8 @@
 /// Where questions are asked.
 pub(crate) const PATH: &str = "/v1/records";
 
-/// Where a node that starts asks for the records that another one keeps.
-pub(crate) const KEPT_PATH: &str = "/v1/records/kept";
+/// Where a node that starts asks what another one knows of the records' versions.
+pub(crate) const KNOWN_PATH: &str = "/v1/records/versions";
 
 /// The longest wait that a follower may ask for.
 const MOST_WAIT: Duration = Duration::from_secs(10);
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -35,13 +35,13 @@
 }
 
 /// The answer to a node that starts; 503 if this one knows nothing of the era.
-pub(crate) async fn answer_kept(replica: &Replica, body: Incoming) -> Response<Body> {
+pub(crate) async fn answer_known(replica: &Replica, body: Incoming) -> Response<Body> {
     let era = match read_question(body).await {
         Ok(era) => era,
         Err(reason) => return bad_question(&reason),
     };
-    match replica.kept(era).await {
-        Some(kept) => encode(&kept),
+    match replica.versions(era).await {
+        Some(versions) => encode(&versions),
         None => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
 }
--- a/crates/oatdale-relay/src/versions.rs
+++ b/crates/oatdale-relay/src/versions.rs
@@ -44,6 +44,8 @@
     /// When the last restore was noticed.
     restored: Option<Duration>,
     keys: BTreeMap<String, KeyVersions>,
+    /// Overtaken versions of keys that were not read yet, as another node knows them.
+    learned: BTreeMap<String, VecDeque<(Version, Duration)>>,
 }
 
 /// The versions of one key.
@@ -73,17 +75,24 @@
     Overtaken(Version),
 }
 
-/// A record that a node keeps though the service says otherwise, for a node that starts.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct KeptRecord {
+/// What a node knows of a key's versions, for a node that starts.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct KnownVersions {
     /// The key.
     pub key: String,
-    /// The value that counts; `None` if the key was deleted.
+    /// Where its last versions were written that are overtaken, and their hashes.
+    pub overtaken: Vec<(Revision, u64)>,
+    /// The version that counts, if the service says otherwise.
+    pub kept: Option<KeptVersion>,
+}
+
+/// A version that counts though the service says otherwise.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct KeptVersion {
+    /// The value; `None` if the key was deleted.
     pub value: Option<Bytes>,
     /// Where it was written.
     pub revision: Revision,
-    /// Where the version was written that the service has, and its hash; `None` if it has none.
-    pub overtaken: Option<(Revision, u64)>,
 }
 
 impl Versions {
@@ -94,6 +103,7 @@
             era: None,
             restored: None,
             keys: BTreeMap::new(),
+            learned: BTreeMap::new(),
         }
     }
 
@@ -119,40 +129,43 @@
         }
     }
 
-    /// Takes in what another node keeps, before anything is read.
-    pub fn learn(&mut self, now: Duration, kept: Vec<KeptRecord>) {
-        for kept in kept {
+    /// Takes in what another node knows, before anything is read.
+    pub fn learn(&mut self, now: Duration, known: Vec<KnownVersions>) {
+        for known in known {
+            let older = known.overtaken.into_iter();
+            let older = older.map(|(revision, hash)| (Version { revision, hash }, now));
+            let Some(kept) = known.kept else {
+                self.learned.insert(known.key, older.collect());
+                continue;
+            };
             self.restored = Some(now);
-            let record = Record {
-                key: kept.key,
+            let newest = Record {
+                key: known.key.clone(),
                 value: kept.value,
                 revision: kept.revision,
             };
-            let mut key = KeyVersions::new(now, record.clone());
-            let overtaken = kept.overtaken;
-            key.older
-                .extend(overtaken.map(|(revision, hash)| (Version { revision, hash }, now)));
-            self.keys.insert(record.key, key);
+            let key = KeyVersions::new(now, newest, older.collect());
+            self.keys.insert(known.key, key);
         }
     }
 
-    /// The records that are kept though the service says otherwise.
-    pub fn kept(&self, now: Duration) -> Vec<KeptRecord> {
-        let kept = self
-            .keys
-            .iter()
-            .filter_map(|(key, v)| Some((key, v, v.kept?)));
-        let kept = kept.filter(|(key, _, kept)| self.keeps(now, key, kept.time()));
-        kept.map(|(key, versions, kept)| KeptRecord {
-            key: key.clone(),
-            value: versions.newest.value.clone(),
-            revision: versions.newest.revision,
-            overtaken: match kept {
-                Kept::Missing => None,
-                Kept::Overtaken(version) => Some((version.revision, version.hash)),
-            },
-        })
-        .collect()
+    /// What is known of keys that were overtaken lately, or that are kept though the service says otherwise.
+    pub fn known(&self, now: Duration) -> Vec<KnownVersions> {
+        let known = self.keys.iter().map(|(key, versions)| {
+            let keeps = |kept: &Kept| self.keeps(now, key, kept.time());
+            let kept = versions.kept.filter(keeps).map(|_| KeptVersion {
+                value: versions.newest.value.clone(),
+                revision: versions.newest.revision,
+            });
+            let older = versions.older.iter();
+            KnownVersions {
+                key: key.clone(),
+                overtaken: older.map(|(v, _)| (v.revision, v.hash)).collect(),
+                kept,
+            }
+        });
+        let known = known.filter(|known| known.kept.is_some() || !known.overtaken.is_empty());
+        known.collect()
     }
 
     /// When everything has to be read again, since records that are kept are not any more from then on.
@@ -195,6 +208,10 @@
                 key.kept = None;
                 Some(key.newest.clone())
             }
+            // A reader told it that had read less.
+            _ if record.revision < key.newest.revision => {
+                key.newest.value.is_some().then(|| key.newest.clone())
+            }
             Some(older) if keeps => {
                 key.kept = Some(Kept::Overtaken(older));
                 key.newest.value.is_some().then(|| key.newest.clone())
@@ -242,11 +259,15 @@
 
     fn insert(&mut self, now: Duration, record: Record) {
         let key = record.key.clone();
-        self.keys.insert(key, KeyVersions::new(now, record));
+        let older = self.learned.remove(&key).unwrap_or_default();
+        self.keys.insert(key, KeyVersions::new(now, record, older));
     }
 
     fn forget(&mut self, now: Duration) {
         let is_old = |at: Duration| now > at + VERSION_TIME;
+        let last = |older: &VecDeque<(Version, Duration)>| older.back().map(|(_, at)| *at);
+        self.learned
+            .retain(|_, older| last(older).is_some_and(|at| !is_old(at)));
         self.keys.retain(|_, key| {
             let is_kept = key.kept.is_some();
             key.older.retain(|(_, at)| is_kept || !is_old(*at));
@@ -256,11 +277,11 @@
 }
 
 impl KeyVersions {
-    fn new(now: Duration, newest: Record) -> Self {
+    fn new(now: Duration, newest: Record, older: VecDeque<(Version, Duration)>) -> Self {
         KeyVersions {
             newest,
             read: now,
-            older: VecDeque::new(),
+            older,
             kept: None,
         }
     }
