--- a/crates/oatdale-policy/src/relay/quarantine.rs
+++ b/crates/oatdale-policy/src/relay/quarantine.rs
@@ -24,7 +24,7 @@
 /// Requests that are tracked at the most.
 const MAX_TRACKED: usize = 4_096;
 
-/// What one node knows of requests under which endpoints crashed.
+/// Requests under which endpoints crashed, as one node has seen them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     tracked: HashMap<Fingerprint, Tracked>,
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -79,7 +79,8 @@
 pub use crate::loads::{Adder, Load, MOST_LOADS, Scheme, Shared};
 pub use crate::node::Relay;
 pub use crate::replica::{
-    AskError, Content, Members, Question, Record, RecordsClient, Replica, Told, ToldRecord, Topic,
+    AskError, Content, FetchRequest, Members, Record, RecordUpdate, RecordsClient, Replica,
+    ReplicaUpdate, Topic,
 };
 pub use crate::revision::Revision;
 pub use crate::roll_outs::{Allowed, OnOld, Pace, Report, RollOuts, Source};
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -6,13 +6,13 @@
 
 mod ask;
 mod members;
-mod question;
+mod request;
 mod serve;
 
 pub use crate::replica::ask::{AskError, RecordsClient};
 pub use crate::replica::members::Members;
-pub use crate::replica::question::Question;
-pub(crate) use crate::replica::question::{KNOWN_PATH, PATH};
+pub use crate::replica::request::FetchRequest;
+pub(crate) use crate::replica::request::{KNOWN_PATH, PATH};
 pub(crate) use crate::replica::serve::{answer, answer_known};
 
 use crate::revision::Revision;
@@ -61,20 +61,20 @@
 
 /// What one node tells another of a topic.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct Told {
+pub struct ReplicaUpdate {
     /// The service's revision up to which this is all.
     pub revision: Revision,
     /// Whether these are all records, and not only those that changed.
-    pub is_whole: bool,
+    pub is_snapshot: bool,
     /// The records, in the order of their revisions unless they are all.
-    pub records: Vec<ToldRecord>,
+    pub records: Vec<RecordUpdate>,
     /// How long ago the service came back to the node that tells this, if it was away.
     pub back: Option<Duration>,
 }
 
 /// A record that one node tells another.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct ToldRecord {
+pub struct RecordUpdate {
     /// The key.
     pub key: String,
     /// The service's revision of its last change.
@@ -106,19 +106,19 @@
     members: Mutex<Members>,
     /// What is known of overtaken versions, by topic, and in which era.
     versions: watch::Sender<BTreeMap<Topic, (u64, Vec<KnownVersions>)>>,
-    /// The latest era of which a node that starts told.
-    told_era: watch::Sender<u64>,
+    /// The latest era that a starting node reported.
+    reported_era: watch::Sender<u64>,
 }
 
 /// A question that waits for its answer.
-struct Asking<'a> {
+struct PendingFetch<'a> {
     replica: &'a Replica,
     host: String,
 }
 
 /// What becomes of a question.
 enum Answer {
-    Told(Told),
+    ReplicaUpdate(ReplicaUpdate),
     /// Nothing is read for others yet.
     NotYet,
     /// The service does not answer this node.
@@ -214,7 +214,7 @@
 
     /// What is new of a topic after a revision, or everything if the revision is unset or too long ago; waits for
     /// it. `None` if this node does not read for others, or the service does not answer it.
-    pub async fn tell(&self, question: Question) -> Option<Told> {
+    pub async fn tell(&self, question: FetchRequest) -> Option<ReplicaUpdate> {
         let began = Instant::now();
         let end = began + question.wait();
         let read_by = began + FIRST_READ;
@@ -231,8 +231,8 @@
                     self.wanted.notify_one();
                     read_by
                 }
-                Answer::Told(told) if now >= end || told.is_news() => return Some(told),
-                Answer::Told(_) => end,
+                Answer::ReplicaUpdate(told) if now >= end || told.is_news() => return Some(told),
+                Answer::ReplicaUpdate(_) => end,
             };
             // Either way what is there then is told.
             let _ = timeout_at(until, changed.changed()).await;
@@ -249,7 +249,7 @@
     /// Those of both topics, for a node that starts in this era. `None` if this node has not read them in it, and does
     /// not within [`KNOWN_WAIT`].
     pub(crate) async fn versions(&self, era: u64) -> Option<Vec<KnownVersions>> {
-        self.told_era.send_if_modified(|told| {
+        self.reported_era.send_if_modified(|told| {
             let is_later = era > *told;
             *told = era.max(*told);
             is_later
@@ -265,9 +265,9 @@
         Some(all.values().flat_map(|(_, known)| known).cloned().collect())
     }
 
-    /// Ends when a node that starts tells of an era after this one, and returns it.
+    /// Resolves when a starting node reports an era after this one, with that era.
     pub async fn era_after(&self, era: u64) -> u64 {
-        let mut told = self.told_era.subscribe();
+        let mut told = self.reported_era.subscribe();
         let later = told.wait_for(|told| *told > era).await.map(|told| *told);
         match later {
             Ok(later) => later,
@@ -278,7 +278,7 @@
 
     /// Forgets an era that the service did not confirm.
     pub fn reject_era(&self, era: u64) {
-        self.told_era.send_if_modified(|told| {
+        self.reported_era.send_if_modified(|told| {
             let is_it = *told == era;
             if is_it {
                 *told = 0;
@@ -298,11 +298,11 @@
         self.lock_members().running(now)
     }
 
-    fn asks(&self, node: Node) -> Asking<'_> {
+    fn asks(&self, node: Node) -> PendingFetch<'_> {
         let host = node.host.clone();
         let now = self.began.elapsed();
         self.lock_members().asks(now, node);
-        Asking {
+        PendingFetch {
             replica: self,
             host,
         }
@@ -331,21 +331,21 @@
             wanted: Notify::new(),
             members: Mutex::default(),
             versions: watch::Sender::default(),
-            told_era: watch::Sender::default(),
+            reported_era: watch::Sender::default(),
         }
     }
 }
 
-impl Drop for Asking<'_> {
+impl Drop for PendingFetch<'_> {
     fn drop(&mut self) {
         let now = self.replica.began.elapsed();
         self.replica.lock_members().answered(now, &self.host);
     }
 }
 
-impl Told {
+impl ReplicaUpdate {
     fn is_news(&self) -> bool {
-        self.is_whole || !self.records.is_empty()
+        self.is_snapshot || !self.records.is_empty()
     }
 }
 
@@ -375,13 +375,13 @@
             Some(records) if service == Service::Answers => records,
             _ => return Answer::NotYet,
         };
-        let (is_whole, known) = match after {
+        let (is_snapshot, known) = match after {
             Some(after) if records.covers(after) => (false, records.after(after)),
             _ => (true, records.whole()),
         };
-        Answer::Told(Told {
+        Answer::ReplicaUpdate(ReplicaUpdate {
             revision: records.revision.max(after.unwrap_or_default()),
-            is_whole,
+            is_snapshot,
             records: known.into_iter().map(|r| r.told(longest)).collect(),
             back,
         })
@@ -494,13 +494,13 @@
 }
 
 impl Record {
-    fn told(self, longest: usize) -> ToldRecord {
+    fn told(self, longest: usize) -> RecordUpdate {
         let content = match self.value {
             Some(value) if value.len() > longest => Content::TooLong,
             Some(value) => Content::Value(value),
             None => Content::Deleted,
         };
-        ToldRecord {
+        RecordUpdate {
             key: self.key,
             revision: self.revision,
             content,
--- a/crates/oatdale-relay/src/replica/ask.rs
+++ b/crates/oatdale-relay/src/replica/ask.rs
@@ -1,7 +1,7 @@
 //! Asks a reader.
 
-use crate::replica::question::{KNOWN_PATH, PATH};
-use crate::replica::{Question, Told};
+use crate::replica::request::{KNOWN_PATH, PATH};
+use crate::replica::{FetchRequest, ReplicaUpdate};
 use crate::versions::KnownVersions;
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -80,14 +80,14 @@
     pub async fn ask(
         &self,
         reader: SocketAddr,
-        question: &Question,
+        question: &FetchRequest,
         patience: Duration,
-    ) -> Result<Told, AskError> {
+    ) -> Result<ReplicaUpdate, AskError> {
         let time = question.wait() + patience;
         self.exchange(reader, PATH, question, time).await
     }
 
-    /// Asks a node that runs what it knows in an era of the records' versions.
+    /// Fetches the versions that a running node has seen, in an era.
     ///
     /// # Errors
     ///
--- a/crates/oatdale-relay/src/replica/question.rs
+++ b/crates/oatdale-relay/src/replica/request.rs
@@ -9,7 +9,7 @@
 /// Where questions are asked.
 pub(crate) const PATH: &str = "/v1/records";
 
-/// Where a node that starts asks what another one knows of the records' versions.
+/// Where a starting node fetches the versions that another one has seen.
 pub(crate) const KNOWN_PATH: &str = "/v1/records/versions";
 
 /// The longest wait that a follower may ask for.
@@ -17,7 +17,7 @@
 
 /// What a follower asks.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct Question {
+pub struct FetchRequest {
     /// The records that it follows.
     pub topic: Topic,
     /// The revision up to which it has read; unset for everything.
@@ -28,7 +28,7 @@
     pub node: Option<Node>,
 }
 
-impl Question {
+impl FetchRequest {
     pub(crate) fn wait(&self) -> Duration {
         Duration::from_millis(self.wait_ms).min(MOST_WAIT)
     }
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -11,16 +11,16 @@
 use std::time::Duration;
 
 /// The longest question, in bytes: a few numbers, names and addresses.
-const MOST_QUESTION: usize = 4 << 10;
+const MAX_REQUEST: usize = 4 << 10;
 
 /// How long each pause in a question may be: it is one packet.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The answer to a follower; 503 if it should ask elsewhere.
 pub(crate) async fn answer(replica: &Replica, body: Incoming) -> Response<Body> {
-    let question = match read_question(body).await {
+    let question = match read_request(body).await {
         Ok(question) => question,
-        Err(reason) => return bad_question(&reason),
+        Err(reason) => return bad_request(&reason),
     };
     match replica.tell(question).await {
         Some(told) => encode(&told),
@@ -28,17 +28,17 @@
     }
 }
 
-async fn read_question<T: DeserializeOwned>(body: Incoming) -> Result<T, String> {
-    let body = read_body(body, MOST_QUESTION, QUESTION_TIMEOUT).await;
+async fn read_request<T: DeserializeOwned>(body: Incoming) -> Result<T, String> {
+    let body = read_body(body, MAX_REQUEST, REQUEST_TIMEOUT).await;
     let body = body.map_err(|err| err.to_string())?;
     ciborium::from_reader(body.as_ref()).map_err(|err| err.to_string())
 }
 
 /// The answer to a node that starts; 503 if this one knows nothing of the era.
 pub(crate) async fn answer_known(replica: &Replica, body: Incoming) -> Response<Body> {
-    let era = match read_question(body).await {
+    let era = match read_request(body).await {
         Ok(era) => era,
-        Err(reason) => return bad_question(&reason),
+        Err(reason) => return bad_request(&reason),
     };
     match replica.versions(era).await {
         Some(versions) => encode(&versions),
@@ -46,8 +46,8 @@
     }
 }
 
-fn bad_question(reason: &str) -> Response<Body> {
-    log::warn!(target: "replica", "event=bad_question reason=\"{reason}\"");
+fn bad_request(reason: &str) -> Response<Body> {
+    log::warn!(target: "replica", "event=bad_request reason=\"{reason}\"");
     plain(StatusCode::BAD_REQUEST, Bytes::new())
 }
 
--- a/crates/oatdale-relay/src/versions.rs
+++ b/crates/oatdale-relay/src/versions.rs
@@ -75,7 +75,7 @@
     Overtaken(Version),
 }
 
-/// What a node knows of a key's versions, for a node that starts.
+/// The versions of a key that a node has seen, for a starting node.
 #[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
 pub struct KnownVersions {
     /// The key.
@@ -208,7 +208,7 @@
                 key.kept = None;
                 Some(key.newest.clone())
             }
-            // A reader told it that had read less.
+            // It comes from a reader that had read less.
             _ if record.revision < key.newest.revision => {
                 key.newest.value.is_some().then(|| key.newest.clone())
             }
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -1,7 +1,9 @@
 //! Records that a node keeps for others that follow them.
 
 use bytes::Bytes;
-use oatdale_relay::{Content, Members, Node, Question, Record, Replica, Revision, Told, Topic};
+use oatdale_relay::{
+    Content, FetchRequest, Members, Node, Record, Replica, ReplicaUpdate, Revision, Topic,
+};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -39,12 +41,12 @@
     replica
 }
 
-fn keys(told: &Told) -> Vec<&str> {
+fn keys(told: &ReplicaUpdate) -> Vec<&str> {
     told.records.iter().map(|r| r.key.as_str()).collect()
 }
 
-fn question(after: Option<Revision>, wait: Duration) -> Question {
-    Question {
+fn question(after: Option<Revision>, wait: Duration) -> FetchRequest {
+    FetchRequest {
         topic: TOPIC,
         after,
         wait_ms: u64::try_from(wait.as_millis()).expect("it is short"),
@@ -68,14 +70,14 @@
     nodes.iter().map(|n| n.host.as_str()).collect()
 }
 
-async fn tell(replica: &Replica, after: Option<Revision>) -> Option<Told> {
+async fn tell(replica: &Replica, after: Option<Revision>) -> Option<ReplicaUpdate> {
     replica.tell(question(after, NO_WAIT)).await
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_follower_that_knows_nothing_gets_everything() {
     let told = tell(&replica(), None).await.expect("it is current");
-    assert!(told.is_whole);
+    assert!(told.is_snapshot);
     assert_eq!((told.revision.number, keys(&told)), (10, vec!["a", "b"]));
     assert_eq!(told.back, None);
 }
@@ -89,7 +91,7 @@
         &[record("c", 11), gone("a", 12), record("c", 14)],
     );
     let told = tell(&replica, Some(at(10))).await.expect("it is current");
-    assert!(!told.is_whole);
+    assert!(!told.is_snapshot);
     assert_eq!((told.revision.number, keys(&told)), (14, vec!["a", "c"]));
     assert_eq!(told.records[0].content, Content::Deleted);
     let told = tell(&replica, Some(at(12))).await.expect("it is current");
@@ -114,16 +116,16 @@
 async fn who_is_too_far_behind_gets_everything() {
     let replica = replica();
     let told = tell(&replica, Some(at(9))).await.expect("it is current");
-    assert!(told.is_whole);
+    assert!(told.is_snapshot);
     for revision in 11..6_000 {
         replica.change(TOPIC, at(revision), &[record("a", revision)]);
     }
     let told = tell(&replica, Some(at(11))).await.expect("it is current");
-    assert!(told.is_whole);
+    assert!(told.is_snapshot);
     let told = tell(&replica, Some(at(5_900)))
         .await
         .expect("it is current");
-    assert!(!told.is_whole);
+    assert!(!told.is_snapshot);
 }
 
 // The reader had to read everything anew, after an outage. Its followers get what differs; an endpoint that went
@@ -133,29 +135,29 @@
     let replica = replica();
     replica.replace(TOPIC, at(20), &[record("b", 7), record("c", 18)]);
     let told = tell(&replica, Some(at(10))).await.expect("it is current");
-    assert!(!told.is_whole);
+    assert!(!told.is_snapshot);
     assert_eq!((told.revision.number, keys(&told)), (20, vec!["c", "a"]));
     assert_eq!(told.records[1].content, Content::Deleted);
 }
 
 // A follower has heard from another reader of an endpoint that this one never knew: it came and went while this one
-// was cut off. Told only what differs for this reader, the follower would send requests there for ever.
+// was cut off. ReplicaUpdate only what differs for this reader, the follower would send requests there for ever.
 #[tokio::test(start_paused = true)]
 async fn who_was_ahead_of_a_reader_that_reads_anew_gets_everything() {
     let replica = replica();
     replica.replace(TOPIC, at(20), &[record("a", 3), record("b", 7)]);
     let told = tell(&replica, Some(at(15))).await.expect("it is current");
-    assert!(told.is_whole);
+    assert!(told.is_snapshot);
     let told = tell(&replica, Some(at(10))).await.expect("it is current");
-    assert!(!told.is_whole);
+    assert!(!told.is_snapshot);
     let told = tell(&replica, Some(at(20))).await.expect("it is current");
-    assert!(!told.is_whole);
+    assert!(!told.is_snapshot);
     for n in 0..200 {
         replica.replace(TOPIC, at(30 + n), &[record("a", 3), record("b", 7)]);
     }
     // Gaps are not remembered without end; who is behind them gets everything.
     let told = tell(&replica, Some(at(15))).await.expect("it is current");
-    assert!(told.is_whole);
+    assert!(told.is_snapshot);
 }
 
 // A change is written while everything is read page by page: a later page holds it, with a revision after that
--- a/crates/oatdale-relay/tests/replica_spec.rs
+++ b/crates/oatdale-relay/tests/replica_spec.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use oatdale_check::{Counterexample, Spec, explore};
-use oatdale_relay::{Content, Question, Record, Replica, Revision, Told, Topic};
+use oatdale_relay::{Content, FetchRequest, Record, Replica, ReplicaUpdate, Revision, Topic};
 use tokio::runtime::Builder;
 
 const READERS: usize = 2;
@@ -119,7 +119,7 @@
 
 impl Spread {
     /// What the product's replica tells a follower after a reader has read this.
-    fn told(&self, world: &World, reader: &Reader, after: Option<usize>) -> Option<Told> {
+    fn told(&self, world: &World, reader: &Reader, after: Option<usize>) -> Option<ReplicaUpdate> {
         let replica = Replica::default();
         replica.set_longest(100);
         for read in &reader.read {
@@ -140,7 +140,7 @@
         if reader.away.is_some() && self.broken != Break::TellsWhileAway {
             replica.suspend();
         }
-        let question = Question {
+        let question = FetchRequest {
             topic: Topic::Endpoints,
             after: after.map(at),
             wait_ms: 0,
@@ -162,9 +162,9 @@
         Some((format!("the follower asks reader {at}"), next))
     }
 
-    fn take(&self, world: &mut World, told: &Told) {
+    fn take(&self, world: &mut World, told: &ReplicaUpdate) {
         let follower = &mut world.follower;
-        if told.is_whole && self.broken != Break::KeepsWhatIsGone {
+        if told.is_snapshot && self.broken != Break::KeepsWhatIsGone {
             follower.holds = Default::default();
         }
         for record in &told.records {
--- a/crates/oatdale-relay/tests/restore_spec.rs
+++ b/crates/oatdale-relay/tests/restore_spec.rs
@@ -8,8 +8,8 @@
 use futures::FutureExt;
 use oatdale_check::{Counterexample, Spec, explore};
 use oatdale_relay::{
-    Content, Keep, KnownVersions, Question, Record, Replica, Revision, Told, ToldRecord, Topic,
-    Versions,
+    Content, FetchRequest, Keep, KnownVersions, Record, RecordUpdate, Replica, ReplicaUpdate,
+    Revision, Topic, Versions,
 };
 use std::time::Duration;
 use tokio::runtime::Builder;
@@ -214,9 +214,9 @@
         (versions, replica)
     }
 
-    fn told(&self, reader: &Reader, after: Option<Revision>) -> Option<Told> {
+    fn told(&self, reader: &Reader, after: Option<Revision>) -> Option<ReplicaUpdate> {
         let (_, replica) = self.replay(reader);
-        let question = Question {
+        let question = FetchRequest {
             topic: Topic::Endpoints,
             after,
             wait_ms: 0,
@@ -317,7 +317,7 @@
             _ => world.follower.at,
         };
         let told = self.told(&world.readers[at], after)?;
-        let is_news = told.is_whole || !told.records.is_empty() || Some(told.revision) != after;
+        let is_news = told.is_snapshot || !told.records.is_empty() || Some(told.revision) != after;
         if !is_news || world.follower.heard.len() == MAX_HEARD {
             return None;
         }
@@ -329,7 +329,7 @@
         let revision = told.revision;
         let records: Vec<_> = told.records.into_iter().map(record_of).collect();
         follower.heard.push(match after {
-            Some(after) if !told.is_whole => Answer::Changes(after, revision, records),
+            Some(after) if !told.is_snapshot => Answer::Changes(after, revision, records),
             _ => Answer::All(revision, records),
         });
         let holds = held(follower);
@@ -366,7 +366,7 @@
     holds
 }
 
-fn record_of(told: ToldRecord) -> Record {
+fn record_of(told: RecordUpdate) -> Record {
     let value = match told.content {
         Content::Value(value) => Some(value),
         Content::Deleted | Content::TooLong => None,
@@ -378,7 +378,7 @@
     }
 }
 
-fn take(holds: &mut [u8; KEYS.len()], told: Told) {
+fn take(holds: &mut [u8; KEYS.len()], told: ReplicaUpdate) {
     for record in told.records.into_iter().map(record_of) {
         holds[key_of(&record.key)] = record.value.map_or(0, |value| value[0]);
     }
