--- a/crates/oatdale-policy/src/relay/health.rs
+++ b/crates/oatdale-policy/src/relay/health.rs
@@ -12,15 +12,15 @@
 
 /// How long an endpoint is left out after a failure that says that it may be unreachable; doubled
 /// by each further one.
-const FIRST_REST: Duration = Duration::from_millis(400);
+const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
 
-/// The longest rest: a crashed endpoint is back within seconds and is wanted then.
-const LONGEST_REST: Duration = Duration::from_secs(3);
+/// The longest ejection: a crashed endpoint is back within seconds.
+const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
 /// An endpoint's recent failures.
 ///
-/// An endpoint may answer its health check and still fail requests, or be gone without a word.
-/// Both show only in what its answers are; without this each request to it would find out anew.
+/// An endpoint may pass its health check and still fail requests, or stop without closing its
+/// connections. Shared by all requests, so that one failure is enough to eject the endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Health {
     /// Moving share of failed answers, from 0 to 1.
@@ -28,7 +28,7 @@
     /// Failures to reach it in a row.
     unreached: u32,
     /// Left out until then, as time since the process began.
-    rests_until: Duration,
+    ejected_until: Duration,
 }
 
 impl Default for Health {
@@ -36,7 +36,7 @@
         Health {
             failed: 0.0,
             unreached: 0,
-            rests_until: Duration::ZERO,
+            ejected_until: Duration::ZERO,
         }
     }
 }
@@ -52,14 +52,14 @@
     /// Notes that no answer came: no connection, a broken one, or silence.
     pub fn silent(&mut self, now: Duration) {
         self.failed += (1.0 - self.failed) / MEMORY;
-        let rest = FIRST_REST * 2_u32.saturating_pow(self.unreached.min(4));
+        let rest = INITIAL_BACKOFF * 2_u32.saturating_pow(self.unreached.min(4));
         self.unreached += 1;
-        self.rests_until = now + rest.min(LONGEST_REST);
+        self.ejected_until = now + rest.min(MAX_BACKOFF);
     }
 
     /// Whether it should get no request now while others can take it.
-    pub fn rests(&self, now: Duration) -> bool {
-        now < self.rests_until
+    pub fn is_ejected(&self, now: Duration) -> bool {
+        now < self.ejected_until
     }
 
     /// Notes that an answer is late, which may never come: for requests that are sent once only, the
@@ -75,7 +75,7 @@
 
     /// How many times its load counts when endpoints are compared: a failing one is used less, and
     /// still often enough to notice that it recovered.
-    pub fn burden(&self) -> f64 {
+    pub fn load_factor(&self) -> f64 {
         match self.is_failing() {
             true => 1.0 + 10.0 * self.failed,
             false => 1.0,
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -64,7 +64,7 @@
     for _ in 0..5 {
         health.silent(now);
         let began = now;
-        while health.rests(now) {
+        while health.is_ejected(now) {
             now += Duration::from_millis(100);
         }
         rests.push(now - began);
@@ -73,7 +73,7 @@
     assert!(rests[4] <= secs(3), "{rests:?}");
     health.answered(true);
     health.silent(now);
-    assert!(!health.rests(now + Duration::from_millis(500)));
+    assert!(!health.is_ejected(now + Duration::from_millis(500)));
 }
 
 // An endpoint fails a third of its requests while its health check is good. It should get fewer of
@@ -81,15 +81,15 @@
 #[test]
 fn a_failing_endpoint_counts_as_loaded_until_it_recovers() {
     let mut health = Health::default();
-    assert!(health.burden() <= 1.0);
+    assert!(health.load_factor() <= 1.0);
     for n in 0..30 {
         health.answered(n % 2 == 0);
     }
-    assert!(health.burden() > 3.0);
+    assert!(health.load_factor() > 3.0);
     for _ in 0..10 {
         health.answered(true);
     }
-    assert!(health.burden() <= 1.0);
+    assert!(health.load_factor() <= 1.0);
 }
 
 // A call that may be sent only once gets no answer. Four of them are enough to prefer other endpoints,
@@ -100,11 +100,11 @@
     for n in 0..70 {
         health.answered(n % 7 != 0);
     }
-    assert!(health.burden() <= 1.0);
+    assert!(health.load_factor() <= 1.0);
     for _ in 0..4 {
         health.late();
     }
-    assert!(health.burden() > 3.0);
+    assert!(health.load_factor() > 3.0);
 }
 
 const WINDOW: Allowance = Allowance {
--- a/crates/oatdale-relay/src/asking.rs
+++ b/crates/oatdale-relay/src/asking.rs
@@ -61,7 +61,7 @@
             if now < entry.heard + silence {
                 return false;
             }
-            if entry.health.rests(now) {
+            if entry.health.is_ejected(now) {
                 return true;
             }
             if !takes_turn(entry, now) {
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -14,20 +14,20 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// How long an endpoint may send nothing at all, on any connection of this node, before it is
-/// taken to be away. An engine under load sends tokens of other requests several times a second.
-const SILENCE: Duration = Duration::from_millis(900);
+/// How long an endpoint may send nothing at all, on any connection of this node, before it counts
+/// as unavailable. An engine under load sends tokens of other requests several times a second.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The part of a route's target after which a silent endpoint is given up: enough of it has to
+/// The part of a route's target after which an attempt may be abandoned: enough of it has to
 /// be left for another endpoint to answer in time.
-const PATIENCE: f64 = 0.6;
+const RESPONSE_TIMEOUT_SHARE: f64 = 0.6;
 
-/// So many times a route's target is longer than the wait at a busy engine: the request itself is
-/// lost. Before, another engine would let it wait from the beginning.
-const LOST: f64 = 2.5;
+/// A wait of so many targets is longer than any queue at a busy engine: the request itself is lost.
+/// Before that, another engine would queue it from the beginning.
+const LOST_AFTER_TARGETS: f64 = 2.5;
 
-/// What is waited at the least, so that one slow answer does not count as silence.
-const LEAST_PATIENCE: Duration = Duration::from_millis(60);
+/// The shortest response timeout, so that one slow answer does not count as silence.
+const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Why there is no answer.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -39,7 +39,7 @@
     /// It may have run.
     Unknown(String),
     /// Nothing came for so long that another endpoint is asked; it may have run.
-    GivenUp,
+    Abandoned,
     /// Nothing came until the request's limit; it may have run.
     TimedOut,
     /// No endpoint may take it.
@@ -67,7 +67,7 @@
     /// Go on after this event.
     pub(crate) last_event: Option<u64>,
     /// Whether a silent endpoint is given up early, because another one may be asked.
-    pub(crate) impatient: bool,
+    pub(crate) may_abandon: bool,
 }
 
 /// Sends a request to the best endpoint that has not had it.
@@ -84,7 +84,7 @@
         return Err(Failure::NoEndpoint);
     };
     plan.pin_session(cx, &running);
-    gossip::tell_heavy(cx, &running);
+    gossip::announce_long_prompt(cx, &running);
     plan.tried.push(running.key);
     if !plan.sent_to.contains(&running.key) {
         plan.sent_to.push(running.key);
@@ -104,7 +104,7 @@
         result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
     );
     learn(cx, plan, &running, &result, took);
-    if matches!(result, Err(Failure::Unknown(_) | Failure::GivenUp)) {
+    if matches!(result, Err(Failure::Unknown(_) | Failure::Abandoned)) {
         crashes::note_broken(cx, plan, &running);
     }
     running.prompt_is_read();
@@ -127,11 +127,11 @@
     let req = plan.request(cx, &running.id, how.last_event);
     let mut sending = std::pin::pin!(cx.pool.send(running.addr, req, plan.reuse(), plan.limit));
     let sent = Instant::now();
-    let mut check = sent + patience(plan);
+    let mut check = sent + response_timeout(plan);
     let mut is_late = false;
     let res = loop {
         // One that is not given up is looked at once.
-        let until = match how.impatient || !is_late {
+        let until = match how.may_abandon || !is_late {
             true => check.min(plan.limit),
             false => plan.limit,
         };
@@ -147,16 +147,16 @@
         match res {
             Ok(res) => break res,
             Err(_) if Instant::now() >= plan.limit => return Err(Failure::TimedOut),
-            Err(_) if !how.impatient => {
+            Err(_) if !how.may_abandon => {
                 is_late = true;
                 if !plan.route().kind.is_stream() {
                     running.late();
                 }
             }
-            Err(_) if is_given_up(plan, running, sent).await => {
-                return Err(Failure::GivenUp);
+            Err(_) if is_abandoned(plan, running, sent).await => {
+                return Err(Failure::Abandoned);
             }
-            Err(_) => check = Instant::now() + SILENCE / 2,
+            Err(_) => check = Instant::now() + IDLE_TIMEOUT / 2,
         }
     };
     let (head, body) = match res {
@@ -185,8 +185,10 @@
 }
 
 /// When a request's first answer is late enough to ask whether its endpoint is alive.
-fn patience(plan: &Plan) -> Duration {
-    target(plan).mul_f64(PATIENCE).max(LEAST_PATIENCE)
+fn response_timeout(plan: &Plan) -> Duration {
+    target(plan)
+        .mul_f64(RESPONSE_TIMEOUT_SHARE)
+        .max(MIN_RESPONSE_TIMEOUT)
 }
 
 fn target(plan: &Plan) -> Duration {
@@ -198,12 +200,13 @@
 ///
 /// Streams wait for their turn at an engine, which says if asked that it is alive and whether it has
 /// the request. A plain service's answer that is late is late for itself.
-async fn is_given_up<W: Wire>(plan: &Plan, running: &Running<W>, sent: Instant) -> bool {
-    if !plan.route().kind.is_stream() || sent.elapsed() >= target(plan).mul_f64(LOST) {
+async fn is_abandoned<W: Wire>(plan: &Plan, running: &Running<W>, sent: Instant) -> bool {
+    if !plan.route().kind.is_stream() || sent.elapsed() >= target(plan).mul_f64(LOST_AFTER_TARGETS)
+    {
         return true;
     }
     let id = plan.facts.id.as_deref().unwrap_or_default();
-    running.is_dead(SILENCE).await || running.is_lost(id, sent.elapsed()).await
+    running.is_dead(IDLE_TIMEOUT).await || running.is_lost(id, sent.elapsed()).await
 }
 
 /// Sorts out answers that are none.
@@ -238,7 +241,7 @@
     result: &Result<Head, Failure>,
     took: Duration,
 ) {
-    if plan.is_largest() && matches!(result, Ok(_) | Err(Failure::GivenUp)) {
+    if plan.is_largest() && matches!(result, Ok(_) | Err(Failure::Abandoned)) {
         let part = took.as_secs_f64() / target(plan).as_secs_f64().max(0.001);
         cx.state().note_wait(&plan.service, part);
     }
@@ -249,7 +252,7 @@
             failed
         }
         Err(Failure::NotRun(_)) => return running.answered(false),
-        Err(Failure::GivenUp) => {
+        Err(Failure::Abandoned) => {
             running.silent();
             let source = plan.source(running);
             return cx.state().roll_outs.judged(&source, true);
@@ -257,7 +260,7 @@
         Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
         Err(Failure::TimedOut) => {
             // A caller that waits only a moment says nothing of the endpoint.
-            if took >= patience(plan) {
+            if took >= response_timeout(plan) {
                 running.silent();
             }
             true
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -69,7 +69,7 @@
             Cleared::Quarantined => {
                 log::warn!(target: "quarantine", "event=released request={request} reason=\"a copy completed\"");
                 state.unrecorded.add(self.now(), request, false);
-                gossip::tell_all(self, &state, &message);
+                gossip::broadcast(self, &state, &message);
             }
         }
     }
@@ -112,7 +112,7 @@
             "event=quarantined request={request} reason=\"endpoints crashed under it\" endpoint={endpoint}"
         );
         state.unrecorded.add(now, *request, true);
-        gossip::tell_all(cx, state, &Message::Quarantined { request: request.0 });
+        gossip::broadcast(cx, state, &Message::Quarantined { request: request.0 });
         cx.note_held(state);
     }
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -134,7 +134,7 @@
                 log::info!(target: "directory", "event=endpoint_gone id={id}");
                 let born = state.directory.by_id_mut(&id).and_then(|e| e.endpoint.born);
                 if state.directory.remove(now, &id) && state.reads_alone {
-                    gossip::tell_all(self, &state, &Message::EndpointGone { id, born });
+                    gossip::broadcast(self, &state, &Message::EndpointGone { id, born });
                 }
             }
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
@@ -170,7 +170,7 @@
         let (id, born) = (endpoint.id.clone(), endpoint.born);
         match state.directory.upsert(now, endpoint) {
             News::Leaves if state.reads_alone => {
-                gossip::tell_all(self, state, &Message::EndpointLeaves { id, born });
+                gossip::broadcast(self, state, &Message::EndpointLeaves { id, born });
             }
             News::StartedAgain(before) => {
                 log::info!(target: "directory", "event=started_again id={id} born={born:?}");
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -178,7 +178,7 @@
 ///
 /// Engines report their load late, and each node knows only its own requests: two long prompts that
 /// meet at one engine make everybody there late. All nodes are told: those that are not would send theirs there too.
-pub(crate) fn tell_heavy<W: Wire>(cx: &Cx<W>, running: &Running<W>) {
+pub(crate) fn announce_long_prompt<W: Wire>(cx: &Cx<W>, running: &Running<W>) {
     if running.weight < HEAVY {
         return;
     }
@@ -186,7 +186,7 @@
         endpoint: running.id.clone(),
         weight: running.weight,
     };
-    tell_all(cx, &cx.state(), &message);
+    broadcast(cx, &cx.state(), &message);
 }
 
 /// Tells all other nodes at once of something that they would see later by themselves, or not at all: an
@@ -194,7 +194,7 @@
 ///
 /// Each node reads the records only about once a second, since each call has its price; together they
 /// look many times a second. A lost datagram is made up for by the node's own next look.
-pub(crate) fn tell_all<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
+pub(crate) fn broadcast<W: Wire>(cx: &Cx<W>, state: &State, message: &Message) {
     send_now(cx, others(cx, state), message);
 }
 
@@ -204,13 +204,13 @@
         let every = cx.state().shared.scheme().every;
         tokio::time::sleep(every).await;
         let mut state = cx.state();
-        tell_loads(&cx, &mut state);
-        tell_sums(&cx, &mut state);
+        send_own_loads(&cx, &mut state);
+        send_load_sums(&cx, &mut state);
     }
 }
 
 /// Tells the loads of each group of endpoints to the two nodes that add them up.
-fn tell_loads<W: Wire>(cx: &Cx<W>, state: &mut State) {
+fn send_own_loads<W: Wire>(cx: &Cx<W>, state: &mut State) {
     let now = cx.now();
     let nodes = state.nodes.iter(now).count();
     let scheme = Scheme::new(nodes, state.directory.len());
@@ -229,7 +229,7 @@
     }
 }
 
-fn tell_sums<W: Wire>(cx: &Cx<W>, state: &mut State) {
+fn send_load_sums<W: Wire>(cx: &Cx<W>, state: &mut State) {
     let now = cx.now();
     let (nodes, sums, told) = state.adder.sum(now);
     if nodes == 0 {
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -255,7 +255,7 @@
             .roll_outs
             .pin(now, &self.service, session, &running.version);
         if let Some(on_old) = on_old {
-            gossip::tell_all(cx, &state, &Message::OnOld(on_old));
+            gossip::broadcast(cx, &state, &Message::OnOld(on_old));
         }
     }
 
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -140,7 +140,7 @@
             id: self.id.clone(),
             born: entry.endpoint.born,
         };
-        gossip::tell_all(&self.cx, &state, &message);
+        gossip::broadcast(&self.cx, &state, &message);
     }
 
     /// The endpoint turned the request away, and wants no other one from this node for so long.
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -187,10 +187,10 @@
         }
         let how = SendOptions {
             last_event: plan.facts.last_event,
-            impatient: idempotent && plan.has_attempts_after_next(),
+            may_abandon: idempotent && plan.has_attempts_after_next(),
         };
         let failure = match attempt::attempt(cx, plan, how).await {
-            Ok(answer) => match examine(cx, plan, answer, how.impatient).await {
+            Ok(answer) => match examine(cx, plan, answer, how.may_abandon).await {
                 Examined::Pass(Reply::Whole(head, body, endpoint))
                     if idempotent && head.status.is_server_error() =>
                 {
@@ -214,7 +214,7 @@
             // It costs no endpoint anything and ends when all have been tried.
             Failure::NotSent(_) => plan.left() > LEAST_TIME,
             Failure::NotRun(_) => may_repeat(cx, plan) && (idempotent || !may_have_run),
-            Failure::Unknown(_) | Failure::GivenUp => idempotent && may_repeat(cx, plan),
+            Failure::Unknown(_) | Failure::Abandoned => idempotent && may_repeat(cx, plan),
         };
         if again {
             continue;
@@ -245,7 +245,7 @@
     cx: &Arc<Cx<W>>,
     plan: &mut Plan,
     answer: Answer<W>,
-    impatient: bool,
+    may_abandon: bool,
 ) -> Examined<W> {
     let status = answer.head.status;
     if status.is_success() {
@@ -273,7 +273,7 @@
     if status.is_success() && plan.route().kind.is_stream() && is_events(&answer.head.headers) {
         return Examined::Pass(Reply::Pieces(Bytes::new(), Box::new(answer)));
     }
-    read_small(cx, plan, answer, impatient).await
+    read_small(cx, plan, answer, may_abandon).await
 }
 
 /// Reads a body to its end if it is small.
@@ -281,11 +281,11 @@
     cx: &Arc<Cx<W>>,
     plan: &Plan,
     mut answer: Answer<W>,
-    impatient: bool,
+    may_abandon: bool,
 ) -> Examined<W> {
     let route = plan.route();
     let target = route.target_latency.unwrap_or(route.timeout);
-    let until = match impatient {
+    let until = match may_abandon {
         true => plan.limit.min(Instant::now() + target),
         false => plan.limit,
     };
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -152,12 +152,12 @@
             .collect();
         let listed = of_version(now, wanted.allowed, all);
         // Those that seem to be away are asked only when there is no other.
-        let awake = kept(&listed, |e| !e.health.rests(now));
+        let awake = kept(&listed, |e| !e.health.is_ejected(now));
         let listed = if awake.is_empty() { listed } else { awake };
         let candidates: Vec<Candidate> = listed
             .iter()
             .map(|(_, e)| Candidate {
-                in_flight: (self.load(now, wanted, e) + 0.1) * e.health.burden(),
+                in_flight: (self.load(now, wanted, e) + 0.1) * e.health.load_factor(),
                 same_domain: e.endpoint.domain == domain,
                 affinity: wanted.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
             })
@@ -206,7 +206,7 @@
             seed,
             share,
         } => {
-            let mut new = kept(&all, |e| is(version, e) && !e.health.rests(now));
+            let mut new = kept(&all, |e| is(version, e) && !e.health.is_ejected(now));
             new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
             let part = (share * new.len() as f64).ceil() as usize;
             new.truncate(part.max(LEAST_TRIED));
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -180,7 +180,7 @@
         {
             let how = SendOptions {
                 last_event,
-                impatient: self.plan.has_attempts_after_next(),
+                may_abandon: self.plan.has_attempts_after_next(),
             };
             self.cx.metrics.repeats.inc();
             match attempt::attempt(&self.cx, &mut self.plan, how).await {
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -124,7 +124,7 @@
     assert_eq!(directory.len(), 1);
     let entry = directory.by_id_mut("x").unwrap();
     assert_eq!((entry.load, entry.running), (0.0, 0));
-    assert!(!entry.health.rests(ms(20)));
+    assert!(!entry.health.is_ejected(ms(20)));
 }
 
 // A record of an endpoint's earlier start is read, or told of by another node, after the endpoint has started
