Do not hold a request again that was let go

What callers saw: a request that endpoints had crashed under was let go when a copy of it completed, and was refused again some seconds later, for up to ten minutes.

Cause: nodes that see to the record of a decision (the one that decided, and those that count the request's crashes) went on writing 'held' until they read it, also after they were told of the release. The last write counts, so all nodes then held the request again. A write whose answer was lost could be executed after the release, too.

Ruled out: the copy that completes clears the quarantine on all nodes (it did); the new engines refuse (they were never asked).

--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -123,12 +123,39 @@
     let now = cx.now();
     let own = cx.settings.listen.nodes;
     let rank = ranked(state, now, request).position(|node| node == own);
-    if let Some(rank) = rank.filter(|_| state.quarantine.left(now, request).is_none()) {
-        state.unrecorded.add_fallback(now, request, rank);
+    let is_news = state.quarantine.left(now, request).is_none();
+    match rank.filter(|_| is_news) {
+        Some(rank) => state.unrecorded.add_fallback(now, request, rank),
+        // This node let it go before: endpoints have crashed under it again.
+        None if is_news => state.unrecorded.remove(request),
+        None => {}
     }
     take(cx, state, request, true);
 }
 
+/// Takes in whether a request is held, as its record says.
+pub(crate) fn take_record<W: Wire>(
+    cx: &Cx<W>,
+    state: &mut State,
+    request: Fingerprint,
+    is_held: bool,
+) {
+    match state.unrecorded.note_record(cx.now(), request, is_held) {
+        true => take(cx, state, request, is_held),
+        false => log::info!(
+            target: "quarantine",
+            "event=late_record request={request} held={is_held} reason=\"a copy completed since\""
+        ),
+    }
+}
+
+/// Takes in that another node has let a request go since a copy completed.
+pub(crate) fn take_release<W: Wire>(cx: &Cx<W>, state: &mut State, request: Fingerprint) {
+    // Written after the release, the decision would hold the request again.
+    state.unrecorded.remove(request);
+    take(cx, state, request, false);
+}
+
 /// Takes in whether a request is held, as another node or a record says.
 pub(crate) fn take<W: Wire>(cx: &Cx<W>, state: &mut State, request: Fingerprint, is_held: bool) {
     let now = cx.now();
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -139,8 +139,7 @@
             }
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
             Update::Quarantine { request, is_held } => {
-                state.unrecorded.note_record(request, is_held);
-                crashes::take(self, &mut state, request, is_held);
+                crashes::take_record(self, &mut state, request, is_held);
             }
             Update::RollOutEndLost(service) => state.roll_outs.end_lost(now, &service),
             Update::Restored { kept } => {
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -139,7 +139,7 @@
             crashes::take_decision(cx, state, Fingerprint(request));
         }),
         Ok(Message::Completed { request }) => take_from_known(cx, from, |state| {
-            crashes::take(cx, state, Fingerprint(request), false);
+            crashes::take_release(cx, state, Fingerprint(request));
         }),
         Ok(Message::Sums { nodes, loads }) => take_from_known(cx, from, |state| {
             // No sum is over more nodes than there are; one that says so would keep others out.
