Send nothing new to the endpoints of an evacuated failure domain

Cause: nothing read the operators' orders. They are read with the operators' other records, before the configuration, so that a node that has just started knows them when it serves its first request. The directory leaves the domain's endpoints out in one place, beside those that leave and those that want a pause: first attempts, repeats, resumed streams and trials of versions alike. What runs goes on. A node that the key-value service does not answer hears of orders from others with the configuration. After a restore from an older copy an order counts until it is written again, as all operators' records do.

An order's key alone says which domain is meant. While all domains are evacuated requests are refused at once with the reason; a log line tells for each request without an endpoint how many were left out for what.

Ruled out: a check at each sender (six of them); a datagram to the other nodes, which the bound of five seconds does not need.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::answer::Answer;
 use crate::crashes;
 use crate::cx::Cx;
+use crate::directory::Shortage;
 use crate::gossip;
 use crate::plan::Plan;
 use crate::running::Running;
@@ -43,7 +44,7 @@
     /// Nothing came until the request's limit; it may have run.
     TimedOut,
     /// No endpoint may take it.
-    NoEndpoint,
+    NoEndpoint(Shortage),
     /// It crashes endpoints, which turned out before or after it was sent to this one.
     Quarantined { sent: bool },
 }
@@ -55,7 +56,7 @@
             self,
             Failure::NotSent(_)
                 | Failure::NotRun(_)
-                | Failure::NoEndpoint
+                | Failure::NoEndpoint(_)
                 | Failure::Quarantined { sent: false }
         )
     }
@@ -80,8 +81,16 @@
     if cx.quarantine_left(plan).is_some() {
         return Err(Failure::Quarantined { sent: false });
     }
-    let Some(mut running) = plan.place(cx) else {
-        return Err(Failure::NoEndpoint);
+    let mut running = match plan.place(cx) {
+        Ok(running) => running,
+        Err(shortage) => {
+            log::info!(
+                target: "attempt",
+                "event=no_endpoint id={} config={} service={} {shortage}",
+                plan.facts.id.as_deref().unwrap_or("-"), plan.site.version, plan.service
+            );
+            return Err(Failure::NoEndpoint(shortage));
+        }
     };
     plan.pin_session(cx, &running);
     gossip::announce_long_prompt(cx, &running);
@@ -265,7 +274,7 @@
             }
             true
         }
-        Err(Failure::NoEndpoint | Failure::Quarantined { .. }) => return,
+        Err(Failure::NoEndpoint(_) | Failure::Quarantined { .. }) => return,
     };
     // A stream's first event waits for its engine's queue and for the prompt to be read, which says
     // little of a version; the pace of its events says more and is noted later.
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -2,7 +2,7 @@
 
 use crate::body::BodyMemory;
 use crate::crashes;
-use crate::directory::News;
+use crate::directory::{News, Shortage};
 use crate::gossip::{self, Message};
 use crate::metrics::Metrics;
 use crate::roll_outs::Allowed;
@@ -13,6 +13,7 @@
 use crate::update::{Endpoint, Update};
 use crate::wire::Wire;
 use oatdale_platform::{Pool, PoolConfig};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -137,6 +138,7 @@
                     gossip::broadcast(self, &state, &Message::EndpointGone { id, born });
                 }
             }
+            Update::Evacuated(domains) => self.take_evacuated(&mut state, domains),
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
             Update::Quarantine { request, is_held } => {
                 crashes::take_record(self, &mut state, request, is_held);
@@ -179,6 +181,11 @@
         }
     }
 
+    pub(crate) fn take_evacuated(&self, state: &mut State, domains: BTreeSet<String>) {
+        self.metrics.evacuated.set(domains.len() as i64);
+        state.directory.set_evacuated(domains);
+    }
+
     pub(crate) fn take_site(&self, state: &mut State, site: Arc<Site>) {
         let old = state.site.as_ref().map(|s| s.version);
         if old.is_some_and(|old| site.version <= old) {
@@ -209,13 +216,27 @@
         state.roll_outs.allowed(now, service, session, own)
     }
 
-    /// Places a request and counts it; `None` if no endpoint may take it.
-    pub(crate) fn place(self: &Arc<Self>, wanted: &Wanted<'_>) -> Option<Running<W>> {
+    /// Whether an endpoint may take a request.
+    pub(crate) fn has_place(&self, wanted: &Wanted<'_>) -> bool {
+        let now = self.now();
+        let picked = self
+            .state()
+            .pick(now, wanted, &self.settings.failure_domain);
+        picked.is_some()
+    }
+
+    /// Places a request and counts it, or tells why no endpoint may take it.
+    pub(crate) fn place(self: &Arc<Self>, wanted: &Wanted<'_>) -> Result<Running<W>, Shortage> {
         let now = self.now();
         let mut state = self.state();
-        let (key, choices) = state.pick(now, wanted, &self.settings.failure_domain)?;
-        let entry = state.directory.get_mut(key)?;
-        Some(Running::begin(
+        let shortage = |state: &State| state.directory.shortage(now, wanted.service, wanted.tried);
+        let Some((key, choices)) = state.pick(now, wanted, &self.settings.failure_domain) else {
+            return Err(shortage(&state));
+        };
+        let Some(entry) = state.directory.get_mut(key) else {
+            return Err(shortage(&state));
+        };
+        Ok(Running::begin(
             self.clone(),
             key,
             entry,
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -4,7 +4,8 @@
 use crate::state::hash;
 use crate::update::Endpoint;
 use oatdale_policy::relay::Health;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
@@ -27,6 +28,8 @@
     by_id: BTreeMap<String, EndpointKey>,
     next: u32,
     store: Store,
+    /// Failure domains that operators have evacuated; unset until an order, or that there is none, was read.
+    evacuated: Option<BTreeSet<String>>,
 }
 
 /// What is known of one endpoint.
@@ -77,6 +80,21 @@
     StartedAgain(SocketAddr),
 }
 
+/// How many endpoints of a service do not get a request, by reason.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub(crate) struct Shortage {
+    /// They had it.
+    tried: usize,
+    /// They leave or are gone.
+    leaving: usize,
+    /// Their failure domain is evacuated.
+    evacuated: usize,
+    /// They want a pause.
+    paused: usize,
+    /// They run a version that the request may not use.
+    other: usize,
+}
+
 /// Whether an endpoint's entry is there.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Gone {
@@ -216,6 +234,28 @@
         }
     }
 
+    /// Takes over which failure domains are evacuated. Their endpoints get nothing new, and go on with what they have.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<String>) {
+        let before = self.evacuated.replace(domains).unwrap_or_default();
+        let domains = self.evacuated.iter().flatten();
+        for domain in domains.filter(|d| !before.contains(*d)) {
+            log::warn!(target: "directory", "event=domain_evacuated domain={domain}");
+        }
+        for domain in before.iter().filter(|d| !self.is_evacuated(d)) {
+            log::warn!(target: "directory", "event=domain_taken_back domain={domain}");
+        }
+    }
+
+    /// The failure domains that are evacuated, if that is known.
+    pub fn evacuated(&self) -> Option<&BTreeSet<String>> {
+        self.evacuated.as_ref()
+    }
+
+    fn is_evacuated(&self, domain: &str) -> bool {
+        let evacuated = self.evacuated.as_ref();
+        evacuated.is_some_and(|domains| domains.contains(domain))
+    }
+
     /// The endpoint with this id.
     pub fn by_id_mut(&mut self, id: &str) -> Option<&mut Entry> {
         let key = self.by_id.get(id)?;
@@ -230,7 +270,7 @@
     ) -> impl Iterator<Item = (EndpointKey, &'a Entry)> {
         self.entries
             .iter()
-            .filter(move |(_, e)| e.endpoint.service == service && e.takes_work(now))
+            .filter(move |(_, e)| e.endpoint.service == service && self.may_get_work(now, e))
             .filter(move |(_, e)| now >= e.paused_until)
             .map(|(key, e)| (*key, e))
     }
@@ -239,11 +279,32 @@
     /// or if there is none.
     pub fn pause_left(&self, now: Duration, service: &str) -> Option<Duration> {
         let entries = self.entries.values();
-        let there = entries.filter(|e| e.endpoint.service == service && e.takes_work(now));
+        let there = entries.filter(|e| e.endpoint.service == service && self.may_get_work(now, e));
         let first = there.map(|e| e.paused_until).min()?;
         first.checked_sub(now).filter(|left| !left.is_zero())
     }
 
+    fn may_get_work(&self, now: Duration, entry: &Entry) -> bool {
+        entry.takes_work(now) && !self.is_evacuated(&entry.endpoint.domain)
+    }
+
+    /// Why no endpoint of a service may take a request that was sent to these already.
+    pub(crate) fn shortage(&self, now: Duration, service: &str, tried: &[EndpointKey]) -> Shortage {
+        let mut shortage = Shortage::default();
+        let of_service = |e: &Entry| e.endpoint.service == service;
+        for (key, entry) in self.entries.iter().filter(|(_, e)| of_service(e)) {
+            let count = match entry {
+                _ if tried.contains(key) => &mut shortage.tried,
+                e if !e.takes_work(now) => &mut shortage.leaving,
+                e if self.is_evacuated(&e.endpoint.domain) => &mut shortage.evacuated,
+                e if now < e.paused_until => &mut shortage.paused,
+                _ => &mut shortage.other,
+            };
+            *count += 1;
+        }
+        shortage
+    }
+
     /// Whether this node has work on another version of a service than `target`.
     pub fn has_other_work(&self, service: &str, target: &str) -> bool {
         self.entries
@@ -309,6 +370,23 @@
     }
 }
 
+impl Shortage {
+    /// Whether there would be an endpoint if no domain were evacuated.
+    pub(crate) fn is_evacuation(&self) -> bool {
+        self.evacuated > 0 && self.tried + self.paused + self.other == 0
+    }
+}
+
+impl fmt::Display for Shortage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "tried={} leaving={} evacuated={} paused={} other={}",
+            self.tried, self.leaving, self.evacuated, self.paused, self.other
+        )
+    }
+}
+
 impl Entry {
     fn new(now: Duration, endpoint: Endpoint) -> Entry {
         Entry {
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) crashes: IntCounter,
     /// Requests that are refused since they crash endpoints.
     pub(crate) quarantined: IntGauge,
+    /// Failure domains that operators have evacuated.
+    pub(crate) evacuated: IntGauge,
     /// Times that the key-value service came back from an older copy.
     pub(crate) restores: IntCounter,
     /// Time to the head of the answer that was passed on, in seconds.
@@ -63,6 +65,7 @@
                 "quarantined_requests",
                 "Requests refused for crashing endpoints",
             )?,
+            evacuated: IntGauge::new("evacuated_domains", "Failure domains evacuated")?,
             restores: IntCounter::new("store_restores_total", "Restores of the key-value service")?,
             first_byte: Histogram::with_opts(histogram)?,
             version: IntGauge::new("configuration_version", "Configuration in force")?,
@@ -77,13 +80,14 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let all: [Box<dyn prometheus::core::Collector>; 13] = [
+        let all: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.repeats.clone()),
             Box::new(self.escalations.clone()),
             Box::new(self.resumed.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.quarantined.clone()),
+            Box::new(self.evacuated.clone()),
             Box::new(self.restores.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -87,6 +87,7 @@
         is_current: state.store_lost.is_none(),
         site: site.map(Into::into),
         endpoints: state.directory.iter(now).cloned().collect(),
+        evacuated: state.directory.evacuated().cloned(),
         nodes: state.nodes.iter(now).cloned().collect(),
         ended: state.roll_outs.ended(),
         under_way: state.roll_outs.reports(now, host, |service, target| {
@@ -174,6 +175,13 @@
             cx.pool.forget(addr);
         }
     }
+    // Before the configuration: a node that has just got one serves at once.
+    match snapshot.evacuated {
+        Some(domains) if snapshot.is_current || state.directory.evacuated().is_none() => {
+            cx.take_evacuated(state, domains);
+        }
+        _ => {}
+    }
     if snapshot.is_current || state.nodes.iter(now).next().is_none() {
         state.nodes.replace_as_told(now, snapshot.nodes);
     }
--- a/crates/oatdale-relay/src/peers/wire.rs
+++ b/crates/oatdale-relay/src/peers/wire.rs
@@ -5,7 +5,7 @@
 use crate::update::{Endpoint, Node, RollOut};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 
 /// All that a node knows of the site.
@@ -17,6 +17,9 @@
     pub(super) site: Option<SiteWire>,
     /// All endpoints.
     pub(super) endpoints: Vec<Endpoint>,
+    /// Failure domains that are evacuated, if it knows; nodes of an earlier version do not tell them.
+    #[serde(default)]
+    pub(super) evacuated: Option<BTreeSet<String>>,
     /// All nodes.
     pub(super) nodes: Vec<Node>,
     /// Roll-outs that have ended.
--- a/crates/oatdale-relay/src/plan.rs
+++ b/crates/oatdale-relay/src/plan.rs
@@ -2,11 +2,11 @@
 
 use crate::body::HeldBody;
 use crate::cx::Cx;
-use crate::directory::EndpointKey;
+use crate::directory::{EndpointKey, Shortage};
 use crate::gossip::{self, Message};
 use crate::heads::host;
 use crate::reply::Refusal;
-use crate::roll_outs::{Pace, Source};
+use crate::roll_outs::{Allowed, Pace, Source};
 use crate::running::Running;
 use crate::site::{Route, Site};
 use crate::state::{Wanted, hash};
@@ -230,17 +230,31 @@
     }
 
     /// Places it at an endpoint that has not had it.
-    pub(crate) fn place<W: Wire>(&self, cx: &Arc<Cx<W>>) -> Option<Running<W>> {
-        // Asked anew for each attempt: a roll-out may have ended since the last one, and the version
-        // that was allowed then may be gone.
-        let allowed = cx.allowed(&self.service, self.session(), hash(&self.facts.id));
-        cx.place(&Wanted {
+    pub(crate) fn place<W: Wire>(&self, cx: &Arc<Cx<W>>) -> Result<Running<W>, Shortage> {
+        let allowed = self.allowed(cx);
+        cx.place(&self.wanted(&allowed))
+    }
+
+    /// Whether there is an endpoint that has not had it.
+    pub(crate) fn has_place<W: Wire>(&self, cx: &Cx<W>) -> bool {
+        let allowed = self.allowed(cx);
+        cx.has_place(&self.wanted(&allowed))
+    }
+
+    /// The versions that it may use now: a roll-out may have ended since its last attempt, and the version that was
+    /// allowed then may be gone.
+    fn allowed<W: Wire>(&self, cx: &Cx<W>) -> Allowed {
+        cx.allowed(&self.service, self.session(), hash(&self.facts.id))
+    }
+
+    fn wanted<'a>(&'a self, allowed: &'a Allowed) -> Wanted<'a> {
+        Wanted {
             service: &self.service,
-            allowed: &allowed,
+            allowed,
             tried: &self.tried,
             prefix: self.prefix(),
             weight: self.weight(),
-        })
+        }
     }
 
     /// Notes that the session runs on the endpoint's version, before the request is sent: the session's
--- a/crates/oatdale-relay/src/reply.rs
+++ b/crates/oatdale-relay/src/reply.rs
@@ -34,6 +34,8 @@
     Stopping,
     /// No endpoint has room for it; none has run it.
     NoEndpoint,
+    /// All failure domains with endpoints for it are evacuated.
+    Evacuated,
     /// The time was up before an endpoint was sent it.
     NoTime,
     /// It crashes the endpoints that run it; this time none has run it.
@@ -56,6 +58,7 @@
             | Refusal::NotReady
             | Refusal::Stopping
             | Refusal::NoEndpoint
+            | Refusal::Evacuated
             | Refusal::NoTime
             | Refusal::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
@@ -76,6 +79,7 @@
             Refusal::NotReady => "not-ready",
             Refusal::Stopping => "stopping",
             Refusal::NoEndpoint => "no-endpoint",
+            Refusal::Evacuated => "domains-evacuated",
             Refusal::NoTime => "no-time",
             Refusal::Quarantined => "quarantined",
             Refusal::Lost => "answer-lost",
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -210,7 +210,7 @@
         };
         may_have_run |= !failure.is_not_run();
         let again = match &failure {
-            Failure::NoEndpoint | Failure::TimedOut | Failure::Quarantined { .. } => false,
+            Failure::NoEndpoint(_) | Failure::TimedOut | Failure::Quarantined { .. } => false,
             // It costs no endpoint anything and ends when all have been tried.
             Failure::NotSent(_) => plan.left() > LEAST_TIME,
             Failure::NotRun(_) => may_repeat(cx, plan) && (idempotent || !may_have_run),
@@ -227,6 +227,9 @@
                 let request = plan.fingerprint();
                 Err((Refusal::Quarantined, format!("request={request}")))
             }
+            (None, Failure::NoEndpoint(shortage)) if shortage.is_evacuation() => {
+                Err((Refusal::Evacuated, shortage.to_string()))
+            }
             (None, _) => Err((Refusal::NoEndpoint, format!("{failure:?}"))),
         };
     }
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -162,7 +162,7 @@
         let silence = gap.mul_f64(PATIENCE);
         let stopped =
             self.answer.running.is_dead(silence).await || began.elapsed() >= gap.mul_f64(STUCK);
-        let has_other = || self.plan.place(&self.cx).is_some();
+        let has_other = || self.plan.has_place(&self.cx);
         self.paid = stopped && has_other() && self.cx.may_repeat(&self.plan.service);
         self.paid
     }
@@ -197,7 +197,7 @@
                     return Ok(());
                 }
                 Ok(answer) => reason = format!("{} on resumption", answer.head.status),
-                Err(Failure::NoEndpoint) => return Err(format!("{reason}, no other endpoint")),
+                Err(Failure::NoEndpoint(_)) => return Err(format!("{reason}, no other endpoint")),
                 Err(Failure::Quarantined { .. }) => return Err(format!("{reason}, quarantined")),
                 Err(err) => reason = format!("{err:?}"),
             }
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -7,6 +7,7 @@
 use crate::state::hash;
 use oatdale_policy::relay::{Fingerprint, ReaderCandidate};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,8 @@
     Endpoint(Endpoint),
     /// The endpoint with this id is gone.
     EndpointGone(String),
+    /// The failure domains whose endpoints are to get nothing new.
+    Evacuated(BTreeSet<String>),
     /// A roll-out as it stands.
     RollOut(RollOut),
     /// The record of how this service's roll-out ended is lost.
