Send cold endpoints no more than they bear, from all nodes together

Cause: nothing read how long an endpoint stays cold, nor what it bears meanwhile. Both are read now, from records and from answers. Each node has a share of what a cold endpoint bears in a second, dealt out by a hash of node and endpoint: no message is needed, and nodes that hold different lists claim a few more, far below the bound. A node that has just started has no share, since it does not know the others yet; a share is not saved up, so a node that was frozen has no more than one. The directory leaves cold endpoints without a share out in the one place where requests are placed, after the choice of the version, so that a session does not leave its version for a warm endpoint.

An endpoint is taken for cold while it says so; when it is new and does not say how it is; and for its cold time and the delay of its record after it could not be reached (all nodes are told by datagram) or its domain was taken back. One that says that it is cold and has less than the mean to do is preferred by the nodes that may send to it: few may, and the others have the work of all.

Ruled out: an owner for each cold endpoint, which would pass all requests for it through one host and leave it unused when that host ends; grants that nodes pass on, which cost a message a request and stop with their holder.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -27,6 +27,7 @@
 mod readers;
 mod repeats;
 mod roll_out;
+mod warm_up;
 
 pub use crate::average::{Mean, Rate};
 pub use crate::relay::addresses::{AddressCandidate, told_addresses};
@@ -46,3 +47,4 @@
 pub use crate::relay::roll_out::{
     Exposure, MOST_TRIAL, Phase, Schedule, is_in_trial, shows_new, trial_share,
 };
+pub use crate::relay::warm_up::{WarmUp, warm_up_share};
--- a/crates/oatdale-policy/src/relay/placement.rs
+++ b/crates/oatdale-policy/src/relay/placement.rs
@@ -20,6 +20,8 @@
     pub in_flight: f64,
     /// Whether it is in the node's own failure domain.
     pub same_domain: bool,
+    /// Whether it is cold and may take this request: it warms by what it gets.
+    pub warms_up: bool,
     /// Rendezvous hash of the request's prefix and the endpoint; the highest keeps the prefix.
     pub affinity: u64,
 }
@@ -45,10 +47,14 @@
     let sum: f64 = candidates.iter().map(|c| c.in_flight).sum();
     let mean = sum / candidates.len().max(1) as f64;
     let bound = mean * AFFINITY_BOUND + AFFINITY_SLACK;
-    let keeps = (0..candidates.len())
-        .filter(|&i| candidates[i].in_flight <= bound)
-        .max_by_key(|&i| candidates[i].affinity);
-    keeps.or_else(|| by_load(candidates, 0))
+    let best = |may: &dyn Fn(&Candidate) -> bool| {
+        let kept = (0..candidates.len()).filter(|&i| may(&candidates[i]));
+        kept.max_by_key(|&i| candidates[i].affinity)
+    };
+    // Few nodes may send to a cold one: those that may make up for the others.
+    best(&|c| c.warms_up && c.in_flight < mean)
+        .or_else(|| best(&|c| c.in_flight <= bound))
+        .or_else(|| by_load(candidates, 0))
 }
 
 fn by_load(candidates: &[Candidate], draw: u64) -> Option<usize> {
--- /dev/null
+++ b/crates/oatdale-policy/src/relay/warm_up.rs
@@ -0,0 +1,47 @@
+//! How many requests a node may send to an endpoint that is cold.
+//!
+//! The load pattern: an endpoint has just started and has nothing to do, so it seems the best one to all nodes at
+//! once, and what they send together crashes it. So the requests that it bears in a second are dealt out among the
+//! nodes by a hash of both, which needs no message. Nodes whose lists of nodes differ claim a few more.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Over which a node counts what it sent: more than the second that endpoints count over, since requests are sent a
+/// little later than they are placed.
+const SPAN: Duration = Duration::from_millis(1_100);
+
+/// A node's share of the requests that a cold endpoint bears in a second.
+///
+/// `rank` is the node's place among all nodes, by a hash of node and endpoint: with fewer requests than nodes those
+/// with the first ranks may send one each.
+pub fn warm_up_share(rate: f64, nodes: usize, rank: usize) -> u32 {
+    let whole = (rate as u32).max(1);
+    let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+    let has_rest = u32::try_from(rank).is_ok_and(|rank| rank < whole % nodes);
+    whole / nodes + u32::from(has_rest)
+}
+
+/// What a node sent to an endpoint lately.
+#[derive(Clone, Debug, Default)]
+pub struct WarmUp {
+    /// The oldest first.
+    sent: VecDeque<Duration>,
+}
+
+impl WarmUp {
+    /// When the next request may be sent with this share of a second's requests; `None` without a share.
+    pub fn next(&self, share: u32) -> Option<Duration> {
+        let share = usize::try_from(share).ok().filter(|share| *share > 0)?;
+        let first = self.sent.len().checked_sub(share);
+        Some(first.map_or(Duration::ZERO, |first| self.sent[first] + SPAN))
+    }
+
+    /// Notes that a request is sent.
+    pub fn note(&mut self, now: Duration) {
+        while self.sent.front().is_some_and(|at| *at + SPAN <= now) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
+}
--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -14,6 +14,7 @@
         in_flight,
         same_domain,
         affinity,
+        warms_up: false,
     }
 }
 
--- /dev/null
+++ b/crates/oatdale-policy/tests/relay_warm_up.rs
@@ -0,0 +1,71 @@
+//! How many requests nodes send to a cold endpoint.
+
+use oatdale_policy::relay::{Candidate, Placement, WarmUp, choose, warm_up_share};
+use std::time::Duration;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+// Guards against nodes that together send more than a cold endpoint bears.
+#[test]
+fn the_shares_of_all_nodes_add_up_to_what_the_endpoint_bears() {
+    for nodes in [1, 2, 7, 9, 79, 295, 360] {
+        for rate in [1, 4, 11, 40, 1_000] {
+            let shares = (0..nodes).map(|rank| warm_up_share(f64::from(rate), nodes, rank));
+            assert_eq!(shares.sum::<u32>(), rate, "{nodes} nodes");
+        }
+    }
+}
+
+// Guards against configured rates that end the process or that no node may use.
+#[test]
+fn any_rate_gives_a_share() {
+    assert_eq!(warm_up_share(0.4, 9, 0), 1);
+    assert_eq!(warm_up_share(f64::NAN, 9, 0), 1);
+    assert_eq!(warm_up_share(-3.0, 0, 0), 1);
+    assert_eq!(warm_up_share(1e300, 1, 0), u32::MAX);
+}
+
+#[test]
+fn a_share_is_for_any_second() {
+    let mut sent = WarmUp::default();
+    assert_eq!(sent.next(0), None);
+    for at in [0, 10] {
+        assert!(sent.next(2).is_some_and(|next| next <= ms(at)));
+        sent.note(ms(at));
+    }
+    let next = sent.next(2).unwrap();
+    assert!(next > ms(1_000) && next < ms(1_200), "{next:?}");
+    sent.note(next);
+    assert!(sent.next(2).unwrap() > next);
+    // A larger share counts what was sent before.
+    assert!(sent.next(3).unwrap() <= next);
+}
+
+// Guards against a share that is saved up while nothing is sent, as by a node that was paused.
+#[test]
+fn a_share_is_not_saved_up() {
+    let mut sent = WarmUp::default();
+    sent.note(ms(0));
+    sent.note(ms(60_000));
+    assert!(sent.next(1).unwrap() > ms(61_000));
+}
+
+// A failure domain returns cold: its endpoints are idle, the others have the work of all. The few nodes that may send to
+// one of them send it what they can, though it keeps nothing yet.
+#[test]
+fn a_node_uses_its_share_of_an_idle_cold_endpoint() {
+    let warm = |in_flight, affinity| Candidate {
+        in_flight,
+        affinity,
+        ..Candidate::default()
+    };
+    let cold = |in_flight| Candidate {
+        warms_up: true,
+        ..warm(in_flight, 0)
+    };
+    let pick = |cold| choose(&[warm(9.0, 7), warm(9.0, 8), cold], Placement::Affinity, 0);
+    assert_eq!(pick(cold(1.0)), Some(2));
+    assert_eq!(pick(cold(12.0)), Some(1));
+}
--- a/crates/oatdale-relay/src/asking.rs
+++ b/crates/oatdale-relay/src/asking.rs
@@ -38,6 +38,7 @@
     Alive {
         report: Option<Arc<EngineReport>>,
         leaving: bool,
+        cold_left: Option<Duration>,
     },
 }
 
@@ -102,7 +103,11 @@
                 log::info!(target: "probe", "event=probed endpoint={} alive=false", self.id);
                 self.silent();
             }
-            Probed::Alive { report, leaving } => {
+            Probed::Alive {
+                report,
+                leaving,
+                cold_left,
+            } => {
                 match report {
                     Some(report) => {
                         log::info!(
@@ -117,6 +122,9 @@
                     }
                 }
                 self.heard();
+                if let Some(left) = cold_left {
+                    self.said_cold(*left);
+                }
                 if *leaving {
                     self.announced_leaving();
                 }
@@ -143,13 +151,17 @@
             return Probed::Away;
         };
         let (head, body) = res.into_parts();
-        let leaving = self.wire.answer(&head).leaving;
+        let facts = self.wire.answer(&head);
         let body = Limited::new(body, MAX_REPORT).collect();
         let report = match timeout_at(deadline, body).await {
             Ok(Ok(body)) => self.wire.engine_report(&body.to_bytes()).map(Arc::new),
             Ok(Err(_)) | Err(_) => None,
         };
-        Probed::Alive { report, leaving }
+        Probed::Alive {
+            report,
+            leaving: facts.leaving,
+            cold_left: facts.cold_left,
+        }
     }
 }
 
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -182,6 +182,9 @@
     if let Some(time) = facts.pause {
         running.paused(time);
     }
+    if let Some(left) = facts.cold_left.filter(|_| !facts.other_endpoint) {
+        running.said_cold(left);
+    }
     if facts.leaving || facts.pause.is_some() {
         log::info!(
             target: "attempt",
@@ -266,7 +269,11 @@
             let source = plan.source(running);
             return cx.state().roll_outs.judged(&source, true);
         }
-        Err(Failure::NotSent(_) | Failure::Unknown(_)) => return running.silent(),
+        Err(Failure::NotSent(_)) => {
+            running.unreachable();
+            return running.silent();
+        }
+        Err(Failure::Unknown(_)) => return running.silent(),
         Err(Failure::TimedOut) => {
             // A caller that waits only a moment says nothing of the endpoint.
             if took >= response_timeout(plan) {
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -3,7 +3,7 @@
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::plan::Plan;
-use crate::running::Running;
+use crate::running::{Running, note_unreachable};
 use crate::wire::Wire;
 use oatdale_policy::relay::Fingerprint;
 use std::collections::HashMap;
@@ -105,8 +105,16 @@
 
 /// Checks one endpoint for all requests whose connections to it broke.
 async fn check<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr) {
-    let has_crashed = cx.state().directory.started_again(key) || refuses(addr).await;
+    let is_again = cx.state().directory.started_again(key);
+    let reached = match is_again {
+        true => Reached::Refused,
+        false => reach(addr).await,
+    };
+    let has_crashed = reached == Reached::Refused;
     let mut state = cx.state();
+    if reached != Reached::Yes {
+        note_unreachable(&cx, &mut state, key);
+    }
     let requests = state.checks.end(key);
     let Some(entry) = state.directory.get(key) else {
         return;
@@ -123,16 +131,27 @@
     }
 }
 
-/// Whether nobody listens at an address.
-///
-/// A host that can't be reached says nothing of the endpoint's process.
-async fn refuses(addr: SocketAddr) -> bool {
+/// Whether an endpoint can be reached.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Reached {
+    Yes,
+    /// Nobody listens there.
+    Refused,
+    /// Its host does not answer, which says nothing of its process.
+    No,
+}
+
+async fn reach(addr: SocketAddr) -> Reached {
+    let mut reached = Reached::Yes;
     for pause in CHECK_PAUSES {
         sleep(pause).await;
-        let opened = timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await;
-        if matches!(opened, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused) {
-            return true;
-        }
+        reached = match timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await {
+            Ok(Ok(_)) => Reached::Yes,
+            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                return Reached::Refused;
+            }
+            Ok(Err(_)) | Err(_) => Reached::No,
+        };
     }
-    false
+    reached
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -183,7 +183,7 @@
 
     pub(crate) fn take_evacuated(&self, state: &mut State, domains: BTreeSet<String>) {
         self.metrics.evacuated.set(domains.len() as i64);
-        state.directory.set_evacuated(domains);
+        state.directory.set_evacuated(self.now(), domains);
     }
 
     pub(crate) fn take_site(&self, state: &mut State, site: Arc<Site>) {
@@ -219,9 +219,9 @@
     /// Whether an endpoint may take a request.
     pub(crate) fn has_place(&self, wanted: &Wanted<'_>) -> bool {
         let now = self.now();
-        let picked = self
-            .state()
-            .pick(now, wanted, &self.settings.failure_domain);
+        let mut state = self.state();
+        state.share_cold(now, wanted.service, &self.settings.host);
+        let picked = state.pick(now, wanted, &self.settings.failure_domain);
         picked.is_some()
     }
 
@@ -229,12 +229,13 @@
     pub(crate) fn place(self: &Arc<Self>, wanted: &Wanted<'_>) -> Result<Running<W>, Shortage> {
         let now = self.now();
         let mut state = self.state();
-        let shortage = |state: &State| state.directory.shortage(now, wanted.service, wanted.tried);
+        state.share_cold(now, wanted.service, &self.settings.host);
         let Some((key, choices)) = state.pick(now, wanted, &self.settings.failure_domain) else {
-            return Err(shortage(&state));
+            return Err(state.shortage(now, wanted));
         };
+        state.note_warm_up(now, key);
         let Some(entry) = state.directory.get_mut(key) else {
-            return Err(shortage(&state));
+            return Err(state.shortage(now, wanted));
         };
         Ok(Running::begin(
             self.clone(),
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::asking::Report;
 use crate::state::hash;
 use crate::update::Endpoint;
-use oatdale_policy::relay::Health;
+use oatdale_policy::relay::{Health, WarmUp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,6 +14,12 @@
 /// while its endpoint could not renew it. Endpoints write anew within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(1_900);
 
+/// How long after an endpoint has started its record may still say nothing of it.
+const RECORD_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Time between two notes that an endpoint is unreachable.
+const NEWS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long an endpoint that is gone stays known, so that its last answers find their place.
 const KEEP_GONE: Duration = Duration::from_secs(60);
 
@@ -53,6 +59,14 @@
     pub probed: Duration,
     /// What it last said of its work.
     pub(crate) report: Option<Report>,
+    /// Until when it is cold, as it said last.
+    warm_at: Duration,
+    /// When it may have started again, or become cold, without this node knowing.
+    may_be_cold_since: Option<Duration>,
+    /// What this node sent there while it was cold.
+    pub(crate) warm_up: WarmUp,
+    /// This node's share of what it bears while it is cold, and when that was found out.
+    pub(crate) warm_up_share: Option<(Duration, u32)>,
     /// Until when it wants no requests from this node.
     pub(crate) paused_until: Duration,
     /// Cancelled when the endpoint has started again: what it was sent before is lost.
@@ -91,6 +105,8 @@
     evacuated: usize,
     /// They want a pause.
     paused: usize,
+    /// They are cold, and get no more from this node now.
+    cold: usize,
     /// They run a version that the request may not use.
     other: usize,
 }
@@ -116,6 +132,7 @@
 impl Directory {
     /// Takes over all endpoints there are, and returns where those were that have started again.
     pub fn replace(&mut self, now: Duration, all: Vec<Endpoint>) -> Vec<SocketAddr> {
+        let is_first = self.entries.is_empty();
         let missing: Vec<String> = self
             .by_id
             .keys()
@@ -131,6 +148,12 @@
                 before.push(addr);
             }
         }
+        if is_first {
+            // They may have run for long.
+            self.entries
+                .values_mut()
+                .for_each(|e| e.may_be_cold_since = None);
+        }
         before
     }
 
@@ -156,7 +179,7 @@
                 self.insert(now, endpoint);
                 News::StartedAgain(before)
             }
-            Some(entry) => entry.update(endpoint),
+            Some(entry) => entry.update(now, endpoint),
             None => {
                 self.insert(now, endpoint);
                 News::None
@@ -235,17 +258,36 @@
     }
 
     /// Takes over which failure domains are evacuated. Their endpoints get nothing new, and go on with what they have.
-    pub fn set_evacuated(&mut self, domains: BTreeSet<String>) {
+    pub fn set_evacuated(&mut self, now: Duration, domains: BTreeSet<String>) {
         let before = self.evacuated.replace(domains).unwrap_or_default();
         let domains = self.evacuated.iter().flatten();
         for domain in domains.filter(|d| !before.contains(*d)) {
             log::warn!(target: "directory", "event=domain_evacuated domain={domain}");
         }
-        for domain in before.iter().filter(|d| !self.is_evacuated(d)) {
+        let taken_back = before.into_iter().filter(|d| !self.is_evacuated(d));
+        for domain in taken_back.collect::<Vec<_>>() {
             log::warn!(target: "directory", "event=domain_taken_back domain={domain}");
+            // They had nothing to do, and their records may tell so later.
+            let entries = self.entries.values_mut();
+            entries
+                .filter(|e| e.endpoint.domain == domain)
+                .for_each(|e| e.may_be_cold_since = Some(now));
         }
     }
 
+    /// The endpoints of a service that are there and cold, where one of this service may be for `time` unnoticed.
+    pub(crate) fn cold_mut(
+        &mut self,
+        now: Duration,
+        service: &str,
+        time: Duration,
+    ) -> impl Iterator<Item = &mut Entry> {
+        let entries = self.entries.values_mut();
+        entries.filter(move |e| {
+            e.endpoint.service == service && e.takes_work(now) && e.is_cold(now, time)
+        })
+    }
+
     /// The failure domains that are evacuated, if that is known.
     pub fn evacuated(&self) -> Option<&BTreeSet<String>> {
         self.evacuated.as_ref()
@@ -289,7 +331,13 @@
     }
 
     /// Why no endpoint of a service may take a request that was sent to these already.
-    pub(crate) fn shortage(&self, now: Duration, service: &str, tried: &[EndpointKey]) -> Shortage {
+    pub(crate) fn shortage(
+        &self,
+        now: Duration,
+        service: &str,
+        tried: &[EndpointKey],
+        has_room: impl Fn(&Entry) -> bool,
+    ) -> Shortage {
         let mut shortage = Shortage::default();
         let of_service = |e: &Entry| e.endpoint.service == service;
         for (key, entry) in self.entries.iter().filter(|(_, e)| of_service(e)) {
@@ -298,6 +346,7 @@
                 e if !e.takes_work(now) => &mut shortage.leaving,
                 e if self.is_evacuated(&e.endpoint.domain) => &mut shortage.evacuated,
                 e if now < e.paused_until => &mut shortage.paused,
+                e if !has_room(e) => &mut shortage.cold,
                 _ => &mut shortage.other,
             };
             *count += 1;
@@ -373,7 +422,7 @@
 impl Shortage {
     /// Whether there would be an endpoint if no domain were evacuated.
     pub(crate) fn is_evacuation(&self) -> bool {
-        self.evacuated > 0 && self.tried + self.paused + self.other == 0
+        self.evacuated > 0 && self.tried + self.paused + self.cold + self.other == 0
     }
 }
 
@@ -381,8 +430,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "tried={} leaving={} evacuated={} paused={} other={}",
-            self.tried, self.leaving, self.evacuated, self.paused, self.other
+            "tried={} leaving={} evacuated={} paused={} cold={} other={}",
+            self.tried, self.leaving, self.evacuated, self.paused, self.cold, self.other
         )
     }
 }
@@ -391,6 +440,11 @@
     fn new(now: Duration, endpoint: Endpoint) -> Entry {
         Entry {
             number: hash(&(&endpoint.id, endpoint.born)) as u32,
+            warm_at: now + endpoint.cold_left.unwrap_or_default(),
+            // One that does not say how it is has just started.
+            may_be_cold_since: endpoint.cold_left.is_none().then_some(now),
+            warm_up: WarmUp::default(),
+            warm_up_share: None,
             endpoint,
             health: Health::default(),
             running: 0,
@@ -409,7 +463,14 @@
     ///
     /// One that announced its leaving does not come back without a new start: a record that says
     /// otherwise is an older one.
-    fn update(&mut self, endpoint: Endpoint) -> News {
+    fn update(&mut self, now: Duration, endpoint: Endpoint) -> News {
+        let known = &self.endpoint;
+        let is_other = (endpoint.serial, endpoint.cold_left) != (known.serial, known.cold_left);
+        match endpoint.cold_left.filter(|_| is_other) {
+            Some(left) if endpoint.serial < known.serial => self.stays_cold(now, left),
+            Some(left) => self.set_cold(now, left),
+            None => {}
+        }
         let left = self.endpoint.leaving;
         let leaving = left || endpoint.leaving;
         self.endpoint = Endpoint {
@@ -429,6 +490,33 @@
         self.life.cancel();
     }
 
+    /// Whether it may be cold, if one that started again unnoticed is for `time`.
+    pub(crate) fn is_cold(&self, now: Duration, time: Duration) -> bool {
+        let unnoticed = self.may_be_cold_since;
+        self.says_cold(now) || unnoticed.is_some_and(|since| now < since + time + RECORD_DELAY)
+    }
+
+    /// Whether it said that it is cold.
+    pub(crate) fn says_cold(&self, now: Duration) -> bool {
+        now < self.warm_at
+    }
+
+    /// Notes how much longer it is cold, as it says itself.
+    pub(crate) fn set_cold(&mut self, now: Duration, left: Duration) {
+        self.warm_at = now + left;
+    }
+
+    /// Notes that it is cold for so long at least.
+    pub(crate) fn stays_cold(&mut self, now: Duration, left: Duration) {
+        self.warm_at = self.warm_at.max(now + left);
+    }
+
+    /// Notes that it may have become cold, and says whether that is news.
+    pub(crate) fn may_be_cold(&mut self, now: Duration) -> bool {
+        let before = self.may_be_cold_since.replace(now);
+        before.is_none_or(|before| now >= before + NEWS_INTERVAL)
+    }
+
     /// Notes a long prompt that another node sent there.
     pub fn add_others(&mut self, now: Duration, time: Duration, weight: f64) {
         self.others.retain(|heavy| heavy.until > now);
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -57,6 +57,13 @@
         id: String,
         born: Option<u64>,
     },
+    /// The endpoint with this id that started then is cold for so long, or may become so since it could not be
+    /// reached.
+    EndpointCold {
+        id: String,
+        born: Option<u64>,
+        left_ms: Option<u32>,
+    },
     /// A long prompt was sent to an endpoint.
     Heavy {
         /// The endpoint's id.
@@ -121,6 +128,19 @@
                 log::info!(target: "gossip", "event=endpoint_gone id={id} born={born:?} from={from}");
             }
         }
+        Ok(Message::EndpointCold { id, born, left_ms }) => take_from_known(cx, from, |state| {
+            let entry = state.directory.by_id_mut(&id);
+            let Some(entry) = entry.filter(|e| e.endpoint.born <= born) else {
+                return;
+            };
+            log::info!(target: "gossip", "event=endpoint_cold id={id} left_ms={left_ms:?} from={from}");
+            match left_ms {
+                Some(ms) => entry.stays_cold(now, Duration::from_millis(ms.into())),
+                None => {
+                    entry.may_be_cold(now);
+                }
+            }
+        }),
         Ok(Message::Heavy { endpoint, weight }) => {
             let mut state = cx.state();
             if let Some(entry) = state.directory.by_id_mut(&endpoint) {
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -3,6 +3,7 @@
 use crate::cx::Cx;
 use crate::directory::{EndpointKey, Entry};
 use crate::gossip::{self, Message};
+use crate::state::State;
 use crate::wire::Wire;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -64,6 +65,27 @@
     }
 }
 
+/// Notes that an endpoint could not be reached, and tells all nodes if that is news and matters for its service.
+pub(crate) fn note_unreachable<W: Wire>(cx: &Cx<W>, state: &mut State, key: EndpointKey) {
+    let now = cx.now();
+    let Some(entry) = state.directory.get_mut(key) else {
+        return;
+    };
+    let is_news = entry.may_be_cold(now);
+    let (id, born) = (entry.endpoint.id.clone(), entry.endpoint.born);
+    let service = entry.endpoint.service.clone();
+    if !is_news || !state.has_cold_rate(&service) {
+        return;
+    }
+    log::info!(target: "directory", "event=endpoint_unreachable id={id}");
+    let message = Message::EndpointCold {
+        id,
+        born,
+        left_ms: None,
+    };
+    gossip::broadcast(cx, state, &message);
+}
+
 impl<W> Drop for Running<W> {
     fn drop(&mut self) {
         let mut state = self.cx.state();
@@ -143,6 +165,34 @@
         gossip::broadcast(&self.cx, &state, &message);
     }
 
+    /// The endpoint could not be reached: it may be starting again, and bear less after that. All nodes are told, since
+    /// most of them send it nothing just then.
+    pub(crate) fn unreachable(&self) {
+        let mut state = self.cx.state();
+        note_unreachable(&self.cx, &mut state, self.key);
+    }
+
+    /// The endpoint said in an answer how much longer it is cold.
+    pub(crate) fn said_cold(&self, left: Duration) {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        let Some(entry) = state.directory.get_mut(self.key) else {
+            return;
+        };
+        let is_news = !entry.says_cold(now) && !left.is_zero();
+        entry.set_cold(now, left);
+        if !is_news {
+            return;
+        }
+        log::info!(target: "directory", "event=endpoint_cold id={} left={left:?} from=answer", self.id);
+        let message = Message::EndpointCold {
+            id: self.id.clone(),
+            born: entry.endpoint.born,
+            left_ms: u32::try_from(left.as_millis()).ok(),
+        };
+        gossip::broadcast(&self.cx, &state, &message);
+    }
+
     /// The endpoint turned the request away, and wants no other one from this node for so long.
     pub(crate) fn paused(&self, time: Duration) {
         let now = self.cx.now();
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -170,7 +170,12 @@
     let target = route.target_latency.unwrap_or(route.timeout);
     let part = rand::rng().random_range(RETURN);
     let spread = target.mul_f64(part).min(LATEST_RETURN);
-    let pause = cx.state().directory.pause_left(cx.now(), &plan.service);
+    let now = cx.now();
+    let pause = {
+        let state = cx.state();
+        let pause = state.directory.pause_left(now, &plan.service);
+        pause.or_else(|| state.warm_up_left(now, &plan.service))
+    };
     match pause {
         Some(pause) => pause + spread,
         None => spread.min(plan.left() / 3),
--- a/crates/oatdale-relay/src/site.rs
+++ b/crates/oatdale-relay/src/site.rs
@@ -69,6 +69,12 @@
 pub struct ServiceFacts {
     /// Connections that one endpoint accepts from all nodes together.
     pub connections: u32,
+    /// How long an endpoint is cold after its start.
+    #[serde(default)]
+    pub cold_time: Duration,
+    /// Requests a second that a cold endpoint bears, from all nodes together; 0 if there is no bound.
+    #[serde(default)]
+    pub cold_rate: f64,
     /// What each model costs for the same work; only the ratios count.
     pub model_costs: HashMap<String, f64>,
 }
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,13 +1,15 @@
 //! What the platform and the answers have told so far, and the picks that follow from it.
 
 use crate::crashes::{Checks, Unrecorded};
-use crate::directory::{Directory, EndpointKey, Entry};
+use crate::directory::{Directory, EndpointKey, Entry, Shortage};
 use crate::loads::{Adder, Shared};
 use crate::nodes::Nodes;
 use crate::roll_outs::{Allowed, RollOuts};
 use crate::settings::Bounds;
-use crate::site::Site;
-use oatdale_policy::relay::{Allowance, Candidate, Mean, Placement, Quarantine, Repeats, choose};
+use crate::site::{ServiceFacts, Site};
+use oatdale_policy::relay::{
+    Allowance, Candidate, Mean, Placement, Quarantine, Repeats, choose, warm_up_share,
+};
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -26,6 +28,13 @@
 /// from a bad version by what the others do.
 const LEAST_TRIED: usize = 3;
 
+/// How long a node's share of what a cold endpoint bears is used before it is found out again: the nodes change.
+const SHARE_LIFE: Duration = Duration::from_millis(500);
+
+/// Time after its start in which a node sends nothing to cold endpoints: until it knows the other nodes, its share
+/// would be too large.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Answers over which the wait at largest models is averaged: some seconds of one node's.
 const WAIT_MEMORY: f64 = 12.0;
 
@@ -150,7 +159,7 @@
         let all: Vec<_> = usable
             .filter(|(key, _)| !wanted.tried.contains(key))
             .collect();
-        let listed = of_version(now, wanted.allowed, all);
+        let listed = self.with_room(now, wanted, &all);
         // Those that seem to be away are asked only when there is no other.
         let awake = kept(&listed, |e| !e.health.is_ejected(now));
         let listed = if awake.is_empty() { listed } else { awake };
@@ -159,6 +168,7 @@
             .map(|(_, e)| Candidate {
                 in_flight: (self.load(now, wanted, e) + 0.1) * e.health.load_factor(),
                 same_domain: e.endpoint.domain == domain,
+                warms_up: e.says_cold(now),
                 affinity: wanted.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
             })
             .collect();
@@ -172,6 +182,96 @@
 }
 
 impl State {
+    /// The endpoints whose version a request may use, without cold ones that get no more from this node now.
+    fn with_room<'a>(
+        &self,
+        now: Duration,
+        wanted: &Wanted<'_>,
+        all: &[Listed<'a>],
+    ) -> Vec<Listed<'a>> {
+        let room = kept(&of_version(now, wanted.allowed, all), |e| {
+            self.has_room(now, e)
+        });
+        match wanted.allowed {
+            Allowed::Trial { version, .. } if room.is_empty() => kept(all, |e| {
+                e.endpoint.version != *version && self.has_room(now, e)
+            }),
+            _ => room,
+        }
+    }
+
+    /// What is configured of a service whose endpoints bear fewer requests while they are cold.
+    fn cold_facts(&self, service: &str) -> Option<&ServiceFacts> {
+        let facts = self.site.as_ref()?.services.get(service)?;
+        (facts.cold_rate > 0.0).then_some(facts)
+    }
+
+    /// Whether endpoints of a service bear fewer requests while they are cold.
+    pub(crate) fn has_cold_rate(&self, service: &str) -> bool {
+        self.cold_facts(service).is_some()
+    }
+
+    fn is_cold(&self, now: Duration, entry: &Entry) -> bool {
+        let facts = self.cold_facts(&entry.endpoint.service);
+        facts.is_some_and(|f| entry.is_cold(now, f.cold_time))
+    }
+
+    /// Whether an endpoint is warm, or this node has a share of what it bears left.
+    fn has_room(&self, now: Duration, entry: &Entry) -> bool {
+        !self.is_cold(now, entry) || next_to_cold(entry).is_some_and(|next| next <= now)
+    }
+
+    /// Finds out this node's share of what each cold endpoint of a service bears.
+    pub(crate) fn share_cold(&mut self, now: Duration, service: &str, own: &str) {
+        let Some(facts) = self.cold_facts(service) else {
+            return;
+        };
+        let (time, rate) = (facts.cold_time, facts.cold_rate);
+        let nodes = &self.nodes;
+        for entry in self.directory.cold_mut(now, service, time) {
+            let known = entry.warm_up_share;
+            if known.is_some_and(|(at, _)| now < at + SHARE_LIFE) {
+                continue;
+            }
+            let share = match now < SETTLE_TIME {
+                true => 0,
+                false => cold_share(nodes, now, entry.number, own, rate),
+            };
+            entry.warm_up_share = Some((now, share));
+        }
+    }
+
+    /// Notes that a request is sent to an endpoint, if it is cold.
+    pub(crate) fn note_warm_up(&mut self, now: Duration, key: EndpointKey) {
+        let entry = self.directory.get(key);
+        if !entry.is_some_and(|e| self.is_cold(now, e)) {
+            return;
+        }
+        if let Some(entry) = self.directory.get_mut(key) {
+            entry.warm_up.note(now);
+        }
+    }
+
+    /// Why no endpoint may take a request.
+    pub(crate) fn shortage(&self, now: Duration, wanted: &Wanted<'_>) -> Shortage {
+        let has_room = |e: &Entry| self.has_room(now, e);
+        self.directory
+            .shortage(now, wanted.service, wanted.tried, has_room)
+    }
+
+    /// How long until this node may send to the first cold endpoint of a service. `None` if there is a warm one, or
+    /// none to which it may send.
+    pub(crate) fn warm_up_left(&self, now: Duration, service: &str) -> Option<Duration> {
+        let mut first = None;
+        for (_, entry) in self.directory.usable(now, service) {
+            if !self.is_cold(now, entry) {
+                return None;
+            }
+            first = [first, next_to_cold(entry)].into_iter().flatten().min();
+        }
+        Some(first?.saturating_sub(now))
+    }
+
     /// What an endpoint has to do, as far as it matters for where a request is placed.
     ///
     /// Sums are a quarter of a second old. Plain requests go where the load is least: with the same sums all
@@ -188,17 +288,36 @@
     }
 }
 
+/// A node's share of what a cold endpoint bears, by the nodes that it knows.
+fn cold_share(nodes: &Nodes, now: Duration, endpoint: u32, own: &str, rate: f64) -> u32 {
+    let place = |host: &str| hash(&(endpoint, host));
+    let own_place = place(own);
+    let others = nodes.iter(now).filter(|n| n.host != own);
+    let (mut count, mut rank) = (1, 0);
+    for other in others {
+        count += 1;
+        rank += usize::from(place(&other.host) < own_place);
+    }
+    warm_up_share(rate, count, rank)
+}
+
+/// When this node may send the next request to a cold endpoint, if it may at all.
+fn next_to_cold(entry: &Entry) -> Option<Duration> {
+    let (_, share) = entry.warm_up_share?;
+    entry.warm_up.next(share)
+}
+
 /// An endpoint that may be picked.
 type Listed<'a> = (EndpointKey, &'a Entry);
 
 /// The endpoints whose version a request may use.
-fn of_version<'a>(now: Duration, allowed: &Allowed, all: Vec<Listed<'a>>) -> Vec<Listed<'a>> {
+fn of_version<'a>(now: Duration, allowed: &Allowed, all: &[Listed<'a>]) -> Vec<Listed<'a>> {
     let is = |version: &str, e: &Entry| e.endpoint.version == version;
     match allowed {
-        Allowed::All => all,
-        Allowed::Not(version) => kept(&all, |e| !is(version, e)),
-        Allowed::Prefer(version) => match kept(&all, |e| is(version, e)) {
-            preferred if preferred.is_empty() => all,
+        Allowed::All => all.to_vec(),
+        Allowed::Not(version) => kept(all, |e| !is(version, e)),
+        Allowed::Prefer(version) => match kept(all, |e| is(version, e)) {
+            preferred if preferred.is_empty() => all.to_vec(),
             preferred => preferred,
         },
         Allowed::Trial {
@@ -206,12 +325,12 @@
             seed,
             share,
         } => {
-            let mut new = kept(&all, |e| is(version, e) && !e.health.is_ejected(now));
+            let mut new = kept(all, |e| is(version, e) && !e.health.is_ejected(now));
             new.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
             let part = (share * new.len() as f64).ceil() as usize;
             new.truncate(part.max(LEAST_TRIED));
             match new.is_empty() {
-                true => kept(&all, |e| !is(version, e)),
+                true => kept(all, |e| !is(version, e)),
                 false => new,
             }
         }
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -108,6 +108,12 @@
     pub slots: u32,
     /// Whether it announced that it leaves: it gets no new work.
     pub leaving: bool,
+    /// How much longer it was cold when it wrote its record, if it says so.
+    #[serde(default)]
+    pub cold_left: Option<Duration>,
+    /// Counts the records that it wrote.
+    #[serde(default)]
+    pub serial: u64,
 }
 
 /// An order to move a service's traffic to a software version, and what became of it.
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -97,6 +97,8 @@
     pub confidence: Option<u8>,
     /// The endpoint leaves, and wants no new requests.
     pub leaving: bool,
+    /// How much longer the endpoint is cold, if it says so.
+    pub cold_left: Option<Duration>,
     /// For how long the endpoint, which has not run the request, wants no other one from this node.
     pub pause: Option<Duration>,
 }
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -13,6 +13,8 @@
         slots: 4,
         leaving: false,
         born: None,
+        cold_left: Some(Duration::ZERO),
+        serial: 1,
     }
 }
 
