--- a/crates/oatdale-policy/src/relay/warm_up.rs
+++ b/crates/oatdale-policy/src/relay/warm_up.rs
@@ -11,11 +11,19 @@
 /// little later than they are placed.
 const SPAN: Duration = Duration::from_millis(1_100);
 
-/// A node's share of the requests that a cold endpoint bears in a second.
+/// Time for which a node sends nothing to cold endpoints after its start, or after it was forgotten: until the nodes
+/// know each other their shares would be too large.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// A node's share of the requests that a cold endpoint bears in a second; `known_for` is the time for which the
+/// other nodes have known this one.
 ///
 /// `rank` is the node's place among all nodes, by a hash of node and endpoint: with fewer requests than nodes those
 /// with the first ranks may send one each.
-pub fn warm_up_share(rate: f64, nodes: usize, rank: usize) -> u32 {
+pub fn warm_up_share(known_for: Duration, rate: f64, nodes: usize, rank: usize) -> u32 {
+    if known_for < SETTLE_TIME {
+        return 0;
+    }
     let whole = (rate as u32).max(1);
     let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
     let has_rest = u32::try_from(rank).is_ok_and(|rank| rank < whole % nodes);
--- a/crates/oatdale-policy/tests/relay_warm_up.rs
+++ b/crates/oatdale-policy/tests/relay_warm_up.rs
@@ -3,6 +3,9 @@
 use oatdale_policy::relay::{Candidate, Placement, WarmUp, choose, warm_up_share};
 use std::time::Duration;
 
+/// A node that runs for long.
+const UP: Duration = Duration::from_secs(60);
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -12,7 +15,7 @@
 fn the_shares_of_all_nodes_add_up_to_what_the_endpoint_bears() {
     for nodes in [1, 2, 7, 9, 79, 295, 360] {
         for rate in [1, 4, 11, 40, 1_000] {
-            let shares = (0..nodes).map(|rank| warm_up_share(f64::from(rate), nodes, rank));
+            let shares = (0..nodes).map(|rank| warm_up_share(UP, f64::from(rate), nodes, rank));
             assert_eq!(shares.sum::<u32>(), rate, "{nodes} nodes");
         }
     }
@@ -21,10 +24,16 @@
 // Guards against configured rates that end the process or that no node may use.
 #[test]
 fn any_rate_gives_a_share() {
-    assert_eq!(warm_up_share(0.4, 9, 0), 1);
-    assert_eq!(warm_up_share(f64::NAN, 9, 0), 1);
-    assert_eq!(warm_up_share(-3.0, 0, 0), 1);
-    assert_eq!(warm_up_share(1e300, 1, 0), u32::MAX);
+    assert_eq!(warm_up_share(UP, 0.4, 9, 0), 1);
+    assert_eq!(warm_up_share(UP, f64::NAN, 9, 0), 1);
+    assert_eq!(warm_up_share(UP, -3.0, 0, 0), 1);
+    assert_eq!(warm_up_share(UP, 1e300, 1, 0), u32::MAX);
+}
+
+// Guards against nodes that all start again, know nobody yet, and each send all that an endpoint bears.
+#[test]
+fn a_node_that_has_just_started_has_no_share() {
+    assert_eq!(warm_up_share(ms(1_000), 11.0, 1, 0), 0);
 }
 
 #[test]
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -159,7 +159,7 @@
             }
             Update::StoreBack => {
                 self.metrics.store.set(1);
-                state.store_lost = None;
+                state.store_back(now);
                 state.directory.store_back(now);
                 state.nodes.store_back(now);
             }
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -61,8 +61,8 @@
     pub(crate) report: Option<Report>,
     /// Until when it is cold, as it said last.
     warm_at: Duration,
-    /// When it may have started again, or become cold, without this node knowing.
-    may_be_cold_since: Option<Duration>,
+    /// The latest moment at which it may have become cold without its record saying so yet.
+    unnoticed: Option<Duration>,
     /// What this node sent there while it was cold.
     pub(crate) warm_up: WarmUp,
     /// This node's share of what it bears while it is cold, and when that was found out.
@@ -150,9 +150,7 @@
         }
         if is_first {
             // They may have run for long.
-            self.entries
-                .values_mut()
-                .for_each(|e| e.may_be_cold_since = None);
+            self.entries.values_mut().for_each(|e| e.unnoticed = None);
         }
         before
     }
@@ -271,7 +269,7 @@
             let entries = self.entries.values_mut();
             entries
                 .filter(|e| e.endpoint.domain == domain)
-                .for_each(|e| e.may_be_cold_since = Some(now));
+                .for_each(|e| e.unnoticed = e.unnoticed.max(Some(now)));
         }
     }
 
@@ -442,7 +440,7 @@
             number: hash(&(&endpoint.id, endpoint.born)) as u32,
             warm_at: now + endpoint.cold_left.unwrap_or_default(),
             // One that does not say how it is has just started.
-            may_be_cold_since: endpoint.cold_left.is_none().then_some(now),
+            unnoticed: endpoint.cold_left.is_none().then_some(now),
             warm_up: WarmUp::default(),
             warm_up_share: None,
             endpoint,
@@ -492,8 +490,7 @@
 
     /// Whether it may be cold, if one that started again unnoticed is for `time`.
     pub(crate) fn is_cold(&self, now: Duration, time: Duration) -> bool {
-        let unnoticed = self.may_be_cold_since;
-        self.says_cold(now) || unnoticed.is_some_and(|since| now < since + time + RECORD_DELAY)
+        self.says_cold(now) || self.unnoticed.is_some_and(|at| now < at + time)
     }
 
     /// Whether it said that it is cold.
@@ -511,10 +508,11 @@
         self.warm_at = self.warm_at.max(now + left);
     }
 
-    /// Notes that it may have become cold, and says whether that is news.
-    pub(crate) fn may_be_cold(&mut self, now: Duration) -> bool {
-        let before = self.may_be_cold_since.replace(now);
-        before.is_none_or(|before| now >= before + NEWS_INTERVAL)
+    /// Notes that it could not be reached, so that it may start again soon, and says whether that is news.
+    pub(crate) fn unreachable(&mut self, now: Duration) -> bool {
+        let latest = now + RECORD_DELAY;
+        let before = self.unnoticed.replace(latest);
+        before.is_none_or(|before| latest >= before + NEWS_INTERVAL)
     }
 
     /// Notes a long prompt that another node sent there.
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -137,7 +137,7 @@
             match left_ms {
                 Some(ms) => entry.stays_cold(now, Duration::from_millis(ms.into())),
                 None => {
-                    entry.may_be_cold(now);
+                    entry.unreachable(now);
                 }
             }
         }),
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -71,7 +71,7 @@
     let Some(entry) = state.directory.get_mut(key) else {
         return;
     };
-    let is_news = entry.may_be_cold(now);
+    let is_news = entry.unreachable(now);
     let (id, born) = (entry.endpoint.id.clone(), entry.endpoint.born);
     let service = entry.endpoint.service.clone();
     if !is_news || !state.has_cold_rate(&service) {
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -108,6 +108,13 @@
     /// Milliseconds after its record says so in which a leaving endpoint may still get requests.
     #[serde(default = "usual_leave")]
     pub leave_ms: u64,
+    /// Requests that may reach a cold endpoint in a second, as a multiple of those that it bears. Without it and the
+    /// next one it gets what it bears.
+    #[serde(default)]
+    pub cold_overshoot: Option<f64>,
+    /// Requests that may reach it in a second beyond that.
+    #[serde(default)]
+    pub cold_slack: Option<f64>,
 }
 
 /// The window for repeats, unless set otherwise.
@@ -162,6 +169,10 @@
 const LEAST_WINDOW_S: f64 = 0.1;
 const MOST_WINDOW_S: f64 = 600.0;
 
+/// The part of what may reach a cold endpoint that nodes plan to send: the rest is for nodes whose lists of nodes
+/// differ.
+const COLD_PART: f64 = 0.8;
+
 impl Bounds {
     pub(crate) fn exposure(&self) -> Exposure {
         Exposure {
@@ -175,6 +186,12 @@
         Duration::from_secs_f64(self.repeat_window_s.clamp(LEAST_WINDOW_S, MOST_WINDOW_S))
     }
 
+    /// Requests a second that all nodes together plan to send to an endpoint that bears `rate` of them while it is cold.
+    pub(crate) fn cold_rate(&self, rate: f64) -> f64 {
+        let bound = rate * self.cold_overshoot.unwrap_or(1.0) + self.cold_slack.unwrap_or(0.0);
+        rate.max(bound * COLD_PART)
+    }
+
     /// Time from the stop signal until the process is killed.
     pub(crate) fn stop(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s.max(0.0))
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -28,13 +28,12 @@
 /// from a bad version by what the others do.
 const LEAST_TRIED: usize = 3;
 
+/// How long a node may be without the key-value service and stay on the lists of the others.
+const RECORD_LIFE: Duration = Duration::from_secs(2);
+
 /// How long a node's share of what a cold endpoint bears is used before it is found out again: the nodes change.
 const SHARE_LIFE: Duration = Duration::from_millis(500);
 
-/// Time after its start in which a node sends nothing to cold endpoints: until it knows the other nodes, its share
-/// would be too large.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
-
 /// Answers over which the wait at largest models is averaged: some seconds of one node's.
 const WAIT_MEMORY: f64 = 12.0;
 
@@ -66,6 +65,8 @@
     pub(crate) reads_alone: bool,
     /// Since when the key-value service does not answer this node, if it does not.
     pub(crate) store_lost: Option<Duration>,
+    /// Since when the other nodes know this one.
+    known_since: Duration,
 }
 
 /// Requests over which the usual size of a route's generations is averaged.
@@ -105,6 +106,15 @@
             reads_alone: true,
             // It is lost until it has answered once.
             store_lost: Some(Duration::ZERO),
+            known_since: Duration::ZERO,
+        }
+    }
+
+    /// Notes that the key-value service answers this node again.
+    pub(crate) fn store_back(&mut self, now: Duration) {
+        let lost = self.store_lost.take();
+        if lost.is_some_and(|since| now >= since + RECORD_LIFE) {
+            self.known_since = now;
         }
     }
 
@@ -226,16 +236,22 @@
         let Some(facts) = self.cold_facts(service) else {
             return;
         };
-        let (time, rate) = (facts.cold_time, facts.cold_rate);
+        let (time, rate) = (facts.cold_time, self.bounds.cold_rate(facts.cold_rate));
         let nodes = &self.nodes;
+        let known_for = now.saturating_sub(self.known_since);
+        // Others take the place of a node that leaves, or hears of none of them any more.
+        let is_replaced = self.store_lost.is_some() || self.stopping.is_some();
         for entry in self.directory.cold_mut(now, service, time) {
             let known = entry.warm_up_share;
             if known.is_some_and(|(at, _)| now < at + SHARE_LIFE) {
                 continue;
             }
-            let share = match now < SETTLE_TIME {
+            let share = match is_replaced {
                 true => 0,
-                false => cold_share(nodes, now, entry.number, own, rate),
+                false => {
+                    let (count, rank) = place_for(nodes, now, entry.number, own);
+                    warm_up_share(known_for, rate, count, rank)
+                }
             };
             entry.warm_up_share = Some((now, share));
         }
@@ -288,8 +304,8 @@
     }
 }
 
-/// A node's share of what a cold endpoint bears, by the nodes that it knows.
-fn cold_share(nodes: &Nodes, now: Duration, endpoint: u32, own: &str, rate: f64) -> u32 {
+/// How many nodes there are, and a node's place among them for an endpoint.
+fn place_for(nodes: &Nodes, now: Duration, endpoint: u32, own: &str) -> (usize, usize) {
     let place = |host: &str| hash(&(endpoint, host));
     let own_place = place(own);
     let others = nodes.iter(now).filter(|n| n.host != own);
@@ -298,7 +314,7 @@
         count += 1;
         rank += usize::from(place(&other.host) < own_place);
     }
-    warm_up_share(rate, count, rank)
+    (count, rank)
 }
 
 /// When this node may send the next request to a cold endpoint, if it may at all.
