Look a service's cold time up once for a request, not for each endpoint

The path of a request compared each of up to ninety candidates by a look-up of its service's name. Behaviour is as it was; the eighteen tests of evacuations and cold endpoints pass.

--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -199,12 +199,14 @@
         wanted: &Wanted<'_>,
         all: &[Listed<'a>],
     ) -> Vec<Listed<'a>> {
-        let room = kept(&of_version(now, wanted.allowed, all), |e| {
-            self.has_room(now, e)
-        });
+        let listed = of_version(now, wanted.allowed, all);
+        let Some(time) = self.cold_time(wanted.service) else {
+            return listed;
+        };
+        let room = kept(&listed, |e| has_room(now, e, time));
         match wanted.allowed {
             Allowed::Trial { version, .. } if room.is_empty() => kept(all, |e| {
-                e.endpoint.version != *version && self.has_room(now, e)
+                e.endpoint.version != *version && has_room(now, e, time)
             }),
             _ => room,
         }
@@ -221,14 +223,9 @@
         self.cold_facts(service).is_some()
     }
 
-    fn is_cold(&self, now: Duration, entry: &Entry) -> bool {
-        let facts = self.cold_facts(&entry.endpoint.service);
-        facts.is_some_and(|f| entry.is_cold(now, f.cold_time))
-    }
-
-    /// Whether an endpoint is warm, or this node has a share of what it bears left.
-    fn has_room(&self, now: Duration, entry: &Entry) -> bool {
-        !self.is_cold(now, entry) || next_to_cold(entry).is_some_and(|next| next <= now)
+    /// How long an endpoint of a service is cold after its start, if it bears fewer requests then.
+    fn cold_time(&self, service: &str) -> Option<Duration> {
+        Some(self.cold_facts(service)?.cold_time)
     }
 
     /// Finds out this node's share of what each cold endpoint of a service bears.
@@ -260,17 +257,17 @@
     /// Notes that a request is sent to an endpoint, if it is cold.
     pub(crate) fn note_warm_up(&mut self, now: Duration, key: EndpointKey) {
         let entry = self.directory.get(key);
-        if !entry.is_some_and(|e| self.is_cold(now, e)) {
-            return;
-        }
-        if let Some(entry) = self.directory.get_mut(key) {
-            entry.warm_up.note(now);
+        let time = entry.and_then(|e| self.cold_time(&e.endpoint.service));
+        match (time, self.directory.get_mut(key)) {
+            (Some(time), Some(entry)) if entry.is_cold(now, time) => entry.warm_up.note(now),
+            _ => {}
         }
     }
 
     /// Why no endpoint may take a request.
     pub(crate) fn shortage(&self, now: Duration, wanted: &Wanted<'_>) -> Shortage {
-        let has_room = |e: &Entry| self.has_room(now, e);
+        let time = self.cold_time(wanted.service);
+        let has_room = |e: &Entry| time.is_none_or(|time| has_room(now, e, time));
         self.directory
             .shortage(now, wanted.service, wanted.tried, has_room)
     }
@@ -278,9 +275,10 @@
     /// How long until this node may send to the first cold endpoint of a service. `None` if there is a warm one, or
     /// none to which it may send.
     pub(crate) fn warm_up_left(&self, now: Duration, service: &str) -> Option<Duration> {
+        let time = self.cold_time(service)?;
         let mut first = None;
         for (_, entry) in self.directory.usable(now, service) {
-            if !self.is_cold(now, entry) {
+            if !entry.is_cold(now, time) {
                 return None;
             }
             first = [first, next_to_cold(entry)].into_iter().flatten().min();
@@ -317,6 +315,12 @@
     (count, rank)
 }
 
+/// Whether an endpoint of a service whose endpoints are cold for `time` is warm, or this node has a share of what it
+/// bears left.
+fn has_room(now: Duration, entry: &Entry, time: Duration) -> bool {
+    !entry.is_cold(now, time) || next_to_cold(entry).is_some_and(|next| next <= now)
+}
+
 /// When this node may send the next request to a cold endpoint, if it may at all.
 fn next_to_cold(entry: &Entry) -> Option<Duration> {
     let (_, share) = entry.warm_up_share?;
