--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -38,6 +38,7 @@
 
 /// How long a reader that did not answer is left alone: the first time, doubled each time up to the last.
 const FIRST_REST: Duration = Duration::from_secs(1);
+const REFUSED_REST: Duration = Duration::from_millis(250);
 const LAST_REST: Duration = Duration::from_secs(2);
 
 /// A node of the own failure domain.
@@ -134,7 +135,19 @@
         self.failed.remove(&reader);
     }
 
-    /// Notes that a reader did not answer, or does not read by itself.
+    /// Notes that a reader says that it has nothing to tell: the service does not answer it.
+    ///
+    /// It can be asked again soon, since it answers at once.
+    pub fn refused(&mut self, now: Duration, reader: K) {
+        let failed = Failed {
+            until: now + REFUSED_REST,
+            rest: REFUSED_REST,
+        };
+        self.failed.insert(reader, failed);
+        self.is_behind = true;
+    }
+
+    /// Notes that a reader did not answer.
     pub fn failed(&mut self, now: Duration, reader: K) {
         let before = self.failed.get(&reader).map(|f| f.rest);
         let rest = before.map_or(FIRST_REST, |rest| (rest * 2).min(LAST_REST));
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -125,9 +125,9 @@
             Update::Endpoint(endpoint) => {
                 log::info!(
                     target: "directory",
-                    "event=endpoint id={} born={:?} service={} addr={} version={} leaving={}",
+                    "event=endpoint id={} born={:?} service={} addr={} version={} leaving={} cold_left={:?}",
                     endpoint.id, endpoint.born, endpoint.service, endpoint.addr, endpoint.version,
-                    endpoint.leaving
+                    endpoint.leaving, endpoint.cold_left
                 );
                 self.take_endpoint(&mut state, now, endpoint);
             }
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -243,13 +243,17 @@
             if known.is_some_and(|(at, _)| now < at + SHARE_LIFE) {
                 continue;
             }
+            let (count, rank) = place_for(nodes, now, entry.number, own);
             let share = match is_replaced {
                 true => 0,
-                false => {
-                    let (count, rank) = place_for(nodes, now, entry.number, own);
-                    warm_up_share(known_for, rate, count, rank)
-                }
+                false => warm_up_share(known_for, rate, count, rank),
             };
+            if known.is_none_or(|(_, known)| known != share) {
+                log::info!(
+                    target: "directory",
+                    "event=cold_share id={} share={share} place={rank} of={count}", entry.endpoint.id
+                );
+            }
             entry.warm_up_share = Some((now, share));
         }
     }
