Name reports of loads and roll-outs, progress and advertised addresses by the usual terms

merge_report, merge_old_sessions, Reported, last_report, last_progress, advertised_addresses in place of heard, heard_on_old, Told, told_addresses. Behaviour is as it was.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -30,7 +30,7 @@
 mod warm_up;
 
 pub use crate::average::{Mean, Rate};
-pub use crate::relay::addresses::{AddressCandidate, told_addresses};
+pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{Cells, Counts, Origin, Tally, Verdict, verdict};
 pub use crate::relay::fingerprint::Fingerprint;
--- a/crates/oatdale-policy/tests/relay_addresses.rs
+++ b/crates/oatdale-policy/tests/relay_addresses.rs
@@ -1,6 +1,6 @@
 //! Which nodes callers are told of.
 
-use oatdale_policy::relay::{AddressCandidate, told_addresses};
+use oatdale_policy::relay::{AddressCandidate, advertised_addresses};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 const MOST: usize = 64;
@@ -30,7 +30,7 @@
 
 fn told(nodes: &[(usize, AddressCandidate)]) -> Vec<usize> {
     let candidates: Vec<_> = nodes.iter().map(|(_, candidate)| *candidate).collect();
-    told_addresses(&candidates, MOST)
+    advertised_addresses(&candidates, MOST)
 }
 
 // Callers of all domains come at once to a site of 295 nodes. If all were told of the same 64, one domain's nodes
--- a/crates/oatdale-relay/src/answer.rs
+++ b/crates/oatdale-relay/src/answer.rs
@@ -39,7 +39,7 @@
         };
         match piece {
             Ok(Some(Ok(piece))) => {
-                self.running.heard();
+                self.running.note_progress();
                 Next::Piece(piece)
             }
             Ok(Some(Err(err))) => Next::Broken(err.to_string()),
--- a/crates/oatdale-relay/src/asking.rs
+++ b/crates/oatdale-relay/src/asking.rs
@@ -59,7 +59,7 @@
             let Some(entry) = state.directory.get_mut(self.key) else {
                 return false;
             };
-            if now < entry.heard + silence {
+            if now < entry.last_progress + silence {
                 return false;
             }
             if entry.health.is_ejected(now) {
@@ -121,7 +121,7 @@
                         log::info!(target: "probe", "event=probed endpoint={} alive=true", self.id);
                     }
                 }
-                self.heard();
+                self.note_progress();
                 if let Some(left) = cold_left {
                     self.said_cold(*left);
                 }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -174,7 +174,7 @@
         Err(SendError::Broken { message }) => return Err(Failure::Unknown(message)),
         Err(SendError::TimedOut) => return Err(Failure::TimedOut),
     };
-    running.heard();
+    running.note_progress();
     let facts = cx.wire.answer(&head);
     if facts.leaving && !facts.other_endpoint {
         running.announced_leaving();
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -54,7 +54,7 @@
     /// Long prompts that other nodes sent there.
     others: Vec<Heavy>,
     /// When it last sent anything to this node.
-    pub heard: Duration,
+    pub last_progress: Duration,
     /// When it was last asked whether it is alive.
     pub probed: Duration,
     /// What it last said of its work.
@@ -448,7 +448,7 @@
             running: 0,
             load: 0.0,
             others: Vec::new(),
-            heard: now,
+            last_progress: now,
             probed: Duration::ZERO,
             report: None,
             paused_until: Duration::ZERO,
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -110,8 +110,8 @@
 fn take<W: Wire>(cx: &Cx<W>, datagram: &[u8], from: SocketAddr) {
     let now = cx.now();
     match ciborium::from_reader(datagram) {
-        Ok(Message::Report(report)) => cx.state().roll_outs.heard(now, &report),
-        Ok(Message::OnOld(on_old)) => cx.state().roll_outs.heard_on_old(now, &on_old),
+        Ok(Message::Report(report)) => cx.state().roll_outs.merge_report(now, &report),
+        Ok(Message::OnOld(on_old)) => cx.state().roll_outs.merge_old_sessions(now, &on_old),
         Ok(Message::Leaving(host)) => {
             log::info!(target: "gossip", "event=node_leaves host={host}");
             let mut state = cx.state();
@@ -236,7 +236,7 @@
     let scheme = Scheme::new(nodes, state.directory.len());
     state.shared.set_scheme(scheme);
     state.adder.set_scheme(scheme);
-    let own = state.shared.tell(state.directory.loads());
+    let own = state.shared.report(state.directory.loads());
     for group in 0..scheme.groups {
         let loads = own.iter().filter(|l| scheme.group(l.endpoint) == group);
         let loads: Vec<_> = loads.copied().collect();
--- a/crates/oatdale-relay/src/loads.rs
+++ b/crates/oatdale-relay/src/loads.rs
@@ -39,7 +39,7 @@
 
 /// Loads as they were told last; says what is to be told next.
 #[derive(Clone, Debug, Default)]
-struct Told(BTreeMap<u32, u16>);
+struct Reported(BTreeMap<u32, u16>);
 
 /// Adds up what other nodes tell.
 #[derive(Clone, Debug, Default)]
@@ -47,14 +47,14 @@
     scheme: Scheme,
     /// When each node last told something, and what.
     nodes: BTreeMap<SocketAddr, (Duration, Known)>,
-    told: Told,
+    reported: Reported,
 }
 
 /// The sums as a node has heard them.
 #[derive(Clone, Debug, Default)]
 pub struct Shared {
     scheme: Scheme,
-    own: Told,
+    own: Reported,
     sums: Known,
     /// When a sum last came, and over how many nodes it was.
     last: Option<(Duration, usize)>,
@@ -76,7 +76,7 @@
     }
 }
 
-impl Told {
+impl Reported {
     /// What to tell of these loads, in requests: those that are not zero, or were not when last told.
     fn next(&mut self, loads: impl Iterator<Item = (u32, f64)>) -> Vec<Load> {
         let loads = loads.map(|(endpoint, load)| (endpoint, tenths(load)));
@@ -117,7 +117,7 @@
         for (endpoint, load) in self.nodes.values().flat_map(|(_, k)| k.fresh(now, fresh)) {
             *sums.entry(endpoint).or_default() += load;
         }
-        let loads = self.told.next(sums.into_iter());
+        let loads = self.reported.next(sums.into_iter());
         let nodes = self.nodes.keys().copied().collect();
         (self.nodes.len(), loads, nodes)
     }
@@ -135,7 +135,7 @@
     }
 
     /// What to tell of this node's own loads.
-    pub fn tell(&mut self, own: impl Iterator<Item = (u32, f64)>) -> Vec<Load> {
+    pub fn report(&mut self, own: impl Iterator<Item = (u32, f64)>) -> Vec<Load> {
         self.own.next(own)
     }
 
@@ -156,7 +156,7 @@
     }
 
     /// When sums last came, if lately.
-    pub fn heard(&self, now: Duration) -> Option<Duration> {
+    pub fn last_report(&self, now: Duration) -> Option<Duration> {
         let (at, _) = self.last?;
         (now < at + self.scheme.fresh()).then_some(at)
     }
--- a/crates/oatdale-relay/src/local.rs
+++ b/crates/oatdale-relay/src/local.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use oatdale_policy::relay::{AddressCandidate, told_addresses};
+use oatdale_policy::relay::{AddressCandidate, advertised_addresses};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -104,6 +104,6 @@
             hash: hash(&(domain, &node.host)),
         })
         .collect();
-    let told = told_addresses(&candidates, MAX_ADDRESSES).into_iter();
+    let told = advertised_addresses(&candidates, MAX_ADDRESSES).into_iter();
     told.map(|i| all[i].callers).collect()
 }
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -192,6 +192,6 @@
         state.roll_outs.update(now, roll_out);
     }
     for report in &snapshot.under_way {
-        state.roll_outs.heard(now, report);
+        state.roll_outs.merge_report(now, report);
     }
 }
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -250,7 +250,7 @@
     /// A node that the key-value service turns away, or that started late, learns of an order and
     /// of its age in this way. Otherwise it would begin the plan anew when it hears of the order,
     /// and send to the old version what others send to the new one.
-    pub fn heard(&mut self, now: Duration, report: &Report) {
+    pub fn merge_report(&mut self, now: Duration, report: &Report) {
         let reported = report.roll_out();
         let known = self.by_service.get(&report.service).map(|a| &a.roll_out);
         if known.is_none_or(|known| known.is_overtaken_by(&reported)) {
@@ -276,7 +276,7 @@
     }
 
     /// Takes in which sessions another node has on an old version.
-    pub fn heard_on_old(&mut self, now: Duration, on_old: &OnOld) {
+    pub fn merge_old_sessions(&mut self, now: Duration, on_old: &OnOld) {
         for &session in &on_old.sessions {
             self.sessions.pin_old(now, session);
         }
--- a/crates/oatdale-relay/src/running.rs
+++ b/crates/oatdale-relay/src/running.rs
@@ -118,10 +118,10 @@
     }
 
     /// Bytes came from the endpoint.
-    pub(crate) fn heard(&self) {
+    pub(crate) fn note_progress(&self) {
         let now = self.cx.now();
         if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
-            entry.heard = now;
+            entry.last_progress = now;
         }
     }
 
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -296,7 +296,7 @@
     /// nodes would send theirs to the same endpoint until the next ones come. Prompts stay with the engine that
     /// keeps their beginning, and others take their place by it when that one has too much.
     fn load(&self, now: Duration, wanted: &Wanted<'_>, entry: &Entry) -> f64 {
-        match (wanted.prefix, self.shared.heard(now)) {
+        match (wanted.prefix, self.shared.last_report(now)) {
             (Some(_), Some(heard)) => {
                 let summed = heard.saturating_sub(2 * self.shared.scheme().every);
                 entry.known_load(now, Some(summed)) + self.shared.others(now, entry.number)
--- a/crates/oatdale-relay/tests/loads.rs
+++ b/crates/oatdale-relay/tests/loads.rs
@@ -20,7 +20,7 @@
 fn a_node_knows_what_the_others_have_beside_its_own() {
     let mut adder = Adder::default();
     let mut shared = Shared::default();
-    let own = shared.tell([(1, 3.0), (2, 0.5)].into_iter());
+    let own = shared.report([(1, 3.0), (2, 0.5)].into_iter());
     assert_eq!(own, [load(1, 30), load(2, 5)]);
     adder.take(ms(0), node(1), &own);
     adder.take(ms(10), node(2), &[load(1, 100), load(3, 7)]);
@@ -30,7 +30,7 @@
     shared.take(ms(30), nodes, &sums);
     let others = [1, 2, 3, 4].map(|endpoint| shared.others(ms(40), endpoint));
     assert_eq!(others, [10.0, 0.0, 0.7, 0.0]);
-    assert_eq!(shared.heard(ms(40)), Some(ms(30)));
+    assert_eq!(shared.last_report(ms(40)), Some(ms(30)));
 }
 
 // An endpoint has no work any more. Those that were told of its load must hear that it is gone, or its place in a
@@ -38,10 +38,10 @@
 #[test]
 fn what_is_zero_now_is_told_once() {
     let mut shared = Shared::default();
-    shared.tell([(1, 3.0), (2, 1.0)].into_iter());
-    let next = shared.tell([(1, 0.0), (2, 1.0)].into_iter());
+    shared.report([(1, 3.0), (2, 1.0)].into_iter());
+    let next = shared.report([(1, 0.0), (2, 1.0)].into_iter());
     assert_eq!(next, [load(2, 10), load(1, 0)]);
-    assert_eq!(shared.tell([(2, 1.0)].into_iter()), [load(2, 10)]);
+    assert_eq!(shared.report([(2, 1.0)].into_iter()), [load(2, 10)]);
 }
 
 // Both nodes that add up are gone, or a node is cut off. What was told before says nothing of the load now.
@@ -56,7 +56,7 @@
     shared.take(ms(0), 5, &[load(1, 50)]);
     assert_eq!(shared.others(ms(999), 1), 5.0);
     assert_eq!(shared.others(ms(1_000), 1), 0.0);
-    assert_eq!(shared.heard(ms(1_000)), None);
+    assert_eq!(shared.last_report(ms(1_000)), None);
 }
 
 // Nodes differ in who adds up, as one has just come. Its sums are over few nodes: all endpoints would look idle.
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -68,7 +68,7 @@
     let mut there = node();
     there.pin(ms(900), "pool", IN_TRIAL, "v1");
     for on_old in there.on_old(ms(1_000)) {
-        here.heard_on_old(ms(1_500), &on_old);
+        here.merge_old_sessions(ms(1_500), &on_old);
     }
     assert!(is_old(&here.allowed(ms(2_000), "pool", Some(IN_TRIAL), 7)));
     // Once all requests go to the new version, it goes along.
@@ -85,7 +85,7 @@
     let lost = there.pin(ms(900), "pool", IN_TRIAL, "v1");
     assert!(lost.is_some());
     let told = there.pin(ms(950), "pool", IN_TRIAL + 1, "v1");
-    here.heard_on_old(ms(951), &told.expect("it is another session"));
+    here.merge_old_sessions(ms(951), &told.expect("it is another session"));
     for session in [IN_TRIAL, IN_TRIAL + 1] {
         assert!(is_old(&here.allowed(ms(2_000), "pool", Some(session), 7)));
     }
@@ -103,7 +103,7 @@
 fn a_node_hears_of_an_order_and_of_its_age_from_others() {
     let mut late = RollOuts::default();
     for report in node().reports(ms(9_500), "there", |_, _| true) {
-        late.heard(ms(100_000), &report);
+        late.merge_report(ms(100_000), &report);
     }
     let allowed = late.allowed(ms(100_000), "pool", None, u64::MAX);
     assert_eq!(allowed, Allowed::Prefer("v2".to_owned()));
@@ -128,8 +128,8 @@
         .collect();
     let here = &mut nodes[0];
     assert!(here.due(ms(2_000), 0, |_, _| false).is_empty());
-    here.heard(ms(2_000), &reports[1]);
-    here.heard(ms(2_000), &reports[2]);
+    here.merge_report(ms(2_000), &reports[1]);
+    here.merge_report(ms(2_000), &reports[2]);
     assert!(is_old(&here.allowed(ms(2_000), "pool", None, IN_TRIAL)));
     let due = here.due(ms(2_000), 0, |_, _| false);
     assert_eq!(due.len(), 1);
