Let hosts with slow links wait until the fast ones are registered at the first start of a site

Cause: hosts start within 0.3 s of each other, and those with slow links looked who is there 0.2 to 0.4 s after their own start, often before the fast ones had started at all. The test counted no such difference; it does now, and failed.

The longest wait at the first start of a whole site is 2.4 s (0.6 before; the least, for the slowest links, half of that). Later starts do not wait.

--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -25,7 +25,7 @@
 const NEXT: Duration = Duration::from_millis(700);
 
 /// The longest wait of a node that starts with all others.
-const FIRST_WAIT: Duration = Duration::from_millis(600);
+const FIRST_WAIT: Duration = Duration::from_millis(2_400);
 
 /// Link speed in Mbit/s of a node that waits for half of that.
 const USUAL_LINK: f64 = 20.0;
--- a/crates/oatdale-policy/tests/relay_readers.rs
+++ b/crates/oatdale-policy/tests/relay_readers.rs
@@ -106,8 +106,9 @@
     let slow = waits.split_off(3);
     let last_fast = waits.iter().max().expect("there are three");
     let first_slow = slow.iter().min().expect("there are many");
-    // A record is written and read within a few milliseconds.
-    assert!(*first_slow > *last_fast + Duration::from_millis(50));
+    // They start within 0.3 s of each other. A record is written and read within a few milliseconds.
+    let started = Duration::from_millis(300);
+    assert!(*first_slow > *last_fast + started + Duration::from_millis(50));
 }
 
 // Registered nodes have lost their power, and fifty others see their records lapse at the same moment. As many as
