Bear any time for which an endpoint says that it is cold

Endpoints' records also come from other nodes, which pass them on as they are. A time near the largest one ended the process by an overflow: the new test failed so before. A test of the directory's evacuated domains beside it.

--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -438,7 +438,7 @@
     fn new(now: Duration, endpoint: Endpoint) -> Entry {
         Entry {
             number: hash(&(&endpoint.id, endpoint.born)) as u32,
-            warm_at: now + endpoint.cold_left.unwrap_or_default(),
+            warm_at: now.saturating_add(endpoint.cold_left.unwrap_or_default()),
             // One that does not say how it is has just started.
             unnoticed: endpoint.cold_left.is_none().then_some(now),
             warm_up: WarmUp::default(),
@@ -490,7 +490,10 @@
 
     /// Whether it may be cold, if one that started again unnoticed is for `time`.
     pub(crate) fn is_cold(&self, now: Duration, time: Duration) -> bool {
-        self.says_cold(now) || self.unnoticed.is_some_and(|at| now < at + time)
+        self.says_cold(now)
+            || self
+                .unnoticed
+                .is_some_and(|at| now < at.saturating_add(time))
     }
 
     /// Whether it said that it is cold.
@@ -500,12 +503,12 @@
 
     /// Notes how much longer it is cold, as it says itself.
     pub(crate) fn set_cold(&mut self, now: Duration, left: Duration) {
-        self.warm_at = now + left;
+        self.warm_at = now.saturating_add(left);
     }
 
     /// Notes that it is cold for so long at least.
     pub(crate) fn stays_cold(&mut self, now: Duration, left: Duration) {
-        self.warm_at = self.warm_at.max(now + left);
+        self.warm_at = self.warm_at.max(now.saturating_add(left));
     }
 
     /// Notes that it could not be reached, so that it may start again soon, and says whether that is news.
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -182,3 +182,35 @@
     assert_eq!(directory.pause_left(ms(0), "pool"), Some(ms(900)));
     assert_eq!(directory.pause_left(ms(0), "desk"), None);
 }
+
+// Guards against a time that ends the process: records of endpoints also come from other nodes, as they are.
+#[test]
+fn an_endpoint_may_be_cold_for_any_time() {
+    let mut directory = Directory::default();
+    let cold = Endpoint {
+        cold_left: Some(Duration::MAX),
+        ..endpoint("x")
+    };
+    directory.replace(ms(10), vec![cold.clone()]);
+    let again = Endpoint { serial: 2, ..cold };
+    directory.upsert(ms(20), again);
+    assert_eq!(usable(&directory, ms(30)), ["x"]);
+}
+
+// Guards against requests to a domain that operators evacuate, and against endpoints that are taken for gone with it.
+#[test]
+fn an_evacuated_domain_is_left_out_until_it_is_taken_back() {
+    let mut directory = Directory::default();
+    let far = Endpoint {
+        domain: "b".to_owned(),
+        ..endpoint("far")
+    };
+    directory.replace(ms(0), vec![endpoint("near"), far]);
+    directory.set_evacuated(ms(10), ["b".to_owned()].into());
+    assert_eq!(usable(&directory, ms(10)), ["near"]);
+    assert_eq!(directory.len(), 2);
+    directory.set_evacuated(ms(20), ["a".to_owned(), "b".to_owned()].into());
+    assert!(usable(&directory, ms(20)).is_empty());
+    directory.set_evacuated(ms(30), ["a".to_owned()].into());
+    assert_eq!(usable(&directory, ms(30)), ["far"]);
+}
