Read endpoints without a walk over those already known

Cause: each new endpoint made the directory walk all entries twice (eviction of removed ones) and count them once (the gauge), a read of all compared each known id with each read one, and each load report walked all entries for the few with requests. With 9,998 endpoints a host took some 150 million steps (worked out) to learn of them.

Change: registered endpoints are counted as they change, removals wait in a queue in the order in which they may be evicted, endpoints are indexed by service, and those with requests of this node are kept in a set. The directory counts the entries that it looks at.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -246,10 +246,10 @@
             return Err(state.count_ineligible(now, request));
         };
         state.count_warm_up_request(now, key);
-        let Some(entry) = state.directory.get_mut(key) else {
+        let Some(entry) = state.directory.begin_request(key, request.weight) else {
             return Err(state.count_ineligible(now, request));
         };
-        Ok(InFlightRequest::begin(
+        Ok(InFlightRequest::new(
             self.clone(),
             key,
             entry,
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -4,7 +4,8 @@
 use crate::state::hash;
 use crate::update::Endpoint;
 use oatdale_policy::relay::{Health, WarmUp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -35,7 +36,17 @@
 pub struct Directory {
     entries: BTreeMap<EndpointKey, Entry>,
     by_id: BTreeMap<String, EndpointKey>,
+    by_service: BTreeMap<String, BTreeSet<EndpointKey>>,
+    /// Endpoints with in-flight requests from this node.
+    busy: BTreeSet<EndpointKey>,
     next_key: u32,
+    /// Number of registered endpoints, counted as they change: walking all entries after each of
+    /// thousands of records would take time that grows with the square of their number.
+    registered: usize,
+    /// Endpoints whose entries went missing, in the order in which they may be evicted.
+    removed: VecDeque<(Duration, EndpointKey)>,
+    /// Number of entries that were looked at one after the other, since the start.
+    visited: Cell<u64>,
     store: StoreState,
     /// Failure domains evacuated by operators; `None` until the evacuation orders, or their
     /// absence, have been read.
@@ -141,12 +152,12 @@
     /// Replaces all endpoints and returns the previous addresses of those that have restarted.
     pub fn replace(&mut self, now: Duration, all: Vec<Endpoint>) -> Vec<SocketAddr> {
         let is_first = self.entries.is_empty();
-        let missing: Vec<String> = self
+        let present: HashSet<&str> = all.iter().map(|e| e.id.as_str()).collect();
+        let missing = self
             .by_id
             .keys()
-            .filter(|id| !all.iter().any(|e| e.id == **id))
-            .cloned()
-            .collect();
+            .filter(|id| !present.contains(id.as_str()));
+        let missing: Vec<String> = missing.cloned().collect();
         for id in missing {
             self.remove(now, &id);
         }
@@ -182,12 +193,22 @@
                 RecordChange::None
             }
             Some(entry) if endpoint.born > entry.endpoint.born => {
-                entry.retire(now);
                 let previous_addr = entry.endpoint.addr;
+                let was_registered = entry.registration == Registration::Present;
+                entry.retire(now);
+                self.registered -= usize::from(was_registered);
+                self.removed
+                    .extend(known.map(|key| (now + REMOVED_RETENTION, key)));
                 self.insert(now, endpoint);
                 RecordChange::Restarted(previous_addr)
             }
-            Some(entry) => entry.update(now, endpoint),
+            Some(entry) => {
+                self.registered += usize::from(entry.registration != Registration::Present);
+                let previous = std::mem::take(&mut entry.endpoint.service);
+                let change = entry.update(now, endpoint);
+                self.move_to_service(known, &previous);
+                change
+            }
             None => {
                 self.insert(now, endpoint);
                 RecordChange::None
@@ -199,10 +220,71 @@
         let key = EndpointKey(self.next_key);
         self.next_key += 1;
         self.by_id.insert(endpoint.id.clone(), key);
+        let service = self.by_service.entry(endpoint.service.clone());
+        service.or_default().insert(key);
         self.entries.insert(key, Entry::new(now, endpoint));
+        self.registered += 1;
         self.evict_removed(now);
     }
 
+    /// Moves an endpoint whose record names another service than before.
+    fn move_to_service(&mut self, key: Option<EndpointKey>, previous: &str) {
+        let entry = key.and_then(|key| Some((key, self.entries.get(&key)?)));
+        let Some((key, entry)) = entry.filter(|(_, e)| e.endpoint.service != previous) else {
+            return;
+        };
+        let service = self.by_service.entry(entry.endpoint.service.clone());
+        service.or_default().insert(key);
+        self.remove_from_service(key, previous);
+    }
+
+    fn remove_from_service(&mut self, key: EndpointKey, service: &str) {
+        if let Some(keys) = self.by_service.get_mut(service) {
+            keys.remove(&key);
+            if keys.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+    }
+
+    /// Returns the entries of a service, counted as visited.
+    fn of_service(&self, service: &str) -> impl Iterator<Item = (EndpointKey, &Entry)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|key| {
+            self.count_visit();
+            Some((*key, self.entries.get(key)?))
+        })
+    }
+
+    fn count_visit(&self) {
+        self.visited.set(self.visited.get() + 1);
+    }
+
+    /// Counts a request that this node sends to an endpoint.
+    pub fn begin_request(&mut self, key: EndpointKey, weight: f64) -> Option<&mut Entry> {
+        let entry = self.entries.get_mut(&key)?;
+        self.busy.insert(key);
+        entry.in_flight += 1;
+        entry.load += weight;
+        Some(entry)
+    }
+
+    /// Ends a request that [`begin_request`](Directory::begin_request) counted.
+    pub fn end_request(&mut self, key: EndpointKey, weight: f64) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        entry.in_flight = entry.in_flight.saturating_sub(1);
+        // Floating-point sums drift; an idle endpoint has exactly zero load.
+        entry.load = match entry.in_flight {
+            0 => 0.0,
+            _ => (entry.load - weight).max(0.0),
+        };
+        if entry.in_flight == 0 {
+            self.busy.remove(&key);
+        }
+    }
+
     /// Marks an endpoint that started at `born` as leaving, on notice from another node. Returns
     /// whether it was not marked before.
     pub fn mark_leaving(&mut self, id: &str, born: Option<u64>) -> bool {
@@ -232,17 +314,17 @@
             StoreState::Down => now + RECOVERY_GRACE,
             StoreState::Recovered(recovered_at) => now.max(recovered_at + RECOVERY_GRACE),
         };
-        let entry = self
-            .by_id
-            .get(id)
-            .and_then(|key| self.entries.get_mut(key))
-            .filter(|entry| entry.registration == Registration::Present);
+        let key = self.by_id.get(id).copied();
+        let entry = key.and_then(|key| Some((key, self.entries.get_mut(&key)?)));
         match entry {
-            Some(entry) => {
+            Some((key, entry)) if entry.registration == Registration::Present => {
                 entry.registration = Registration::ExpiresAt(expires_at);
+                self.registered -= 1;
+                self.removed
+                    .push_back((expires_at + REMOVED_RETENTION, key));
                 self.store == StoreState::Up
             }
-            None => false,
+            _ => false,
         }
     }
 
@@ -293,8 +375,9 @@
         service: &str,
         cold_time: Duration,
     ) -> impl Iterator<Item = &mut Entry> {
-        let entries = self.entries.values_mut();
+        let (entries, visited) = (self.entries.values_mut(), &self.visited);
         entries.filter(move |e| {
+            visited.set(visited.get() + 1);
             e.endpoint.service == service
                 && e.accepts_new_requests(now)
                 && e.is_cold(now, cold_time)
@@ -323,19 +406,15 @@
         now: Duration,
         service: &'a str,
     ) -> impl Iterator<Item = (EndpointKey, &'a Entry)> {
-        self.entries
-            .iter()
-            .filter(move |(_, e)| e.endpoint.service == service && self.is_eligible(now, e))
-            .filter(move |(_, e)| now >= e.back_off_until)
-            .map(|(key, e)| (*key, e))
+        self.of_service(service)
+            .filter(move |(_, e)| self.is_eligible(now, e) && now >= e.back_off_until)
     }
 
     /// Returns the time until the first endpoint of a service ends its back-off towards this node.
     /// `None` if one accepts requests now, or if there is none.
     pub fn remaining_back_off(&self, now: Duration, service: &str) -> Option<Duration> {
-        let entries = self.entries.values();
-        let eligible =
-            entries.filter(|e| e.endpoint.service == service && self.is_eligible(now, e));
+        let entries = self.of_service(service).map(|(_, e)| e);
+        let eligible = entries.filter(|e| self.is_eligible(now, e));
         let earliest_end = eligible.map(|e| e.back_off_until).min()?;
         earliest_end
             .checked_sub(now)
@@ -355,10 +434,9 @@
         has_capacity: impl Fn(&Entry) -> bool,
     ) -> IneligibleCounts {
         let mut counts = IneligibleCounts::default();
-        let of_service = |e: &Entry| e.endpoint.service == service;
-        for (key, entry) in self.entries.iter().filter(|(_, e)| of_service(e)) {
+        for (key, entry) in self.of_service(service) {
             let count = match entry {
-                _ if excluded.contains(key) => &mut counts.tried,
+                _ if excluded.contains(&key) => &mut counts.tried,
                 e if !e.accepts_new_requests(now) => &mut counts.leaving,
                 e if self.is_evacuated(&e.endpoint.domain) => &mut counts.evacuated,
                 e if now < e.back_off_until => &mut counts.paused,
@@ -372,15 +450,21 @@
 
     /// Whether this node has in-flight requests on a version of a service other than `target`.
     pub fn has_other_work(&self, service: &str, target: &str) -> bool {
-        self.entries
-            .values()
-            .filter(|e| e.endpoint.service == service && e.in_flight > 0)
+        self.busy_entries()
+            .filter(|e| e.endpoint.service == service)
             .any(|e| e.endpoint.version != target)
     }
 
-    /// Returns this node's load at each endpoint, by the endpoint's number.
-    pub(crate) fn loads(&self) -> impl Iterator<Item = (u32, f64)> {
-        self.entries.values().map(|e| (e.number, e.load))
+    /// Returns this node's load at each endpoint where it has requests, by the endpoint's number.
+    pub fn loads(&self) -> impl Iterator<Item = (u32, f64)> {
+        self.busy_entries().map(|e| (e.number, e.load))
+    }
+
+    fn busy_entries(&self) -> impl Iterator<Item = &Entry> {
+        self.busy.iter().filter_map(|key| {
+            self.count_visit();
+            self.entries.get(key)
+        })
     }
 
     /// Returns the endpoint with this key.
@@ -414,10 +498,13 @@
 
     /// Returns the number of registered endpoints.
     pub fn len(&self) -> usize {
-        self.entries
-            .values()
-            .filter(|e| e.registration == Registration::Present)
-            .count()
+        self.registered
+    }
+
+    /// Returns the number of entries that were looked at one after the other, since the start: what
+    /// decisions and updates cost, apart from look-ups by key.
+    pub fn visited(&self) -> u64 {
+        self.visited.get()
     }
 
     /// Returns the number of endpoints held in memory, including removed ones.
@@ -430,14 +517,34 @@
         self.len() == 0
     }
 
+    /// Evicts endpoints that have been removed for long enough. Each removal is looked at once, or
+    /// again after the retention while requests are in flight.
     fn evict_removed(&mut self, now: Duration) {
-        let is_expired = |e: &Entry| match e.registration {
-            Registration::ExpiresAt(at) => e.in_flight == 0 && now > at + REMOVED_RETENTION,
-            Registration::Present => false,
-        };
-        self.entries.retain(|_, e| !is_expired(e));
-        let entries = &self.entries;
-        self.by_id.retain(|_, key| entries.contains_key(key));
+        while let Some(&(at, key)) = self.removed.front()
+            && now > at
+        {
+            self.removed.pop_front();
+            self.count_visit();
+            let Some(entry) = self.entries.get(&key) else {
+                continue;
+            };
+            match entry.registration {
+                Registration::Present => continue,
+                // Removed again after a later record of it, which has an item of its own.
+                Registration::ExpiresAt(at) if now <= at + REMOVED_RETENTION => continue,
+                Registration::ExpiresAt(_) if entry.in_flight > 0 => {
+                    self.removed.push_back((now + REMOVED_RETENTION, key));
+                    continue;
+                }
+                Registration::ExpiresAt(_) => {}
+            }
+            if self.by_id.get(&entry.endpoint.id) == Some(&key) {
+                self.by_id.remove(&entry.endpoint.id);
+            }
+            let service = entry.endpoint.service.clone();
+            self.remove_from_service(key, &service);
+            self.entries.remove(&key);
+        }
     }
 }
 
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -32,17 +32,15 @@
 }
 
 impl<W> InFlightRequest<W> {
-    /// Counts a request at an endpoint that was picked among `candidate_count` candidates.
-    pub(crate) fn begin(
+    /// Returns a request that the directory has counted at an endpoint that was picked among
+    /// `candidate_count` candidates.
+    pub(crate) fn new(
         cx: Arc<Cx<W>>,
         key: EndpointKey,
-        entry: &mut Entry,
+        entry: &Entry,
         weight: f64,
         candidate_count: usize,
     ) -> Self {
-        let load_before = entry.load;
-        entry.in_flight += 1;
-        entry.load += weight;
         InFlightRequest {
             cx,
             key,
@@ -51,7 +49,7 @@
             id: entry.endpoint.id.clone(),
             version: entry.endpoint.version.clone(),
             is_failing: entry.health.is_failing(),
-            load_before,
+            load_before: (entry.load - weight).max(0.0),
             candidate_count,
             restarted: entry.restart_token.clone(),
         }
@@ -93,14 +91,7 @@
 impl<W> Drop for InFlightRequest<W> {
     fn drop(&mut self) {
         let mut state = self.cx.state();
-        if let Some(entry) = state.directory.get_mut(self.key) {
-            entry.in_flight = entry.in_flight.saturating_sub(1);
-            // Floating-point sums drift; an idle endpoint has exactly zero load.
-            entry.load = match entry.in_flight {
-                0 => 0.0,
-                _ => (entry.load - self.weight).max(0.0),
-            };
-        }
+        state.directory.end_request(self.key, self.weight);
     }
 }
 
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -227,3 +227,52 @@
     directory.set_evacuated(ms(30), ["a".to_owned()].into());
     assert_eq!(usable(&directory, ms(30)), ["far"]);
 }
+
+/// Returns the entries visited while `count` endpoints are read one by one, replaced by their
+/// successors, and looked at by a node that has no requests at them.
+fn visits_while_reading(count: u64) -> u64 {
+    let mut directory = Directory::default();
+    for n in 0..count {
+        directory.upsert(ms(n), endpoint(&format!("e{n}")));
+        assert!(!directory.is_empty());
+    }
+    for n in 0..count {
+        directory.remove(ms(60_000 + n), &format!("e{n}"));
+        directory.upsert(ms(200_000 + n), endpoint(&format!("successor{n}")));
+    }
+    assert_eq!(directory.loads().count(), 0);
+    assert!(!directory.has_other_work("pool", "v2"));
+    assert_eq!(directory.len(), count as usize);
+    assert_eq!(directory.tracked_len(), count as usize);
+    directory.visited()
+}
+
+// A node that starts reads thousands of endpoints. If each of them costs a walk over those already
+// known, a small host spends its first seconds on that alone, before it can serve.
+#[test]
+fn reading_endpoints_visits_each_a_bounded_number_of_times() {
+    for count in [200, 2_000] {
+        let visits = visits_while_reading(count);
+        assert!(
+            visits <= 2 * count,
+            "{visits} entries visited for {count} endpoints, at most two each expected"
+        );
+    }
+}
+
+// A plain request must not be placed by looking at thousands of engines beside its few endpoints.
+#[test]
+fn placing_a_request_visits_only_endpoints_of_its_service() {
+    let mut directory = Directory::default();
+    for n in 0..2_000 {
+        directory.upsert(ms(0), endpoint(&format!("engine{n}")));
+    }
+    let desk = Endpoint {
+        service: "desk".to_owned(),
+        ..endpoint("desk1")
+    };
+    directory.upsert(ms(0), desk);
+    let before = directory.visited();
+    assert_eq!(directory.usable(ms(10), "desk").count(), 1);
+    assert_eq!(directory.visited() - before, 1);
+}
