Log changes of endpoints by read, not by endpoint

Change: the changes of one read reach the relay as one update, which logs their counts in one line. Lines about single endpoints are limited to 20 a second, those that leave or restarted first; the rest is counted as omitted.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -10,10 +10,11 @@
 use crate::settings::Settings;
 use crate::site::SiteConfig;
 use crate::state::{PlacementRequest, State};
-use crate::update::{Endpoint, Update};
+use crate::update::{Endpoint, EndpointChange, Update};
 use crate::wire::Wire;
 use oatdale_platform::{Pool, PoolConfig};
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -38,6 +39,16 @@
 /// Fraction of the stop time in which new streams are accepted: most of them end within the rest.
 const STREAM_ACCEPT_FRACTION: f64 = 0.3;
 
+/// Numbers of changed endpoints in one read, by kind of change.
+#[derive(Clone, Copy, Debug, Default)]
+struct ChangeCounts {
+    new: usize,
+    restarted: usize,
+    leaving: usize,
+    gone: usize,
+    other: usize,
+}
+
 /// Shared state of one relay.
 pub(crate) struct Cx<W> {
     pub(crate) wire: W,
@@ -123,21 +134,8 @@
                     self.pool.forget(addr);
                 }
             }
-            Update::Endpoint(endpoint) => {
-                log::info!(
-                    target: "directory",
-                    "event=endpoint id={} born={:?} service={} addr={} version={} leaving={} cold_left={:?}",
-                    endpoint.id, endpoint.born, endpoint.service, endpoint.addr, endpoint.version,
-                    endpoint.leaving, endpoint.cold_left
-                );
-                self.apply_endpoint(&mut state, now, endpoint);
-            }
-            Update::EndpointGone(id) => {
-                log::info!(target: "directory", "event=endpoint_gone id={id}");
-                let born = state.directory.by_id_mut(&id).and_then(|e| e.endpoint.born);
-                if state.directory.remove(now, &id) && state.reads_only_for_itself {
-                    gossip::broadcast(self, &state, &Message::EndpointGone { id, born });
-                }
+            Update::EndpointChanges(changes) => {
+                self.apply_endpoint_changes(&mut state, now, changes);
             }
             Update::Evacuated(domains) => self.apply_evacuated(&mut state, domains),
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
@@ -171,18 +169,71 @@
         self.metrics.endpoints.set(state.directory.len() as i64);
     }
 
-    fn apply_endpoint(&self, state: &mut State, now: Duration, endpoint: Endpoint) {
+    /// Applies the changes of one read and logs their counts; single endpoints are logged as far as
+    /// [`LineLimit`](crate::line_limit::LineLimit) allows, first those that requests may be at.
+    fn apply_endpoint_changes(
+        &self,
+        state: &mut State,
+        now: Duration,
+        changes: Vec<EndpointChange>,
+    ) {
+        let mut counts = ChangeCounts::default();
+        let mut unremarkable = Vec::new();
+        for change in changes {
+            match change {
+                EndpointChange::Gone(id) => {
+                    counts.gone += 1;
+                    self.apply_endpoint_gone(state, now, &id);
+                }
+                EndpointChange::Written(endpoint) => {
+                    let known = state.directory.by_id_mut(&endpoint.id).is_some();
+                    let written = endpoint.clone();
+                    let change = self.apply_endpoint(state, now, endpoint);
+                    counts.record(known, change);
+                    match change {
+                        RecordChange::None => unremarkable.push(written),
+                        RecordChange::Leaves | RecordChange::Restarted(_) => {
+                            log_endpoint(state, now, &written);
+                        }
+                    }
+                }
+            }
+        }
+        for endpoint in &unremarkable {
+            log_endpoint(state, now, endpoint);
+        }
+        let omitted = state.endpoint_lines.take_omitted();
+        let known = state.directory.len();
+        log::info!(target: "directory", "event=endpoints_changed {counts} omitted={omitted} known={known}");
+    }
+
+    fn apply_endpoint_gone(&self, state: &mut State, now: Duration, id: &str) {
+        if state.endpoint_lines.allows(now) {
+            log::info!(target: "directory", "event=endpoint_gone id={id}");
+        }
+        let born = state.directory.by_id_mut(id).and_then(|e| e.endpoint.born);
+        if state.directory.remove(now, id) && state.reads_only_for_itself {
+            let id = id.to_owned();
+            gossip::broadcast(self, state, &Message::EndpointGone { id, born });
+        }
+    }
+
+    fn apply_endpoint(&self, state: &mut State, now: Duration, endpoint: Endpoint) -> RecordChange {
         let (id, born) = (endpoint.id.clone(), endpoint.born);
-        match state.directory.upsert(now, endpoint) {
+        let change = state.directory.upsert(now, endpoint);
+        match change {
             RecordChange::Leaves if state.reads_only_for_itself => {
                 gossip::broadcast(self, state, &Message::EndpointLeaves { id, born });
             }
             RecordChange::Restarted(previous_addr) => {
-                log::info!(target: "directory", "event=endpoint_restarted id={id} born={born:?}");
+                if state.endpoint_lines.allows(now) {
+                    log::info!(target: "directory", "event=endpoint_restarted id={id} born={born:?}");
+                }
                 self.pool.forget(previous_addr);
             }
             RecordChange::None | RecordChange::Leaves => {}
         }
+        change
     }
 
     pub(crate) fn apply_evacuated(&self, state: &mut State, domains: BTreeSet<String>) {
@@ -292,3 +343,37 @@
         is_granted
     }
 }
+
+impl ChangeCounts {
+    fn record(&mut self, is_known: bool, change: RecordChange) {
+        let count = match change {
+            RecordChange::Restarted(_) => &mut self.restarted,
+            RecordChange::Leaves => &mut self.leaving,
+            RecordChange::None if is_known => &mut self.other,
+            RecordChange::None => &mut self.new,
+        };
+        *count += 1;
+    }
+}
+
+impl fmt::Display for ChangeCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "new={} restarted={} leaving={} gone={} other={}",
+            self.new, self.restarted, self.leaving, self.gone, self.other
+        )
+    }
+}
+
+fn log_endpoint(state: &mut State, now: Duration, endpoint: &Endpoint) {
+    if !state.endpoint_lines.allows(now) {
+        return;
+    }
+    log::info!(
+        target: "directory",
+        "event=endpoint id={} born={:?} service={} addr={} version={} leaving={} cold_left={:?}",
+        endpoint.id, endpoint.born, endpoint.service, endpoint.addr, endpoint.version,
+        endpoint.leaving, endpoint.cold_left
+    );
+}
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -53,6 +53,7 @@
 mod gossip;
 mod headers;
 mod in_flight;
+mod line_limit;
 mod loads;
 mod local;
 mod metrics;
@@ -78,6 +79,7 @@
 pub use crate::directory::{Directory, EndpointKey, Entry, RecordChange};
 pub use crate::error::{Error, Result};
 pub use crate::events::EventReassembler;
+pub use crate::line_limit::LineLimit;
 pub use crate::loads::{AggregationScheme, Load, LoadAggregator, LoadSums, MAX_LOADS_PER_DATAGRAM};
 pub use crate::node::Relay;
 pub use crate::replica::{
@@ -92,7 +94,9 @@
 pub use crate::site::{
     CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, SiteConfig,
 };
-pub use crate::update::{Command, Endpoint, Link, Node, RollOut, RollOutEnd, Update};
+pub use crate::update::{
+    Command, Endpoint, EndpointChange, Link, Node, RollOut, RollOutEnd, Update,
+};
 pub use crate::versions::{KeptVersion, KnownVersions, RetentionPolicy, VersionTracker};
 pub use crate::wire::{Forward, Prompt, RequestMetadata, ResponseMetadata, Wire};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
+use crate::line_limit::LineLimit;
 use crate::loads::{LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
 use crate::roll_outs::{AllowedVersions, RollOuts};
@@ -40,6 +41,8 @@
     pub(crate) bounds: Bounds,
     pub(crate) site: Option<Arc<SiteConfig>>,
     pub(crate) directory: Directory,
+    /// Limit on the log lines about single endpoints.
+    pub(crate) endpoint_lines: LineLimit,
     /// Pending checks whether endpoints crashed.
     pub(crate) checks: CrashChecks,
     /// Requests quarantined because they crash endpoints.
@@ -90,6 +93,7 @@
             bounds,
             site: None,
             directory: Directory::default(),
+            endpoint_lines: LineLimit::default(),
             checks: CrashChecks::default(),
             quarantine: Quarantine::default(),
             pending_records: PendingRecords::default(),
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -31,10 +31,8 @@
     Site(Arc<SiteConfig>),
     /// All endpoints; any other known endpoint is gone.
     Endpoints(Vec<Endpoint>),
-    /// An endpoint is new or has changed.
-    Endpoint(Endpoint),
-    /// The endpoint with this id is gone.
-    EndpointGone(String),
+    /// Changes of single endpoints, in the order in which they were read.
+    EndpointChanges(Vec<EndpointChange>),
     /// The failure domains whose endpoints are to get no new requests.
     Evacuated(BTreeSet<String>),
     /// The current state of a rollout.
@@ -65,6 +63,15 @@
     StoreAvailable,
 }
 
+/// A change of one endpoint's record.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum EndpointChange {
+    /// The endpoint is new or has changed.
+    Written(Endpoint),
+    /// The endpoint with this id is gone.
+    Gone(String),
+}
+
 /// A command from the relay to the adapter.
 #[derive(Clone, Debug)]
 pub enum Command {
