Count messages by kind, and log the counts every ten seconds

Cause: where the bytes and messages of a large fleet go was worked out from the code; neither the metrics nor the log said so.

Change: datagrams by kind, records served to followers, state served to nodes without the key-value service, and calls by duty are counted, shown on the metrics address and logged every ten seconds.

--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -93,12 +93,34 @@
     },
 }
 
+impl Message {
+    /// Name under which a sent datagram is counted.
+    fn sent_kind(&self) -> &'static str {
+        match self {
+            Message::Report(_) | Message::OnOld(_) => "sent_roll_out",
+            Message::Leaving(_) => "sent_leaving",
+            Message::EndpointLeaves { .. }
+            | Message::EndpointGone { .. }
+            | Message::EndpointCold { .. } => "sent_endpoint",
+            Message::Heavy { .. } => "sent_long_prompt",
+            Message::Loads(_) => "sent_loads",
+            Message::Crashed { .. } | Message::Quarantined { .. } | Message::Completed { .. } => {
+                "sent_crash"
+            }
+            Message::Sums { .. } => "sent_sums",
+        }
+    }
+}
+
 /// Receives the datagrams of other nodes.
 pub(crate) async fn listen<W: Wire>(cx: Arc<Cx<W>>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match cx.socket.recv_from(&mut buf).await {
-            Ok((len, from)) => handle_datagram(&cx, &buf[..len], from),
+            Ok((len, from)) => {
+                cx.metrics.traffic.count("received", len);
+                handle_datagram(&cx, &buf[..len], from);
+            }
             Err(err) => {
                 log::debug!(target: "gossip", "event=receive_failed err={err}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -190,8 +212,9 @@
 /// others would not learn of them otherwise.
 pub(crate) async fn report_roll_outs<W: Wire>(cx: &Cx<W>) {
     for (datagram, to) in roll_out_datagrams(cx) {
-        if let Err(err) = cx.socket.send_to(&datagram, to).await {
-            log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
+        match cx.socket.send_to(&datagram, to).await {
+            Ok(_) => cx.metrics.traffic.count("sent_roll_out", datagram.len()),
+            Err(err) => log::debug!(target: "gossip", "event=send_failed to={to} err={err}"),
         }
     }
 }
@@ -303,8 +326,12 @@
         return;
     };
     for to in to {
-        if let Err(err) = cx.socket.try_send_to(&datagram, to) {
-            log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
+        match cx.socket.try_send_to(&datagram, to) {
+            Ok(_) => cx
+                .metrics
+                .traffic
+                .count(message.sent_kind(), datagram.len()),
+            Err(err) => log::debug!(target: "gossip", "event=send_failed to={to} err={err}"),
         }
     }
 }
@@ -318,8 +345,12 @@
     };
     for _ in 0..LEAVE_ANNOUNCEMENTS {
         for to in &others {
-            if let Err(err) = cx.socket.send_to(&datagram, to).await {
-                log::debug!(target: "gossip", "event=send_failed to={to} err={err}");
+            match cx.socket.send_to(&datagram, to).await {
+                Ok(_) => cx
+                    .metrics
+                    .traffic
+                    .count(message.sent_kind(), datagram.len()),
+                Err(err) => log::debug!(target: "gossip", "event=send_failed to={to} err={err}"),
             }
         }
         tokio::time::sleep(LEAVE_ANNOUNCEMENT_INTERVAL).await;
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -72,6 +72,7 @@
 mod site;
 mod state;
 mod stream;
+mod traffic;
 mod update;
 mod versions;
 mod wire;
@@ -94,6 +95,7 @@
 pub use crate::site::{
     CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, SiteConfig,
 };
+pub use crate::traffic::Traffic;
 pub use crate::update::{
     Command, Endpoint, EndpointChange, Link, Node, RollOut, RollOutEnd, Update,
 };
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of one relay.
 
+use crate::traffic::Traffic;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -41,10 +42,12 @@
     pub(crate) in_flight: IntGauge,
     /// 1 if the key-value service responds, otherwise 0.
     pub(crate) store: IntGauge,
+    /// Messages to and from other nodes and the key-value service.
+    pub(crate) traffic: Traffic,
 }
 
 impl Metrics {
-    pub(crate) fn new() -> prometheus::Result<Self> {
+    pub(crate) fn new(traffic: Traffic) -> prometheus::Result<Self> {
         let registry = Registry::new_custom(Some("oatdale_relay".to_owned()), None)?;
         let opts = Opts::new("requests_total", "Requests by how they ended");
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
@@ -73,6 +76,7 @@
             connections: IntGauge::new("connections", "Open connections of callers")?,
             in_flight: IntGauge::new("requests_under_way", "Requests under way")?,
             store: IntGauge::new("store_up", "Whether the key-value service answers")?,
+            traffic,
             registry,
         };
         metrics.register()?;
@@ -98,6 +102,7 @@
         ];
         collectors
             .into_iter()
+            .chain(self.traffic.collectors())
             .try_for_each(|c| self.registry.register(c))
     }
 
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -22,6 +22,9 @@
 /// Interval of the periodic tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between two log lines with the counts of messages.
+const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Fraction of the shutdown time during which new requests are accepted: callers cache addresses
 /// for a while, and their last requests need time to complete.
 const ACCEPT_FRACTION: f64 = 0.6;
@@ -50,9 +53,10 @@
             updates,
             commands,
             records,
+            traffic,
         } = link;
         let listen = settings.listen.clone();
-        let metrics = Metrics::new().context(MetricsSnafu)?;
+        let metrics = Metrics::new(traffic).context(MetricsSnafu)?;
         let (shutdown, shutdown_rx) = watch::channel(ShutdownPhase::Open);
         let callers = bind(listen.callers)?;
         let socket = UdpSocket::bind(listen.nodes)
@@ -126,8 +130,13 @@
 
 async fn tick<W: Wire>(cx: Arc<Cx<W>>, commands: mpsc::Sender<Command>) {
     let mut last_report = Instant::now();
+    let mut last_counts = Instant::now();
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
+        if last_counts.elapsed() >= TRAFFIC_LOG_INTERVAL {
+            last_counts = Instant::now();
+            log::info!(target: "node", "event=traffic {}", cx.metrics.traffic);
+        }
         let has_new_order = cx.state().roll_outs.take_new_order();
         if has_new_order || last_report.elapsed() >= REPORT_INTERVAL {
             last_report = Instant::now();
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -58,7 +58,7 @@
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     if req.uri().path() == replica::RECORDS_PATH {
-        return Ok(replica::handle_fetch(&records, req.into_body()).await);
+        return Ok(replica::handle_fetch(&records, &cx.metrics.traffic, req.into_body()).await);
     }
     if req.uri().path() == replica::VERSIONS_PATH {
         return Ok(replica::handle_versions(&records, req.into_body()).await);
@@ -67,7 +67,10 @@
     let after = after.and_then(|version| version.parse().ok());
     let res = match (req.uri().path(), after) {
         (STATE_PATH, Some(after)) => match snapshot(&cx, after).encode() {
-            Ok(body) => short_response(StatusCode::OK, body),
+            Ok(body) => {
+                cx.metrics.traffic.count("state_served", body.len());
+                short_response(StatusCode::OK, body)
+            }
             Err(err) => {
                 log::warn!(target: "peers", "event=encode_failed err={err}");
                 short_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -2,8 +2,10 @@
 
 use crate::replica::Replica;
 use crate::reply::{Body, short_response};
+use crate::traffic::Traffic;
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use oatdale_platform::read_body;
 use serde::Serialize;
@@ -17,13 +19,25 @@
 const REQUEST_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Responds to a follower's fetch; 503 if it has to ask elsewhere.
-pub(crate) async fn handle_fetch(replica: &Replica, body: Incoming) -> Response<Body> {
+pub(crate) async fn handle_fetch(
+    replica: &Replica,
+    traffic: &Traffic,
+    body: Incoming,
+) -> Response<Body> {
     let req = match read_request(body).await {
         Ok(req) => req,
         Err(reason) => return bad_request(&reason),
     };
     match replica.fetch(req).await {
-        Some(update) => encode(&update),
+        Some(update) => {
+            let response = encode(&update);
+            let bytes = response.body().size_hint().lower();
+            traffic.count(
+                "records_served",
+                usize::try_from(bytes).unwrap_or(usize::MAX),
+            );
+            response
+        }
         None => short_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
 }
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -5,6 +5,7 @@
 use crate::settings::Settings;
 use crate::site::SiteConfig;
 use crate::state::hash;
+use crate::traffic::Traffic;
 use oatdale_policy::relay::{Fingerprint, ReaderCandidate};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -22,6 +23,8 @@
     pub commands: mpsc::Sender<Command>,
     /// The records that the adapter reads, to be served to other nodes.
     pub records: Arc<Replica>,
+    /// Counters of messages, to which the adapter adds its calls.
+    pub traffic: Traffic,
 }
 
 /// An update from the platform.
