Report loads only where a node has load, on sites of many groups

Cause: groups of endpoints grow with hosts times endpoints, and each host reported to two aggregators of every group, loads or none, whatever it had under way. At 985 hosts and 9,998 endpoints that is 4,096 datagrams a round from each host, so rounds were 32 s apart and the sums of no use; while endpoints were still being read, the hosts sent 1.18 million reports and 0.6 million sums in the first ten seconds (counted, first log lines of event=traffic). The aggregators of each group were found by sorting all hosts.

Change: above 16 groups a node reports only to groups at whose endpoints it has load, at most 16 in a report, and gets only the sums of these. Reports are a quarter of a second apart at every size. Sums, their coverage and their age are kept by group. Two aggregators are found in one pass over the hosts.

--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -7,7 +7,9 @@
 use crate::crashes;
 use crate::cx::Cx;
 use crate::in_flight::InFlightRequest;
-use crate::loads::{AGGREGATORS_PER_GROUP, AggregationScheme, Load, MAX_LOADS_PER_DATAGRAM};
+use crate::loads::{
+    AGGREGATORS_PER_GROUP, AggregationScheme, GroupReport, GroupSums, Load, MAX_LOADS_PER_DATAGRAM,
+};
 use crate::roll_outs::{COORDINATORS, OldSessions, Report};
 use crate::state::{State, hash};
 use crate::wire::Wire;
@@ -249,8 +251,7 @@
 /// sums to the nodes that reported.
 pub(crate) async fn run_load_exchange<W: Wire>(cx: Arc<Cx<W>>) {
     loop {
-        let interval = cx.state().load_sums.scheme().interval;
-        tokio::time::sleep(interval).await;
+        tokio::time::sleep(AggregationScheme::INTERVAL).await;
         let mut state = cx.state();
         send_own_loads(&cx, &mut state);
         send_load_sums(&cx, &mut state);
@@ -264,12 +265,7 @@
     let scheme = AggregationScheme::new(nodes, state.directory.len());
     state.load_sums.set_scheme(scheme);
     state.load_aggregator.set_scheme(scheme);
-    let own_loads = state.load_sums.own_report(state.directory.loads());
-    for group in 0..scheme.groups {
-        let loads = own_loads
-            .iter()
-            .filter(|l| scheme.group(l.endpoint) == group);
-        let loads: Vec<_> = loads.copied().collect();
+    for GroupReport { group, loads } in state.load_sums.own_reports(state.directory.loads()) {
         for to in aggregators(cx, state, group) {
             match to == cx.settings.listen.nodes {
                 true => state.load_aggregator.record_report(now, to, &loads),
@@ -281,23 +277,32 @@
 
 fn send_load_sums<W: Wire>(cx: &Cx<W>, state: &mut State) {
     let now = cx.now();
-    let (nodes, sums, reporters) = state.load_aggregator.sum(now);
-    if nodes == 0 {
-        return;
+    for sums in state.load_aggregator.sum(now) {
+        let GroupSums {
+            nodes,
+            loads,
+            reporters,
+        } = sums;
+        state.load_sums.record_sums(now, nodes, &loads);
+        let reporters = reporters.into_iter();
+        let reporters = reporters.filter(|to| *to != cx.settings.listen.nodes);
+        let to_message = |loads| Message::Sums { nodes, loads };
+        send_loads(cx, reporters, &loads, to_message);
     }
-    state.load_sums.record_sums(now, nodes, &sums);
-    let reporters = reporters.into_iter();
-    let reporters = reporters.filter(|to| *to != cx.settings.listen.nodes);
-    let to_message = |loads| Message::Sums { nodes, loads };
-    send_loads(cx, reporters, &sums, to_message);
 }
 
 /// Returns the aggregators of a group: the first nodes by a hash that is the same on every node.
 fn aggregators<W: Wire>(cx: &Cx<W>, state: &State, group: u32) -> Vec<SocketAddr> {
-    let mut nodes: Vec<_> = state.nodes.iter(cx.now()).collect();
-    nodes.sort_by_cached_key(|n| hash(&(group, &n.host)));
-    let first = nodes.into_iter().take(AGGREGATORS_PER_GROUP);
-    first.map(|n| n.nodes).collect()
+    let mut first: Vec<(u64, SocketAddr)> = Vec::new();
+    for node in state.nodes.iter(cx.now()) {
+        let rank = hash(&(group, &node.host));
+        let position = first.partition_point(|(other, _)| *other <= rank);
+        if position < AGGREGATORS_PER_GROUP {
+            first.insert(position, (rank, node.nodes));
+            first.truncate(AGGREGATORS_PER_GROUP);
+        }
+    }
+    first.into_iter().map(|(_, addr)| addr).collect()
 }
 
 fn send_loads<W: Wire>(
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -81,7 +81,10 @@
 pub use crate::error::{Error, Result};
 pub use crate::events::EventReassembler;
 pub use crate::line_limit::LineLimit;
-pub use crate::loads::{AggregationScheme, Load, LoadAggregator, LoadSums, MAX_LOADS_PER_DATAGRAM};
+pub use crate::loads::{
+    AggregationScheme, GroupReport, GroupSums, Load, LoadAggregator, LoadSums,
+    MAX_LOADS_PER_DATAGRAM,
+};
 pub use crate::node::Relay;
 pub use crate::replica::{
     Content, FetchError, FetchRequest, Members, Record, RecordUpdate, Replica, ReplicaClient,
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -5,7 +5,7 @@
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
 use crate::line_limit::LineLimit;
-use crate::loads::{LoadAggregator, LoadSums};
+use crate::loads::{AggregationScheme, LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
 use crate::roll_outs::{AllowedVersions, RollOuts};
 use crate::settings::Bounds;
@@ -225,15 +225,18 @@
     /// all pick the same endpoint until the next sums arrive. Requests with a prefix stay with the
     /// engine that has it cached, and use the sums to move to another one when it is overloaded.
     fn load(&self, now: Duration, request: &PlacementRequest<'_>, entry: &Entry) -> f64 {
-        match (request.prefix, self.load_sums.last_sum_at(now)) {
-            (Some(_), Some(last_sum)) => {
+        let last_sum = request
+            .prefix
+            .and_then(|_| self.load_sums.last_sum_at(now, entry.number));
+        match last_sum {
+            Some(last_sum) => {
                 // A load is in the sums after up to two intervals: one until the node's next
                 // report, one until the aggregator's next sum.
-                let summed_until = last_sum.saturating_sub(2 * self.load_sums.scheme().interval);
+                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
                 entry.known_load(now, Some(summed_until))
                     + self.load_sums.other_nodes_load(now, entry.number)
             }
-            _ => entry.known_load(now, None),
+            None => entry.known_load(now, None),
         }
     }
 }
