Pass records on compressed, as patches, and encoded once

Cause: a reader sent each change to each follower whole and encoded it anew for each. A list of followers (some 19 kB for 98 of them) is written again whenever one host joins or stops, and goes to all hosts: bytes grow with the square of the hosts.

Change: a value of 1 kB and more is passed on as a patch of the version that the follower has, as long as the reader keeps it (four versions, 1 MB a record); a follower without that version asks again for the whole value. Responses are compressed, and encoded once for all followers at a revision. Nodes of the last version neither ask for nor get either.

--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -87,8 +87,8 @@
 };
 pub use crate::node::Relay;
 pub use crate::replica::{
-    Content, FetchError, FetchRequest, Members, Record, RecordUpdate, Replica, ReplicaClient,
-    ReplicaUpdate, Topic,
+    Content, EncodedUpdate, FetchError, FetchRequest, Members, Record, RecordUpdate, Replica,
+    ReplicaClient, ReplicaUpdate, Topic,
 };
 pub use crate::revision::Revision;
 pub use crate::roll_outs::{
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -8,16 +8,20 @@
 //! record of its own.
 
 mod client;
+mod compression;
+mod encoded;
 mod members;
 mod request;
 mod serve;
 
 pub use crate::replica::client::{FetchError, ReplicaClient};
+pub use crate::replica::encoded::EncodedUpdate;
 pub use crate::replica::members::Members;
 pub use crate::replica::request::FetchRequest;
 pub(crate) use crate::replica::request::{RECORDS_PATH, VERSIONS_PATH};
 pub(crate) use crate::replica::serve::{handle_fetch, handle_versions};
 
+use crate::replica::encoded::EncodedResponses;
 use crate::revision::Revision;
 use crate::update::Node;
 use crate::versions::KnownVersions;
@@ -32,6 +36,15 @@
 /// Number of changes kept per topic. A follower that is behind all of them gets a snapshot.
 const MAX_CHANGES: usize = 4_096;
 
+/// Length from which on a value is passed on as a patch of its last version, in bytes. Shorter ones
+/// take less than a packet.
+const MIN_PATCHED_BYTES: usize = 1_024;
+
+/// Number of earlier versions of a long value that are kept to make patches from, and their length
+/// together, in bytes: a follower is rarely behind more than one of them.
+const MAX_BASES: usize = 4;
+const MAX_BASE_BYTES: usize = 1 << 20;
+
 /// How long a request is held that arrives before this node has loaded the records. Loading takes
 /// some tens of milliseconds, and a starting node that gets no answer reads from the service next.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(80);
@@ -39,6 +52,9 @@
 /// How long a node that starts in a later era waits for this node to read all records in that era.
 const ERA_READ_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long after an outage of the service followers are told of it.
+const RECOVERY_REPORT_TIME: Duration = Duration::from_secs(10);
+
 /// Number of full re-reads that are remembered. A follower that is behind all of them gets a
 /// snapshot.
 const MAX_GAPS: usize = 64;
@@ -97,6 +113,24 @@
     Deleted,
     /// The value is too long to be passed on and has to be read from the service.
     TooLong,
+    /// A patch of the version that the follower has.
+    Patch {
+        /// The revision of that version.
+        base: Revision,
+        /// The patch.
+        patch: Bytes,
+    },
+}
+
+impl Content {
+    /// Returns the value that a patch makes of a follower's version of the record.
+    ///
+    /// # Errors
+    ///
+    /// The patch is damaged or was made for another value.
+    pub fn apply_patch(base: &[u8], patch: &[u8]) -> std::io::Result<Bytes> {
+        compression::apply_patch(base, patch).map(Bytes::from)
+    }
 }
 
 /// A reader's copy of the records of both topics.
@@ -121,9 +155,12 @@
     host: String,
 }
 
-/// The outcome of a fetch at the current state.
-enum Outcome {
-    Ready(ReplicaUpdate),
+/// Whether a follower's request can be answered at the current state.
+enum Readiness {
+    /// The follower does not have all records in their current versions.
+    Changed,
+    /// There is nothing new for the follower.
+    Unchanged,
     /// The records are not loaded yet.
     NotLoaded,
     /// The service does not answer this node; the follower has to ask elsewhere.
@@ -139,6 +176,8 @@
     max_bytes: usize,
     operators: Option<Records>,
     endpoints: Option<Records>,
+    /// Responses that were encoded lately.
+    responses: EncodedResponses,
 }
 
 /// Whether the key-value service answers this node, that is, whether the replica is current.
@@ -155,6 +194,8 @@
 #[derive(Clone, Debug)]
 struct Records {
     all: BTreeMap<String, (Revision, Bytes)>,
+    /// Earlier versions of long values, oldest first.
+    bases: BTreeMap<String, VecDeque<(Revision, Bytes)>>,
     /// The most recent changes as revision and key, oldest first.
     changes: VecDeque<(Revision, String)>,
     /// `changes` holds all changes after this revision.
@@ -170,6 +211,7 @@
     /// Replaces the records of a topic by a complete set.
     pub fn replace(&self, topic: Topic, revision: Revision, snapshot: &[Record]) {
         let mut state = self.lock();
+        state.responses.clear();
         match state.records_of(topic) {
             Some(records) => records.replace(revision, snapshot),
             slot => *slot = Some(Records::new(revision, snapshot)),
@@ -182,6 +224,7 @@
     /// changes alone are not a complete set.
     pub fn apply_changes(&self, topic: Topic, revision: Revision, changes: &[Record]) {
         let mut state = self.lock();
+        state.responses.clear();
         if let Some(records) = state.records_of(topic) {
             records.apply_changes(revision, changes);
         }
@@ -222,6 +265,18 @@
     /// too old. Waits for changes if there are none. `None` if this node does not read for others
     /// or the service does not answer it.
     pub async fn fetch(&self, req: FetchRequest) -> Option<ReplicaUpdate> {
+        let (topic, after, accepts_patches) = (req.topic, req.after, req.accepts_patches);
+        self.when_ready(req, |state| state.update(topic, after, accepts_patches))
+            .await
+    }
+
+    /// Waits for changes that a follower's request asks for, and returns what `respond` makes of
+    /// the state then.
+    async fn when_ready<T>(
+        &self,
+        req: FetchRequest,
+        respond: impl Fn(&mut State) -> Option<T>,
+    ) -> Option<T> {
         let start = Instant::now();
         let end = start + req.wait();
         let load_deadline = start + LOAD_TIMEOUT;
@@ -229,17 +284,20 @@
         let mut changed = self.changed.subscribe();
         loop {
             changed.mark_unchanged();
-            let outcome = self.lock().fetch_outcome(req.topic, req.after);
             let now = Instant::now();
-            let wake_at = match outcome {
-                Outcome::Unavailable => return None,
-                Outcome::NotLoaded if now >= load_deadline => return None,
-                Outcome::NotLoaded => {
-                    self.load_requested.notify_one();
-                    load_deadline
+            let wake_at = {
+                let mut state = self.lock();
+                match state.readiness(req.topic, req.after) {
+                    Readiness::Unavailable => return None,
+                    Readiness::NotLoaded if now >= load_deadline => return None,
+                    Readiness::NotLoaded => {
+                        self.load_requested.notify_one();
+                        load_deadline
+                    }
+                    Readiness::Changed => return respond(&mut state),
+                    Readiness::Unchanged if now >= end => return respond(&mut state),
+                    Readiness::Unchanged => end,
                 }
-                Outcome::Ready(found) if now >= end || found.has_changes() => return Some(found),
-                Outcome::Ready(_) => end,
             };
             // Change or timeout: either way the next iteration evaluates the current state.
             let _ = timeout_at(wake_at, changed.changed()).await;
@@ -353,12 +411,6 @@
     }
 }
 
-impl ReplicaUpdate {
-    fn has_changes(&self) -> bool {
-        self.is_snapshot || !self.records.is_empty()
-    }
-}
-
 impl State {
     fn records_of(&mut self, topic: Topic) -> &mut Option<Records> {
         match topic {
@@ -380,26 +432,53 @@
         }
     }
 
-    fn fetch_outcome(&mut self, topic: Topic, after: Option<Revision>) -> Outcome {
-        let (max_bytes, reachable_for) =
-            (self.max_bytes, self.reachable_since.map(|at| at.elapsed()));
+    fn readiness(&mut self, topic: Topic, after: Option<Revision>) -> Readiness {
         let service = self.service;
-        let records = match self.records_of(topic) {
-            _ if service == ServiceStatus::Unreachable => return Outcome::Unavailable,
-            Some(records) if service == ServiceStatus::Reachable => records,
-            _ => return Outcome::NotLoaded,
-        };
+        match (self.records_of(topic), after) {
+            _ if service == ServiceStatus::Unreachable => Readiness::Unavailable,
+            (Some(records), Some(after)) if service == ServiceStatus::Reachable => {
+                match records.covers(after) && !records.has_changes_after(after) {
+                    true => Readiness::Unchanged,
+                    false => Readiness::Changed,
+                }
+            }
+            (Some(_), None) if service == ServiceStatus::Reachable => Readiness::Changed,
+            _ => Readiness::NotLoaded,
+        }
+    }
+
+    /// Returns the revision of the response to a follower at a revision.
+    fn response_revision(&mut self, topic: Topic, after: Option<Revision>) -> Option<Revision> {
+        let records = self.records_of(topic).as_ref()?;
+        Some(records.revision.max(after.unwrap_or_default()))
+    }
+
+    /// Returns how long ago the service became reachable again, if that was lately.
+    fn reachable_for(&self) -> Option<Duration> {
+        let elapsed = self.reachable_since?.elapsed();
+        (elapsed < RECOVERY_REPORT_TIME).then_some(elapsed)
+    }
+
+    /// Returns the response to a follower at a revision.
+    fn update(
+        &mut self,
+        topic: Topic,
+        after: Option<Revision>,
+        accepts_patches: bool,
+    ) -> Option<ReplicaUpdate> {
+        let revision = self.response_revision(topic, after)?;
+        let (max_bytes, reachable_for) = (self.max_bytes, self.reachable_for());
+        let records = self.records_of(topic).as_ref()?;
+        let base = |key: &str| records.base(key, after.filter(|_| accepts_patches)?);
         let (is_snapshot, selected) = match after {
             Some(after) if records.covers(after) => (false, records.changes_after(after)),
             _ => (true, records.all_records()),
         };
-        Outcome::Ready(ReplicaUpdate {
-            revision: records.revision.max(after.unwrap_or_default()),
+        let updates = selected.into_iter().map(|r| r.into_update(max_bytes, base));
+        Some(ReplicaUpdate {
+            revision,
             is_snapshot,
-            records: selected
-                .into_iter()
-                .map(|r| r.into_update(max_bytes))
-                .collect(),
+            records: updates.collect(),
             reachable_for,
         })
     }
@@ -409,6 +488,7 @@
     fn new(revision: Revision, snapshot: &[Record]) -> Self {
         let mut records = Records {
             all: BTreeMap::new(),
+            bases: BTreeMap::new(),
             changes: VecDeque::new(),
             changes_since: revision,
             revision,
@@ -475,14 +555,38 @@
         match &record.value {
             Some(value) => {
                 let value = (record.revision, value.clone());
-                self.all.insert(record.key.clone(), value);
+                let previous = self.all.insert(record.key.clone(), value);
+                self.keep_base(&record.key, previous);
             }
             None => {
                 self.all.remove(&record.key);
+                self.bases.remove(&record.key);
             }
         }
     }
 
+    /// Keeps the previous version of a long value to make patches from.
+    fn keep_base(&mut self, key: &str, previous: Option<(Revision, Bytes)>) {
+        let Some(previous) = previous.filter(|(_, v)| v.len() >= MIN_PATCHED_BYTES) else {
+            return;
+        };
+        let bases = self.bases.entry(key.to_owned()).or_default();
+        bases.push_back(previous);
+        let length = |bases: &VecDeque<(Revision, Bytes)>| -> usize {
+            bases.iter().map(|(_, value)| value.len()).sum()
+        };
+        while bases.len() > MAX_BASES || length(bases) > MAX_BASE_BYTES {
+            bases.pop_front();
+        }
+    }
+
+    /// Returns the version of a record that a follower at this revision has, if it is kept.
+    fn base(&self, key: &str, after: Revision) -> Option<(Revision, Bytes)> {
+        let bases = self.bases.get(key)?;
+        let base = bases.iter().rev().find(|(revision, _)| *revision <= after);
+        base.cloned()
+    }
+
     fn all_records(&self) -> Vec<Record> {
         self.all
             .keys()
@@ -490,6 +594,10 @@
             .collect()
     }
 
+    fn has_changes_after(&self, after: Revision) -> bool {
+        self.changes.iter().rev().any(|(at, _)| *at > after)
+    }
+
     /// Returns the records that changed after a revision, each key once with its current value.
     fn changes_after(&self, after: Revision) -> Vec<Record> {
         let mut last_change: BTreeMap<&str, Revision> = BTreeMap::new();
@@ -516,11 +624,22 @@
 }
 
 impl Record {
-    fn into_update(self, max_bytes: usize) -> RecordUpdate {
-        let content = match self.value {
-            Some(value) if value.len() > max_bytes => Content::TooLong,
-            Some(value) => Content::Value(value),
-            None => Content::Deleted,
+    /// Returns the record as passed on to a follower; `base` returns the version that it has.
+    fn into_update(
+        self,
+        max_bytes: usize,
+        base: impl Fn(&str) -> Option<(Revision, Bytes)>,
+    ) -> RecordUpdate {
+        let patch = self.value.as_deref().and_then(|value| {
+            let (base, known) = base(&self.key)?;
+            let patch = compression::make_patch(&known, value).ok()?;
+            (patch.len() < value.len()).then(|| (base, Bytes::from(patch)))
+        });
+        let content = match (patch, self.value) {
+            (Some((base, patch)), _) => Content::Patch { base, patch },
+            (None, Some(value)) if value.len() > max_bytes => Content::TooLong,
+            (None, Some(value)) => Content::Value(value),
+            (None, None) => Content::Deleted,
         };
         RecordUpdate {
             key: self.key,
--- a/crates/oatdale-relay/src/replica/client.rs
+++ b/crates/oatdale-relay/src/replica/client.rs
@@ -1,9 +1,10 @@
 //! A client that fetches records from readers.
 
+use crate::replica::compression::{ZSTD, decompress};
 use crate::replica::request::{RECORDS_PATH, VERSIONS_PATH};
 use crate::replica::{FetchRequest, ReplicaUpdate};
 use crate::versions::KnownVersions;
-use http::{Method, Request, StatusCode, Uri};
+use http::{Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use oatdale_platform::{BodyError, Pool, PoolConfig, Reuse, SendError, read_body};
 use serde::Serialize;
@@ -47,6 +48,12 @@
         /// The underlying error.
         source: BodyError,
     },
+    /// The response body is not what its content encoding says.
+    #[snafu(display("cannot decompress the response: {source}"))]
+    Decompress {
+        /// The underlying error.
+        source: io::Error,
+    },
     /// The response is not valid CBOR of the expected type.
     #[snafu(display("cannot decode the response: {source}"))]
     Decode {
@@ -123,8 +130,14 @@
             let status = res.status();
             return RefusedSnafu { status }.fail();
         }
+        let encoding = res.headers().get(header::CONTENT_ENCODING);
+        let is_compressed = encoding.is_some_and(|encoding| encoding == ZSTD);
         let body = read_body(res.into_body(), MAX_RESPONSE_BYTES, IO_TIMEOUT).await;
         let body = body.context(ReadBodySnafu)?;
+        if is_compressed {
+            let body = decompress(&body).context(DecompressSnafu)?;
+            return ciborium::from_reader(body.as_slice()).context(DecodeSnafu);
+        }
         ciborium::from_reader(body.as_ref()).context(DecodeSnafu)
     }
 }
--- a/crates/oatdale-relay/src/replica/request.rs
+++ b/crates/oatdale-relay/src/replica/request.rs
@@ -24,6 +24,10 @@
     pub after: Option<Revision>,
     /// How long to wait for changes, in milliseconds.
     pub wait_ms: u64,
+    /// Whether the response may be compressed and hold patches; not set by nodes of an earlier
+    /// version, nor by a follower that could not apply a patch.
+    #[serde(default)]
+    pub accepts_patches: bool,
     /// The follower itself, if this request is to announce it to callers and other nodes.
     pub node: Option<Node>,
 }
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -1,11 +1,11 @@
 //! HTTP handlers that serve the replica to followers.
 
 use crate::replica::Replica;
+use crate::replica::compression::ZSTD;
 use crate::reply::{Body, short_response};
 use crate::traffic::Traffic;
 use bytes::Bytes;
-use http::{Response, StatusCode};
-use hyper::body::Body as _;
+use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::Incoming;
 use oatdale_platform::read_body;
 use serde::Serialize;
@@ -28,17 +28,23 @@
         Ok(req) => req,
         Err(reason) => return bad_request(&reason),
     };
-    match replica.fetch(req).await {
-        Some(update) => {
-            let response = encode(&update);
-            let bytes = response.body().size_hint().lower();
-            traffic.count(
-                "records_served",
-                usize::try_from(bytes).unwrap_or(usize::MAX),
-            );
+    match replica.fetch_encoded(req).await {
+        Ok(Some(update)) => {
+            traffic.count("records_served", update.body.len());
+            let mut response = short_response(StatusCode::OK, update.body);
+            if update.is_compressed {
+                let encoding = HeaderValue::from_static(ZSTD);
+                response
+                    .headers_mut()
+                    .insert(header::CONTENT_ENCODING, encoding);
+            }
             response
         }
-        None => short_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        Ok(None) => short_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        Err(err) => {
+            log::warn!(target: "replica", "event=encode_failed err=\"{err}\"");
+            short_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
     }
 }
 
--- a/crates/oatdale-relay/src/versions.rs
+++ b/crates/oatdale-relay/src/versions.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Returns the newest known version of a key, whether it is still there or deleted.
+    pub fn newest(&self, key: &str) -> Option<&Record> {
+        Some(&self.keys.get(key)?.newest)
+    }
+
     /// Returns the versions of keys that were superseded recently or whose kept record differs from
     /// the service's.
     pub fn export(&self, now: Duration) -> Vec<KnownVersions> {
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -50,6 +50,7 @@
         topic: TOPIC,
         after,
         wait_ms: u64::try_from(wait.as_millis()).expect("the wait fits in u64 milliseconds"),
+        accepts_patches: false,
         node: None,
     }
 }
--- a/crates/oatdale-relay/tests/replica_spec.rs
+++ b/crates/oatdale-relay/tests/replica_spec.rs
@@ -150,6 +150,7 @@
             topic: Topic::Endpoints,
             after: after.map(rev),
             wait_ms: 0,
+            accepts_patches: false,
             node: None,
         };
         // A request that is held because the records are not loaded yet ends without a response.
@@ -182,7 +183,7 @@
             let key = key.expect("the key is one of KEYS");
             follower.values[key] = match &record.content {
                 Content::Value(_) => Some(record.revision.number as usize),
-                Content::Deleted | Content::TooLong => None,
+                Content::Deleted | Content::TooLong | Content::Patch { .. } => None,
             };
         }
         let revision = update.revision.number as usize;
--- a/crates/oatdale-relay/tests/restore_spec.rs
+++ b/crates/oatdale-relay/tests/restore_spec.rs
@@ -226,6 +226,7 @@
             topic: Topic::Endpoints,
             after,
             wait_ms: 0,
+            accepts_patches: false,
             node: None,
         };
         replica.fetch(request).now_or_never().flatten()
@@ -377,7 +378,7 @@
 fn to_record(update: RecordUpdate) -> Record {
     let value = match update.content {
         Content::Value(value) => Some(value),
-        Content::Deleted | Content::TooLong => None,
+        Content::Deleted | Content::TooLong | Content::Patch { .. } => None,
     };
     Record {
         key: update.key,
