Announce long prompts only where other nodes would meet them

Cause: each long prompt was announced to all nodes: datagrams grow with prompts times hosts.

Change: a node announces a prompt if a receiver is expected to send one request in 2,000 or more to the engine meanwhile, by its own rate of requests, the time to read the prompt, and the number of endpoints of the service.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod addresses;
+mod announcement;
 mod engine;
 mod evidence;
 mod fingerprint;
@@ -31,6 +32,7 @@
 
 pub use crate::average::{Mean, Rate};
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
+pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{Counts, CountsByOrigin, Origin, Verdict, VersionCounts, verdict};
 pub use crate::relay::fingerprint::Fingerprint;
--- a/crates/oatdale-policy/src/relay/retry_limiter.rs
+++ b/crates/oatdale-policy/src/relay/retry_limiter.rs
@@ -56,11 +56,7 @@
         retry_limit: &RetryLimit,
         reserved_share: f64,
     ) -> bool {
-        self.current_slot(now, retry_limit);
-        let newest = self.slots[0].index;
-        let in_window = self.slots.iter();
-        let in_window = in_window.take_while(|s| s.index + u128::from(WINDOW_SLOTS) > newest);
-        let requests: u32 = in_window.map(|s| s.requests).sum();
+        let requests = self.requests_in_window(now, retry_limit);
         let retries: u32 = self.slots.iter().map(|s| s.retries).sum();
         let limit = f64::from(requests) * retry_limit.ratio + retry_limit.slack;
         let is_allowed = f64::from(retries) + 1.0 <= limit * (1.0 - reserved_share);
@@ -68,6 +64,20 @@
         is_allowed
     }
 
+    /// Returns the number of requests a second over the window, or over the time since the clock
+    /// started if that is shorter.
+    pub fn requests_per_second(&mut self, now: Duration, retry_limit: &RetryLimit) -> f64 {
+        let time = now.min(retry_limit.window).max(Duration::from_secs(1));
+        f64::from(self.requests_in_window(now, retry_limit)) / time.as_secs_f64()
+    }
+
+    fn requests_in_window(&mut self, now: Duration, retry_limit: &RetryLimit) -> u32 {
+        let newest = self.current_slot(now, retry_limit).index;
+        let in_window = self.slots.iter();
+        let in_window = in_window.take_while(|s| s.index + u128::from(WINDOW_SLOTS) > newest);
+        in_window.map(|s| s.requests).sum()
+    }
+
     /// Returns the current slot; drops the slots that have left the window.
     fn current_slot(&mut self, now: Duration, retry_limit: &RetryLimit) -> &mut Slot {
         let slot_length = (retry_limit.window / WINDOW_SLOTS).max(Duration::from_millis(1));
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -501,6 +501,11 @@
         self.registered
     }
 
+    /// Returns the number of endpoints of a service, including those removed lately.
+    pub(crate) fn len_of_service(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, BTreeSet::len)
+    }
+
     /// Returns the number of entries that were looked at one after the other, since the start: what
     /// decisions and updates cost, apart from look-ups by key.
     pub fn visited(&self) -> u64 {
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -13,7 +13,7 @@
 use crate::roll_outs::{COORDINATORS, OldSessions, Report};
 use crate::state::{State, hash};
 use crate::wire::Wire;
-use oatdale_policy::relay::Fingerprint;
+use oatdale_policy::relay::{Fingerprint, is_prompt_announced};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -225,16 +225,30 @@
 ///
 /// Engines report their load late, and each node knows only its own requests: two long prompts at
 /// one engine delay every request there. All nodes are notified, since the others would send their
-/// requests there too.
+/// requests there too, unless the site is so large that they hardly ever would.
 pub(crate) fn announce_long_prompt<W: Wire>(cx: &Cx<W>, in_flight: &InFlightRequest<W>) {
     if in_flight.weight < LONG_PROMPT_WEIGHT {
         return;
     }
+    let now = cx.now();
+    let mut state = cx.state();
+    let Some(entry) = state.directory.get(in_flight.key) else {
+        return;
+    };
+    let service = entry.endpoint.service.clone();
+    let endpoints = state.directory.len_of_service(&service);
+    let limit = state.retry_limit(now);
+    let limiter = state.retry_limiter(&service);
+    let requests_per_second = limiter.requests_per_second(now, &limit);
+    let read_time = READ_TIME_PER_WEIGHT.mul_f64(in_flight.weight.min(MAX_PROMPT_WEIGHT));
+    if !is_prompt_announced(requests_per_second, read_time, endpoints) {
+        return;
+    }
     let message = Message::Heavy {
         endpoint: in_flight.id.clone(),
         weight: in_flight.weight,
     };
-    broadcast(cx, &cx.state(), &message);
+    broadcast(cx, &state, &message);
 }
 
 /// Notifies all other nodes at once of an event that they would learn of later or not at all: an
