Leave out lines about endpoints that start by the hundred

Cause: with 20 lines a second at each host, 985 hosts still wrote 434,144 lines about endpoints that start, up to the beginning of traffic (counted).

Change: of more than 20 unremarkable changes in one read only the number is logged, as omitted. Those that leave or restart keep their lines.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -5,6 +5,7 @@
 use crate::directory::{IneligibleCounts, RecordChange};
 use crate::gossip::{self, Message};
 use crate::in_flight::InFlightRequest;
+use crate::line_limit::MAX_LINES_PER_SECOND;
 use crate::metrics::Metrics;
 use crate::roll_outs::AllowedVersions;
 use crate::settings::Settings;
@@ -199,8 +200,12 @@
                 }
             }
         }
-        for endpoint in &unremarkable {
-            log_endpoint(state, now, endpoint);
+        // Of many that start together, some lines would say no more than their number.
+        match unremarkable.len() <= MAX_LINES_PER_SECOND as usize {
+            true => unremarkable
+                .iter()
+                .for_each(|endpoint| log_endpoint(state, now, endpoint)),
+            false => state.endpoint_lines.omit(unremarkable.len()),
         }
         let omitted = state.endpoint_lines.take_omitted();
         let known = state.directory.len();
--- a/crates/oatdale-relay/src/line_limit.rs
+++ b/crates/oatdale-relay/src/line_limit.rs
@@ -4,7 +4,7 @@
 
 /// Maximum number of lines about single endpoints per second. When thousands of endpoints start or
 /// are replaced at once, each node would write a line for each of them.
-const MAX_LINES_PER_SECOND: u32 = 20;
+pub(crate) const MAX_LINES_PER_SECOND: u32 = 20;
 
 /// Counts the log lines of the current second.
 #[derive(Clone, Debug, Default)]
@@ -28,6 +28,11 @@
         is_allowed
     }
 
+    /// Counts lines that are not written.
+    pub fn omit(&mut self, lines: usize) {
+        self.omitted += lines as u64;
+    }
+
     /// Returns the number of lines omitted since the last call.
     pub fn take_omitted(&mut self) -> u64 {
         std::mem::take(&mut self.omitted)
