Look only at changed keys for what a starting node has to know

Cause: after each read, empty ones too, a node walked all records that it knows and copied each key, to publish those with superseded versions: steps grow with the endpoints on each host and read.

Change: keys with superseded versions or a kept record are in a set, which is all that an export looks at; they are published when something has changed. Expired versions are evicted every ten seconds while changes are read.

--- a/crates/oatdale-relay/src/versions.rs
+++ b/crates/oatdale-relay/src/versions.rs
@@ -26,6 +26,9 @@
 /// restored.
 const VERSION_RETENTION: Duration = Duration::from_secs(60);
 
+/// Interval between evictions while only changes are read, which may be for days.
+const EVICTION_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Maximum number of superseded versions remembered per key.
 const MAX_VERSIONS: usize = 64;
 
@@ -48,6 +51,11 @@
     /// When the last restore was detected.
     restored_at: Option<Duration>,
     keys: BTreeMap<String, KeyVersions>,
+    /// Keys with superseded versions or with a record that is kept. Most keys have neither: the
+    /// records of thousands of endpoints are written once.
+    changed_keys: BTreeSet<String>,
+    /// When expired versions were last evicted.
+    evicted_at: Duration,
     /// Superseded versions of keys that were not read yet, as reported by another node.
     peer_versions: BTreeMap<String, VecDeque<(Version, Duration)>>,
 }
@@ -107,6 +115,8 @@
             era: None,
             restored_at: None,
             keys: BTreeMap::new(),
+            changed_keys: BTreeSet::new(),
+            evicted_at: Duration::ZERO,
             peer_versions: BTreeMap::new(),
         }
     }
@@ -133,10 +143,16 @@
     /// backup was made.
     pub fn apply_changes(&mut self, now: Duration, revision: Revision, changes: &[Record]) {
         self.observe_era(now, revision.era);
+        if now >= self.evicted_at + EVICTION_INTERVAL {
+            self.evict_expired(now);
+        }
         for record in changes {
             match self.keys.get_mut(&record.key) {
                 Some(entry) if entry.newest == *record => entry.keep_reason = None,
-                Some(entry) => entry.replace_newest(now, record.clone()),
+                Some(entry) => {
+                    entry.replace_newest(now, record.clone());
+                    self.changed_keys.insert(record.key.clone());
+                }
                 None => self.insert(now, record.clone()),
             }
         }
@@ -158,6 +174,7 @@
                 revision: kept.revision,
             };
             let entry = KeyVersions::new(now, newest, superseded.collect());
+            self.changed_keys.insert(known.key.clone());
             self.keys.insert(known.key, entry);
         }
     }
@@ -170,7 +187,9 @@
     /// Returns the versions of keys that were superseded recently or whose kept record differs from
     /// the service's.
     pub fn export(&self, now: Duration) -> Vec<KnownVersions> {
-        let known = self.keys.iter().map(|(key, versions)| {
+        let changed = self.changed_keys.iter();
+        let known = changed.filter_map(|key| Some((key, self.keys.get(key)?)));
+        let known = known.map(|(key, versions)| {
             let is_kept = |reason: &KeepReason| self.takes_precedence(now, key, reason.retention());
             let kept = versions.keep_reason.filter(is_kept).map(|_| KeptVersion {
                 value: versions.newest.value.clone(),
@@ -187,13 +206,16 @@
         known.collect()
     }
 
+    /// Returns the number of keys that an export looks at.
+    pub fn changed_keys(&self) -> usize {
+        self.changed_keys.len()
+    }
+
     /// Returns when all records have to be read again because the retention of a kept record ends.
     pub fn recheck_at(&self) -> Option<Duration> {
         let restored_at = self.restored_at?;
-        let kept = self
-            .keys
-            .iter()
-            .filter_map(|(key, v)| Some((key, v.keep_reason?)));
+        let changed = self.changed_keys.iter();
+        let kept = changed.filter_map(|key| Some((key, self.keys.get(key)?.keep_reason?)));
         let leased = kept.filter(|(key, _)| (self.policy)(key) == RetentionPolicy::WhileLeased);
         let times = leased.map(|(_, reason)| reason.retention());
         times.min().map(|retention| restored_at + retention)
@@ -223,6 +245,9 @@
             self.insert(now, record.clone());
             return Some(record);
         };
+        if entry.newest != record {
+            self.changed_keys.insert(record.key.clone());
+        }
         let version = Version::of(&record);
         let superseded = entry.superseded.iter().map(|(version, _)| *version);
         let superseded = superseded.rev().find(|v| v.is_same_write(version));
@@ -266,6 +291,7 @@
             let Some(entry) = self.keys.get_mut(&missing_key) else {
                 continue;
             };
+            self.changed_keys.insert(missing_key.clone());
             if takes_precedence {
                 entry.keep_reason = Some(KeepReason::Missing);
                 retained.push(entry.newest.clone());
@@ -284,11 +310,15 @@
     fn insert(&mut self, now: Duration, record: Record) {
         let key = record.key.clone();
         let superseded = self.peer_versions.remove(&key).unwrap_or_default();
+        if !superseded.is_empty() {
+            self.changed_keys.insert(key.clone());
+        }
         self.keys
             .insert(key, KeyVersions::new(now, record, superseded));
     }
 
     fn evict_expired(&mut self, now: Duration) {
+        self.evicted_at = now;
         let is_expired = |at: Duration| now > at + VERSION_RETENTION;
         let last_superseded =
             |superseded: &VecDeque<(Version, Duration)>| superseded.back().map(|(_, at)| *at);
@@ -301,6 +331,11 @@
                 .retain(|(_, at)| has_keep_reason || !is_expired(*at));
             entry.newest.value.is_some() || has_keep_reason || !is_expired(entry.read_at)
         });
+        let keys = &self.keys;
+        self.changed_keys.retain(|key| {
+            let entry = keys.get(key);
+            entry.is_some_and(|e| e.keep_reason.is_some() || !e.superseded.is_empty())
+        });
     }
 }
 
--- a/crates/oatdale-relay/tests/versions.rs
+++ b/crates/oatdale-relay/tests/versions.rs
@@ -242,3 +242,37 @@
         [pair("op", "new")]
     );
 }
+
+// A node passes the versions that it knows on after each change. If it looked at all records for
+// that, each change would cost a large site's node a walk over thousands of endpoints.
+#[test]
+fn export_looks_only_at_keys_that_have_changed() {
+    for count in [200, 2_000] {
+        let endpoint = |n: u64| written(&format!("leased/{n}"), ERA1, n, "ready");
+        let mut versions = read_versions((0..count).map(endpoint).collect(), &[]);
+        assert_eq!(versions.changed_keys(), 0, "{count} endpoints");
+        let change = written("leased/7", ERA1, count + 30, "draining");
+        let end = deleted("leased/8", ERA1, count + 31);
+        let revision = Revision::new(ERA1, count + 31);
+        versions.apply_changes(secs(1), revision, &[change, end]);
+        assert_eq!(
+            (versions.changed_keys(), versions.export(secs(1)).len()),
+            (2, 2)
+        );
+    }
+}
+
+// Endpoints are replaced all day, and a follower may never read all records again. What it remembers
+// of those that are gone must not grow.
+#[test]
+fn versions_expire_while_only_changes_are_read() {
+    let mut versions = read_versions(Vec::new(), &[]);
+    for n in 0..1_000_u64 {
+        let (key, number) = (format!("leased/{n}"), 100 + 2 * n);
+        let start = written(&key, ERA1, number, "ready");
+        let end = deleted(&key, ERA1, number + 1);
+        versions.apply_changes(secs(n), Revision::new(ERA1, number + 1), &[start, end]);
+    }
+    let changed = versions.changed_keys();
+    assert!(changed <= 75, "{changed} keys remembered");
+}
