--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -137,10 +137,11 @@
         Ok(Message::Report(report)) => cx.state().roll_outs.merge_report(now, &report),
         Ok(Message::OnOld(sessions)) => cx.state().roll_outs.merge_old_sessions(now, &sessions),
         Ok(Message::Leaving(host)) => {
-            log::info!(target: "gossip", "event=node_leaves host={host}");
             let mut state = cx.state();
             let until = now + state.bounds.stop_time();
-            state.nodes.mark_node_leaving(until, &host);
+            if state.nodes.mark_node_leaving(now, until, &host) {
+                log::info!(target: "gossip", "event=node_leaves host={host}");
+            }
         }
         Ok(Message::EndpointLeaves { id, born }) => {
             if cx.state().directory.mark_leaving(&id, born) {
--- a/crates/oatdale-relay/src/nodes.rs
+++ b/crates/oatdale-relay/src/nodes.rs
@@ -47,12 +47,13 @@
             .retain(|_, k| k.dropped_at.is_none_or(|until| until > now));
     }
 
-    /// Records that a node announced its own leaving.
+    /// Records that a node announced its own leaving, and returns whether this is new.
     ///
     /// While the key-value service is unavailable, a stopping node can't delete its record. Callers
     /// would be given its address until it is gone, and their late requests would be refused.
-    pub(crate) fn mark_node_leaving(&mut self, until: Duration, host: &str) {
-        self.leaving.insert(host.to_owned(), until);
+    pub(crate) fn mark_node_leaving(&mut self, now: Duration, until: Duration, host: &str) -> bool {
+        self.leaving.retain(|_, until| *until > now);
+        self.leaving.insert(host.to_owned(), until).is_none()
     }
 
     pub(crate) fn mark_store_unavailable(&mut self) {
