Ask the other reader after a refusal, before the service

That was meant for readers that hang, which are noticed late; one that refuses costs no time.

Change: a refusal does not make the service the next to be asked, and the back-off from the refusing reader doubles up to a second.

Result: 0 calls to the service in nine seconds with one of two readers refused (a call each quarter of a second before); fails on the code before.

--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -39,12 +39,16 @@
 /// are smaller.
 const MIN_FORWARDED_BYTES: usize = 64 << 10;
 
-/// Back-off from a reader: the first one after it did not answer, doubled each time up to the
-/// maximum, and a fixed one after it refused.
+/// Back-off from a reader after it did not answer: the first one, doubled each time up to the
+/// maximum.
 const INITIAL_BACKOFF: Duration = Duration::from_secs(1);
-const REFUSED_BACKOFF: Duration = Duration::from_millis(250);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// The same after it refused, which takes it no time. The maximum is shorter, since all readers
+/// refuse during an outage of the service, and are the first to know of its end.
+const INITIAL_REFUSED_BACKOFF: Duration = Duration::from_millis(250);
+const MAX_REFUSED_BACKOFF: Duration = Duration::from_secs(1);
+
 /// A node of the local failure domain.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct ReaderCandidate {
@@ -106,7 +110,7 @@
 ///
 /// A reader that hangs is noticed late. If another reader were asked next and hung too, the node
 /// would use stale state for longer than the time that an endpoint has for leaving. So the service
-/// is asked in between.
+/// is asked in between. A reader that refuses is noticed at once.
 #[derive(Clone, Debug)]
 pub struct ReaderSelector<K> {
     backoffs: BTreeMap<K, Backoff>,
@@ -150,22 +154,29 @@
 
     /// Records that a reader has nothing to forward, since the service does not answer it.
     ///
-    /// The reader can be asked again soon, since it answers at once.
+    /// Another reader can be asked next, since no time was lost. The service may refuse a third of
+    /// the nodes for seconds; if each follower of a refused reader asked the service in between,
+    /// calls would grow with the nodes, and those that it refuses too would have to start anew.
     pub fn record_refusal(&mut self, now: Duration, reader: K) {
-        let backoff = Backoff {
-            until: now + REFUSED_BACKOFF,
-            delay: REFUSED_BACKOFF,
-        };
-        self.backoffs.insert(reader, backoff);
-        self.is_service_next = true;
+        let delay = self.next_delay(reader, INITIAL_REFUSED_BACKOFF, MAX_REFUSED_BACKOFF);
+        self.back_off(now, reader, delay);
     }
 
     /// Records that a reader did not answer.
     pub fn record_failure(&mut self, now: Duration, reader: K) {
+        let delay = self.next_delay(reader, INITIAL_BACKOFF, MAX_BACKOFF);
+        self.back_off(now, reader, delay);
+        self.is_service_next = true;
+    }
+
+    /// Returns twice the last delay for a reader, within bounds.
+    fn next_delay(&self, reader: K, initial: Duration, max: Duration) -> Duration {
         let previous = self.backoffs.get(&reader).map(|b| b.delay);
-        let delay = previous.map_or(INITIAL_BACKOFF, |delay| (delay * 2).min(MAX_BACKOFF));
+        previous.map_or(initial, |delay| (delay * 2).clamp(initial, max))
+    }
+
+    fn back_off(&mut self, now: Duration, reader: K, delay: Duration) {
         let until = now + delay;
         self.backoffs.insert(reader, Backoff { until, delay });
-        self.is_service_next = true;
     }
 }
--- a/crates/oatdale-policy/tests/relay_readers.rs
+++ b/crates/oatdale-policy/tests/relay_readers.rs
@@ -137,3 +137,47 @@
         assert_eq!(within_one_second.count(), missing * 2);
     }
 }
+
+// The service refuses a third of the nodes, one of two readers among them. If its followers asked
+// the service each time before the other reader, calls would grow with the nodes for as long.
+#[test]
+fn other_reader_is_asked_after_a_refusal_without_a_call_to_the_service() {
+    let mut selector = ReaderSelector::default();
+    let (mut refusals, mut service_calls) = (0, 0);
+    for tenth in 0..90 {
+        let now = Duration::from_millis(tenth * 100);
+        match selector.select(now, &["refused", "reader"]) {
+            Some("refused") => {
+                selector.record_refusal(now, "refused");
+                refusals += 1;
+                assert_eq!(selector.select(now, &["refused", "reader"]), Some("reader"));
+            }
+            Some(reader) => selector.record_success(reader),
+            None => service_calls += 1,
+        }
+    }
+    assert_eq!(service_calls, 0);
+    assert!(
+        refusals <= 12,
+        "{refusals} requests to the refused reader in 9 s"
+    );
+}
+
+// Nobody can read from the service. Its end is noticed by the readers first, so that they are asked
+// again soon, and before that the service is asked as long as they all refuse.
+#[test]
+fn service_is_asked_while_all_readers_refuse() {
+    let mut selector = ReaderSelector::default();
+    let mut last_asked = Duration::ZERO;
+    for tenth in 0..90 {
+        let now = Duration::from_millis(tenth * 100);
+        for _ in 0..2 {
+            if let Some(reader) = selector.select(now, &["a", "b"]) {
+                selector.record_refusal(now, reader);
+                assert!(now <= last_asked + Duration::from_millis(1_000), "{now:?}");
+                last_asked = now;
+            }
+        }
+        assert_eq!(selector.select(now, &["a", "b"]), None);
+    }
+}
