Read from another domain's readers while the own ones are refused

Cause: readers that the key-value service refuses have nothing to pass on, and after four seconds their leases and lists lapse. Their followers then each asked the service, which refuses them too, and were in nobody's list.

Change: a follower whose readers all refuse asks up to two readers of other failure domains before the service; these list it.

--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -139,12 +139,23 @@
         if std::mem::take(&mut self.is_service_next) {
             return None;
         }
-        self.backoffs.retain(|reader, _| readers.contains(reader));
-        let is_backing_off = |reader: &K| self.backoffs.get(reader).is_some_and(|b| now < b.until);
+        // A reader that is not asked for a while is not one of those to choose from any more.
+        self.backoffs.retain(|_, b| now < b.until + MAX_BACKOFF);
         readers
             .iter()
             .copied()
-            .find(|reader| !is_backing_off(reader))
+            .find(|reader| !self.is_backing_off(now, reader))
+    }
+
+    /// Whether one of these readers may be asked.
+    pub fn can_ask(&self, now: Duration, readers: &[K]) -> bool {
+        readers
+            .iter()
+            .any(|reader| !self.is_backing_off(now, reader))
+    }
+
+    fn is_backing_off(&self, now: Duration, reader: &K) -> bool {
+        self.backoffs.get(reader).is_some_and(|b| now < b.until)
     }
 
     /// Records that a reader answered.
