--- a/crates/oatdale-relay/src/replica/compression.rs
+++ b/crates/oatdale-relay/src/replica/compression.rs
@@ -15,6 +15,10 @@
 /// Maximum length of decompressed data: several times the largest topic.
 const MAX_DECOMPRESSED_BYTES: u64 = 32 << 20;
 
+/// Binary logarithm of the smallest window of the format, and of the largest that is accepted.
+const MIN_WINDOW_LOG: u32 = 10;
+const MAX_WINDOW_LOG: u32 = 24;
+
 /// Compresses a response.
 pub(crate) fn compress(data: &[u8]) -> io::Result<Vec<u8>> {
     make_patch(&[], data)
@@ -40,7 +44,9 @@
 ///
 /// The patch is damaged, was made for another base, or makes a value longer than any record.
 pub(crate) fn apply_patch(base: &[u8], patch: &[u8]) -> io::Result<Vec<u8>> {
-    let decoder = zstd::Decoder::with_ref_prefix(patch, base)?;
+    let mut decoder = zstd::Decoder::with_ref_prefix(patch, base)?;
+    // Otherwise the data decides how much memory is allocated.
+    decoder.window_log_max(MAX_WINDOW_LOG)?;
     let mut value = Vec::new();
     decoder
         .take(MAX_DECOMPRESSED_BYTES + 1)
@@ -54,8 +60,9 @@
     Ok(value)
 }
 
-/// Returns the binary logarithm of a window that reaches back over this many bytes, within what
-/// every decoder accepts.
+/// Returns the binary logarithm of a window that reaches back over this many bytes, if that is
+/// allowed.
 fn window_log(bytes: usize) -> u32 {
-    bytes.max(1).next_power_of_two().ilog2().clamp(10, 24)
+    let log = bytes.max(1).next_power_of_two().ilog2();
+    log.clamp(MIN_WINDOW_LOG, MAX_WINDOW_LOG)
 }
