--- a/crates/oatdale-policy/tests/relay_announcement.rs
+++ b/crates/oatdale-policy/tests/relay_announcement.rs
@@ -15,8 +15,8 @@
 /// Time in which an engine reads a long prompt.
 const READ_TIME: Duration = Duration::from_millis(600);
 
-// Each long prompt of a large site was announced to all nodes, 55,000 datagrams a second with 985
-// of them, although a node sends to an engine while it reads a prompt once in 30,000 times.
+// If each long prompt of a large site were announced to all nodes, datagrams would grow with prompts
+// times nodes, although a node hardly ever sends to an engine while that reads a prompt.
 #[test]
 fn announcements_of_long_prompts_are_bounded_at_any_site_size() {
     for (nodes, engines, requests, prompts) in SITES {
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -40,8 +40,8 @@
 /// take less than a packet.
 const MIN_PATCHED_BYTES: usize = 1_024;
 
-/// Number of earlier versions of a long value that are kept to make patches from, and their length
-/// together, in bytes: a follower is rarely behind more than one of them.
+/// Maximum number of earlier versions of a long value that are kept to make patches from, and their
+/// maximum total length in bytes. A follower is rarely behind more than one of them.
 const MAX_BASES: usize = 4;
 const MAX_BASE_BYTES: usize = 1 << 20;
 
--- a/crates/oatdale-relay/src/replica/encoded.rs
+++ b/crates/oatdale-relay/src/replica/encoded.rs
@@ -6,8 +6,8 @@
 use std::collections::VecDeque;
 use std::io;
 
-/// Number of encoded responses that are kept: followers of both topics at the current revision, at
-/// the one before, and without any.
+/// Number of encoded responses that are kept: for each topic those for followers at the current
+/// revision, at the one before, and without any.
 const MAX_RESPONSES: usize = 6;
 
 /// A response to a follower.
@@ -60,7 +60,7 @@
             let encoded = encode(&update, accepts_patches).map_err(|err| err.to_string());
             state
                 .responses
-                .count(key, encoded.as_ref().ok().filter(|_| is_shared));
+                .record_encoding(key, encoded.as_ref().ok().filter(|_| is_shared));
             Some(encoded)
         };
         self.when_ready(req, respond).await.transpose()
@@ -83,8 +83,8 @@
         self.recent.clear();
     }
 
-    /// Counts an encoding and keeps it if other followers may get the same.
-    fn count(&mut self, key: ResponseKey, encoded: Option<&EncodedUpdate>) {
+    /// Counts an encoding, and keeps its response if other followers may get the same.
+    fn record_encoding(&mut self, key: ResponseKey, encoded: Option<&EncodedUpdate>) {
         self.encodings += 1;
         let Some(encoded) = encoded else {
             return;
