Log what endpoints state of a limit, and why each attempt is sent

The adapter reads the limit from responses, and the directory keeps the endpoint's last statement; placement does not use it yet. Attempts log their purpose (first, retry, escalation, resumption) and, where there is one, the limit and its age; endpoint_limit lines and a counter by purpose tell the rest. Statements are ordered by when the endpoint made them: a response without a limit counts from the time at which its request was sent. A value that is no number, negative or given twice changes nothing and is logged.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -26,6 +26,7 @@
 mod placement;
 mod quarantine;
 mod readers;
+mod request_limit;
 mod retry_limiter;
 mod roll_out;
 mod warm_up;
@@ -45,6 +46,7 @@
     READERS_PER_DOMAIN, REGISTERED_PER_DOMAIN, ReaderCandidate, ReaderSelector,
     max_forwarded_bytes, rank_readers, registration_delay, select_readers, start_delay,
 };
+pub use crate::relay::request_limit::{LimitChange, RequestLimit};
 pub use crate::relay::retry_limiter::{RetryLimit, RetryLimiter};
 pub use crate::relay::roll_out::{
     ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, is_in_trial, trial_share, uses_new_version,
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -65,9 +65,34 @@
     }
 }
 
+/// Why a request is sent to an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Purpose {
+    First,
+    /// An earlier attempt failed.
+    Retry,
+    /// A smaller model was not confident in its response.
+    Escalation,
+    /// The response's stream broke off.
+    Resumption,
+}
+
+impl Purpose {
+    /// Name for logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Purpose::First => "first",
+            Purpose::Retry => "retry",
+            Purpose::Escalation => "escalation",
+            Purpose::Resumption => "resumption",
+        }
+    }
+}
+
 /// Options of one attempt.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) struct SendOptions {
+    pub(crate) purpose: Purpose,
     /// Id of the last event that the caller has; the stream resumes after it.
     pub(crate) last_event_id: Option<u64>,
     /// Whether an unresponsive endpoint is abandoned before the deadline because another one may be
@@ -102,17 +127,25 @@
     if !request_cx.sent_to.contains(&in_flight.key) {
         request_cx.sent_to.push(in_flight.key);
     }
+    if in_flight.limit_before.per_second().is_some() {
+        cx.metrics
+            .limited
+            .with_label_values(&[options.purpose.name()])
+            .inc();
+    }
     let sent_at = Instant::now();
+    let told = in_flight.limit_before.age(cx.now());
     let result = send(cx, request_cx, &in_flight, options).await;
     let attempt_time = sent_at.elapsed();
     // Only attempts that sent at least one byte count.
     request_cx.sends += u32::from(!matches!(result, Err(Failure::NotSent(_))));
     log::info!(
         target: "attempt",
-        "event=attempt id={} config={} service={} endpoint={} version={} model={} load={:.1} \
-         candidates={} after_event={:?} left_ms={} took_ms={} end={}",
-        request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.site.version, request_cx.service, in_flight.id,
-        in_flight.version, request_cx.model().unwrap_or("-"), in_flight.load_before, in_flight.candidate_count,
+        "event=attempt id={} config={} service={} purpose={} endpoint={} version={} model={} load={:.1} \
+         candidates={} {}after_event={:?} left_ms={} took_ms={} end={}",
+        request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.site.version, request_cx.service, options.purpose.name(),
+        in_flight.id, in_flight.version, request_cx.model().unwrap_or("-"), in_flight.load_before, in_flight.candidate_count,
+        in_flight.limit_before.per_second().map_or_else(String::new, |limit| format!("limit={limit} told_ms={} ", told.as_millis())),
         options.last_event_id, request_cx.time_left().as_millis(), attempt_time.as_millis(),
         result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
     );
@@ -201,7 +234,17 @@
             in_flight.id, metadata.leaving, metadata.back_off
         );
     }
+    if metadata.limit.is_some() && !metadata.misdirected {
+        in_flight.record_limit(metadata.limit, sent_at);
+    }
+    if let Some(name) = &metadata.unknown_announcement {
+        cx.record_unknown_announcement(name, &in_flight.id);
+    }
     validate(request_cx, in_flight, &metadata, &head)?;
+    // Only a valid response shows by a missing limit that there is none.
+    if metadata.limit.is_none() {
+        in_flight.record_limit(None, sent_at);
+    }
     Ok((head, metadata, body))
 }
 
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -40,6 +40,9 @@
 /// Fraction of the stop time in which new streams are accepted: most of them end within the rest.
 const STREAM_ACCEPT_FRACTION: f64 = 0.3;
 
+/// Maximum number of names of unknown announcements that are logged.
+const MAX_LOGGED_ANNOUNCEMENTS: usize = 16;
+
 /// Numbers of changed endpoints in one read, by kind of change.
 #[derive(Clone, Copy, Debug, Default)]
 struct ChangeCounts {
@@ -280,6 +283,17 @@
         state.roll_outs.allowed(now, service, session, own)
     }
 
+    /// Counts an announcement of an endpoint that this version does not know, and logs the first of
+    /// each name.
+    pub(crate) fn record_unknown_announcement(&self, name: &str, endpoint: &str) {
+        self.metrics.unknown_announcements.inc();
+        let mut state = self.state();
+        let known = &mut state.unknown_announcements;
+        if known.len() < MAX_LOGGED_ANNOUNCEMENTS && known.insert(name.to_owned()) {
+            log::warn!(target: "attempt", "event=unknown_announcement name={name} endpoint={endpoint}");
+        }
+    }
+
     /// Whether an endpoint can take a request.
     pub(crate) fn has_eligible_endpoint(&self, request: &PlacementRequest<'_>) -> bool {
         let now = self.now();
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::probe::ProbeReport;
 use crate::state::hash;
 use crate::update::Endpoint;
-use oatdale_policy::relay::{Health, WarmUp};
+use oatdale_policy::relay::{Health, RequestLimit, WarmUp};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::fmt;
@@ -85,6 +85,8 @@
     /// When this node's share of the cold endpoint's request rate was last computed, and the share
     /// in requests per second.
     pub(crate) warm_up_share: Option<(Duration, u32)>,
+    /// Limit on its requests from all nodes together, as it last stated.
+    pub(crate) limit: RequestLimit,
     /// End of the back-off that it asked this node for.
     pub(crate) back_off_until: Duration,
     /// Cancelled when the endpoint restarts: requests in flight to it are lost.
@@ -587,6 +589,7 @@
             last_progress: now,
             last_probe: Duration::ZERO,
             report: None,
+            limit: RequestLimit::default(),
             back_off_until: Duration::ZERO,
             restart_token: CancellationToken::new(),
             registration: Registration::Present,
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -103,5 +103,5 @@
     Command, Endpoint, EndpointChange, Link, Node, RollOut, RollOutEnd, Update,
 };
 pub use crate::versions::{KeptVersion, KnownVersions, RetentionPolicy, VersionTracker};
-pub use crate::wire::{Forward, Prompt, RequestMetadata, ResponseMetadata, Wire};
+pub use crate::wire::{Forward, Prompt, RequestMetadata, ResponseMetadata, StatedLimit, Wire};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -30,6 +30,10 @@
     pub(crate) evacuated: IntGauge,
     /// Restores of the key-value service from an older copy.
     pub(crate) restores: IntCounter,
+    /// Requests sent to endpoints that had stated a limit on their requests, by purpose.
+    pub(crate) limited: IntCounterVec,
+    /// Announcements of endpoints that this version does not know.
+    pub(crate) unknown_announcements: IntCounter,
     /// Time to the head of the forwarded response, in seconds.
     pub(crate) first_byte: Histogram,
     /// Version of the active configuration.
@@ -50,6 +54,10 @@
     pub(crate) fn new(traffic: Traffic) -> prometheus::Result<Self> {
         let registry = Registry::new_custom(Some("oatdale_relay".to_owned()), None)?;
         let opts = Opts::new("requests_total", "Requests by how they ended");
+        let limited = Opts::new(
+            "limited_requests_total",
+            "Requests sent to endpoints that state a limit",
+        );
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let metrics = Metrics {
@@ -70,6 +78,11 @@
             )?,
             evacuated: IntGauge::new("evacuated_domains", "Failure domains evacuated")?,
             restores: IntCounter::new("store_restores_total", "Restores of the key-value service")?,
+            limited: IntCounterVec::new(limited, &["purpose"])?,
+            unknown_announcements: IntCounter::new(
+                "unknown_announcements_total",
+                "Announcements of endpoints that are not known",
+            )?,
             first_byte: Histogram::with_opts(histogram)?,
             version: IntGauge::new("configuration_version", "Configuration in force")?,
             endpoints: IntGauge::new("endpoints", "Endpoints known")?,
@@ -84,7 +97,7 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
@@ -93,6 +106,8 @@
             Box::new(self.quarantined.clone()),
             Box::new(self.evacuated.clone()),
             Box::new(self.restores.clone()),
+            Box::new(self.limited.clone()),
+            Box::new(self.unknown_announcements.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
             Box::new(self.endpoints.clone()),
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -1,6 +1,6 @@
 //! Serves one request of a caller, from its head to the end of the response.
 
-use crate::attempt::{self, Failure, SendOptions};
+use crate::attempt::{self, Failure, Purpose, SendOptions};
 use crate::conn_timeouts::ConnTracker;
 use crate::crashes;
 use crate::cx::Cx;
@@ -198,11 +198,13 @@
     let idempotent = request_cx.route().kind.is_idempotent();
     let mut may_have_run = false;
     let mut last_error_reply: Option<Reply<W>> = None;
+    let mut purpose = Purpose::First;
     loop {
         if request_cx.time_left() < MIN_ATTEMPT_TIME && request_cx.sends == 0 {
             return Err((Refusal::NoTime, "deadline too close".to_owned()));
         }
         let options = SendOptions {
+            purpose,
             last_event_id: request_cx.metadata.last_event_id,
             may_abandon: idempotent && request_cx.has_attempts_after_next(),
         };
@@ -220,6 +222,7 @@
                     Decision::Escalate(model_index) => {
                         request_cx.model_index = model_index;
                         request_cx.excluded.pop();
+                        purpose = Purpose::Escalation;
                         continue;
                     }
                     Decision::Failed(failure) => failure,
@@ -237,6 +240,7 @@
             Failure::Unknown(_) | Failure::Abandoned => idempotent && try_retry(cx, request_cx),
         };
         if should_retry {
+            purpose = Purpose::Retry;
             continue;
         }
         return match (last_error_reply, &failure) {
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -13,7 +13,7 @@
 use oatdale_policy::relay::{
     Candidate, Mean, Placement, Quarantine, RetryLimit, RetryLimiter, choose,
 };
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +43,8 @@
     pub(crate) directory: Directory,
     /// Limit on the log lines about single endpoints.
     pub(crate) endpoint_lines: LineLimit,
+    /// Names of endpoints' announcements that this version does not know, as logged.
+    pub(crate) unknown_announcements: BTreeSet<String>,
     /// Pending checks whether endpoints crashed.
     pub(crate) checks: CrashChecks,
     /// Requests quarantined because they crash endpoints.
@@ -94,6 +96,7 @@
             site: None,
             directory: Directory::default(),
             endpoint_lines: LineLimit::default(),
+            unknown_announcements: BTreeSet::new(),
             checks: CrashChecks::default(),
             quarantine: Quarantine::default(),
             pending_records: PendingRecords::default(),
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -1,6 +1,6 @@
 //! Forwards an event stream, and resumes it at another endpoint if it breaks.
 
-use crate::attempt::{self, Failure, SendOptions};
+use crate::attempt::{self, Failure, Purpose, SendOptions};
 use crate::crashes;
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
@@ -199,6 +199,7 @@
                 || self.cx.try_retry(&self.request_cx.service))
         {
             let options = SendOptions {
+                purpose: Purpose::Resumption,
                 last_event_id,
                 may_abandon: self.request_cx.has_attempts_after_next(),
             };
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -83,8 +83,17 @@
     pub last_event_id: Option<u64>,
 }
 
+/// Limit on an endpoint's requests from all nodes together, as stated in a response.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum StatedLimit {
+    /// Requests per second; finite and not negative.
+    PerSecond(f64),
+    /// A value that is none of a limit, or several.
+    Invalid,
+}
+
 /// Metadata from a response's head.
-#[derive(Clone, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, PartialEq, Debug, Default)]
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
     pub id: Option<String>,
@@ -103,4 +112,8 @@
     /// How long the endpoint, which rejected the request without running it, accepts no other
     /// request from this node.
     pub back_off: Option<Duration>,
+    /// Limit on the endpoint's requests, if it states one.
+    pub limit: Option<StatedLimit>,
+    /// Name of a header by which the endpoint announces something that this version does not know.
+    pub unknown_announcement: Option<String>,
 }
