Issue permits for requests to endpoints that limit them

Class: a bound that hosts have to keep together, stated in responses that each host reads for itself only.

Evidence: endpoint_limit lines and the purpose and limit of each attempt; in the reproduction first attempts of each node alone exceed the limit, and each other way does too: repeats, larger models, resumed streams, probes.

Change: a permit for each request to a limited endpoint, issued by one node for each endpoint (by a hash), or by a second one while it does not answer. What an issuer may issue is bounded by what it can know of the others; a first issuer tells those that may hold themselves for it. A node that hears of a limit, or of its end, tells the issuers, and the first issuer tells all nodes. Without a permit a request goes to another endpoint, or is refused at once and told when the next permit is expected, each refused caller a later time than the one before. All ways to an endpoint go through one place.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -23,6 +23,7 @@
 mod health;
 mod ladder;
 mod pace;
+mod permits;
 mod placement;
 mod quarantine;
 mod readers;
@@ -40,6 +41,9 @@
 pub use crate::relay::health::Health;
 pub use crate::relay::ladder::{EscalationDecision, Ladder};
 pub use crate::relay::pace::{BaselineTime, StreamPace};
+pub use crate::relay::permits::{
+    IssuerRank, IssuerView, PermitIssuer, PermitReply, PermitRequest, PermitSeeker,
+};
 pub use crate::relay::placement::{Candidate, Placement, choose};
 pub use crate::relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine, Tracking};
 pub use crate::relay::readers::{
--- /dev/null
+++ b/crates/oatdale-policy/src/relay/permits.rs
@@ -0,0 +1,250 @@
+//! Permits for requests to an endpoint that limits its request rate.
+//!
+//! The limit holds for all nodes together. Divided among the nodes it would be less than one request
+//! per window for each of them, and most of it would be unused, since a node rarely has a request
+//! for a given endpoint. So one node, selected by a hash of the endpoint, issues a permit for each
+//! request; a second one issues some while the first does not answer.
+//!
+//! No right stands behind this: nodes with different node lists may ask different issuers, and an
+//! issuer that others no longer know may still issue permits to itself. What each may issue is
+//! bounded so that the sum stays near the limit, and a new first issuer tells the nodes that may
+//! hold themselves for the first one.
+
+use std::time::Duration;
+
+/// Share of the limit that a node may issue if others may be issuing permits too: as the second
+/// issuer, or as the first one that the other nodes may not know yet, or no longer.
+const UNCERTAIN_SHARE: f64 = 0.25;
+
+/// Time that the other nodes need to learn of a new first issuer.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Interval at which a first issuer announces itself to the nodes that may hold themselves for it.
+const CLAIM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a request for a permit shows that another node knows this issuer.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
+
+/// Minimum time for which unused permits remain available, so that requests that come together can
+/// use them. At low rates, one unused permit remains available until the next.
+const BURST_TIME: Duration = Duration::from_millis(250);
+
+/// Minimum rate at which permits are issued: only a response of the endpoint shows that its limit
+/// has ended.
+const MIN_PERMITS_PER_SECOND: f64 = 0.2;
+
+/// Interval at which nodes that got no permit are told to ask again: bounds the messages to an
+/// issuer when all nodes want to use the endpoint.
+const ASK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Maximum time after which a node is told to ask again.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Maximum wait that a refused caller is told. Callers that wait longer give up.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after neither issuer has answered.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for which the second issuer is asked after the first one has not answered.
+const SECOND_ISSUER_TIME: Duration = Duration::from_secs(2);
+
+/// Position of a node among those that may issue permits for an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum IssuerRank {
+    /// Issues permits.
+    First,
+    /// Issues permits while the first issuer does not answer.
+    Second,
+}
+
+/// What an issuer knows of its own position when it is asked for a permit.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct IssuerView {
+    /// The node's rank for the endpoint by its own node list; `None` if others are to be asked.
+    pub rank: Option<IssuerRank>,
+    /// When the last node that came before this one was removed from the list, or this node was
+    /// listed again, if either was lately.
+    pub first_since: Duration,
+    /// Whether the platform confirms that the other nodes know this one.
+    pub is_listed: bool,
+}
+
+impl IssuerView {
+    /// Whether this node has been the first issuer for so short a time that others may not know it.
+    pub fn is_new(&self, now: Duration) -> bool {
+        now < self.first_since + SETTLE_TIME
+    }
+}
+
+/// A node's request for a permit.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct PermitRequest {
+    /// The endpoint's limit in requests per second.
+    pub per_second: f64,
+    /// Callers that the node has refused since its last request, as it had no permit.
+    pub refused: u16,
+    /// Whether the request comes from another node.
+    pub is_remote: bool,
+}
+
+/// Response to a request for a permit.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum PermitReply {
+    /// The node may send one request now.
+    Granted,
+    /// The node may not send a request.
+    Denied {
+        /// Time after which a refused caller may expect a permit.
+        wait: Duration,
+        /// Time after which the node may ask again.
+        pause: Duration,
+    },
+    /// The asked node does not issue permits for the endpoint.
+    NotIssuer,
+}
+
+/// Issues the permits for one endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default)]
+pub struct PermitIssuer {
+    /// When the next permit is due if all before were issued on time.
+    next_at: Duration,
+    /// When the wait of all refused callers ends.
+    queue_until: Duration,
+    /// Time that the last denied node was told to ask again.
+    ask_again_at: Duration,
+    /// When another node last asked.
+    confirmed_at: Option<Duration>,
+    /// When this node last announced itself as the first issuer.
+    claimed_at: Option<Duration>,
+    /// Until when another node that announced itself as the first issuer counts as such.
+    contested_until: Duration,
+}
+
+impl PermitIssuer {
+    /// Decides on a request for a permit.
+    pub fn decide(
+        &mut self,
+        now: Duration,
+        view: &IssuerView,
+        request: &PermitRequest,
+    ) -> PermitReply {
+        if request.is_remote {
+            self.record_remote_request(now);
+        }
+        let Some(share) = self.share(now, view) else {
+            return PermitReply::NotIssuer;
+        };
+        let rate = request.per_second.max(MIN_PERMITS_PER_SECOND) * share;
+        let interval = Duration::from_secs_f64(1.0 / rate);
+        let refused_time = interval.saturating_mul(request.refused.into());
+        let queue_until = self.queue_until.max(now) + refused_time;
+        self.queue_until = queue_until.min(now + MAX_WAIT);
+        let available_at = self.next_at.saturating_sub(interval.max(BURST_TIME));
+        if available_at <= now {
+            self.next_at = self.next_at.max(now) + interval;
+            return PermitReply::Granted;
+        }
+        let ask_again_at = self.ask_again_at.max(available_at) + ASK_INTERVAL;
+        self.ask_again_at = ask_again_at.min(now + MAX_PAUSE);
+        PermitReply::Denied {
+            wait: self.queue_until.max(available_at) - now,
+            pause: self.ask_again_at - now,
+        }
+    }
+
+    /// Records that another node asks this one, and so knows it.
+    pub fn record_remote_request(&mut self, now: Duration) {
+        self.confirmed_at = Some(now);
+    }
+
+    /// Whether to announce this node, now, to those that may hold themselves for the first issuer.
+    pub fn start_claim(&mut self, now: Duration, view: &IssuerView) -> bool {
+        let is_first = view.rank == Some(IssuerRank::First);
+        let is_due = is_first && self.claimed_at.is_none_or(|at| now >= at + CLAIM_INTERVAL);
+        if is_due {
+            self.claimed_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Records that another node announced itself as the first issuer.
+    pub fn record_claim(&mut self, now: Duration) {
+        self.contested_until = now + SETTLE_TIME;
+    }
+
+    /// Returns the share of the limit that this node may issue; `None` if it may issue no permits.
+    pub fn share(&self, now: Duration, view: &IssuerView) -> Option<f64> {
+        let is_confirmed = self
+            .confirmed_at
+            .is_some_and(|at| now < at + CONFIRMATION_TIME);
+        let is_certain = view.rank? == IssuerRank::First
+            && !view.is_new(now)
+            && now >= self.contested_until
+            && (view.is_listed || is_confirmed);
+        Some(if is_certain { 1.0 } else { UNCERTAIN_SHARE })
+    }
+}
+
+/// A node's use of the permits for one endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct PermitSeeker {
+    /// When the issuer may be asked again.
+    paused_until: Duration,
+    /// When a refused caller may expect a permit.
+    expected_at: Duration,
+    /// Until when the second issuer is asked.
+    second_until: Duration,
+    /// Callers refused since the last request for a permit.
+    refused: u16,
+}
+
+impl PermitSeeker {
+    /// Whether an issuer may be asked for a permit.
+    pub fn may_ask(&self, now: Duration) -> bool {
+        now >= self.paused_until
+    }
+
+    /// Returns when a refused caller may expect a permit.
+    pub fn expected_at(&self) -> Duration {
+        self.expected_at.max(self.paused_until)
+    }
+
+    /// Returns the issuer to ask.
+    pub fn issuer(&self, now: Duration) -> IssuerRank {
+        match now < self.second_until {
+            true => IssuerRank::Second,
+            false => IssuerRank::First,
+        }
+    }
+
+    /// Returns the number of callers refused since the last call.
+    pub fn take_refused(&mut self) -> u16 {
+        std::mem::take(&mut self.refused)
+    }
+
+    /// Records that a caller was refused and told to expect a permit at
+    /// [`expected_at`](PermitSeeker::expected_at). The next one is told a later time.
+    pub fn record_refused(&mut self, now: Duration, per_second: f64) {
+        self.refused = self.refused.saturating_add(1);
+        let interval = Duration::from_secs_f64(1.0 / per_second.max(MIN_PERMITS_PER_SECOND));
+        self.expected_at = (self.expected_at() + interval).min(now + MAX_WAIT);
+    }
+
+    /// Records the reply of an issuer, or that it sent none in time.
+    pub fn record_reply(&mut self, now: Duration, issuer: IssuerRank, reply: Option<PermitReply>) {
+        match (reply, issuer) {
+            (Some(PermitReply::Granted), _) => {}
+            (Some(PermitReply::Denied { wait, pause }), _) => {
+                self.paused_until = now + pause.min(MAX_PAUSE);
+                self.expected_at = now + wait.min(MAX_WAIT);
+            }
+            (Some(PermitReply::NotIssuer) | None, IssuerRank::First) => {
+                self.second_until = now + SECOND_ISSUER_TIME;
+            }
+            (Some(PermitReply::NotIssuer) | None, IssuerRank::Second) => {
+                self.paused_until = now + UNANSWERED_PAUSE;
+            }
+        }
+    }
+}
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::endpoint_response::EndpointResponse;
 use crate::gossip;
 use crate::in_flight::InFlightRequest;
+use crate::permits;
 use crate::request_context::RequestContext;
 use crate::wire::{ResponseMetadata, Wire};
 use http::response;
@@ -110,7 +111,7 @@
     if cx.remaining_quarantine(request_cx).is_some() {
         return Err(Failure::Quarantined { sent: false });
     }
-    let mut in_flight = match request_cx.place(cx) {
+    let mut in_flight = match permits::place(cx, request_cx).await {
         Ok(in_flight) => in_flight,
         Err(ineligible) => {
             log::info!(
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -3,7 +3,9 @@
 use crate::probe::ProbeReport;
 use crate::state::hash;
 use crate::update::Endpoint;
-use oatdale_policy::relay::{Health, RequestLimit, WarmUp};
+use oatdale_policy::relay::{
+    Health, LimitChange, PermitIssuer, PermitSeeker, RequestLimit, WarmUp,
+};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::fmt;
@@ -87,6 +89,12 @@
     pub(crate) warm_up_share: Option<(Duration, u32)>,
     /// Limit on its requests from all nodes together, as it last stated.
     pub(crate) limit: RequestLimit,
+    /// Whether all nodes have been told of the limit.
+    pub(crate) limit_announced: bool,
+    /// This node's use of the permits for it, while it has a limit.
+    pub(crate) seeker: PermitSeeker,
+    /// The permits that this node issues for it.
+    pub(crate) issuer: PermitIssuer,
     /// End of the back-off that it asked this node for.
     pub(crate) back_off_until: Duration,
     /// Cancelled when the endpoint restarts: requests in flight to it are lost.
@@ -125,6 +133,8 @@
     evacuated: usize,
     /// In a back-off that they asked for.
     paused: usize,
+    /// Limiting their requests, and this node has no permit.
+    limited: usize,
     /// Cold, and this node's share of their request rate is used up.
     cold: usize,
     /// Running a version that the request must not use.
@@ -409,18 +419,21 @@
         service: &'a str,
     ) -> impl Iterator<Item = (EndpointKey, &'a Entry)> {
         self.of_service(service)
-            .filter(move |(_, e)| self.is_eligible(now, e) && now >= e.back_off_until)
+            .filter(move |(_, e)| self.is_eligible(now, e))
+            .filter(move |(_, e)| now >= e.back_off_until && e.may_ask_permit(now))
     }
 
-    /// Returns the time until the first endpoint of a service ends its back-off towards this node.
-    /// `None` if one accepts requests now, or if there is none.
-    pub fn remaining_back_off(&self, now: Duration, service: &str) -> Option<Duration> {
-        let entries = self.of_service(service).map(|(_, e)| e);
-        let eligible = entries.filter(|e| self.is_eligible(now, e));
-        let earliest_end = eligible.map(|e| e.back_off_until).min()?;
-        earliest_end
-            .checked_sub(now)
-            .filter(|remaining| !remaining.is_zero())
+    /// Returns the first endpoint of a service to accept a request from this node, after its
+    /// back-off or with a permit, and the time until then. `None` if one accepts requests now, or if
+    /// there is none.
+    pub fn next_to_accept(&self, now: Duration, service: &str) -> Option<(EndpointKey, Duration)> {
+        let entries = self.of_service(service);
+        let eligible = entries.filter(|(_, e)| self.is_eligible(now, e));
+        let (key, at) = eligible
+            .map(|(key, e)| (key, e.accepts_at()))
+            .min_by_key(|(_, at)| *at)?;
+        let remaining = at.checked_sub(now).filter(|time| !time.is_zero())?;
+        Some((key, remaining))
     }
 
     fn is_eligible(&self, now: Duration, entry: &Entry) -> bool {
@@ -442,6 +455,7 @@
                 e if !e.accepts_new_requests(now) => &mut counts.leaving,
                 e if self.is_evacuated(&e.endpoint.domain) => &mut counts.evacuated,
                 e if now < e.back_off_until => &mut counts.paused,
+                e if !e.may_ask_permit(now) => &mut counts.limited,
                 e if !has_capacity(e) => &mut counts.cold,
                 _ => &mut counts.other_version,
             };
@@ -469,6 +483,12 @@
         })
     }
 
+    /// Returns the endpoint with this id, and its key.
+    pub(crate) fn by_id_with_key(&mut self, id: &str) -> Option<(EndpointKey, &mut Entry)> {
+        let key = *self.by_id.get(id)?;
+        Some((key, self.entries.get_mut(&key)?))
+    }
+
     /// Returns the endpoint with this key.
     pub fn get(&self, key: EndpointKey) -> Option<&Entry> {
         self.entries.get(&key)
@@ -558,7 +578,14 @@
 impl IneligibleCounts {
     /// Whether evacuations are the reason that no endpoint is available.
     pub(crate) fn is_due_to_evacuation(&self) -> bool {
-        self.evacuated > 0 && self.tried + self.paused + self.cold + self.other_version == 0
+        let others = [
+            self.tried,
+            self.paused,
+            self.limited,
+            self.cold,
+            self.other_version,
+        ];
+        self.evacuated > 0 && others.iter().all(|count| *count == 0)
     }
 }
 
@@ -566,8 +593,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "tried={} leaving={} evacuated={} paused={} cold={} other={}",
-            self.tried, self.leaving, self.evacuated, self.paused, self.cold, self.other_version
+            "tried={} leaving={} evacuated={} paused={} limited={} cold={} other={}",
+            self.tried,
+            self.leaving,
+            self.evacuated,
+            self.paused,
+            self.limited,
+            self.cold,
+            self.other_version
         )
     }
 }
@@ -590,6 +623,9 @@
             last_probe: Duration::ZERO,
             report: None,
             limit: RequestLimit::default(),
+            limit_announced: false,
+            seeker: PermitSeeker::default(),
+            issuer: PermitIssuer::default(),
             back_off_until: Duration::ZERO,
             restart_token: CancellationToken::new(),
             registration: Registration::Present,
@@ -692,6 +728,35 @@
         is_registered && !self.endpoint.leaving
     }
 
+    /// Updates its limit by a statement of it.
+    pub(crate) fn update_limit(&mut self, limit: RequestLimit) -> LimitChange {
+        let change = self.limit.update(limit);
+        if change == LimitChange::Ended {
+            self.limit_announced = false;
+        }
+        change
+    }
+
+    /// Ends its limit, as an issuer knows of a later statement, made at `stated_at`.
+    pub(crate) fn end_limit(&mut self, now: Duration, stated_at: Duration) {
+        // By the two nodes' clocks the order may come out differently by a few milliseconds.
+        let known_at = now.saturating_sub(self.limit.age(now));
+        self.update_limit(RequestLimit::new(known_at.max(stated_at), None));
+    }
+
+    /// Whether it may get a request from this node now, or once this node has asked for a permit.
+    fn may_ask_permit(&self, now: Duration) -> bool {
+        self.limit.per_second().is_none() || self.seeker.may_ask(now)
+    }
+
+    /// When it next accepts a request from this node, as far as known.
+    fn accepts_at(&self) -> Duration {
+        match self.limit.per_second() {
+            Some(_) => self.back_off_until.max(self.seeker.expected_at()),
+            None => self.back_off_until,
+        }
+    }
+
     /// Starts or extends its back-off towards this node.
     pub fn back_off(&mut self, now: Duration, time: Duration) {
         self.back_off_until = self.back_off_until.max(now + time);
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::loads::{
     AGGREGATORS_PER_GROUP, AggregationScheme, GroupReport, GroupSums, Load, MAX_LOADS_PER_DATAGRAM,
 };
+use crate::permits::{self, LimitStatement, PermitAnswer, PermitAsk};
 use crate::roll_outs::{COORDINATORS, OldSessions, Report};
 use crate::state::{State, hash};
 use crate::wire::Wire;
@@ -88,6 +89,25 @@
     Completed {
         request: u128,
     },
+    /// An endpoint's limit on its requests.
+    Limit {
+        statement: LimitStatement,
+        /// Whether all nodes get it.
+        is_announcement: bool,
+    },
+    /// Asks for a permit to send a request to a limited endpoint.
+    PermitAsk(PermitAsk),
+    /// Answers the request for a permit with this number.
+    PermitAnswer {
+        number: u32,
+        answer: PermitAnswer,
+    },
+    /// The sender holds itself for the first issuer of permits for the endpoint with this id, started
+    /// at `born`.
+    PermitClaim {
+        id: String,
+        born: Option<u64>,
+    },
     /// Sums of the loads of `nodes` nodes at endpoints.
     Sums {
         nodes: usize,
@@ -109,6 +129,10 @@
             Message::Crashed { .. } | Message::Quarantined { .. } | Message::Completed { .. } => {
                 "sent_crash"
             }
+            Message::Limit { .. } => "sent_limit",
+            Message::PermitAsk(_) | Message::PermitAnswer { .. } | Message::PermitClaim { .. } => {
+                "sent_permit"
+            }
             Message::Sums { .. } => "sent_sums",
         }
     }
@@ -186,6 +210,21 @@
         Ok(Message::Completed { request }) => apply_from_known(cx, from, |state| {
             crashes::apply_release(cx, state, Fingerprint(request));
         }),
+        Ok(Message::Limit {
+            statement,
+            is_announcement,
+        }) => apply_from_known(cx, from, |state| {
+            permits::handle_statement(cx, state, from, &statement, is_announcement);
+        }),
+        Ok(Message::PermitAsk(ask)) => apply_from_known(cx, from, |state| {
+            permits::handle_ask(cx, state, from, &ask);
+        }),
+        Ok(Message::PermitAnswer { number, answer }) => {
+            cx.state().pending_asks.handle_answer(from, number, answer);
+        }
+        Ok(Message::PermitClaim { id, born }) => apply_from_known(cx, from, |state| {
+            permits::handle_claim(state, now, from, &id, born);
+        }),
         Ok(Message::Sums { nodes, loads }) => apply_from_known(cx, from, |state| {
             // No sum covers more nodes than are known; a sender that claims more would block the
             // sums of others.
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -4,12 +4,11 @@
 use crate::directory::{EndpointKey, Entry};
 use crate::gossip::{self, Message};
 use crate::state::State;
-use crate::wire::{StatedLimit, Wire};
-use oatdale_policy::relay::{LimitChange, RequestLimit};
+use crate::wire::Wire;
+use oatdale_policy::relay::RequestLimit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Weight of a request whose prompt has been processed.
@@ -205,36 +204,6 @@
         }
     }
 
-    /// Records what a response to a request sent at `sent_at` says of the endpoint's limit on its
-    /// requests.
-    pub(crate) fn record_limit(&self, stated: Option<StatedLimit>, sent_at: Instant) {
-        let now = self.cx.now();
-        let mut state = self.cx.state();
-        let statement = match stated {
-            Some(StatedLimit::PerSecond(rate)) => RequestLimit::new(now, Some(rate)),
-            Some(StatedLimit::Invalid) => {
-                if state.endpoint_lines.allows(now) {
-                    log::warn!(target: "directory", "event=bad_limit endpoint={}", self.id);
-                }
-                return;
-            }
-            None => RequestLimit::new(now.saturating_sub(sent_at.elapsed()), None),
-        };
-        let Some(entry) = state.directory.get_mut(self.key) else {
-            return;
-        };
-        let change = entry.limit.update(statement);
-        if change == LimitChange::Unchanged {
-            return;
-        }
-        let limit = entry.limit.per_second();
-        log::info!(
-            target: "directory",
-            "event=endpoint_limit id={} change={change:?} per_second={limit:?} from=response",
-            self.id
-        );
-    }
-
     /// Records that another endpoint now runs at its address.
     pub(crate) fn record_replaced(&self) {
         self.cx.pool.forget(self.addr);
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -60,6 +60,7 @@
 mod node;
 mod nodes;
 mod peers;
+mod permits;
 mod probe;
 mod replica;
 mod reply;
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) restores: IntCounter,
     /// Requests sent to endpoints that had stated a limit on their requests, by purpose.
     pub(crate) limited: IntCounterVec,
+    /// Requests for permits to send to limited endpoints, by outcome.
+    pub(crate) permits: IntCounterVec,
     /// Announcements of endpoints that this version does not know.
     pub(crate) unknown_announcements: IntCounter,
     /// Time to the head of the forwarded response, in seconds.
@@ -58,6 +60,7 @@
             "limited_requests_total",
             "Requests sent to endpoints that state a limit",
         );
+        let permits = Opts::new("permits_total", "Requests for permits by outcome");
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let metrics = Metrics {
@@ -79,6 +82,7 @@
             evacuated: IntGauge::new("evacuated_domains", "Failure domains evacuated")?,
             restores: IntCounter::new("store_restores_total", "Restores of the key-value service")?,
             limited: IntCounterVec::new(limited, &["purpose"])?,
+            permits: IntCounterVec::new(permits, &["outcome"])?,
             unknown_announcements: IntCounter::new(
                 "unknown_announcements_total",
                 "Announcements of endpoints that are not known",
@@ -97,7 +101,7 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
@@ -107,6 +111,7 @@
             Box::new(self.evacuated.clone()),
             Box::new(self.restores.clone()),
             Box::new(self.limited.clone()),
+            Box::new(self.permits.clone()),
             Box::new(self.unknown_announcements.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
--- a/crates/oatdale-relay/src/nodes.rs
+++ b/crates/oatdale-relay/src/nodes.rs
@@ -8,6 +8,9 @@
 /// its lease expired meanwhile: it writes its record again with its next renewal.
 const RECOVERY_GRACE: Duration = Duration::from_millis(3_000);
 
+/// Time for which a removed node is remembered: it may not know yet that it is removed.
+const REMOVED_RETENTION: Duration = Duration::from_secs(10);
+
 /// All known nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Nodes {
@@ -17,6 +20,8 @@
     /// Nodes that announced their leaving, and until when that applies: the next process on the
     /// host has the same name.
     leaving: BTreeMap<String, Duration>,
+    /// Nodes removed lately, also by their own announcement, and when.
+    removed: Vec<(Duration, Node)>,
 }
 
 #[derive(Debug)]
@@ -43,8 +48,27 @@
             };
             self.nodes.insert(node.host, known);
         }
-        self.nodes
-            .retain(|_, k| k.dropped_at.is_none_or(|until| until > now));
+        let is_kept = |k: &KnownNode| k.dropped_at.is_none_or(|until| until > now);
+        let dropped = self.nodes.values().filter(|k| !is_kept(k));
+        let dropped: Vec<_> = dropped.map(|k| k.node.clone()).collect();
+        self.nodes.retain(|_, k| is_kept(k));
+        self.record_removed(now, dropped);
+    }
+
+    fn record_removed(&mut self, now: Duration, removed: impl IntoIterator<Item = Node>) {
+        self.removed.retain(|(at, _)| now < *at + REMOVED_RETENTION);
+        self.removed
+            .extend(removed.into_iter().map(|node| (now, node)));
+    }
+
+    /// Returns the nodes that were removed from the list lately, and when.
+    pub(crate) fn recently_removed(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (Duration, &Node)> {
+        let removed = self.removed.iter();
+        let recent = removed.filter(move |(at, _)| now < *at + REMOVED_RETENTION);
+        recent.map(|(at, node)| (*at, node))
     }
 
     /// Records that a node announced its own leaving, and returns whether this is new.
@@ -53,7 +77,12 @@
     /// would be given its address until it is gone, and their late requests would be refused.
     pub(crate) fn mark_node_leaving(&mut self, now: Duration, until: Duration, host: &str) -> bool {
         self.leaving.retain(|_, until| *until > now);
-        self.leaving.insert(host.to_owned(), until).is_none()
+        let is_new = self.leaving.insert(host.to_owned(), until).is_none();
+        if is_new {
+            let node = self.nodes.get(host).map(|k| k.node.clone());
+            self.record_removed(now, node);
+        }
+        is_new
     }
 
     pub(crate) fn mark_store_unavailable(&mut self) {
--- a/crates/oatdale-relay/src/probe.rs
+++ b/crates/oatdale-relay/src/probe.rs
@@ -8,7 +8,8 @@
 use crate::cx::Cx;
 use crate::directory::Entry;
 use crate::in_flight::InFlightRequest;
-use crate::wire::Wire;
+use crate::permits;
+use crate::wire::{StatedLimit, Wire};
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use oatdale_platform::Reuse;
@@ -33,8 +34,10 @@
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
 /// Result of a probe.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Debug)]
 enum ProbeResult {
+    /// The engine limits its requests, and this node got no permit for the probe.
+    NotSent,
     /// The engine did not respond in time.
     Unreachable,
     /// The engine responded; `report` is `None` if it sent none or an invalid one.
@@ -42,6 +45,7 @@
         report: Option<Arc<EngineReport>>,
         leaving: bool,
         cold_left: Option<Duration>,
+        limit: Option<StatedLimit>,
     },
 }
 
@@ -96,13 +100,18 @@
         }
         match self.probe_endpoint().await {
             ProbeResult::Alive { report, .. } => report.is_some_and(|r| r.has_lost(id)),
-            ProbeResult::Unreachable => false,
+            ProbeResult::Unreachable | ProbeResult::NotSent => false,
         }
     }
 
     async fn probe_endpoint(&self) -> ProbeResult {
+        if !permits::obtain(&self.cx, self).await {
+            return ProbeResult::NotSent;
+        }
+        let sent_at = Instant::now();
         let result = self.cx.probe(self.addr).await;
         match &result {
+            ProbeResult::NotSent => {}
             ProbeResult::Unreachable => {
                 log::info!(target: "probe", "event=probed endpoint={} alive=false", self.id);
                 self.record_no_response();
@@ -111,6 +120,7 @@
                 report,
                 leaving,
                 cold_left,
+                limit,
             } => {
                 match report {
                     Some(report) => {
@@ -129,6 +139,10 @@
                 if let Some(left) = cold_left {
                     self.record_cold(*left);
                 }
+                // A missing limit shows its end only in responses to requests.
+                if limit.is_some() {
+                    self.record_limit(*limit, sent_at);
+                }
                 if *leaving {
                     self.record_leaving();
                 }
@@ -165,6 +179,7 @@
             report,
             leaving: metadata.leaving,
             cold_left: metadata.cold_left,
+            limit: metadata.limit,
         }
     }
 }
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -9,7 +9,7 @@
 use crate::reply::Refusal;
 use crate::roll_outs::{AllowedVersions, LatencyClass, ResponseSource};
 use crate::site::{Route, SiteConfig};
-use crate::state::{PlacementRequest, hash};
+use crate::state::{LimitedEndpoints, PlacementRequest, hash};
 use crate::wire::{Forward, RequestMetadata, Wire};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
@@ -240,15 +240,17 @@
     pub(crate) fn place<W: Wire>(
         &self,
         cx: &Arc<Cx<W>>,
+        limited: LimitedEndpoints,
     ) -> Result<InFlightRequest<W>, IneligibleCounts> {
         let allowed = self.allowed_versions(cx);
-        cx.place(&self.placement_request(&allowed))
+        cx.place(&self.placement_request(&allowed, limited))
     }
 
-    /// Whether there is an eligible endpoint that has not received the request yet.
+    /// Whether there is an endpoint that has not received the request yet and is certain to accept
+    /// it, which one that limits its requests is not.
     pub(crate) fn has_eligible_endpoint<W: Wire>(&self, cx: &Cx<W>) -> bool {
         let allowed = self.allowed_versions(cx);
-        cx.has_eligible_endpoint(&self.placement_request(&allowed))
+        cx.has_eligible_endpoint(&self.placement_request(&allowed, LimitedEndpoints::Excluded))
     }
 
     /// Software versions that the request may use now. Looked up again for each attempt: a rollout
@@ -257,13 +259,18 @@
         cx.allowed(&self.service, self.session_hash(), hash(&self.metadata.id))
     }
 
-    fn placement_request<'a>(&'a self, allowed: &'a AllowedVersions) -> PlacementRequest<'a> {
+    fn placement_request<'a>(
+        &'a self,
+        allowed: &'a AllowedVersions,
+        limited: LimitedEndpoints,
+    ) -> PlacementRequest<'a> {
         PlacementRequest {
             service: &self.service,
             allowed,
             excluded: &self.excluded,
             prefix: self.prefix_hash(),
             weight: self.weight(),
+            limited,
         }
     }
 
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -179,11 +179,7 @@
     let share = rand::rng().random_range(RETRY_AFTER_TARGET_SHARE);
     let jitter = target.mul_f64(share).min(MAX_RETRY_AFTER_JITTER);
     let now = cx.now();
-    let remaining = {
-        let state = cx.state();
-        let remaining = state.directory.remaining_back_off(now, &request_cx.service);
-        remaining.or_else(|| state.time_to_warm_up_slot(now, &request_cx.service))
-    };
+    let remaining = cx.state().time_to_capacity(now, &request_cx.service);
     match remaining {
         Some(remaining) => remaining + jitter,
         None => jitter.min(request_cx.time_left() / 3),
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,5 +1,6 @@
 //! State learned from the platform and from responses, and the endpoint selection based on it.
 
+mod listing;
 mod warm_up;
 
 use crate::crashes::{CrashChecks, PendingRecords};
@@ -7,6 +8,7 @@
 use crate::line_limit::LineLimit;
 use crate::loads::{AggregationScheme, LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
+use crate::permits::PendingAsks;
 use crate::roll_outs::{AllowedVersions, RollOuts};
 use crate::settings::Bounds;
 use crate::site::SiteConfig;
@@ -53,6 +55,8 @@
     pub(crate) pending_records: PendingRecords,
     pub(crate) roll_outs: RollOuts,
     pub(crate) nodes: Nodes,
+    /// This node's requests for permits that wait for a reply.
+    pub(crate) pending_asks: PendingAsks,
     /// Sums up the loads reported by other nodes.
     pub(crate) load_aggregator: LoadAggregator,
     /// Load of all nodes together at each endpoint.
@@ -70,11 +74,22 @@
     pub(crate) store_unavailable_since: Option<Duration>,
     /// Since when this node has been in the other nodes' node lists.
     listed_since: Duration,
+    /// When the key-value service first answered this node.
+    first_answer_at: Option<Duration>,
 }
 
 /// Number of requests over which a route's mean generation size is averaged.
 const SIZE_MEAN_REQUESTS: f64 = 200.0;
 
+/// Which endpoints a request may be placed at, by whether they limit their requests.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum LimitedEndpoints {
+    /// Limited ones too: a permit is asked for afterwards.
+    Allowed,
+    /// Only those without a limit.
+    Excluded,
+}
+
 /// Inputs for placing a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlacementRequest<'a> {
@@ -86,6 +101,13 @@
     pub(crate) prefix: Option<u64>,
     /// Load that the request adds to an endpoint.
     pub(crate) weight: f64,
+    pub(crate) limited: LimitedEndpoints,
+}
+
+impl LimitedEndpoints {
+    fn includes(self, entry: &Entry) -> bool {
+        self == LimitedEndpoints::Allowed || entry.limit.per_second().is_none()
+    }
 }
 
 impl State {
@@ -102,6 +124,7 @@
             pending_records: PendingRecords::default(),
             roll_outs: RollOuts::default(),
             nodes: Nodes::default(),
+            pending_asks: PendingAsks::default(),
             load_aggregator: LoadAggregator::default(),
             load_sums: LoadSums::default(),
             retry_limiters: HashMap::new(),
@@ -112,7 +135,21 @@
             // The service counts as unavailable until it has answered once.
             store_unavailable_since: Some(Duration::ZERO),
             listed_since: Duration::ZERO,
+            first_answer_at: None,
+        }
+    }
+
+    /// Returns the time until an endpoint of a service accepts a request from this node, and counts
+    /// the caller that is told it. `None` if one accepts requests now, or if that is not known.
+    pub(crate) fn time_to_capacity(&mut self, now: Duration, service: &str) -> Option<Duration> {
+        let Some((key, remaining)) = self.directory.next_to_accept(now, service) else {
+            return self.time_to_warm_up_slot(now, service);
+        };
+        let entry = self.directory.get_mut(key)?;
+        if let Some(per_second) = entry.limit.per_second() {
+            entry.seeker.record_refused(now, per_second);
         }
+        Some(remaining)
     }
 
     /// Returns this node's part of the limit on the site's retries.
@@ -169,6 +206,7 @@
         let usable = self.directory.usable(now, request.service);
         let all: Vec<_> = usable
             .filter(|(key, _)| !request.excluded.contains(key))
+            .filter(|(_, e)| request.limited.includes(e))
             .collect();
         let eligible = self.filter_by_capacity(now, request, &all);
         // Ejected endpoints are used only when there is no other.
--- a/crates/oatdale-relay/src/state/warm_up.rs
+++ b/crates/oatdale-relay/src/state/warm_up.rs
@@ -7,22 +7,10 @@
 use oatdale_policy::relay::warm_up_share;
 use std::time::Duration;
 
-/// How long a node can be without the key-value service and still be in the other nodes' node
-/// lists.
-const NODE_RECORD_LIFETIME: Duration = Duration::from_secs(2);
-
 /// How long a computed share is used; it is recomputed because the set of nodes changes.
 const SHARE_VALIDITY: Duration = Duration::from_millis(500);
 
 impl State {
-    /// Records that the key-value service answers this node again.
-    pub(crate) fn mark_store_available(&mut self, now: Duration) {
-        let unavailable_since = self.store_unavailable_since.take();
-        if unavailable_since.is_some_and(|since| now >= since + NODE_RECORD_LIFETIME) {
-            self.listed_since = now;
-        }
-    }
-
     /// Returns the configuration of a service whose endpoints take a limited request rate while
     /// cold.
     fn cold_service_config(&self, service: &str) -> Option<&ServiceFacts> {
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -34,6 +34,11 @@
     all.map(|(_, e)| e.endpoint.id.clone()).collect()
 }
 
+fn remaining_back_off(directory: &Directory, now: Duration, service: &str) -> Option<Duration> {
+    let next = directory.next_to_accept(now, service);
+    next.map(|(_, remaining)| remaining)
+}
+
 #[test]
 fn missing_entry_without_an_outage_removes_the_endpoint() {
     let mut directory = Directory::default();
@@ -168,11 +173,14 @@
 fn back_off_applies_to_one_incarnation_of_an_endpoint() {
     let mut directory = Directory::default();
     directory.replace(ms(0), vec![started_at("x", 1)]);
-    assert_eq!(directory.remaining_back_off(ms(0), "pool"), None);
+    assert_eq!(remaining_back_off(&directory, ms(0), "pool"), None);
     directory.by_id_mut("x").unwrap().back_off(ms(0), ms(500));
     directory.by_id_mut("x").unwrap().back_off(ms(100), ms(100));
     assert!(usable(&directory, ms(499)).is_empty());
-    assert_eq!(directory.remaining_back_off(ms(200), "pool"), Some(ms(300)));
+    assert_eq!(
+        remaining_back_off(&directory, ms(200), "pool"),
+        Some(ms(300))
+    );
     assert_eq!(usable(&directory, ms(500)), ["x"]);
     directory.by_id_mut("x").unwrap().back_off(ms(500), ms(500));
     directory.upsert(ms(600), started_at("x", 2));
@@ -187,12 +195,12 @@
     directory.replace(ms(0), vec![endpoint("x"), endpoint("y"), endpoint("z")]);
     directory.by_id_mut("x").unwrap().back_off(ms(0), ms(500));
     directory.by_id_mut("y").unwrap().back_off(ms(0), ms(900));
-    assert_eq!(directory.remaining_back_off(ms(0), "pool"), None);
+    assert_eq!(remaining_back_off(&directory, ms(0), "pool"), None);
     directory.mark_leaving("z", None);
-    assert_eq!(directory.remaining_back_off(ms(0), "pool"), Some(ms(500)));
+    assert_eq!(remaining_back_off(&directory, ms(0), "pool"), Some(ms(500)));
     directory.mark_leaving("x", None);
-    assert_eq!(directory.remaining_back_off(ms(0), "pool"), Some(ms(900)));
-    assert_eq!(directory.remaining_back_off(ms(0), "desk"), None);
+    assert_eq!(remaining_back_off(&directory, ms(0), "pool"), Some(ms(900)));
+    assert_eq!(remaining_back_off(&directory, ms(0), "desk"), None);
 }
 
 // Guards against a panic on overflow: records of endpoints also come unchecked from other nodes.
