Keep requests on the version in use while its endpoints accept none

What callers saw: a session, or any request after a rollout, went to the old version when each endpoint of the new one paused or had no permit left. The old version stops right after the rollout, so such a request is lost, and a session changed its version.

Cause: endpoints that accept nothing at the moment were left out before the versions were looked at, so that a version with endpoints looked like one without. This is older than the permits (endpoints that ask for a pause did the same); with limits it lasts as long as the limit.

Change: the version is decided over all endpoints that are to be used, and those that accept nothing now, or have received the request already, are left out afterwards. What remains empty is refused, with the time at which an endpoint of that version accepts requests again.

--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -1,7 +1,7 @@
 //! Registry of the endpoints known to a node, with the load this node puts on each and its health.
 
 use crate::probe::ProbeReport;
-use crate::state::hash;
+use crate::state::{LimitedEndpoints, hash};
 use crate::update::Endpoint;
 use oatdale_policy::relay::{
     Health, LimitChange, PermitIssuer, PermitSeeker, RequestLimit, WarmUp,
@@ -412,24 +412,35 @@
         self.entries.get_mut(key)
     }
 
-    /// Returns the endpoints of a service that may get new requests.
-    pub fn usable<'a>(
+    /// Returns the endpoints of a service that are to be used, whether they accept a request from
+    /// this node at the moment or not.
+    pub fn eligible<'a>(
         &'a self,
         now: Duration,
         service: &'a str,
     ) -> impl Iterator<Item = (EndpointKey, &'a Entry)> {
         self.of_service(service)
             .filter(move |(_, e)| self.is_eligible(now, e))
-            .filter(move |(_, e)| now >= e.back_off_until && e.may_ask_permit(now))
     }
 
-    /// Returns the first endpoint of a service to accept a request from this node, after its
-    /// back-off or with a permit, and the time until then. `None` if one accepts requests now, or if
-    /// there is none.
-    pub fn next_to_accept(&self, now: Duration, service: &str) -> Option<(EndpointKey, Duration)> {
-        let entries = self.of_service(service);
-        let eligible = entries.filter(|(_, e)| self.is_eligible(now, e));
-        let (key, at) = eligible
+    /// Returns the endpoints of a service that may get new requests.
+    pub fn usable<'a>(
+        &'a self,
+        now: Duration,
+        service: &'a str,
+    ) -> impl Iterator<Item = (EndpointKey, &'a Entry)> {
+        self.eligible(now, service)
+            .filter(move |(_, e)| e.accepts_request(now))
+    }
+
+    /// Returns the first of these endpoints to accept a request from this node, after its back-off
+    /// or with a permit, and the time until then. `None` if one accepts requests now, or if there
+    /// is none.
+    pub fn next_to_accept<'a>(
+        now: Duration,
+        entries: impl Iterator<Item = (EndpointKey, &'a Entry)>,
+    ) -> Option<(EndpointKey, Duration)> {
+        let (key, at) = entries
             .map(|(key, e)| (key, e.accepts_at()))
             .min_by_key(|(_, at)| *at)?;
         let remaining = at.checked_sub(now).filter(|time| !time.is_zero())?;
@@ -446,6 +457,7 @@
         now: Duration,
         service: &str,
         excluded: &[EndpointKey],
+        limited: LimitedEndpoints,
         has_capacity: impl Fn(&Entry) -> bool,
     ) -> IneligibleCounts {
         let mut counts = IneligibleCounts::default();
@@ -455,7 +467,7 @@
                 e if !e.accepts_new_requests(now) => &mut counts.leaving,
                 e if self.is_evacuated(&e.endpoint.domain) => &mut counts.evacuated,
                 e if now < e.back_off_until => &mut counts.paused,
-                e if !e.may_ask_permit(now) => &mut counts.limited,
+                e if !e.may_ask_permit(now) || !limited.includes(e) => &mut counts.limited,
                 e if !has_capacity(e) => &mut counts.cold,
                 _ => &mut counts.other_version,
             };
@@ -744,11 +756,16 @@
         self.update_limit(RequestLimit::new(known_at.max(stated_at), None));
     }
 
-    /// Whether it may get a request from this node now, or once this node has asked for a permit.
+    /// Whether it has no limit, or this node may ask for a permit now.
     fn may_ask_permit(&self, now: Duration) -> bool {
         self.limit.per_second().is_none() || self.seeker.may_ask(now)
     }
 
+    /// Whether it accepts a request from this node now, or once this node has asked for a permit.
+    pub(crate) fn accepts_request(&self, now: Duration) -> bool {
+        now >= self.back_off_until && self.may_ask_permit(now)
+    }
+
     /// When it next accepts a request from this node, as far as known.
     fn accepts_at(&self) -> Duration {
         match self.limit.per_second() {
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -253,6 +253,14 @@
         cx.has_eligible_endpoint(&self.placement_request(&allowed, LimitedEndpoints::Excluded))
     }
 
+    /// Returns the time until an endpoint accepts the request, if none does and that is known, and
+    /// counts the caller as told so.
+    pub(crate) fn time_to_capacity<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
+        let allowed = self.allowed_versions(cx);
+        let request = self.placement_request(&allowed, LimitedEndpoints::Allowed);
+        cx.state().time_to_capacity(cx.now(), &request)
+    }
+
     /// Software versions that the request may use now. Looked up again for each attempt: a rollout
     /// may have ended since the last one, and the version allowed then may be gone.
     fn allowed_versions<W: Wire>(&self, cx: &Cx<W>) -> AllowedVersions {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -178,8 +178,7 @@
     let target = route.target_latency.unwrap_or(route.timeout);
     let share = rand::rng().random_range(RETRY_AFTER_TARGET_SHARE);
     let jitter = target.mul_f64(share).min(MAX_RETRY_AFTER_JITTER);
-    let now = cx.now();
-    let remaining = cx.state().time_to_capacity(now, &request_cx.service);
+    let remaining = request_cx.time_to_capacity(cx);
     match remaining {
         Some(remaining) => remaining + jitter,
         None => jitter.min(request_cx.time_left() / 3),
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -105,7 +105,7 @@
 }
 
 impl LimitedEndpoints {
-    fn includes(self, entry: &Entry) -> bool {
+    pub(crate) fn includes(self, entry: &Entry) -> bool {
         self == LimitedEndpoints::Allowed || entry.limit.per_second().is_none()
     }
 }
@@ -139,11 +139,17 @@
         }
     }
 
-    /// Returns the time until an endpoint of a service accepts a request from this node, and counts
-    /// the caller that is told it. `None` if one accepts requests now, or if that is not known.
-    pub(crate) fn time_to_capacity(&mut self, now: Duration, service: &str) -> Option<Duration> {
-        let Some((key, remaining)) = self.directory.next_to_accept(now, service) else {
-            return self.time_to_warm_up_slot(now, service);
+    /// Returns the time until an endpoint accepts a request, and counts the caller that is told it.
+    /// `None` if one accepts it now, or if that is not known.
+    pub(crate) fn time_to_capacity(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+    ) -> Option<Duration> {
+        let all: Vec<_> = self.directory.eligible(now, request.service).collect();
+        let eligible = filter_by_version(now, request.allowed, &all);
+        let Some((key, remaining)) = Directory::next_to_accept(now, eligible.into_iter()) else {
+            return self.time_to_warm_up_slot(now, request.service);
         };
         let entry = self.directory.get_mut(key)?;
         if let Some(per_second) = entry.limit.per_second() {
@@ -203,11 +209,7 @@
         request: &PlacementRequest<'_>,
         domain: &str,
     ) -> Option<(EndpointKey, usize)> {
-        let usable = self.directory.usable(now, request.service);
-        let all: Vec<_> = usable
-            .filter(|(key, _)| !request.excluded.contains(key))
-            .filter(|(_, e)| request.limited.includes(e))
-            .collect();
+        let all: Vec<_> = self.directory.eligible(now, request.service).collect();
         let eligible = self.filter_by_capacity(now, request, &all);
         // Ejected endpoints are used only when there is no other.
         let healthy = filter_entries(&eligible, |e| !e.health.is_ejected(now));
@@ -236,24 +238,31 @@
 }
 
 impl State {
-    /// Returns the endpoints whose version the request may use, without cold ones for which this
-    /// node's share is used up.
+    /// Returns the endpoints whose version the request may use, that accept it now and have not
+    /// received it.
+    ///
+    /// The version is decided first: one whose endpoints accept nothing for a moment is still the
+    /// one to use, and its sessions must not move to another.
     fn filter_by_capacity<'a>(
         &self,
         now: Duration,
         request: &PlacementRequest<'_>,
         all: &[KeyedEntry<'a>],
     ) -> Vec<KeyedEntry<'a>> {
-        let eligible = filter_by_version(now, request.allowed, all);
-        let Some(cold_time) = self.cold_time(request.service) else {
-            return eligible;
+        let cold_time = self.cold_time(request.service);
+        let is_available = |(key, e): &KeyedEntry<'_>| {
+            e.accepts_request(now)
+                && !request.excluded.contains(key)
+                && request.limited.includes(e)
+                && cold_time.is_none_or(|cold_time| has_capacity(now, e, cold_time))
         };
-        let available = filter_entries(&eligible, |e| has_capacity(now, e, cold_time));
+        let mut available = filter_by_version(now, request.allowed, all);
+        available.retain(is_available);
         match request.allowed {
             AllowedVersions::Trial { version, .. } if available.is_empty() => {
-                filter_entries(all, |e| {
-                    e.endpoint.version != *version && has_capacity(now, e, cold_time)
-                })
+                let mut others = filter_entries(all, |e| e.endpoint.version != *version);
+                others.retain(is_available);
+                others
             }
             _ => available,
         }
--- a/crates/oatdale-relay/src/state/warm_up.rs
+++ b/crates/oatdale-relay/src/state/warm_up.rs
@@ -79,8 +79,13 @@
         let cold_time = self.cold_time(request.service);
         let has_capacity =
             |e: &Entry| cold_time.is_none_or(|cold_time| has_capacity(now, e, cold_time));
-        self.directory
-            .count_ineligible(now, request.service, request.excluded, has_capacity)
+        self.directory.count_ineligible(
+            now,
+            request.service,
+            request.excluded,
+            request.limited,
+            has_capacity,
+        )
     }
 
     /// Returns the time until this node may send to the first cold endpoint of a service. `None` if
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -35,7 +35,7 @@
 }
 
 fn remaining_back_off(directory: &Directory, now: Duration, service: &str) -> Option<Duration> {
-    let next = directory.next_to_accept(now, service);
+    let next = Directory::next_to_accept(now, directory.eligible(now, service));
     next.map(|(_, remaining)| remaining)
 }
 
