Keep a small model's answer until the larger one has an endpoint

What callers saw: a 503 that promises that the request has not run, though a small model had answered it. The answer was discarded before an endpoint for the larger model was picked; when none accepted the request, the caller got nothing, and a false promise.

Cause: the escalation was decided by confidence and budget alone. Until now this took endpoints that all left, paused or were tried; with limits it takes a moment without a permit.

Evidence: with a limit of two a second at both engines of a test site, a request gets 503 after an engine has run it.

Change: the request is placed for the larger model first, with its permit, and only then the answer is discarded. If the larger model's endpoint turns the request away afterwards and no other accepts it, the caller is told that the answer is lost, not that the request was not run.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -107,21 +107,36 @@
     request_cx: &mut RequestContext,
     options: SendOptions,
 ) -> Result<EndpointResponse<W>, Failure> {
+    let in_flight = place(cx, request_cx).await?;
+    send_to(cx, request_cx, in_flight, options).await
+}
+
+/// Assigns a request to the best endpoint that has not received it yet and accepts it now.
+pub(crate) async fn place<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    request_cx: &RequestContext,
+) -> Result<InFlightRequest<W>, Failure> {
     crashes::wait_for_checks(cx, request_cx).await;
     if cx.remaining_quarantine(request_cx).is_some() {
         return Err(Failure::Quarantined { sent: false });
     }
-    let mut in_flight = match permits::place(cx, request_cx).await {
-        Ok(in_flight) => in_flight,
-        Err(ineligible) => {
-            log::info!(
-                target: "attempt",
-                "event=no_endpoint id={} config={} service={} {ineligible}",
-                request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.site.version, request_cx.service
-            );
-            return Err(Failure::NoEndpoint(ineligible));
-        }
-    };
+    permits::place(cx, request_cx).await.map_err(|ineligible| {
+        log::info!(
+            target: "attempt",
+            "event=no_endpoint id={} config={} service={} {ineligible}",
+            request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.site.version, request_cx.service
+        );
+        Failure::NoEndpoint(ineligible)
+    })
+}
+
+/// Sends a request to the endpoint that it is assigned to.
+pub(crate) async fn send_to<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    request_cx: &mut RequestContext,
+    mut in_flight: InFlightRequest<W>,
+    options: SendOptions,
+) -> Result<EndpointResponse<W>, Failure> {
     request_cx.pin_session(cx, &in_flight);
     gossip::announce_long_prompt(cx, &in_flight);
     request_cx.excluded.push(in_flight.key);
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
 use crate::headers::{forwarded_head, host_header, is_event_stream, strip_hop_by_hop};
+use crate::in_flight::InFlightRequest;
 use crate::reply::{self, Body, Refusal, refusal_response};
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
@@ -53,8 +54,8 @@
 enum Decision<W> {
     Forward(Reply<W>),
     Failed(Failure),
-    /// Repeat the request with the model at this index of the ladder.
-    Escalate(usize),
+    /// Repeat the request with a larger model, at this endpoint.
+    Escalate(InFlightRequest<W>),
 }
 
 /// Responds to one request.
@@ -192,8 +193,12 @@
 ) -> Result<Reply<W>, (Refusal, String)> {
     let idempotent = request_cx.route().kind.is_idempotent();
     let mut may_have_run = false;
+    // Whether a smaller model has run the request, so that a refusal must not say otherwise. Its
+    // run does not forbid others, since it is complete and its response discarded.
+    let mut is_escalated = false;
     let mut last_error_reply: Option<Reply<W>> = None;
     let mut purpose = Purpose::First;
+    let mut placed = None;
     loop {
         if request_cx.time_left() < MIN_ATTEMPT_TIME && request_cx.sends == 0 {
             return Err((Refusal::NoTime, "deadline too close".to_owned()));
@@ -203,7 +208,11 @@
             last_event_id: request_cx.metadata.last_event_id,
             may_abandon: idempotent && request_cx.has_attempts_after_next(),
         };
-        let failure = match attempt::attempt(cx, request_cx, options).await {
+        let result = match placed.take() {
+            Some(in_flight) => attempt::send_to(cx, request_cx, in_flight, options).await,
+            None => attempt::attempt(cx, request_cx, options).await,
+        };
+        let failure = match result {
             Ok(endpoint_res) => {
                 match decide(cx, request_cx, endpoint_res, options.may_abandon).await {
                     Decision::Forward(Reply::Buffered(head, body, endpoint))
@@ -214,10 +223,10 @@
                         Failure::Unknown(format!("response status {status}"))
                     }
                     Decision::Forward(reply) => return Ok(reply),
-                    Decision::Escalate(model_index) => {
-                        request_cx.model_index = model_index;
-                        request_cx.excluded.pop();
+                    Decision::Escalate(in_flight) => {
+                        placed = Some(in_flight);
                         purpose = Purpose::Escalation;
+                        is_escalated = true;
                         continue;
                     }
                     Decision::Failed(failure) => failure,
@@ -241,7 +250,9 @@
         return match (last_error_reply, &failure) {
             (Some(reply), _) => Ok(reply),
             (None, Failure::TimedOut) => Err((Refusal::TimedOut, "no response in time".to_owned())),
-            (None, _) if may_have_run => Err((Refusal::ResponseLost, format!("{failure:?}"))),
+            (None, _) if may_have_run || is_escalated => {
+                Err((Refusal::ResponseLost, format!("{failure:?}")))
+            }
             (None, Failure::Quarantined { .. }) => {
                 let request = request_cx.fingerprint();
                 Err((Refusal::Quarantined, format!("request={request}")))
@@ -290,12 +301,15 @@
             endpoint_res.metadata.confidence,
             can_retry,
         );
-        match decision {
+        let larger = match decision {
             EscalationDecision::Escalate(model_index) if cx.try_escalate(&request_cx.service) => {
-                cx.metrics.escalations.inc();
-                return Decision::Escalate(model_index);
+                place_larger(cx, request_cx, model_index).await
             }
-            _ => {}
+            _ => None,
+        };
+        if let Some(in_flight) = larger {
+            cx.metrics.escalations.inc();
+            return Decision::Escalate(in_flight);
         }
     }
     // These status codes would tell the caller that the request was not executed, which the
@@ -312,6 +326,24 @@
     buffer_body(cx, request_cx, endpoint_res, may_abandon).await
 }
 
+/// Assigns a request that has a smaller model's response to an endpoint for the model at this index
+/// of the ladder. The response is kept if no endpoint accepts the request.
+async fn place_larger<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    request_cx: &mut RequestContext,
+    model_index: usize,
+) -> Option<InFlightRequest<W>> {
+    let smaller = std::mem::replace(&mut request_cx.model_index, model_index);
+    // The endpoint that responded may run the larger model too.
+    let responded = request_cx.excluded.pop();
+    let placed = attempt::place(cx, request_cx).await;
+    if placed.is_err() {
+        request_cx.model_index = smaller;
+        request_cx.excluded.extend(responded);
+    }
+    placed.ok()
+}
+
 /// Buffers a response body, or returns it for streaming once it exceeds the bound.
 async fn buffer_body<W: Wire>(
     cx: &Arc<Cx<W>>,
