Let a broken stream wait for an endpoint that accepts it soon

What callers saw: a stream broke off in the middle and was not resumed, since the other endpoint had no permit left, though the next one came within the pause that callers accept between events.

Cause: a resumption was treated as a new request, which is refused at once and told when to come back. A caller that has a part of a stream can't be refused; ending it loses what was generated.

Change: when no endpoint accepts a resumption, the relay waits until the first is expected to, by its permit or the end of its pause, if that is within the accepted gap between events. The retry budget is charged once.

--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -253,9 +253,19 @@
         cx.has_eligible_endpoint(&self.placement_request(&allowed, LimitedEndpoints::Excluded))
     }
 
-    /// Returns the time until an endpoint accepts the request, if none does and that is known, and
-    /// counts the caller as told so.
+    /// Returns the time until an endpoint accepts a new request of the caller, if none does and that
+    /// is known, and counts the caller as told so.
     pub(crate) fn time_to_capacity<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
+        let allowed = self.allowed_versions(cx);
+        let request = PlacementRequest {
+            excluded: &[],
+            ..self.placement_request(&allowed, LimitedEndpoints::Allowed)
+        };
+        cx.state().time_to_capacity(cx.now(), &request)
+    }
+
+    /// The same for this request, which endpoints that have received it do not get again.
+    pub(crate) fn time_to_next_attempt<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
         let allowed = self.allowed_versions(cx);
         let request = self.placement_request(&allowed, LimitedEndpoints::Allowed);
         cx.state().time_to_capacity(cx.now(), &request)
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -147,7 +147,8 @@
         request: &PlacementRequest<'_>,
     ) -> Option<Duration> {
         let all: Vec<_> = self.directory.eligible(now, request.service).collect();
-        let eligible = filter_by_version(now, request.allowed, &all);
+        let mut eligible = filter_by_version(now, request.allowed, &all);
+        eligible.retain(|(key, _)| !request.excluded.contains(key));
         let Some((key, remaining)) = Directory::next_to_accept(now, eligible.into_iter()) else {
             return self.time_to_warm_up_slot(now, request.service);
         };
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -15,7 +15,7 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Share of the accepted gap between events after which a silent stream is checked and may be
 /// resumed at another endpoint.
@@ -138,12 +138,14 @@
         self.cx.state().roll_outs.record_slow(&source, true);
     }
 
+    /// Longest gap between events with which the response is still on time.
+    fn accepted_gap(&self) -> Duration {
+        let target_gap = self.request_cx.route().target_gap;
+        target_gap.unwrap_or(DEFAULT_EVENT_GAP)
+    }
+
     async fn read(&mut self) -> Item {
-        let gap = self
-            .request_cx
-            .route()
-            .target_gap
-            .unwrap_or(DEFAULT_EVENT_GAP);
+        let gap = self.accepted_gap();
         let waiting_since = Instant::now();
         let mut next_check = waiting_since + gap.mul_f64(SILENCE_CHECK_SHARE);
         loop {
@@ -193,6 +195,7 @@
         self.events.discard_partial();
         let last_event_id = self.events.last();
         let mut reason = break_reason.to_owned();
+        let resume_until = Instant::now() + self.accepted_gap();
         while self.request_cx.route().kind == RouteKind::ResumableStream
             && self.request_cx.has_attempts_left()
             && (std::mem::take(&mut self.retry_charged)
@@ -203,8 +206,12 @@
                 last_event_id,
                 may_abandon: self.request_cx.has_attempts_after_next(),
             };
-            self.cx.metrics.retries.inc();
-            match attempt::attempt(&self.cx, &mut self.request_cx, options).await {
+            let sends_before = self.request_cx.sends;
+            let result = attempt::attempt(&self.cx, &mut self.request_cx, options).await;
+            if self.request_cx.sends > sends_before {
+                self.cx.metrics.retries.inc();
+            }
+            match result {
                 Ok(response) if response.head.status.is_success() => {
                     log::info!(
                         target: "stream",
@@ -218,6 +225,9 @@
                     return Ok(());
                 }
                 Ok(response) => reason = format!("status {} on resumption", response.head.status),
+                Err(Failure::NoEndpoint(_)) if self.wait_for_capacity(resume_until).await => {
+                    self.retry_charged = true;
+                }
                 Err(Failure::NoEndpoint(_)) => return Err(format!("{reason}, no other endpoint")),
                 Err(Failure::Quarantined { .. }) => return Err(format!("{reason}, quarantined")),
                 Err(err) => reason = format!("{err:?}"),
@@ -226,6 +236,22 @@
         Err(reason)
     }
 
+    /// Waits until an endpoint is expected to accept the request; returns `false` at once if that is
+    /// later than `until` or not known.
+    ///
+    /// Unlike a new request, a stream whose caller has received a part of it cannot be refused.
+    async fn wait_for_capacity(&self, until: Instant) -> bool {
+        let wait = self.request_cx.time_to_next_attempt(&self.cx);
+        let resume_at = wait.map(|wait| Instant::now() + wait);
+        match resume_at.filter(|at| *at <= until) {
+            Some(at) => {
+                sleep_until(at).await;
+                true
+            }
+            None => false,
+        }
+    }
+
     fn end_with_error(&mut self, reason: &str) -> io::Error {
         self.ended = true;
         self.request_log.set_outcome(reason);
