--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -15,8 +15,9 @@
 
 use crate::cx::Cx;
 use crate::gossip::{self, Message};
+use crate::nodes::first_by_hash;
 use crate::request_context::RequestContext;
-use crate::state::{State, hash};
+use crate::state::State;
 use crate::update::Command;
 use crate::wire::Wire;
 use oatdale_policy::relay::{Fingerprint, Tracking};
@@ -209,9 +210,8 @@
     now: Duration,
     request: Fingerprint,
 ) -> impl Iterator<Item = SocketAddr> + use<> {
-    let mut nodes: Vec<_> = state.nodes.iter(now).collect();
-    nodes.sort_by_cached_key(|n| hash(&(request.0, &n.host)));
-    let addrs: Vec<_> = nodes.iter().take(TALLY_NODES).map(|n| n.nodes).collect();
+    let first = first_by_hash(state.nodes.iter(now), request.0, TALLY_NODES);
+    let addrs: Vec<_> = first.into_iter().map(|node| node.nodes).collect();
     addrs.into_iter()
 }
 
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -89,12 +89,8 @@
     pub(crate) warm_up_share: Option<(Duration, u32)>,
     /// Limit on its requests from all nodes together, as it last stated.
     pub(crate) limit: RequestLimit,
-    /// Whether all nodes have been told of the limit.
-    pub(crate) limit_announced: bool,
-    /// This node's use of the permits for it, while it has a limit.
-    pub(crate) seeker: PermitSeeker,
-    /// The permits that this node issues for it.
-    pub(crate) issuer: PermitIssuer,
+    /// Permits for it; unset as long as it has never had a limit, as most endpoints.
+    permits: Option<Box<Permits>>,
     /// End of the back-off that it asked this node for.
     pub(crate) back_off_until: Duration,
     /// Cancelled when the endpoint restarts: requests in flight to it are lost.
@@ -102,6 +98,17 @@
     registration: Registration,
 }
 
+/// Permits for requests to an endpoint that limits them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Permits {
+    /// Whether all nodes have been told of the limit.
+    pub(crate) limit_announced: bool,
+    /// This node's use of permits.
+    pub(crate) seeker: PermitSeeker,
+    /// The permits that this node issues.
+    pub(crate) issuer: PermitIssuer,
+}
+
 /// Long prompt sent by another node.
 #[derive(Clone, Copy, PartialEq, Debug)]
 struct LongPrompt {
@@ -635,9 +642,7 @@
             last_probe: Duration::ZERO,
             report: None,
             limit: RequestLimit::default(),
-            limit_announced: false,
-            seeker: PermitSeeker::default(),
-            issuer: PermitIssuer::default(),
+            permits: None,
             back_off_until: Duration::ZERO,
             restart_token: CancellationToken::new(),
             registration: Registration::Present,
@@ -740,11 +745,16 @@
         is_registered && !self.endpoint.leaving
     }
 
+    /// Returns the permits for it.
+    pub(crate) fn permits(&mut self) -> &mut Permits {
+        self.permits.get_or_insert_default()
+    }
+
     /// Updates its limit by a statement of it.
     pub(crate) fn update_limit(&mut self, limit: RequestLimit) -> LimitChange {
         let change = self.limit.update(limit);
         if change == LimitChange::Ended {
-            self.limit_announced = false;
+            self.permits().limit_announced = false;
         }
         change
     }
@@ -758,7 +768,14 @@
 
     /// Whether it has no limit, or this node may ask for a permit now.
     fn may_ask_permit(&self, now: Duration) -> bool {
-        self.limit.per_second().is_none() || self.seeker.may_ask(now)
+        let seeker = self.seeker_of_limited();
+        seeker.is_none_or(|seeker| seeker.may_ask(now))
+    }
+
+    /// Returns this node's use of permits, if it has a limit and this node has asked for one.
+    fn seeker_of_limited(&self) -> Option<&PermitSeeker> {
+        let permits = self.permits.as_ref()?;
+        self.limit.per_second().map(|_| &permits.seeker)
     }
 
     /// Whether it accepts a request from this node now, or once this node has asked for a permit.
@@ -768,10 +785,8 @@
 
     /// When it next accepts a request from this node, as far as known.
     fn accepts_at(&self) -> Duration {
-        match self.limit.per_second() {
-            Some(_) => self.back_off_until.max(self.seeker.expected_at()),
-            None => self.back_off_until,
-        }
+        let expected_at = self.seeker_of_limited().map(PermitSeeker::expected_at);
+        self.back_off_until.max(expected_at.unwrap_or_default())
     }
 
     /// Starts or extends its back-off towards this node.
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -10,9 +10,10 @@
 use crate::loads::{
     AGGREGATORS_PER_GROUP, AggregationScheme, GroupReport, GroupSums, Load, MAX_LOADS_PER_DATAGRAM,
 };
+use crate::nodes::first_by_hash;
 use crate::permits::{self, LimitStatement, PermitAnswer, PermitAsk};
 use crate::roll_outs::{COORDINATORS, OldSessions, Report};
-use crate::state::{State, hash};
+use crate::state::State;
 use crate::wire::Wire;
 use oatdale_policy::relay::{Fingerprint, is_prompt_announced};
 use serde::{Deserialize, Serialize};
@@ -347,16 +348,9 @@
 
 /// Returns the aggregators of a group: the first nodes by a hash that is the same on every node.
 fn aggregators<W: Wire>(cx: &Cx<W>, state: &State, group: u32) -> Vec<SocketAddr> {
-    let mut first: Vec<(u64, SocketAddr)> = Vec::new();
-    for node in state.nodes.iter(cx.now()) {
-        let rank = hash(&(group, &node.host));
-        let position = first.partition_point(|(other, _)| *other <= rank);
-        if position < AGGREGATORS_PER_GROUP {
-            first.insert(position, (rank, node.nodes));
-            first.truncate(AGGREGATORS_PER_GROUP);
-        }
-    }
-    first.into_iter().map(|(_, addr)| addr).collect()
+    let nodes = state.nodes.iter(cx.now());
+    let first = first_by_hash(nodes, group, AGGREGATORS_PER_GROUP);
+    first.into_iter().map(|node| node.nodes).collect()
 }
 
 fn send_loads<W: Wire>(
--- a/crates/oatdale-relay/src/nodes.rs
+++ b/crates/oatdale-relay/src/nodes.rs
@@ -1,7 +1,9 @@
 //! The other nodes, as recorded in the key-value service.
 
+use crate::state::hash;
 use crate::update::Node;
 use std::collections::BTreeMap;
+use std::hash::Hash;
 use std::time::Duration;
 
 /// Grace period after the key-value service recovers in which a node may still be missing because
@@ -114,3 +116,22 @@
             .filter(move |node| !is_leaving(&node.host))
     }
 }
+
+/// Returns the first `count` of these nodes in an order that is the same on every node and differs
+/// by `seed`.
+pub(crate) fn first_by_hash<'a>(
+    nodes: impl Iterator<Item = &'a Node>,
+    seed: impl Hash,
+    count: usize,
+) -> Vec<&'a Node> {
+    let mut first: Vec<(u64, &Node)> = Vec::new();
+    for node in nodes {
+        let key = hash(&(&seed, &node.host));
+        let position = first.partition_point(|(other, _)| *other <= key);
+        if position < count {
+            first.insert(position, (key, node));
+            first.truncate(count);
+        }
+    }
+    first.into_iter().map(|(_, node)| node).collect()
+}
--- a/crates/oatdale-relay/src/probe.rs
+++ b/crates/oatdale-relay/src/probe.rs
@@ -105,7 +105,7 @@
     }
 
     async fn probe_endpoint(&self) -> ProbeResult {
-        if !permits::obtain(&self.cx, self).await {
+        if !permits::obtain(&self.cx, self, None).await {
             return ProbeResult::NotSent;
         }
         let sent_at = Instant::now();
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -154,7 +154,7 @@
         };
         let entry = self.directory.get_mut(key)?;
         if let Some(per_second) = entry.limit.per_second() {
-            entry.seeker.record_refused(now, per_second);
+            entry.permits().seeker.record_refused(now, per_second);
         }
         Some(remaining)
     }
