Leave scarce permits to requests that cannot do without

What callers saw: refusals for want of a permit, while other callers had theirs answered again by a larger model with permits of the same engines.

Cause: permits were issued in the order of the requests for them, whatever they were for.

Change: a request for a permit says whether its caller can do without, as with a larger model or a probe. Such a request gets none within a second after another was denied; the node may still ask for others at once.

--- a/crates/oatdale-policy/src/relay/permits.rs
+++ b/crates/oatdale-policy/src/relay/permits.rs
@@ -40,6 +40,10 @@
 /// Maximum time after which a node is told to ask again.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
+/// Time after a denial for which permits are scarce: those that remain are for requests that cannot
+/// do without.
+const SCARCITY_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum wait that a refused caller is told. Callers that wait longer give up.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -86,6 +90,8 @@
     pub refused: u16,
     /// Whether the request comes from another node.
     pub is_remote: bool,
+    /// Whether the caller gets a response without it, if not as good or as soon.
+    pub is_optional: bool,
 }
 
 /// Response to a request for a permit.
@@ -113,6 +119,8 @@
     queue_until: Duration,
     /// Time that the last denied node was told to ask again.
     ask_again_at: Duration,
+    /// When a request that cannot do without was last denied.
+    denied_at: Option<Duration>,
     /// When another node last asked.
     confirmed_at: Option<Duration>,
     /// When this node last announced itself as the first issuer.
@@ -141,9 +149,22 @@
         let queue_until = self.queue_until.max(now) + refused_time;
         self.queue_until = queue_until.min(now + MAX_WAIT);
         let available_at = self.next_at.saturating_sub(interval.max(BURST_TIME));
-        if available_at <= now {
-            self.next_at = self.next_at.max(now) + interval;
-            return PermitReply::Granted;
+        let is_available = available_at <= now;
+        let is_scarce = self.denied_at.is_some_and(|at| now < at + SCARCITY_TIME);
+        match request.is_optional {
+            // The node may ask for other requests at once.
+            true if is_available && is_scarce => {
+                return PermitReply::Denied {
+                    wait: Duration::ZERO,
+                    pause: Duration::ZERO,
+                };
+            }
+            _ if is_available => {
+                self.next_at = self.next_at.max(now) + interval;
+                return PermitReply::Granted;
+            }
+            true => {}
+            false => self.denied_at = Some(now),
         }
         let ask_again_at = self.ask_again_at.max(available_at) + ASK_INTERVAL;
         self.ask_again_at = ask_again_at.min(now + MAX_PAUSE);
--- a/crates/oatdale-policy/tests/relay_permits.rs
+++ b/crates/oatdale-policy/tests/relay_permits.rs
@@ -26,6 +26,7 @@
         per_second,
         refused: 0,
         is_remote: true,
+        is_optional: false,
     }
 }
 
@@ -164,6 +165,32 @@
     }
 }
 
+// Guards against using scarce permits for what callers can do without.
+#[test]
+fn optional_requests_get_permits_only_while_no_other_is_denied() {
+    let optional = PermitRequest {
+        is_optional: true,
+        ..ask(2.0)
+    };
+    let mut issuer = PermitIssuer::default();
+    assert_eq!(
+        issuer.decide(secs(10), &SETTLED, &optional),
+        PermitReply::Granted
+    );
+    while issuer.decide(secs(10), &SETTLED, &ask(2.0)) == PermitReply::Granted {}
+    // A permit is available again, and is left to others.
+    match issuer.decide(secs(10) + ms(900), &SETTLED, &optional) {
+        PermitReply::Denied { pause, .. } => assert_eq!(pause, Duration::ZERO),
+        reply => panic!("{reply:?}"),
+    }
+    let reply = issuer.decide(secs(10) + ms(900), &SETTLED, &ask(2.0));
+    assert_eq!(reply, PermitReply::Granted);
+    assert_eq!(
+        issuer.decide(secs(12), &SETTLED, &optional),
+        PermitReply::Granted
+    );
+}
+
 // Guards against giving up an endpoint for a while because one datagram was lost.
 #[test]
 fn second_issuer_is_asked_when_the_first_does_not_answer() {
--- a/crates/oatdale-policy/tests/relay_permits_replay.rs
+++ b/crates/oatdale-policy/tests/relay_permits_replay.rs
@@ -321,6 +321,7 @@
             per_second: self.per_second,
             refused,
             is_remote,
+            is_optional: false,
         };
         let reply = self.hosts[host].issuer.decide(now, &view, &request);
         if self.hosts[host].issuer.start_claim(now, &view) {
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -107,7 +107,7 @@
     request_cx: &mut RequestContext,
     options: SendOptions,
 ) -> Result<EndpointResponse<W>, Failure> {
-    let in_flight = place(cx, request_cx).await?;
+    let in_flight = place(cx, request_cx, options.purpose).await?;
     send_to(cx, request_cx, in_flight, options).await
 }
 
@@ -115,12 +115,14 @@
 pub(crate) async fn place<W: Wire>(
     cx: &Arc<Cx<W>>,
     request_cx: &RequestContext,
+    purpose: Purpose,
 ) -> Result<InFlightRequest<W>, Failure> {
     crashes::wait_for_checks(cx, request_cx).await;
     if cx.remaining_quarantine(request_cx).is_some() {
         return Err(Failure::Quarantined { sent: false });
     }
-    permits::place(cx, request_cx).await.map_err(|ineligible| {
+    let is_optional = purpose == Purpose::Escalation;
+    permits::place(cx, request_cx, is_optional).await.map_err(|ineligible| {
         log::info!(
             target: "attempt",
             "event=no_endpoint id={} config={} service={} {ineligible}",
--- a/crates/oatdale-relay/src/permits.rs
+++ b/crates/oatdale-relay/src/permits.rs
@@ -38,6 +38,18 @@
 /// is sent to an endpoint without a limit or fails.
 const MAX_ASKS: usize = 3;
 
+/// The same for an attempt that its caller can do without.
+const MAX_OPTIONAL_ASKS: usize = 1;
+
+/// What a permit is for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct PermitUse<'a> {
+    /// Id of the request, if it is for one.
+    pub(crate) id: Option<&'a str>,
+    /// Whether the caller gets a response without it, if not as good or as soon.
+    pub(crate) is_optional: bool,
+}
+
 /// Requests for permits that wait for a reply.
 #[derive(Debug, Default)]
 pub(crate) struct PendingAsks {
@@ -99,26 +111,35 @@
 pub(crate) async fn place<W: Wire>(
     cx: &Arc<Cx<W>>,
     request_cx: &RequestContext,
+    is_optional: bool,
 ) -> Result<InFlightRequest<W>, IneligibleCounts> {
-    for _ in 0..MAX_ASKS {
+    let permit_use = PermitUse {
+        id: request_cx.metadata.id.as_deref(),
+        is_optional,
+    };
+    let max_asks = match is_optional {
+        true => MAX_OPTIONAL_ASKS,
+        false => MAX_ASKS,
+    };
+    for _ in 0..max_asks {
         let in_flight = request_cx.place(cx, LimitedEndpoints::Allowed)?;
-        if obtain(cx, &in_flight, request_cx.metadata.id.as_deref()).await {
+        if obtain(cx, &in_flight, permit_use).await {
             return Ok(in_flight);
         }
     }
     request_cx.place(cx, LimitedEndpoints::Excluded)
 }
 
-/// Returns whether the request `id`, or a probe without one, may be sent to its endpoint: the
-/// endpoint has no limit, or an issuer has granted a permit.
+/// Returns whether a request or probe may be sent to its endpoint: the endpoint has no limit, or an
+/// issuer has granted a permit.
 pub(crate) async fn obtain<W: Wire>(
     cx: &Cx<W>,
     in_flight: &InFlightRequest<W>,
-    id: Option<&str>,
+    permit_use: PermitUse<'_>,
 ) -> bool {
     let key = in_flight.key;
     let asked_at = Instant::now();
-    let (issuer, answer) = match ask(cx, key) {
+    let (issuer, answer) = match ask(cx, key, permit_use.is_optional) {
         (_, Ask::NoLimit) => return true,
         (issuer, Ask::Decided(reply)) => (issuer, reply.map(PermitAnswer::from)),
         (issuer, Ask::Sent(mut pending)) => {
@@ -142,14 +163,14 @@
         log::info!(
             target: "permit",
             "event=no_permit id={} endpoint={} issuer={issuer:?} outcome={outcome} answer={answer:?} took_ms={}",
-            id.unwrap_or("-"), in_flight.id, asked_at.elapsed().as_millis()
+            permit_use.id.unwrap_or("-"), in_flight.id, asked_at.elapsed().as_millis()
         );
     }
     is_allowed
 }
 
 /// Asks the endpoint's issuer for a permit, or decides at once if that is this node.
-fn ask<W: Wire>(cx: &Cx<W>, key: EndpointKey) -> (IssuerRank, Ask<'_, W>) {
+fn ask<W: Wire>(cx: &Cx<W>, key: EndpointKey, is_optional: bool) -> (IssuerRank, Ask<'_, W>) {
     let now = cx.now();
     let mut guard = cx.state();
     let state = &mut *guard;
@@ -177,6 +198,7 @@
                 per_second,
                 refused,
                 is_remote: false,
+                is_optional,
             };
             let reply = decide(cx, state, key, &request);
             (issuer, Ask::Decided(Some(reply)))
@@ -186,6 +208,7 @@
             let ask = PermitAsk {
                 number,
                 refused,
+                is_optional,
                 limit,
             };
             gossip::send_now(cx, [*to].into_iter(), &Message::PermitAsk(ask));
--- a/crates/oatdale-relay/src/permits/issuing.rs
+++ b/crates/oatdale-relay/src/permits/issuing.rs
@@ -37,6 +37,7 @@
                     per_second,
                     refused: ask.refused,
                     is_remote: true,
+                    is_optional: ask.is_optional,
                 };
                 decide(cx, state, key, &request).into()
             }
--- a/crates/oatdale-relay/src/permits/wire.rs
+++ b/crates/oatdale-relay/src/permits/wire.rs
@@ -32,6 +32,8 @@
     pub(crate) number: u32,
     /// Callers that the node has refused since it last asked.
     pub(crate) refused: u16,
+    /// Whether the caller can do without the request.
+    pub(crate) is_optional: bool,
     /// The endpoint, and its limit as known to the node that asks.
     pub(crate) limit: LimitStatement,
 }
--- a/crates/oatdale-relay/src/probe.rs
+++ b/crates/oatdale-relay/src/probe.rs
@@ -8,7 +8,7 @@
 use crate::cx::Cx;
 use crate::directory::Entry;
 use crate::in_flight::InFlightRequest;
-use crate::permits;
+use crate::permits::{self, PermitUse};
 use crate::wire::{StatedLimit, Wire};
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -105,7 +105,11 @@
     }
 
     async fn probe_endpoint(&self) -> ProbeResult {
-        if !permits::obtain(&self.cx, self, None).await {
+        let permit_use = PermitUse {
+            id: None,
+            is_optional: true,
+        };
+        if !permits::obtain(&self.cx, self, permit_use).await {
             return ProbeResult::NotSent;
         }
         let sent_at = Instant::now();
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -336,7 +336,7 @@
     let smaller = std::mem::replace(&mut request_cx.model_index, model_index);
     // The endpoint that responded may run the larger model too.
     let responded = request_cx.excluded.pop();
-    let placed = attempt::place(cx, request_cx).await;
+    let placed = attempt::place(cx, request_cx, Purpose::Escalation).await;
     if placed.is_err() {
         request_cx.model_index = smaller;
         request_cx.excluded.extend(responded);
