Check after failures whether a host reaches an endpoint's service at all

After a failure that its own link may have caused, a host now tries to connect to three endpoints of the service and, if none accepts, to two of others. It logs what it reached (event=checked, service_unreachable, service_reachable) and counts it (reach_checks_total, unreachable_services). No decision uses the result yet.

A service is checked at most once in 250 ms, and the first endpoint that accepts ends the check, so that a failing endpoint costs a connection and not three.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -26,6 +26,7 @@
 mod permits;
 mod placement;
 mod quarantine;
+mod reachability;
 mod readers;
 mod request_limit;
 mod retry_limiter;
@@ -46,6 +47,7 @@
 };
 pub use crate::relay::placement::{Candidate, Placement, choose};
 pub use crate::relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine, Tracking};
+pub use crate::relay::reachability::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
 pub use crate::relay::readers::{
     READERS_PER_DOMAIN, REGISTERED_PER_DOMAIN, ReaderCandidate, ReaderSelector,
     max_forwarded_bytes, rank_readers, registration_delay, select_readers, start_delay,
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::gossip;
 use crate::in_flight::InFlightRequest;
 use crate::permits;
+use crate::reachability;
 use crate::request_context::RequestContext;
 use crate::wire::{ResponseMetadata, Wire};
 use http::response;
@@ -152,6 +153,7 @@
             .inc();
     }
     let sent_at = Instant::now();
+    let progress_before = cx.now();
     let told = in_flight.limit_before.age(cx.now());
     let result = send(cx, request_cx, &in_flight, options).await;
     let attempt_time = sent_at.elapsed();
@@ -168,6 +170,14 @@
         result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
     );
     record_outcome(cx, request_cx, &in_flight, &result, attempt_time);
+    let may_be_own_link = result.as_ref().is_err_and(|failure| match failure {
+        Failure::NotSent(_) | Failure::Unknown(_) => true,
+        Failure::Abandoned | Failure::TimedOut => !in_flight.has_progress_since(progress_before),
+        _ => false,
+    });
+    if may_be_own_link {
+        reachability::record_failure(cx, in_flight.key);
+    }
     if matches!(result, Err(Failure::Unknown(_) | Failure::Abandoned)) {
         crashes::check_for_crash(cx, request_cx, &in_flight);
     }
@@ -196,6 +206,7 @@
         request_cx.deadline_at
     ));
     let sent_at = Instant::now();
+    let progress_before = cx.now();
     let mut next_check = sent_at + response_timeout(request_cx);
     let mut is_late = false;
     let res = loop {
@@ -221,6 +232,9 @@
                 if !request_cx.route().kind.is_stream() {
                     in_flight.record_late_response();
                 }
+                if !in_flight.has_progress_since(progress_before) {
+                    reachability::record_failure(cx, in_flight.key);
+                }
             }
             Err(_) if is_abandoned(request_cx, in_flight, sent_at).await => {
                 return Err(Failure::Abandoned);
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -126,6 +126,13 @@
         }
     }
 
+    /// Whether bytes have arrived from the endpoint since this time, on any connection.
+    pub(crate) fn has_progress_since(&self, since: Duration) -> bool {
+        let state = self.cx.state();
+        let entry = state.directory.get(self.key);
+        entry.is_some_and(|e| e.last_progress > since)
+    }
+
     /// Records a response; `is_ok` is false if the endpoint failed.
     pub(crate) fn record_response(&self, is_ok: bool) {
         if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -62,6 +62,7 @@
 mod peers;
 mod permits;
 mod probe;
+mod reachability;
 mod replica;
 mod reply;
 mod request_context;
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -34,6 +34,10 @@
     pub(crate) limited: IntCounterVec,
     /// Requests for permits to send to limited endpoints, by outcome.
     pub(crate) permits: IntCounterVec,
+    /// Checks whether this node reaches a service, by what they could connect to.
+    pub(crate) reach_checks: IntCounterVec,
+    /// Services of which this node reaches no endpoint.
+    pub(crate) unreachable_services: IntGauge,
     /// Announcements of endpoints that this version does not know.
     pub(crate) unknown_announcements: IntCounter,
     /// Time to the head of the forwarded response, in seconds.
@@ -61,6 +65,10 @@
             "Requests sent to endpoints that state a limit",
         );
         let permits = Opts::new("permits_total", "Requests for permits by outcome");
+        let reach_checks = Opts::new(
+            "reach_checks_total",
+            "Checks whether a service can be reached, by what was reached",
+        );
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let metrics = Metrics {
@@ -83,6 +91,11 @@
             restores: IntCounter::new("store_restores_total", "Restores of the key-value service")?,
             limited: IntCounterVec::new(limited, &["purpose"])?,
             permits: IntCounterVec::new(permits, &["outcome"])?,
+            reach_checks: IntCounterVec::new(reach_checks, &["reached"])?,
+            unreachable_services: IntGauge::new(
+                "unreachable_services",
+                "Services of which no endpoint can be reached",
+            )?,
             unknown_announcements: IntCounter::new(
                 "unknown_announcements_total",
                 "Announcements of endpoints that are not known",
@@ -101,7 +114,7 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
@@ -112,6 +125,8 @@
             Box::new(self.restores.clone()),
             Box::new(self.limited.clone()),
             Box::new(self.permits.clone()),
+            Box::new(self.reach_checks.clone()),
+            Box::new(self.unreachable_services.clone()),
             Box::new(self.unknown_announcements.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
--- a/crates/oatdale-relay/src/probe.rs
+++ b/crates/oatdale-relay/src/probe.rs
@@ -9,6 +9,7 @@
 use crate::directory::Entry;
 use crate::in_flight::InFlightRequest;
 use crate::permits::{self, PermitUse};
+use crate::reachability;
 use crate::wire::{StatedLimit, Wire};
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -119,6 +120,7 @@
             ProbeResult::Unreachable => {
                 log::info!(target: "probe", "event=probed endpoint={} alive=false", self.id);
                 self.record_no_response();
+                reachability::record_failure(&self.cx, self.key);
             }
             ProbeResult::Alive {
                 report,
--- /dev/null
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -0,0 +1,159 @@
+//! Checks whether this node can reach the endpoints of a service, after failures that could also be
+//! those of its own links.
+
+use crate::cx::Cx;
+use crate::directory::EndpointKey;
+use crate::state::State;
+use crate::wire::Wire;
+use futures::stream::{FuturesUnordered, StreamExt};
+use oatdale_policy::relay::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Timeout of each connection attempt: endpoints are a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Delay between the connection attempts of a check. The first endpoint mostly accepts, and the
+/// others are then spared.
+const CONNECT_STAGGER: Duration = Duration::from_millis(40);
+
+/// Endpoints of other services that a check tries after none of the service has accepted.
+const CHECKED_OTHERS: usize = 2;
+
+/// Reachability of one service.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceReach {
+    reach: Reachability,
+    /// Closed when the running check ends.
+    running: Option<watch::Sender<()>>,
+}
+
+/// Endpoints to connect to in one check.
+struct Targets {
+    service: Vec<SocketAddr>,
+    others: Vec<SocketAddr>,
+}
+
+/// Records a failure at an endpoint that may be due to this node's own links, and starts a check.
+pub(crate) fn record_failure<W: Wire>(cx: &Arc<Cx<W>>, key: EndpointKey) {
+    let now = cx.now();
+    let mut state = cx.state();
+    let Some(entry) = state.directory.get(key) else {
+        return;
+    };
+    let service = entry.endpoint.service.clone();
+    let known = state.reach.entry(service.clone()).or_default();
+    if let Some(delay) = known.reach.schedule(now) {
+        tokio::spawn(check_until_reached(cx.clone(), service, delay));
+    }
+}
+
+/// Checks a service, and repeats this until it is reached.
+async fn check_until_reached<W: Wire>(cx: Arc<Cx<W>>, service: String, delay: Duration) {
+    let mut next_delay = Some(delay);
+    while let Some(delay) = next_delay {
+        sleep(delay).await;
+        let targets = start_check(&cx, &service);
+        let began = Instant::now();
+        let outcome = connect(&targets).await;
+        cx.metrics
+            .reach_checks
+            .with_label_values(&[name(outcome)])
+            .inc();
+        log::info!(
+            target: "reachability",
+            "event=checked service={service} reached={} tried={} took_ms={}",
+            name(outcome), targets.service.len(), began.elapsed().as_millis()
+        );
+        next_delay = finish_check(&cx, &service, outcome);
+    }
+}
+
+fn start_check<W: Wire>(cx: &Cx<W>, service: &str) -> Targets {
+    let now = cx.now();
+    let mut guard = cx.state();
+    let state = &mut *guard;
+    let known = state.reach.entry(service.to_owned()).or_default();
+    known.reach.start();
+    known.running = Some(watch::Sender::default());
+    let directory = &state.directory;
+    let rng = &mut rand::rng();
+    let own = directory.eligible(now, service);
+    let own = own.map(|(_, e)| e.endpoint.addr);
+    let others = directory.iter(now).filter(|e| e.service != service);
+    Targets {
+        service: own.sample(rng, CHECKED_ENDPOINTS),
+        others: others.map(|e| e.addr).sample(rng, CHECKED_OTHERS),
+    }
+}
+
+/// Records the outcome of a check, and returns the delay before the next one if there is to be one.
+fn finish_check<W: Wire>(cx: &Cx<W>, service: &str, outcome: CheckOutcome) -> Option<Duration> {
+    let now = cx.now();
+    let mut state = cx.state();
+    let known = state.reach.entry(service.to_owned()).or_default();
+    let change = known.reach.finish(now, outcome);
+    known.running = None;
+    let next = known.reach.is_unreachable();
+    let next = next.then(|| known.reach.schedule(now)).flatten();
+    match change {
+        ReachChange::None => {}
+        ReachChange::Lost => {
+            log::warn!(target: "reachability", "event=service_unreachable service={service} reached={}", name(outcome));
+        }
+        ReachChange::Regained => {
+            log::warn!(target: "reachability", "event=service_reachable service={service}");
+        }
+    }
+    cx.metrics
+        .unreachable_services
+        .set(unreachable_services(&state));
+    next
+}
+
+fn unreachable_services(state: &State) -> i64 {
+    let unreachable = state.reach.values().filter(|s| s.reach.is_unreachable());
+    unreachable.count() as i64
+}
+
+async fn connect(targets: &Targets) -> CheckOutcome {
+    if targets.service.is_empty() || any_accepts(&targets.service).await {
+        return CheckOutcome::Service;
+    }
+    match any_accepts(&targets.others).await {
+        true => CheckOutcome::OtherServices,
+        false => CheckOutcome::Nothing,
+    }
+}
+
+/// Whether one of these addresses accepts a connection.
+async fn any_accepts(addrs: &[SocketAddr]) -> bool {
+    let attempts = addrs.iter().zip(0..).map(|(addr, n)| async move {
+        sleep(CONNECT_STAGGER * n).await;
+        matches!(
+            timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await,
+            Ok(Ok(_))
+        )
+    });
+    let mut attempts: FuturesUnordered<_> = attempts.collect();
+    while let Some(is_accepted) = attempts.next().await {
+        if is_accepted {
+            return true;
+        }
+    }
+    false
+}
+
+/// Name for logs and metrics.
+fn name(outcome: CheckOutcome) -> &'static str {
+    match outcome {
+        CheckOutcome::Service => "service",
+        CheckOutcome::OtherServices => "other-services",
+        CheckOutcome::Nothing => "nothing",
+    }
+}
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -9,6 +9,7 @@
 use crate::loads::{AggregationScheme, LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
 use crate::permits::PendingAsks;
+use crate::reachability::ServiceReach;
 use crate::roll_outs::{AllowedVersions, RollOuts};
 use crate::settings::Bounds;
 use crate::site::SiteConfig;
@@ -57,6 +58,8 @@
     pub(crate) nodes: Nodes,
     /// This node's requests for permits that wait for a reply.
     pub(crate) pending_asks: PendingAsks,
+    /// Whether this node reaches the endpoints of a service, for services where it had failures.
+    pub(crate) reach: HashMap<String, ServiceReach>,
     /// Sums up the loads reported by other nodes.
     pub(crate) load_aggregator: LoadAggregator,
     /// Load of all nodes together at each endpoint.
@@ -125,6 +128,7 @@
             roll_outs: RollOuts::default(),
             nodes: Nodes::default(),
             pending_asks: PendingAsks::default(),
+            reach: HashMap::new(),
             load_aggregator: LoadAggregator::default(),
             load_sums: LoadSums::default(),
             retry_limiters: HashMap::new(),
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -5,6 +5,7 @@
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
 use crate::events::EventReassembler;
+use crate::reachability;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::site::RouteKind;
@@ -191,6 +192,7 @@
     /// Resumes the stream at another endpoint, or returns the reason why that failed.
     async fn resume(&mut self, break_reason: &str) -> Result<(), String> {
         self.response.in_flight.record_no_response();
+        reachability::record_failure(&self.cx, self.response.in_flight.key);
         crashes::check_for_crash(&self.cx, &self.request_cx, &self.response.in_flight);
         self.events.discard_partial();
         let last_event_id = self.events.last();
