Forward requests to other hosts from one that reaches no endpoint

Cause: a host knew one way to an endpoint, its own connection. Class: a host judges the site by its own view alone.

A host that reaches no endpoint of a service, as its checks show, now forwards that service's requests to another host over the address at which it serves its state to others. That one handles them like its callers', with the attempts that are left, and never forwards them further. Hosts learn from the responses who can serve, and those that cannot name one that can. How often a request may still be sent and where a broken stream resumes is decided by the host that has the caller, so that it is never sent more often than before. When no host can serve, it is refused at once.

Why it works: the other hosts' links are not cut.

--- a/crates/oatdale-policy/src/relay/reachability.rs
+++ b/crates/oatdale-policy/src/relay/reachability.rs
@@ -61,12 +61,16 @@
         if self.progress != Progress::Idle {
             return None;
         }
-        self.progress = Progress::Scheduled;
         let next = self.last_check.map_or(now, |last| last + CHECK_INTERVAL);
-        Some(next.saturating_sub(now))
+        let delay = next.saturating_sub(now);
+        self.progress = match delay.is_zero() {
+            true => Progress::Running,
+            false => Progress::Scheduled,
+        };
+        Some(delay)
     }
 
-    /// Records that a check begins.
+    /// Records that a scheduled check begins.
     pub fn start(&mut self) {
         self.progress = Progress::Running;
     }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -3,7 +3,8 @@
 use crate::crashes;
 use crate::cx::Cx;
 use crate::directory::IneligibleCounts;
-use crate::endpoint_response::EndpointResponse;
+use crate::endpoint_response::{EndpointResponse, Upstream};
+use crate::forwarding;
 use crate::gossip;
 use crate::in_flight::InFlightRequest;
 use crate::permits;
@@ -52,6 +53,9 @@
     /// The request is quarantined because it crashes endpoints; `sent` is true if the quarantine
     /// began after the request had been sent to this endpoint.
     Quarantined { sent: bool },
+    /// This node reaches no endpoint of the service, and no other node has served the request, for
+    /// this reason.
+    NoNode(String),
 }
 
 impl Failure {
@@ -63,6 +67,7 @@
                 | Failure::NotRun(_)
                 | Failure::NoEndpoint(_)
                 | Failure::Quarantined { sent: false }
+                | Failure::NoNode(_)
         )
     }
 }
@@ -80,6 +85,11 @@
 }
 
 impl Purpose {
+    /// Whether an earlier attempt failed.
+    pub(crate) fn follows_failure(self) -> bool {
+        matches!(self, Purpose::Retry | Purpose::Resumption)
+    }
+
     /// Name for logs and metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
@@ -102,12 +112,18 @@
     pub(crate) may_abandon: bool,
 }
 
-/// Sends a request to the best endpoint that has not received it yet.
+/// Sends a request to the best endpoint that has not received it yet, through another node if this
+/// one reaches none.
 pub(crate) async fn attempt<W: Wire>(
     cx: &Arc<Cx<W>>,
     request_cx: &mut RequestContext,
     options: SendOptions,
 ) -> Result<EndpointResponse<W>, Failure> {
+    ensure_not_quarantined(cx, request_cx).await?;
+    if let Some(result) = forwarding::forward_if_unreachable(cx, request_cx, options).await {
+        return result;
+    }
+    request_cx.count(cx);
     let in_flight = place(cx, request_cx, options.purpose).await?;
     send_to(cx, request_cx, in_flight, options).await
 }
@@ -118,10 +134,7 @@
     request_cx: &RequestContext,
     purpose: Purpose,
 ) -> Result<InFlightRequest<W>, Failure> {
-    crashes::wait_for_checks(cx, request_cx).await;
-    if cx.remaining_quarantine(request_cx).is_some() {
-        return Err(Failure::Quarantined { sent: false });
-    }
+    ensure_not_quarantined(cx, request_cx).await?;
     let is_optional = purpose == Purpose::Escalation;
     permits::place(cx, request_cx, is_optional).await.map_err(|ineligible| {
         log::info!(
@@ -133,6 +146,17 @@
     })
 }
 
+async fn ensure_not_quarantined<W: Wire>(
+    cx: &Cx<W>,
+    request_cx: &RequestContext,
+) -> Result<(), Failure> {
+    crashes::wait_for_checks(cx, request_cx).await;
+    match cx.remaining_quarantine(request_cx) {
+        Some(_) => Err(Failure::Quarantined { sent: false }),
+        None => Ok(()),
+    }
+}
+
 /// Sends a request to the endpoint that it is assigned to.
 pub(crate) async fn send_to<W: Wire>(
     cx: &Arc<Cx<W>>,
@@ -186,7 +210,7 @@
         head,
         metadata,
         body,
-        in_flight,
+        upstream: Upstream::Endpoint(in_flight),
     })
 }
 
@@ -287,7 +311,7 @@
         .max(MIN_RESPONSE_TIMEOUT)
 }
 
-fn latency_target(request_cx: &RequestContext) -> Duration {
+pub(crate) fn latency_target(request_cx: &RequestContext) -> Duration {
     let route = request_cx.route();
     route.target_latency.unwrap_or(route.timeout)
 }
@@ -380,7 +404,7 @@
             }
             true
         }
-        Err(Failure::NoEndpoint(_) | Failure::Quarantined { .. }) => return,
+        Err(Failure::NoEndpoint(_) | Failure::Quarantined { .. } | Failure::NoNode(_)) => return,
     };
     // A stream's first event waits for the engine's queue and for the prompt to be processed, which
     // says little about a version; the intervals between its events say more and are recorded while
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -430,6 +430,16 @@
             .filter(move |(_, e)| self.is_eligible(now, e))
     }
 
+    /// Forgets the failures of a service's endpoints.
+    pub(crate) fn reset_health(&mut self, service: &str) {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        for key in keys {
+            if let Some(entry) = self.entries.get_mut(key) {
+                entry.health = Health::default();
+            }
+        }
+    }
+
     /// Returns the endpoints of a service that may get new requests.
     pub fn usable<'a>(
         &'a self,
--- a/crates/oatdale-relay/src/endpoint_response.rs
+++ b/crates/oatdale-relay/src/endpoint_response.rs
@@ -1,11 +1,17 @@
 //! An endpoint's response, whose body is read chunk by chunk.
 
+use crate::crashes;
+use crate::cx::Cx;
+use crate::forwarding::ForwardingNode;
 use crate::in_flight::InFlightRequest;
+use crate::reachability;
+use crate::request_context::RequestContext;
 use crate::wire::{ResponseMetadata, Wire};
 use bytes::Bytes;
 use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
 /// A response whose head has been received and whose body has not been read to its end.
@@ -13,7 +19,15 @@
     pub(crate) head: response::Parts,
     pub(crate) metadata: ResponseMetadata,
     pub(crate) body: Incoming,
-    pub(crate) in_flight: InFlightRequest<W>,
+    pub(crate) upstream: Upstream<W>,
+}
+
+/// Where a response comes from.
+pub(crate) enum Upstream<W> {
+    /// From an endpoint of this node's choice.
+    Endpoint(InFlightRequest<W>),
+    /// From an endpoint, through another node.
+    Node(ForwardingNode),
 }
 
 /// Result of waiting for the next chunk of a body.
@@ -26,20 +40,52 @@
     Late,
 }
 
+impl<W> EndpointResponse<W> {
+    /// The request at the endpoint, unless another node has sent it there.
+    pub(crate) fn in_flight(&self) -> Option<&InFlightRequest<W>> {
+        match &self.upstream {
+            Upstream::Endpoint(in_flight) => Some(in_flight),
+            Upstream::Node(_) => None,
+        }
+    }
+
+    /// Id of the endpoint that responded.
+    pub(crate) fn endpoint_id(&self) -> &str {
+        match &self.upstream {
+            Upstream::Endpoint(in_flight) => &in_flight.id,
+            Upstream::Node(node) => &node.endpoint,
+        }
+    }
+}
+
 impl<W: Wire> EndpointResponse<W> {
+    /// Records that the response broke off.
+    pub(crate) fn record_broken(&self, cx: &Arc<Cx<W>>, request_cx: &RequestContext) {
+        match &self.upstream {
+            Upstream::Endpoint(in_flight) => {
+                in_flight.record_no_response();
+                reachability::record_failure(cx, in_flight.key);
+                crashes::check_for_crash(cx, request_cx, in_flight);
+            }
+            Upstream::Node(node) => node.record_broken(cx, &request_cx.service),
+        }
+    }
+
     /// Waits for the next chunk of the body.
     pub(crate) async fn next(&mut self, until: Instant) -> Read {
         // Biased: a chunk that has arrived counts even if its endpoint has restarted since.
         let chunk = tokio::select! {
             biased;
             chunk = timeout_at(until, next_chunk(&mut self.body)) => chunk,
-            () = self.in_flight.wait_restarted() => {
+            () = wait_restarted(&self.upstream) => {
                 return Read::Broken("endpoint restarted during the response".to_owned());
             }
         };
         match chunk {
             Ok(Some(Ok(chunk))) => {
-                self.in_flight.record_progress();
+                if let Upstream::Endpoint(in_flight) = &self.upstream {
+                    in_flight.record_progress();
+                }
                 Read::Chunk(chunk)
             }
             Ok(Some(Err(err))) => Read::Broken(err.to_string()),
@@ -49,6 +95,13 @@
     }
 }
 
+async fn wait_restarted<W: Wire>(upstream: &Upstream<W>) {
+    match upstream {
+        Upstream::Endpoint(in_flight) => in_flight.wait_restarted().await,
+        Upstream::Node(_) => std::future::pending().await,
+    }
+}
+
 async fn next_chunk(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
     loop {
         match body.frame().await? {
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -49,6 +49,7 @@
 mod endpoint_response;
 mod error;
 mod events;
+mod forwarding;
 mod front;
 mod gossip;
 mod headers;
--- a/crates/oatdale-relay/src/local.rs
+++ b/crates/oatdale-relay/src/local.rs
@@ -42,6 +42,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                if let Err(err) = stream.set_nodelay(true) {
+                    log::debug!(target: "local", "event=socket_option_failed err={err}");
+                }
                 let service = service_fn(handler.clone());
                 let conn = http1::Builder::new()
                     .timer(TokioTimer::new())
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -38,6 +38,10 @@
     pub(crate) reach_checks: IntCounterVec,
     /// Services of which this node reaches no endpoint.
     pub(crate) unreachable_services: IntGauge,
+    /// Requests forwarded to other nodes, by outcome.
+    pub(crate) forwarded: IntCounterVec,
+    /// Requests that other nodes forwarded to this one.
+    pub(crate) forwarded_here: IntCounter,
     /// Announcements of endpoints that this version does not know.
     pub(crate) unknown_announcements: IntCounter,
     /// Time to the head of the forwarded response, in seconds.
@@ -69,6 +73,10 @@
             "reach_checks_total",
             "Checks whether a service can be reached, by what was reached",
         );
+        let forwarded = Opts::new(
+            "forwarded_total",
+            "Requests forwarded to other nodes, by outcome",
+        );
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let metrics = Metrics {
@@ -96,6 +104,11 @@
                 "unreachable_services",
                 "Services of which no endpoint can be reached",
             )?,
+            forwarded: IntCounterVec::new(forwarded, &["outcome"])?,
+            forwarded_here: IntCounter::new(
+                "received_from_nodes_total",
+                "Requests that other nodes forwarded to this one",
+            )?,
             unknown_announcements: IntCounter::new(
                 "unknown_announcements_total",
                 "Announcements of endpoints that are not known",
@@ -114,7 +127,7 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
@@ -127,6 +140,8 @@
             Box::new(self.permits.clone()),
             Box::new(self.reach_checks.clone()),
             Box::new(self.unreachable_services.clone()),
+            Box::new(self.forwarded.clone()),
+            Box::new(self.forwarded_here.clone()),
             Box::new(self.unknown_announcements.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -8,9 +8,11 @@
 
 use crate::crashes;
 use crate::cx::Cx;
+use crate::forwarding::FORWARDED;
 use crate::local::serve_http;
 use crate::replica::{self, Replica};
 use crate::reply::{Body, short_response};
+use crate::serve::serve_forwarded;
 use crate::wire::Wire;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
@@ -57,6 +59,9 @@
     records: Arc<Replica>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    if req.headers().contains_key(FORWARDED) {
+        return Ok(serve_forwarded(cx, req).await);
+    }
     if req.uri().path() == replica::RECORDS_PATH {
         return Ok(replica::handle_fetch(&records, &cx.metrics.traffic, req.into_body()).await);
     }
--- a/crates/oatdale-relay/src/reachability.rs
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -6,7 +6,9 @@
 use crate::state::State;
 use crate::wire::Wire;
 use futures::stream::{FuturesUnordered, StreamExt};
-use oatdale_policy::relay::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
+use oatdale_policy::relay::{
+    CHECKED_ENDPOINTS, CheckOutcome, ForwardTargets, ReachChange, Reachability,
+};
 use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,8 +31,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServiceReach {
     reach: Reachability,
-    /// Closed when the running check ends.
-    running: Option<watch::Sender<()>>,
+    /// Notified when a check ends.
+    checked: watch::Sender<()>,
+    /// Other nodes, as targets for requests while the service is unreachable.
+    pub(crate) targets: ForwardTargets,
 }
 
 /// Endpoints to connect to in one check.
@@ -53,6 +57,32 @@
     }
 }
 
+/// Whether this node reaches no endpoint of a service, as far as known now.
+pub(crate) fn is_unreachable<W>(cx: &Cx<W>, service: &str) -> bool {
+    let state = cx.state();
+    let known = state.reach.get(service);
+    known.is_some_and(|known| known.reach.is_unreachable())
+}
+
+/// The same after a failure: waits for the outcome of a check that is running.
+pub(crate) async fn is_unreachable_after_failure<W>(cx: &Cx<W>, service: &str) -> bool {
+    loop {
+        let mut checked = {
+            let state = cx.state();
+            match state.reach.get(service) {
+                None => return false,
+                Some(known) if known.reach.is_unreachable() => return true,
+                Some(known) if !known.reach.is_checking() => return false,
+                Some(known) => known.checked.subscribe(),
+            }
+        };
+        // Unreachable: the state owns the sender.
+        if checked.changed().await.is_err() {
+            return false;
+        }
+    }
+}
+
 /// Checks a service, and repeats this until it is reached.
 async fn check_until_reached<W: Wire>(cx: Arc<Cx<W>>, service: String, delay: Duration) {
     let mut next_delay = Some(delay);
@@ -80,7 +110,6 @@
     let state = &mut *guard;
     let known = state.reach.entry(service.to_owned()).or_default();
     known.reach.start();
-    known.running = Some(watch::Sender::default());
     let directory = &state.directory;
     let rng = &mut rand::rng();
     let own = directory.eligible(now, service);
@@ -98,16 +127,23 @@
     let mut state = cx.state();
     let known = state.reach.entry(service.to_owned()).or_default();
     let change = known.reach.finish(now, outcome);
-    known.running = None;
-    let next = known.reach.is_unreachable();
-    let next = next.then(|| known.reach.schedule(now)).flatten();
+    known.checked.send_replace(());
+    let is_unreachable = known.reach.is_unreachable();
+    let next = is_unreachable.then(|| known.reach.schedule(now)).flatten();
     match change {
         ReachChange::None => {}
         ReachChange::Lost => {
             log::warn!(target: "reachability", "event=service_unreachable service={service} reached={}", name(outcome));
+            // They may be dead without a sign of it.
+            for (_, entry) in state.directory.eligible(now, service) {
+                cx.pool.forget(entry.endpoint.addr);
+            }
         }
         ReachChange::Regained => {
             log::warn!(target: "reachability", "event=service_reachable service={service}");
+            // The failures were those of this node's links. The endpoint that is the first to
+            // respond would otherwise get all requests.
+            state.directory.reset_health(service);
         }
     }
     cx.metrics
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -3,6 +3,7 @@
 use crate::body::BufferedBody;
 use crate::cx::Cx;
 use crate::directory::{EndpointKey, IneligibleCounts};
+use crate::forwarding::ForwardedRequest;
 use crate::gossip::{self, Message};
 use crate::headers::host_header;
 use crate::in_flight::InFlightRequest;
@@ -54,6 +55,12 @@
     pub(crate) relative_size: f64,
     /// Confidence values that the models reported for their responses, in order.
     pub(crate) confidences: SmallVec<[u8; 2]>,
+    /// What the node states that forwarded the request to this one; `None` if a caller sent it.
+    pub(crate) forwarded: Option<ForwardedRequest>,
+    /// Whether the request is counted among those that allow retries.
+    pub(crate) is_counted: bool,
+    /// When the caller is to try again, as the node says that the request was forwarded to.
+    pub(crate) retry_after: Option<Duration>,
     fingerprint: OnceLock<Fingerprint>,
 }
 
@@ -88,6 +95,9 @@
             sends: 0,
             relative_size: 1.0,
             confidences: SmallVec::new(),
+            forwarded: None,
+            is_counted: false,
+            retry_after: None,
             fingerprint: OnceLock::new(),
             site,
         })
@@ -133,9 +143,48 @@
         self.deadline_at.saturating_duration_since(Instant::now())
     }
 
+    /// Takes over what another node states of a request that it has forwarded.
+    pub(crate) fn set_forwarded<W>(&mut self, cx: &Cx<W>, forwarded: ForwardedRequest) {
+        for id in &forwarded.excluded {
+            self.exclude(cx, id);
+        }
+        self.is_counted = forwarded.is_counted;
+        self.forwarded = Some(forwarded);
+    }
+
+    /// Excludes an endpoint from the next attempt, if this node knows it.
+    pub(crate) fn exclude<W>(&mut self, cx: &Cx<W>, id: &str) {
+        let mut state = cx.state();
+        let known = state.directory.by_id_with_key(id);
+        self.excluded.extend(known.map(|(key, _)| key));
+    }
+
+    /// Ids of the endpoints that are excluded from the next attempt.
+    pub(crate) fn ids_of_excluded<W>(&self, cx: &Cx<W>) -> Vec<String> {
+        let state = cx.state();
+        let entries = self.excluded.iter();
+        let entries = entries.filter_map(|key| state.directory.get(*key));
+        entries.map(|e| e.endpoint.id.clone()).collect()
+    }
+
+    /// Counts the request, once, among those that allow retries. A forwarded one is counted where it
+    /// is first sent to an endpoint.
+    pub(crate) fn count<W: Wire>(&mut self, cx: &Cx<W>) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            cx.count_request(&self.service);
+        }
+    }
+
+    /// Number of endpoints that the request may be sent to.
+    pub(crate) fn attempts(&self) -> u32 {
+        let attempts = self.route().attempts.max(1);
+        let stated = self.forwarded.as_ref().map(|f| f.attempts.max(1));
+        stated.map_or(attempts, |stated| stated.min(attempts))
+    }
+
     /// Whether the request may be sent to another endpoint.
     pub(crate) fn has_attempts_left(&self) -> bool {
-        self.sends < self.route().attempts.max(1)
+        self.sends < self.attempts()
     }
 
     /// Hash that identifies copies of this request: same method, host, target, customer and body.
@@ -172,7 +221,7 @@
 
     /// Whether another attempt would be allowed after the next one.
     pub(crate) fn has_attempts_after_next(&self) -> bool {
-        self.sends + 1 < self.route().attempts
+        self.sends + 1 < self.attempts()
     }
 
     /// Whether the next attempt uses the largest model of a ladder.
@@ -315,10 +364,7 @@
         endpoint: &str,
         last_event_id: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::new(self.body.bytes.clone()));
-        *req.method_mut() = self.method.clone();
-        *req.uri_mut() = self.uri.clone();
-        *req.headers_mut() = self.headers.clone();
+        let mut req = self.copy();
         let fwd = Forward {
             remaining: self.time_left(),
             endpoint,
@@ -331,6 +377,15 @@
         req
     }
 
+    /// Returns the request as the caller sent it, without the hop-by-hop headers.
+    pub(crate) fn copy(&self) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.bytes.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        req
+    }
+
     /// Whether an idle connection may be reused. A request that must not be retried fails for good
     /// if its endpoint closes the connection at that moment, so it uses only recently used ones.
     pub(crate) fn connection_reuse(&self) -> Reuse {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -2,9 +2,9 @@
 
 use crate::attempt::{self, Failure, Purpose, SendOptions};
 use crate::conn_timeouts::ConnTracker;
-use crate::crashes;
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
+use crate::forwarding::{self, FORWARDED, ForwardedRequest};
 use crate::headers::{forwarded_head, host_header, is_event_stream, strip_hop_by_hop};
 use crate::in_flight::InFlightRequest;
 use crate::reply::{self, Body, Refusal, refusal_response};
@@ -58,19 +58,56 @@
     Escalate(InFlightRequest<W>),
 }
 
-/// Responds to one request.
+/// Responds to one request of a caller.
 pub(crate) async fn serve<W: Wire>(
     cx: Arc<Cx<W>>,
     tracker: ConnTracker,
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    // Only nodes may set it, on their own connections.
+    req.headers_mut().remove(FORWARDED);
+    Ok(serve_request(cx, tracker, req, None).await)
+}
+
+/// Responds to one request that another node has forwarded.
+pub(crate) async fn serve_forwarded<W: Wire>(
+    cx: Arc<Cx<W>>,
+    mut req: Request<Incoming>,
+) -> Response<Body> {
+    cx.metrics.forwarded_here.inc();
+    match ForwardedRequest::try_from(req.headers()) {
+        Ok(forwarded) => {
+            req.headers_mut().remove(FORWARDED);
+            serve_request(cx, ConnTracker::new(), req, Some(forwarded)).await
+        }
+        Err(err) => {
+            log::warn!(target: "forwarding", "event=bad_request err={err}");
+            let mut res = refusal_response(Refusal::BadRequest, None);
+            forwarding::describe_refusal(&cx, &mut res, None, Refusal::BadRequest);
+            res
+        }
+    }
+}
+
+async fn serve_request<W: Wire>(
+    cx: Arc<Cx<W>>,
+    tracker: ConnTracker,
+    req: Request<Incoming>,
+    forwarded: Option<ForwardedRequest>,
+) -> Response<Body> {
     tracker.request_started();
     let arrival = Instant::now();
+    let is_forwarded = forwarded.is_some();
     let (head, body) = req.into_parts();
     let metadata = cx.wire.request(&head);
     let mut request_log = RequestLog::new(cx.clone(), tracker, arrival, metadata.id.as_deref());
     let mut res = match prepare(&cx, head, metadata, body, arrival, &mut request_log).await {
-        Ok(request_cx) => respond(&cx, request_cx, request_log).await,
+        Ok(mut request_cx) => {
+            if let Some(forwarded) = forwarded {
+                request_cx.set_forwarded(&cx, forwarded);
+            }
+            respond(&cx, request_cx, request_log).await
+        }
         Err(refusal) => {
             let retry = match refusal {
                 Refusal::NotReady | Refusal::NoMemory => Some(NOT_READY_RETRY_AFTER),
@@ -79,14 +116,18 @@
                 _ => None,
             };
             request_log.set_outcome(&format!("refused {refusal}"));
-            refusal_response(refusal, retry)
+            let mut res = refusal_response(refusal, retry);
+            if is_forwarded {
+                forwarding::describe_refusal(&cx, &mut res, None, refusal);
+            }
+            res
         }
     };
     if cx.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(res)
+    res
 }
 
 /// Routes and authenticates a request, and reads its body.
@@ -129,37 +170,48 @@
     mut request_cx: RequestContext,
     mut request_log: RequestLog<W>,
 ) -> Response<Body> {
-    cx.count_request(&request_cx.service);
     request_cx.record_size(cx);
     let result = send_with_retries(cx, &mut request_cx).await;
     request_log.fields = format!(
-        "config={} route={} service={} session={} model={} sends={} confidences={:?} ",
+        "config={} route={} service={} from_node={} session={} model={} sends={} confidences={:?} ",
         request_cx.site.version,
         request_cx.route().name,
         request_cx.service,
+        request_cx.forwarded.is_some(),
         request_cx.metadata.session.as_deref().unwrap_or("-"),
         request_cx.model().unwrap_or("-"),
         request_cx.sends,
         request_cx.confidences
     );
     let first_byte = request_cx.arrival.elapsed().as_secs_f64();
+    let (is_forwarded, sends) = (request_cx.forwarded.is_some(), request_cx.sends);
+    let describe = |res: &mut Response<Body>, endpoint| {
+        if is_forwarded {
+            forwarding::describe_response(res, sends, endpoint);
+        }
+    };
     match result {
         Ok(Reply::Buffered(head, body, endpoint)) => {
             cx.record_completion(&request_cx);
             cx.metrics.first_byte.observe(first_byte);
             request_log.fields += &format!("endpoint={endpoint} status={} ", head.status.as_u16());
             request_log.set_outcome("complete");
-            Response::from_parts(forwarded_head(*head), reply::full_body(body))
+            let mut res = Response::from_parts(forwarded_head(*head), reply::full_body(body));
+            describe(&mut res, endpoint);
+            res
         }
         Ok(Reply::Streamed(buffered, endpoint_res)) => {
             cx.metrics.first_byte.observe(first_byte);
             request_log.fields += &format!(
                 "endpoint={} status={} head_ms={} ",
-                endpoint_res.in_flight.id,
+                endpoint_res.endpoint_id(),
                 endpoint_res.head.status.as_u16(),
                 request_cx.arrival.elapsed().as_millis()
             );
-            stream_response(cx, request_cx, buffered, *endpoint_res, request_log)
+            let endpoint = endpoint_res.endpoint_id().to_owned();
+            let mut res = stream_response(cx, request_cx, buffered, *endpoint_res, request_log);
+            describe(&mut res, endpoint);
+            res
         }
         Err((refusal, detail)) => {
             request_log.set_outcome(&format!("refused {refusal}: {detail}"));
@@ -168,13 +220,20 @@
                 _ if refusal.status().as_u16() == 503 => Some(retry_delay(cx, &request_cx)),
                 _ => None,
             };
-            refusal_response(refusal, retry)
+            let mut res = refusal_response(refusal, retry);
+            if is_forwarded {
+                forwarding::describe_refusal(cx, &mut res, Some(&request_cx), refusal);
+            }
+            res
         }
     }
 }
 
 /// How long a refused caller should wait: at least until an endpoint accepts requests again.
 fn retry_delay<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> Duration {
+    if let Some(time) = request_cx.retry_after {
+        return time;
+    }
     let route = request_cx.route();
     let target = route.target_latency.unwrap_or(route.timeout);
     let share = rand::rng().random_range(RETRY_AFTER_TARGET_SHARE);
@@ -236,7 +295,10 @@
         };
         may_have_run |= !failure.is_not_run();
         let should_retry = match &failure {
-            Failure::NoEndpoint(_) | Failure::TimedOut | Failure::Quarantined { .. } => false,
+            Failure::NoEndpoint(_)
+            | Failure::NoNode(_)
+            | Failure::TimedOut
+            | Failure::Quarantined { .. } => false,
             // Not charged to the retry budget: no endpoint did any work, and the retries end when
             // all endpoints have been tried.
             Failure::NotSent(_) => request_cx.time_left() > MIN_ATTEMPT_TIME,
@@ -301,8 +363,11 @@
             endpoint_res.metadata.confidence,
             can_retry,
         );
+        let is_own = endpoint_res.in_flight().is_some();
         let larger = match decision {
-            EscalationDecision::Escalate(model_index) if cx.try_escalate(&request_cx.service) => {
+            EscalationDecision::Escalate(model_index)
+                if is_own && cx.try_escalate(&request_cx.service) =>
+            {
                 place_larger(cx, request_cx, model_index).await
             }
             _ => None,
@@ -362,7 +427,7 @@
         match endpoint_res.next(deadline).await {
             Read::Chunk(chunk) => buffered.extend_from_slice(&chunk),
             Read::End => {
-                let id = endpoint_res.in_flight.id.clone();
+                let id = endpoint_res.endpoint_id().to_owned();
                 return Decision::Forward(Reply::Buffered(
                     Box::new(endpoint_res.head),
                     buffered.freeze(),
@@ -370,8 +435,7 @@
                 ));
             }
             Read::Broken(reason) => {
-                endpoint_res.in_flight.record_no_response();
-                crashes::check_for_crash(cx, request_cx, &endpoint_res.in_flight);
+                endpoint_res.record_broken(cx, request_cx);
                 return Decision::Failed(Failure::Unknown(reason));
             }
             Read::Late => return Decision::Failed(Failure::Unknown("body timed out".to_owned())),
@@ -429,7 +493,7 @@
                 None
             }
             Read::Broken(reason) => {
-                crashes::check_for_crash(&cx, &request_cx, &endpoint_res.in_flight);
+                endpoint_res.record_broken(&cx, &request_cx);
                 request_log.set_outcome(&format!("response body broke off: {reason}"));
                 Some((Err(io::Error::other(reason)), None))
             }
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -1,11 +1,10 @@
 //! Forwards an event stream, and resumes it at another endpoint if it breaks.
 
 use crate::attempt::{self, Failure, Purpose, SendOptions};
-use crate::crashes;
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
 use crate::events::EventReassembler;
-use crate::reachability;
+use crate::forwarding;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::site::RouteKind;
@@ -116,7 +115,10 @@
         let Some(pace) = self.pace.record_event(self.cx.now()) else {
             return;
         };
-        let source = self.request_cx.source(&self.response.in_flight);
+        let Some(in_flight) = self.response.in_flight() else {
+            return;
+        };
+        let source = self.request_cx.source(in_flight);
         let mut state = self.cx.state();
         state
             .roll_outs
@@ -135,7 +137,10 @@
 
     fn record_slow(&mut self) {
         self.pace.mark_slow();
-        let source = self.request_cx.source(&self.response.in_flight);
+        let Some(in_flight) = self.response.in_flight() else {
+            return;
+        };
+        let source = self.request_cx.source(in_flight);
         self.cx.state().roll_outs.record_slow(&source, true);
     }
 
@@ -181,19 +186,32 @@
             return false;
         }
         let silence = gap.mul_f64(SILENCE_CHECK_SHARE);
-        let is_stalled = self.response.in_flight.is_unresponsive(silence).await
-            || waiting_since.elapsed() >= gap.mul_f64(STALLED_GAP_FACTOR);
-        let has_other_endpoint = || self.request_cx.has_eligible_endpoint(&self.cx);
+        let is_unresponsive = match self.response.in_flight() {
+            Some(in_flight) => in_flight.is_unresponsive(silence).await,
+            None => false,
+        };
+        let is_stalled =
+            is_unresponsive || waiting_since.elapsed() >= gap.mul_f64(STALLED_GAP_FACTOR);
+        if !is_stalled || !self.has_other_endpoint() {
+            return false;
+        }
+        // The node that forwarded the request resumes it, and charges its retry budget.
         self.retry_charged =
-            is_stalled && has_other_endpoint() && self.cx.try_retry(&self.request_cx.service);
-        self.retry_charged
+            self.request_cx.forwarded.is_none() && self.cx.try_retry(&self.request_cx.service);
+        self.retry_charged || self.request_cx.forwarded.is_some()
+    }
+
+    fn has_other_endpoint(&self) -> bool {
+        self.request_cx.has_eligible_endpoint(&self.cx)
+            || forwarding::is_in_use(&self.cx, &self.request_cx.service)
     }
 
     /// Resumes the stream at another endpoint, or returns the reason why that failed.
     async fn resume(&mut self, break_reason: &str) -> Result<(), String> {
-        self.response.in_flight.record_no_response();
-        reachability::record_failure(&self.cx, self.response.in_flight.key);
-        crashes::check_for_crash(&self.cx, &self.request_cx, &self.response.in_flight);
+        self.response.record_broken(&self.cx, &self.request_cx);
+        if self.request_cx.forwarded.is_some() {
+            return Err(break_reason.to_owned());
+        }
         self.events.discard_partial();
         let last_event_id = self.events.last();
         let mut reason = break_reason.to_owned();
@@ -219,7 +237,7 @@
                         target: "stream",
                         "event=resumed id={} after={last_event_id:?} from={} to={} reason={reason:?}",
                         self.request_cx.metadata.id.as_deref().unwrap_or("-"),
-                        self.response.in_flight.id, response.in_flight.id
+                        self.response.endpoint_id(), response.endpoint_id()
                     );
                     self.cx.metrics.resumed.inc();
                     self.response = response;
@@ -231,6 +249,7 @@
                     self.retry_charged = true;
                 }
                 Err(Failure::NoEndpoint(_)) => return Err(format!("{reason}, no other endpoint")),
+                Err(Failure::NoNode(why)) => return Err(format!("{reason}, no other node: {why}")),
                 Err(Failure::Quarantined { .. }) => return Err(format!("{reason}, quarantined")),
                 Err(err) => reason = format!("{err:?}"),
             }
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -16,6 +16,15 @@
     /// the endpoint.
     fn forward(&self, headers: &mut HeaderMap, fwd: &Forward<'_>);
 
+    /// Sets the headers of a request that is forwarded to another node, which handles it like a
+    /// caller's. `remaining` is the time until the caller stops waiting.
+    fn forward_to_node(
+        &self,
+        headers: &mut HeaderMap,
+        remaining: Duration,
+        last_event_id: Option<u64>,
+    );
+
     /// Parses the head of an endpoint's response.
     fn response(&self, head: &response::Parts) -> ResponseMetadata;
 
