Blame endpoints only for failures that are not the host's own

Cause: a refused connection was taken for an endpoint's crash, and a failed one for its restart, by hosts that judge by their own connections alone. A crash, and an endpoint that may be cold, are now reported only if the host can connect to another endpoint of the service or, where it has no other, to an endpoint at all. A restart that the endpoint's record shows needs no such proof.

A path that is cut to a single endpoint alone still looks like a crash to its host: the other hosts' counts decide, as before.

--- a/crates/oatdale-policy/src/relay/reachability.rs
+++ b/crates/oatdale-policy/src/relay/reachability.rs
@@ -25,6 +25,19 @@
     Nothing,
 }
 
+impl CheckOutcome {
+    /// Whether a failed connection to one of a service's `endpoints` is the endpoint's fault. Where
+    /// the service has others, at least one of them has to accept connections from this node: the
+    /// links to a single service can be cut too.
+    pub fn shows_endpoint_fault(self, endpoints: usize) -> bool {
+        match self {
+            CheckOutcome::Service => true,
+            CheckOutcome::OtherServices => endpoints <= 1,
+            CheckOutcome::Nothing => false,
+        }
+    }
+}
+
 /// What a check changed.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ReachChange {
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -3,6 +3,7 @@
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::in_flight::{InFlightRequest, handle_unreachable};
+use crate::reachability;
 use crate::request_context::RequestContext;
 use crate::wire::Wire;
 use oatdale_policy::relay::Fingerprint;
@@ -104,21 +105,26 @@
             continue;
         };
         if !entry.has_planned_end(now) && state.checks.add(*key, request) {
-            tokio::spawn(check(cx.clone(), *key, entry.endpoint.addr));
+            let service = entry.endpoint.service.clone();
+            tokio::spawn(check(cx.clone(), *key, entry.endpoint.addr, service));
         }
     }
 }
 
 /// Checks one endpoint on behalf of all requests whose connections to it broke.
-async fn check<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr) {
+async fn check<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr, service: String) {
     let has_restarted = cx.state().directory.has_restarted(key);
     let outcome = match has_restarted {
         true => ConnectOutcome::Refused,
         false => try_connect(addr).await,
     };
-    let has_crashed = outcome == ConnectOutcome::Refused;
+    // A refused connection may also mean that this node's own links are cut.
+    let is_own_link = outcome != ConnectOutcome::Reachable
+        && !has_restarted
+        && !reachability::shows_endpoint_fault(&cx, &service).await;
+    let has_crashed = outcome == ConnectOutcome::Refused && !is_own_link;
     let mut state = cx.state();
-    if outcome != ConnectOutcome::Reachable {
+    if outcome != ConnectOutcome::Reachable && !is_own_link {
         handle_unreachable(&cx, &mut state, key);
     }
     let requests = state.checks.finish(key);
@@ -128,7 +134,7 @@
     let endpoint = entry.number;
     log::info!(
         target: "quarantine",
-        "event=checked endpoint={} number={endpoint} crashed={has_crashed} requests={}",
+        "event=checked endpoint={} number={endpoint} crashed={has_crashed} own_link={is_own_link} requests={}",
         entry.endpoint.id, requests.len()
     );
     if has_crashed {
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -3,6 +3,7 @@
 use crate::cx::Cx;
 use crate::directory::{EndpointKey, Entry};
 use crate::gossip::{self, Message};
+use crate::reachability;
 use crate::state::State;
 use crate::wire::Wire;
 use oatdale_policy::relay::RequestLimit;
@@ -178,8 +179,7 @@
     /// requests at first. This is broadcast to all nodes, since most of them are not sending it
     /// anything at that moment.
     pub(crate) fn record_unreachable(&self) {
-        let mut state = self.cx.state();
-        handle_unreachable(&self.cx, &mut state, self.key);
+        reachability::record_unreachable(&self.cx, self.key);
     }
 
     /// Records the remaining warm-up time that the endpoint announced in a response.
--- a/crates/oatdale-relay/src/reachability.rs
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -3,6 +3,7 @@
 
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
+use crate::in_flight::handle_unreachable;
 use crate::state::State;
 use crate::wire::Wire;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -10,6 +11,7 @@
     CHECKED_ENDPOINTS, CheckOutcome, ForwardTargets, ReachChange, Reachability,
 };
 use rand::seq::IteratorRandom;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +35,8 @@
     reach: Reachability,
     /// Notified when a check ends.
     checked: watch::Sender<()>,
+    /// Endpoints that did not accept a connection since the last check.
+    suspects: BTreeSet<EndpointKey>,
     /// Other nodes, as targets for requests while the service is unreachable.
     pub(crate) targets: ForwardTargets,
 }
@@ -83,6 +87,32 @@
     }
 }
 
+/// Records that an endpoint did not accept a connection. The other nodes are told so if a check shows
+/// that this is not due to this node's own links.
+pub(crate) fn record_unreachable<W: Wire>(cx: &Arc<Cx<W>>, key: EndpointKey) {
+    {
+        let mut guard = cx.state();
+        let state = &mut *guard;
+        if let Some(entry) = state.directory.get(key) {
+            let service = entry.endpoint.service.clone();
+            state.reach.entry(service).or_default().suspects.insert(key);
+        }
+    }
+    record_failure(cx, key);
+}
+
+/// Whether a failed connection to an endpoint of this service is the endpoint's fault.
+pub(crate) async fn shows_endpoint_fault<W: Wire>(cx: &Cx<W>, service: &str) -> bool {
+    let (targets, endpoints) = {
+        let state = cx.state();
+        let now = cx.now();
+        let endpoints = state.directory.eligible(now, service).count();
+        (Targets::new(&state, now, service), endpoints)
+    };
+    let outcome = connect(&targets).await;
+    outcome.shows_endpoint_fault(endpoints)
+}
+
 /// Checks a service, and repeats this until it is reached.
 async fn check_until_reached<W: Wire>(cx: Arc<Cx<W>>, service: String, delay: Duration) {
     let mut next_delay = Some(delay);
@@ -110,14 +140,20 @@
     let state = &mut *guard;
     let known = state.reach.entry(service.to_owned()).or_default();
     known.reach.start();
-    let directory = &state.directory;
-    let rng = &mut rand::rng();
-    let own = directory.eligible(now, service);
-    let own = own.map(|(_, e)| e.endpoint.addr);
-    let others = directory.iter(now).filter(|e| e.service != service);
-    Targets {
-        service: own.sample(rng, CHECKED_ENDPOINTS),
-        others: others.map(|e| e.addr).sample(rng, CHECKED_OTHERS),
+    Targets::new(state, now, service)
+}
+
+impl Targets {
+    fn new(state: &State, now: Duration, service: &str) -> Self {
+        let directory = &state.directory;
+        let rng = &mut rand::rng();
+        let own = directory.eligible(now, service);
+        let own = own.map(|(_, e)| e.endpoint.addr);
+        let others = directory.iter(now).filter(|e| e.service != service);
+        Targets {
+            service: own.sample(rng, CHECKED_ENDPOINTS),
+            others: others.map(|e| e.addr).sample(rng, CHECKED_OTHERS),
+        }
     }
 }
 
@@ -125,9 +161,11 @@
 fn finish_check<W: Wire>(cx: &Cx<W>, service: &str, outcome: CheckOutcome) -> Option<Duration> {
     let now = cx.now();
     let mut state = cx.state();
+    let endpoints = state.directory.eligible(now, service).count();
     let known = state.reach.entry(service.to_owned()).or_default();
     let change = known.reach.finish(now, outcome);
     known.checked.send_replace(());
+    let suspects = std::mem::take(&mut known.suspects);
     let is_unreachable = known.reach.is_unreachable();
     let next = is_unreachable.then(|| known.reach.schedule(now)).flatten();
     match change {
@@ -146,6 +184,11 @@
             state.directory.reset_health(service);
         }
     }
+    if outcome.shows_endpoint_fault(endpoints) {
+        for key in suspects {
+            handle_unreachable(cx, &mut state, key);
+        }
+    }
     cx.metrics
         .unreachable_services
         .set(unreachable_services(&state));
