Add a failing test for completing a version that is probably bad

The version fails half of one route's requests. The evidence is below the bound for a rollback, and the version is completed.

--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -242,3 +242,46 @@
     let due = node.due_ends(ms(2_000), 0, |_, _| false);
     assert_eq!(due.first().map(|d| d.1), Some(RollOutEnd::RolledBack));
 }
+
+/// Requests and failures of the old version on each of three routes.
+const OLD_RESPONSES: [[u32; 2]; 3] = [[437, 10], [195, 3], [140, 2]];
+
+/// Endpoint, route, requests and failures of a new version that fails half of the requests of the third
+/// route. Endpoint 4 also fails by itself.
+const BAD_ON_ONE_ROUTE: [[u32; 4]; 13] = [
+    [1, 1, 7, 0],
+    [1, 2, 2, 0],
+    [2, 1, 10, 0],
+    [2, 2, 8, 0],
+    [2, 3, 4, 1],
+    [3, 1, 12, 0],
+    [3, 2, 5, 0],
+    [3, 3, 3, 2],
+    [4, 1, 11, 3],
+    [4, 2, 2, 2],
+    [4, 3, 3, 1],
+    [5, 1, 7, 0],
+    [5, 3, 1, 0],
+];
+
+// Guards against completing a version that is probably bad, though its trial was too short to prove it:
+// all requests go to it from then on, and the old endpoints stop.
+#[test]
+fn probably_bad_version_is_not_completed() {
+    let mut node = node();
+    let mut record = |version: &str, endpoint: u32, route: u32, [requests, failures]: [u32; 2]| {
+        let mut source = response_from(version, endpoint);
+        source.origin.route = route;
+        for n in 0..requests {
+            node.record_response(&source, n < failures, None);
+        }
+    };
+    for (route, counts) in (1..).zip(OLD_RESPONSES) {
+        record("v1", 9, route, counts);
+    }
+    for [endpoint, route, requests, failures] in BAD_ON_ONE_ROUTE {
+        record("v2", endpoint, route, [requests, failures]);
+    }
+    let due = (0..200).find_map(|n| node.due_ends(ms(n * 50), 0, |_, _| true).pop());
+    assert_eq!(due.map(|(_, end)| end), Some(RollOutEnd::RolledBack));
+}
