Do not complete a version that is probably bad

Cause: the completion used the bound of the running trial, which asks for evidence of 100 to one, since a trial can wait for more. Completing ends that: the old endpoints stop. Class: a final decision taken by the rule of one that can still be revised. At the end the evidence in the trace is some 30 to one (9 of 74 responses failed, 4 of 11 on the route).

When a version is to be completed, evidence of ten to one now suffices to roll it back. The exposure of trials is at what operators allow already, so longer or larger trials are no way; a bound that falls during the trial would cost more false rollbacks for the same gain.

The counts of all nodes are summed before as after: the decision does not depend on how many there are.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -38,7 +38,9 @@
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
-pub use crate::relay::evidence::{Counts, CountsByOrigin, Origin, Verdict, VersionCounts, verdict};
+pub use crate::relay::evidence::{
+    Counts, CountsByOrigin, Origin, Verdict, VersionCounts, completion_verdict, verdict,
+};
 pub use crate::relay::fingerprint::Fingerprint;
 pub use crate::relay::forwarding::ForwardTargets;
 pub use crate::relay::health::Health;
--- a/crates/oatdale-policy/src/relay/evidence.rs
+++ b/crates/oatdale-policy/src/relay/evidence.rs
@@ -13,6 +13,11 @@
 /// endpoints are gone by then.
 const LOG_EVIDENCE_BOUND: f64 = 4.6;
 
+/// The same when the version is to be completed: odds of ten to one. Until then more responses can
+/// settle what is not certain; afterwards nothing can, and the choice is between a rollout that has to
+/// be ordered again and a version that is probably bad for all callers.
+const COMPLETION_LOG_BOUND: f64 = 2.3;
+
 /// Natural logarithm of the evidence that must remain when the endpoint that contributes most to it
 /// is left out: a likelihood ratio of four for a bad version at the other endpoints.
 const LEAVE_ONE_OUT_LOG_BOUND: f64 = 1.4;
@@ -185,15 +190,26 @@
 /// hides the other, and a fault that affects all endpoints alike is not attributed to the new
 /// version.
 pub fn verdict(version_counts: &VersionCounts) -> Verdict {
-    match is_worse(version_counts, Fault::Failed) || is_worse(version_counts, Fault::Slow) {
+    verdict_above(version_counts, LOG_EVIDENCE_BOUND)
+}
+
+/// Judges the new version once more when it is to be completed: one that is probably bad must not be.
+pub fn completion_verdict(version_counts: &VersionCounts) -> Verdict {
+    verdict_above(version_counts, COMPLETION_LOG_BOUND)
+}
+
+fn verdict_above(version_counts: &VersionCounts, bound: f64) -> Verdict {
+    let is_worse = |fault| is_worse(version_counts, fault, bound);
+    match is_worse(Fault::Failed) || is_worse(Fault::Slow) {
         true => Verdict::Bad,
         false => Verdict::Sound,
     }
 }
 
-/// Whether the new version has significantly more responses with this fault than the old one.
-fn is_worse(version_counts: &VersionCounts, fault: Fault) -> bool {
-    if log_mean(&log_evidence_terms(version_counts, fault, |_| true)) <= LOG_EVIDENCE_BOUND {
+/// Whether the new version has significantly more responses with this fault than the old one: the
+/// logarithm of the evidence is above `bound`.
+fn is_worse(version_counts: &VersionCounts, fault: Fault, bound: f64) -> bool {
+    if log_mean(&log_evidence_terms(version_counts, fault, |_| true)) <= bound {
         return false;
     }
     let endpoints: BTreeSet<u32> = version_counts
--- a/crates/oatdale-policy/tests/relay_roll_outs.rs
+++ b/crates/oatdale-policy/tests/relay_roll_outs.rs
@@ -2,8 +2,10 @@
 
 use oatdale_policy::relay::{
     BaselineTime, Counts, CountsByOrigin, ExposureLimit, Origin, Phase, Schedule, StreamPace,
-    Verdict, VersionCounts, trial_share, uses_new_version, verdict,
+    Verdict, VersionCounts, completion_verdict, trial_share, uses_new_version, verdict,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 
 const fn secs(n: u64) -> Duration {
@@ -329,3 +331,48 @@
         counts_by_origin.iter().count()
     );
 }
+
+/// Rollouts of good versions that are simulated, and those that may be rolled back: one in 100.
+const GOOD_ROLL_OUTS: usize = 1_000;
+const MAX_FALSE_ROLLBACKS: usize = GOOD_ROLL_OUTS / 100;
+
+/// Simulates the responses of a version at six endpoints, of which the first one may fail by itself.
+fn simulated_counts(rng: &mut StdRng, requests: u64, bad_endpoint: Option<f64>) -> CountsByOrigin {
+    let mut counts = CountsByOrigin::default();
+    for _ in 0..requests {
+        let route = [1, 1, 1, 2, 2, 3][rng.random_range(0..6)];
+        let endpoint = rng.random_range(1..=6);
+        let failure_share = bad_endpoint.filter(|_| endpoint == 1).unwrap_or(0.02);
+        let entry = counts.entry(Origin { route, endpoint });
+        entry.answers += 1;
+        entry.failed += u64::from(rng.random_bool(failure_share));
+        if rng.random_bool(0.6) {
+            entry.timed += 1;
+            entry.slow += u64::from(rng.random_bool(0.05));
+        }
+    }
+    counts
+}
+
+// Guards against rollbacks of good versions when they are to be completed, also of those with an
+// endpoint that fails by itself.
+#[test]
+fn good_versions_are_completed() {
+    let mut rng = StdRng::seed_from_u64(7);
+    for bad_endpoint in [None, Some(0.3)] {
+        for requests in [20, 80, 400] {
+            let rolled_back = (0..GOOD_ROLL_OUTS).filter(|_| {
+                let counts = VersionCounts {
+                    new: simulated_counts(&mut rng, requests, bad_endpoint),
+                    old: simulated_counts(&mut rng, requests * 10, None),
+                };
+                completion_verdict(&counts) == Verdict::Bad
+            });
+            let rolled_back = rolled_back.count();
+            assert!(
+                rolled_back <= MAX_FALSE_ROLLBACKS,
+                "{rolled_back} of {GOOD_ROLL_OUTS}: {requests} requests, {bad_endpoint:?}"
+            );
+        }
+    }
+}
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -3,8 +3,8 @@
 use super::report::to_array;
 use crate::update::{RollOut, RollOutEnd};
 use oatdale_policy::relay::{
-    ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, Verdict, VersionCounts, is_in_trial,
-    trial_share, verdict,
+    ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, Verdict, VersionCounts, completion_verdict,
+    is_in_trial, trial_share, verdict,
 };
 use std::collections::HashMap;
 use std::time::Duration;
@@ -170,7 +170,7 @@
             _ if self.roll_out.end.is_some() && !self.is_end_record_lost => return None,
             _ if self.is_end_record_lost => self.roll_out.end?,
             (Verdict::Bad, _) => RollOutEnd::RolledBack,
-            (_, Phase::Done) if self.is_old_drained(now, busy) => RollOutEnd::Completed,
+            (_, Phase::Done) if self.is_old_drained(now, busy) => self.final_outcome(),
             _ => return None,
         };
         let first_due = *self.due_since.get_or_insert(now);
@@ -193,6 +193,14 @@
         Some(end)
     }
 
+    /// Returns the outcome of a rollout whose time is over.
+    fn final_outcome(&self) -> RollOutEnd {
+        match completion_verdict(&self.total()) {
+            Verdict::Sound => RollOutEnd::Completed,
+            Verdict::Bad => RollOutEnd::RolledBack,
+        }
+    }
+
     /// Whether no node has requests in flight on the old version, or there is no time left to wait
     /// for them.
     fn is_old_drained(&self, now: Duration, busy: bool) -> bool {
