Send whole values to followers that are not covered

What followers saw: patches that do not fit, after which they ask again without patches. A node that has read no changes for a while, because the service had dropped its history, knows neither the versions of that time nor who has read them elsewhere. A follower within that gap got a patch of the version before the gap, though it may have a later one. Patches are now sent only to followers from whose revision on this node knows all changes. The test failed before.

--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -469,10 +469,12 @@
         let revision = self.response_revision(topic, after)?;
         let (max_bytes, reachable_for) = (self.max_bytes, self.reachable_for());
         let records = self.records_of(topic).as_ref()?;
-        let base = |key: &str| records.base(key, after.filter(|_| accepts_patches)?);
-        let (is_snapshot, selected) = match after {
-            Some(after) if records.covers(after) => (false, records.changes_after(after)),
-            _ => (true, records.all_records()),
+        // A follower that is not covered may have versions that this node never read.
+        let covered = after.filter(|after| records.covers(*after));
+        let base = |key: &str| records.base(key, covered.filter(|_| accepts_patches)?);
+        let (is_snapshot, selected) = match covered {
+            Some(after) => (false, records.changes_after(after)),
+            None => (true, records.all_records()),
         };
         let updates = selected.into_iter().map(|r| r.into_update(max_bytes, base));
         Some(ReplicaUpdate {
--- a/crates/oatdale-relay/tests/replica_bytes.rs
+++ b/crates/oatdale-relay/tests/replica_bytes.rs
@@ -145,6 +145,27 @@
     assert!(Content::apply_patch(&old[..old.len() - 1], patch).is_err());
 }
 
+/// Returns the version that a response's patch is made of; `None` if the value is whole.
+fn patched_version(update: &ReplicaUpdate) -> Option<Revision> {
+    match update.records[0].content {
+        Content::Patch { base, .. } => Some(base),
+        _ => None,
+    }
+}
+
+// Guards against patches for a follower that may have read versions which this node has not: those
+// written while the service had dropped its history.
+#[tokio::test(start_paused = true)]
+async fn follower_within_a_gap_gets_whole_values() {
+    let replica = Replica::default();
+    replica.set_max_value_bytes(1 << 20);
+    replica.replace(TOPIC, rev(10), &[list_record(10, 0..50)]);
+    replica.replace(TOPIC, rev(20), &[list_record(18, 0..52)]);
+    let update = fetch(&replica, Some(rev(15))).await;
+    assert!(update.is_snapshot);
+    assert_eq!(patched_version(&update), None);
+}
+
 // A follower that is behind all kept versions, or has none, gets the whole value.
 #[tokio::test(start_paused = true)]
 async fn value_is_sent_whole_without_a_version_to_patch() {
