Keep a short version between long ones as a base of patches

What followers saw: patches that do not fit, the second cause found. Only long values were kept as bases. When a list became short for a moment, a follower that had the short version got a patch of the long one before it. A short version that follows a long one is kept now. The test failed before.

--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -567,9 +567,12 @@
         }
     }
 
-    /// Keeps the previous version of a long value to make patches from.
+    /// Keeps the previous version of a long value to make patches from. A short one is kept after a
+    /// long one: otherwise a follower that has it would get a patch of the long one.
     fn keep_base(&mut self, key: &str, previous: Option<(Revision, Bytes)>) {
-        let Some(previous) = previous.filter(|(_, v)| v.len() >= MIN_PATCHED_BYTES) else {
+        let has_bases = self.bases.contains_key(key);
+        let is_kept = |value: &Bytes| has_bases || value.len() >= MIN_PATCHED_BYTES;
+        let Some(previous) = previous.filter(|(_, value)| is_kept(value)) else {
             return;
         };
         let bases = self.bases.entry(key.to_owned()).or_default();
--- a/crates/oatdale-relay/tests/replica_bytes.rs
+++ b/crates/oatdale-relay/tests/replica_bytes.rs
@@ -153,6 +153,22 @@
     }
 }
 
+// Guards against patches of a version before the one that the follower has: a list that becomes
+// short for a moment was not kept as a version.
+#[tokio::test(start_paused = true)]
+async fn patch_is_not_made_of_a_version_before_a_short_one() {
+    let replica = Replica::default();
+    replica.set_max_value_bytes(1 << 20);
+    replica.replace(TOPIC, rev(10), &[list_record(10, 0..50)]);
+    replica.apply_changes(TOPIC, rev(11), &[list_record(11, 0..2)]);
+    replica.apply_changes(TOPIC, rev(12), &[list_record(12, 0..51)]);
+    replica.apply_changes(TOPIC, rev(13), &[list_record(13, 0..52)]);
+    for after in [11, 12] {
+        let base = patched_version(&fetch(&replica, Some(rev(after))).await);
+        assert!(base.is_none_or(|base| base == rev(after)), "{base:?}");
+    }
+}
+
 // Guards against patches for a follower that may have read versions which this node has not: those
 // written while the service had dropped its history.
 #[tokio::test(start_paused = true)]
