Lower the rate of requests to endpoints that must not reject many

What callers would see: endpoints that state Server-Brittle fall over when they have to turn away more requests in a second than they state.

Cause: it was not known, and no host sees what the others' requests make an endpoint turn away. Class: a bound that hosts have to keep together.

Such an endpoint's requests need permits now, as those of one that limits its requests: nodes tell the issuers of each rejection, and these pause for a moment and lower the rate at which they issue permits, which then grows until the next one. So there is one mechanism for both, with one message more; its costs and its bounds under faults are those of permits. Weighed: a part of the allowed rejections for each host (0.005 a second with 985 hosts and 5), and telling all hosts of each rejection (985 datagrams).

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(choose(&[idle, busy], Placement::Affinity, 0), Some(0));
 //! ```
 
+mod adaptive_rate;
 mod addresses;
 mod announcement;
 mod engine;
@@ -35,6 +36,7 @@
 mod warm_up;
 
 pub use crate::average::{Mean, Rate};
+pub use crate::relay::adaptive_rate::AdaptiveRate;
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
--- a/crates/oatdale-policy/src/relay/permits.rs
+++ b/crates/oatdale-policy/src/relay/permits.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Issues no permit until this time, and none of those unused before.
+    pub fn hold_until(&mut self, until: Duration) {
+        self.next_at = self.next_at.max(until + BURST_TIME);
+    }
+
     /// Records that another node asks this one, and so knows it.
     pub fn record_remote_request(&mut self, now: Duration) {
         self.confirmed_at = Some(now);
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -290,15 +290,19 @@
             in_flight.id, metadata.leaving, metadata.back_off
         );
     }
-    if metadata.limit.is_some() && !metadata.misdirected {
-        in_flight.record_limit(metadata.limit, sent_at);
+    let limit = metadata.limit_or_brittle();
+    if limit.is_some() && !metadata.misdirected {
+        in_flight.record_limit(limit, sent_at);
+    }
+    if metadata.not_executed && metadata.brittle && !metadata.misdirected {
+        permits::report_rejection(cx, in_flight);
     }
     if let Some(name) = &metadata.unknown_announcement {
         cx.record_unknown_announcement(name, &in_flight.id);
     }
     validate(request_cx, in_flight, &metadata, &head)?;
     // Only a valid response shows by a missing limit that there is none.
-    if metadata.limit.is_none() {
+    if limit.is_none() {
         in_flight.record_limit(None, sent_at);
     }
     Ok((head, metadata, body))
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -4,7 +4,7 @@
 use crate::state::{LimitedEndpoints, hash};
 use crate::update::Endpoint;
 use oatdale_policy::relay::{
-    Health, LimitChange, PermitIssuer, PermitSeeker, RequestLimit, WarmUp,
+    AdaptiveRate, Health, LimitChange, PermitIssuer, PermitSeeker, RequestLimit, WarmUp,
 };
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
@@ -107,6 +107,8 @@
     pub(crate) seeker: PermitSeeker,
     /// The permits that this node issues.
     pub(crate) issuer: PermitIssuer,
+    /// The rate at which it issues them, if the endpoint has rejected requests.
+    pub(crate) rate: AdaptiveRate,
 }
 
 /// Long prompt sent by another node.
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -109,6 +109,11 @@
         id: String,
         born: Option<u64>,
     },
+    /// The endpoint with this id, started at `born`, has rejected a request for want of room.
+    Rejected {
+        id: String,
+        born: Option<u64>,
+    },
     /// Sums of the loads of `nodes` nodes at endpoints.
     Sums {
         nodes: usize,
@@ -131,9 +136,10 @@
                 "sent_crash"
             }
             Message::Limit { .. } => "sent_limit",
-            Message::PermitAsk(_) | Message::PermitAnswer { .. } | Message::PermitClaim { .. } => {
-                "sent_permit"
-            }
+            Message::PermitAsk(_)
+            | Message::PermitAnswer { .. }
+            | Message::PermitClaim { .. }
+            | Message::Rejected { .. } => "sent_permit",
             Message::Sums { .. } => "sent_sums",
         }
     }
@@ -226,6 +232,9 @@
         Ok(Message::PermitClaim { id, born }) => apply_from_known(cx, from, |state| {
             permits::handle_claim(state, now, from, &id, born);
         }),
+        Ok(Message::Rejected { id, born }) => apply_from_known(cx, from, |state| {
+            permits::handle_rejection(state, now, &id, born);
+        }),
         Ok(Message::Sums { nodes, loads }) => apply_from_known(cx, from, |state| {
             // No sum covers more nodes than are known; a sender that claims more would block the
             // sums of others.
--- a/crates/oatdale-relay/src/permits.rs
+++ b/crates/oatdale-relay/src/permits.rs
@@ -5,12 +5,17 @@
 //! by a hash that is the same on every node. The first one tells all other nodes of a new limit.
 //! Whoever then sends to the endpoint, for whatever purpose, asks an issuer for a permit, and sends
 //! elsewhere or refuses its caller without one.
+//!
+//! An endpoint that fails if it has to reject many requests needs permits too. Nodes tell the issuers
+//! of each rejection, and these lower the rate at which they issue them.
 
 mod issuing;
 mod statements;
 mod wire;
 
-pub(crate) use crate::permits::issuing::{handle_ask, handle_claim};
+pub(crate) use crate::permits::issuing::{
+    handle_ask, handle_claim, handle_rejection, report_rejection,
+};
 pub(crate) use crate::permits::statements::handle_statement;
 pub(crate) use crate::permits::wire::{LimitStatement, PermitAnswer, PermitAsk};
 
--- a/crates/oatdale-relay/src/permits/issuing.rs
+++ b/crates/oatdale-relay/src/permits/issuing.rs
@@ -3,6 +3,7 @@
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::gossip::{self, Message};
+use crate::in_flight::InFlightRequest;
 use crate::nodes::first_by_hash;
 use crate::permits::statements::{announce_limit, apply_statement};
 use crate::permits::wire::{PermitAnswer, PermitAsk, millis};
@@ -74,7 +75,16 @@
     let Some(entry) = state.directory.get_mut(key) else {
         return PermitReply::NotIssuer;
     };
-    let reply = entry.permits().issuer.decide(now, &view, request);
+    let permits = entry.permits();
+    let lowered = permits.rate.limit(now).unwrap_or(request.per_second);
+    let request = &PermitRequest {
+        per_second: request.per_second.min(lowered),
+        ..*request
+    };
+    let reply = permits.issuer.decide(now, &view, request);
+    if reply == PermitReply::Granted {
+        permits.rate.record_allowed(now);
+    }
     if entry.permits().issuer.start_claim(now, &view) {
         let second = issuers.get(1).copied().filter(|_| view.is_new(now));
         let claim = Message::PermitClaim {
@@ -90,6 +100,56 @@
     reply
 }
 
+/// Tells the issuers of an endpoint's permits that it has rejected a request for want of room.
+pub(crate) fn report_rejection<W: Wire>(cx: &Cx<W>, in_flight: &InFlightRequest<W>) {
+    let now = cx.now();
+    let mut guard = cx.state();
+    let state = &mut *guard;
+    let Some(entry) = state.directory.get(in_flight.key) else {
+        return;
+    };
+    let message = Message::Rejected {
+        id: entry.endpoint.id.clone(),
+        born: entry.endpoint.born,
+    };
+    let (issuers, own) = (
+        issuers(cx, state, now, entry.number),
+        cx.settings.listen.nodes,
+    );
+    if issuers.contains(&own) {
+        record_rejection(state, now, in_flight.key);
+    }
+    let others = issuers.into_iter().filter(|to| *to != own);
+    gossip::send_now(cx, others, &message);
+}
+
+/// Applies another node's report that an endpoint has rejected a request.
+pub(crate) fn handle_rejection(state: &mut State, now: Duration, id: &str, born: Option<u64>) {
+    let known = state.directory.by_id_with_key(id);
+    let key = known.filter(|(_, e)| e.endpoint.born == born).map(|k| k.0);
+    if let Some(key) = key {
+        record_rejection(state, now, key);
+    }
+}
+
+/// Lowers the rate at which this node issues permits for an endpoint.
+fn record_rejection(state: &mut State, now: Duration, key: EndpointKey) {
+    let Some(entry) = state.directory.get_mut(key) else {
+        return;
+    };
+    let permits = entry.permits();
+    let Some(until) = permits.rate.record_rejection(now) else {
+        return;
+    };
+    permits.issuer.hold_until(until);
+    let lowered = permits.rate.limit(now);
+    log::info!(
+        target: "permit",
+        "event=rate_lowered id={} per_second={:.1} hold_ms={}",
+        entry.endpoint.id, lowered.unwrap_or_default(), until.saturating_sub(now).as_millis()
+    );
+}
+
 /// Records that another node holds itself for the first issuer of an endpoint.
 pub(crate) fn handle_claim(
     state: &mut State,
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -92,6 +92,10 @@
     pub last_event_id: Option<u64>,
 }
 
+/// Limit of an endpoint that must not reject many requests, until it rejects one: just below the rate
+/// from which a limit counts as none.
+const BRITTLE_LIMIT_PER_SECOND: f64 = 999.0;
+
 /// Limit on an endpoint's requests from all nodes together, as stated in a response.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum StatedLimit {
@@ -101,6 +105,17 @@
     Invalid,
 }
 
+impl ResponseMetadata {
+    /// Returns the limit on the endpoint's requests. One that must not reject many has a limit that is
+    /// found by its rejections, so that its requests need permits too.
+    pub(crate) fn limit_or_brittle(&self) -> Option<StatedLimit> {
+        match self.limit {
+            None if self.brittle => Some(StatedLimit::PerSecond(BRITTLE_LIMIT_PER_SECOND)),
+            limit => limit,
+        }
+    }
+}
+
 /// Metadata from a response's head.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct ResponseMetadata {
@@ -123,6 +138,8 @@
     pub back_off: Option<Duration>,
     /// Limit on the endpoint's requests, if it states one.
     pub limit: Option<StatedLimit>,
+    /// Whether the endpoint states that it fails if it has to reject many requests.
+    pub brittle: bool,
     /// Name of a header by which the endpoint announces something that this version does not know.
     pub unknown_announcement: Option<String>,
 }
