Tell a host that refuses from one that cannot serve

A host that refused a forwarded request, because no endpoint has room or its time was too short, counted as one that reaches no endpoint, and was not asked again for a second; with eight of them the others counted as an outage. Found on reading; by the test of forwarding not seen, since its endpoints have room. Such a host now counts as one that can serve, and one that lost a response as neither.

--- a/crates/oatdale-policy/src/relay/forwarding.rs
+++ b/crates/oatdale-policy/src/relay/forwarding.rs
@@ -34,7 +34,7 @@
 /// What is known of a node as a target.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Knowledge {
-    /// It has served the last request.
+    /// It could serve the last request.
     Confirmed,
     /// Another node says so.
     Named,
--- a/crates/oatdale-relay/src/forwarding.rs
+++ b/crates/oatdale-relay/src/forwarding.rs
@@ -52,6 +52,11 @@
         reason: String,
         serving_host: Option<String>,
     },
+    /// The node states that the request has not run, and that others would refuse it too.
+    Refused(Failure),
+    /// The node states that the request may have run and got no response.
+    ResponseLost(Failure),
+    /// The connection to the node failed.
     Failed(Failure),
 }
 
@@ -100,8 +105,9 @@
         tried.push(hash(&node.host));
         let sent_at = Instant::now();
         let outcome = send(cx, request_cx, &node, options).await;
-        let is_served = matches!(outcome, Outcome::Response(_));
-        record(cx, &request_cx.service, &node.host, is_served);
+        if let Some(can_serve) = outcome.can_serve() {
+            record(cx, &request_cx.service, &node.host, can_serve);
+        }
         cx.metrics
             .forwarded
             .with_label_values(&[outcome.name()])
@@ -115,7 +121,9 @@
         );
         match outcome {
             Outcome::Response(res) => return Ok(*res),
-            Outcome::Failed(failure) => return Err(failure),
+            Outcome::Refused(failure)
+            | Outcome::ResponseLost(failure)
+            | Outcome::Failed(failure) => return Err(failure),
             Outcome::OtherNode {
                 reason: why,
                 serving_host,
@@ -144,12 +152,12 @@
     Some(picked.1.clone())
 }
 
-/// Records whether a node could serve a request.
-fn record<W: Wire>(cx: &Cx<W>, service: &str, host: &str, is_served: bool) {
+/// Records whether a node can serve requests.
+fn record<W: Wire>(cx: &Cx<W>, service: &str, host: &str, can_serve: bool) {
     let now = cx.now();
     let mut state = cx.state();
     let reach = state.reach.entry(service.to_owned()).or_default();
-    reach.targets.record(now, hash(&host), is_served);
+    reach.targets.record(now, hash(&host), can_serve);
 }
 
 /// Records that another node named this host, and returns whether that is new.
@@ -266,13 +274,13 @@
         },
         Some((NodeRefusal::NotRun, status)) => {
             request_cx.retry_after = retry_after(&head);
-            Outcome::Failed(Failure::NoNode(format!("status {status}")))
+            Outcome::Refused(Failure::NoNode(format!("status {status}")))
         }
         Some((NodeRefusal::MayHaveRun, StatusCode::GATEWAY_TIMEOUT)) => {
-            Outcome::Failed(Failure::TimedOut)
+            Outcome::ResponseLost(Failure::TimedOut)
         }
         Some((NodeRefusal::MayHaveRun, status)) => {
-            Outcome::Failed(Failure::Unknown(format!("other node: status {status}")))
+            Outcome::ResponseLost(Failure::Unknown(format!("other node: status {status}")))
         }
     }
 }
@@ -362,12 +370,22 @@
         }
     }
 
+    /// Whether the node can serve requests of this service, if that follows.
+    fn can_serve(&self) -> Option<bool> {
+        match self {
+            Outcome::Response(_) | Outcome::Refused(_) => Some(true),
+            Outcome::OtherNode { .. } | Outcome::Failed(_) => Some(false),
+            Outcome::ResponseLost(_) => None,
+        }
+    }
+
     /// Name for logs and metrics.
     fn name(&self) -> &'static str {
         match self {
             Outcome::Response(_) => "served",
             Outcome::OtherNode { .. } => "denied",
-            Outcome::Failed(failure) if failure.is_not_run() => "refused",
+            Outcome::Refused(_) => "refused",
+            Outcome::ResponseLost(_) => "lost",
             Outcome::Failed(_) => "failed",
         }
     }
@@ -384,7 +402,9 @@
                 reason,
                 serving_host,
             } => format!("reason={reason:?} serving_host={serving_host:?}"),
-            Outcome::Failed(failure) => format!("reason=\"{failure:?}\""),
+            Outcome::Refused(failure)
+            | Outcome::ResponseLost(failure)
+            | Outcome::Failed(failure) => format!("reason=\"{failure:?}\""),
         }
     }
 }
