Pass over hosts of a version that knows no forwarded requests

While hosts are replaced by those of a newer version, a cut host may forward a request to an older one, which answers 404. That counted as a request that may have run, so that one that must not run twice ended with 502. A 404 without the header of forwarded responses now means that the host has not run it. The test failed before.

--- a/crates/oatdale-relay/src/forwarding.rs
+++ b/crates/oatdale-relay/src/forwarding.rs
@@ -9,7 +9,7 @@
 mod wire;
 
 pub(crate) use crate::forwarding::wire::{
-    FORWARDED, ForwardedRequest, ForwardedResponse, NodeRefusal,
+    FORWARDED, ForwardedRequest, ForwardedResponse, HeaderError, NodeRefusal,
 };
 
 use crate::attempt::{Failure, SendOptions, latency_target};
@@ -244,6 +244,10 @@
     let (mut head, body) = res.into_parts();
     let stated = match ForwardedResponse::try_from(&head.headers) {
         Ok(stated) => stated,
+        // A node of a version that knows no forwarded requests.
+        Err(HeaderError::Missing) if head.status == StatusCode::NOT_FOUND => {
+            return Outcome::other_node("requests are not accepted".to_owned());
+        }
         Err(err) => return Outcome::Failed(Failure::Unknown(format!("other node: {err}"))),
     };
     head.headers.remove(FORWARDED);
