--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -290,11 +290,11 @@
             in_flight.id, metadata.leaving, metadata.back_off
         );
     }
-    let limit = metadata.limit_or_brittle();
+    let limit = metadata.effective_limit();
     if limit.is_some() && !metadata.misdirected {
         in_flight.record_limit(limit, sent_at);
     }
-    if metadata.not_executed && metadata.brittle && !metadata.misdirected {
+    if metadata.not_executed && metadata.fails_on_rejections && !metadata.misdirected {
         permits::report_rejection(cx, in_flight);
     }
     if let Some(name) = &metadata.unknown_announcement {
--- a/crates/oatdale-relay/src/probe.rs
+++ b/crates/oatdale-relay/src/probe.rs
@@ -185,7 +185,7 @@
             report,
             leaving: metadata.leaving,
             cold_left: metadata.cold_left,
-            limit: metadata.limit_or_brittle(),
+            limit: metadata.effective_limit(),
         }
     }
 }
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -94,7 +94,7 @@
 
 /// Limit of an endpoint that must not reject many requests, until it rejects one: just below the rate
 /// from which a limit counts as none.
-const BRITTLE_LIMIT_PER_SECOND: f64 = 999.0;
+const INITIAL_LIMIT_PER_SECOND: f64 = 999.0;
 
 /// Limit on an endpoint's requests from all nodes together, as stated in a response.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -108,9 +108,11 @@
 impl ResponseMetadata {
     /// Returns the limit on the endpoint's requests. One that must not reject many has a limit that is
     /// found by its rejections, so that its requests need permits too.
-    pub(crate) fn limit_or_brittle(&self) -> Option<StatedLimit> {
+    pub(crate) fn effective_limit(&self) -> Option<StatedLimit> {
         match self.limit {
-            None if self.brittle => Some(StatedLimit::PerSecond(BRITTLE_LIMIT_PER_SECOND)),
+            None if self.fails_on_rejections => {
+                Some(StatedLimit::PerSecond(INITIAL_LIMIT_PER_SECOND))
+            }
             limit => limit,
         }
     }
@@ -139,7 +141,7 @@
     /// Limit on the endpoint's requests, if it states one.
     pub limit: Option<StatedLimit>,
     /// Whether the endpoint states that it fails if it has to reject many requests.
-    pub brittle: bool,
+    pub fails_on_rejections: bool,
     /// Name of a header by which the endpoint announces something that this version does not know.
     pub unknown_announcement: Option<String>,
 }
