Try more endpoints before a crash counts as the host's own fault

A request that crashes three of five engines is quarantined only if the crashes are counted; the check whether the host reaches another endpoint tried three, which may be just those that crashed.

--- a/crates/oatdale-relay/src/reachability.rs
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -26,6 +26,10 @@
 /// others are then spared.
 const CONNECT_STAGGER: Duration = Duration::from_millis(40);
 
+/// Endpoints of a service that are tried before a failure counts as this node's own. More than in
+/// other checks: one request may have crashed a part of the service.
+const CHECKED_FOR_FAULT: usize = 8;
+
 /// Endpoints of other services that a check tries after none of the service has accepted.
 const CHECKED_OTHERS: usize = 2;
 
@@ -107,7 +111,8 @@
         let state = cx.state();
         let now = cx.now();
         let endpoints = state.directory.eligible(now, service).count();
-        (Targets::new(&state, now, service), endpoints)
+        let targets = Targets::new(&state, now, service, CHECKED_FOR_FAULT);
+        (targets, endpoints)
     };
     let outcome = connect(&targets).await;
     outcome.shows_endpoint_fault(endpoints)
@@ -140,18 +145,19 @@
     let state = &mut *guard;
     let known = state.reach.entry(service.to_owned()).or_default();
     known.reach.start();
-    Targets::new(state, now, service)
+    Targets::new(state, now, service, CHECKED_ENDPOINTS)
 }
 
 impl Targets {
-    fn new(state: &State, now: Duration, service: &str) -> Self {
+    /// Samples up to `count` endpoints of a service, and a few others.
+    fn new(state: &State, now: Duration, service: &str, count: usize) -> Self {
         let directory = &state.directory;
         let rng = &mut rand::rng();
         let own = directory.eligible(now, service);
         let own = own.map(|(_, e)| e.endpoint.addr);
         let others = directory.iter(now).filter(|e| e.service != service);
         Targets {
-            service: own.sample(rng, CHECKED_ENDPOINTS),
+            service: own.sample(rng, count),
             others: others.map(|e| e.addr).sample(rng, CHECKED_OTHERS),
         }
     }
