--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -186,9 +186,9 @@
     log::info!(
         target: "attempt",
         "event=attempt id={} config={} service={} purpose={} endpoint={} version={} model={} load={:.1} \
-         candidates={} {}after_event={:?} left_ms={} took_ms={} end={}",
+         candidates={} expected_ms={} {}after_event={:?} left_ms={} took_ms={} end={}",
         request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.site.version, request_cx.service, options.purpose.name(),
-        in_flight.id, in_flight.version, request_cx.model().unwrap_or("-"), in_flight.load_before, in_flight.candidate_count,
+        in_flight.id, in_flight.version, request_cx.model().unwrap_or("-"), in_flight.load_before, in_flight.candidate_count, in_flight.expected.as_millis(),
         in_flight.limit_before.per_second().map_or_else(String::new, |limit| format!("limit={limit} told_ms={} ", told.as_millis())),
         options.last_event_id, request_cx.time_left().as_millis(), attempt_time.as_millis(),
         result.as_ref().map_or_else(|err| format!("{err:?}"), |ok| ok.0.status.as_u16().to_string())
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -303,6 +303,16 @@
         picked.is_some()
     }
 
+    /// Returns the expected time until the response head at the best endpoint that can take a
+    /// request now; `None` if none can.
+    pub(crate) fn expected_time(&self, request: &PlacementRequest<'_>) -> Option<Duration> {
+        let now = self.now();
+        let mut state = self.state();
+        state.update_warm_up_shares(now, request.service, &self.settings.host);
+        let pick = state.pick_endpoint(now, request, &self.settings.failure_domain)?;
+        Some(pick.expected)
+    }
+
     /// Places a request and counts it, or returns why no endpoint can take it.
     pub(crate) fn place(
         self: &Arc<Self>,
@@ -311,20 +321,18 @@
         let now = self.now();
         let mut state = self.state();
         state.update_warm_up_shares(now, request.service, &self.settings.host);
-        let Some((key, choices)) = state.pick_endpoint(now, request, &self.settings.failure_domain)
-        else {
+        let Some(pick) = state.pick_endpoint(now, request, &self.settings.failure_domain) else {
             return Err(state.count_ineligible(now, request));
         };
-        state.count_warm_up_request(now, key);
-        let Some(entry) = state.directory.begin_request(key, request.weight) else {
+        state.count_warm_up_request(now, pick.key);
+        let Some(entry) = state.directory.begin_request(pick.key, request.weight) else {
             return Err(state.count_ineligible(now, request));
         };
         Ok(InFlightRequest::new(
             self.clone(),
-            key,
+            &pick,
             entry,
             request.weight,
-            choices,
         ))
     }
 
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -4,7 +4,7 @@
 use crate::directory::{EndpointKey, Entry};
 use crate::gossip::{self, Message};
 use crate::reachability;
-use crate::state::State;
+use crate::state::{Pick, State};
 use crate::wire::Wire;
 use oatdale_policy::relay::RequestLimit;
 use std::net::SocketAddr;
@@ -29,6 +29,8 @@
     pub(crate) load_before: f64,
     /// Number of candidates among which the endpoint was picked, for the log.
     pub(crate) candidate_count: usize,
+    /// Expected time until the response head when the endpoint was picked.
+    pub(crate) expected: Duration,
     /// The endpoint's limit as known when it was picked, for the log.
     pub(crate) limit_before: RequestLimit,
     /// Cancelled when the endpoint restarts.
@@ -36,25 +38,19 @@
 }
 
 impl<W> InFlightRequest<W> {
-    /// Returns a request that the directory has counted at an endpoint that was picked among
-    /// `candidate_count` candidates.
-    pub(crate) fn new(
-        cx: Arc<Cx<W>>,
-        key: EndpointKey,
-        entry: &Entry,
-        weight: f64,
-        candidate_count: usize,
-    ) -> Self {
+    /// Returns a request that the directory has counted at the endpoint that was picked for it.
+    pub(crate) fn new(cx: Arc<Cx<W>>, pick: &Pick, entry: &Entry, weight: f64) -> Self {
         InFlightRequest {
             cx,
-            key,
+            key: pick.key,
             weight,
             addr: entry.endpoint.addr,
             id: entry.endpoint.id.clone(),
             version: entry.endpoint.version.clone(),
             is_failing: entry.health.is_failing(),
             load_before: (entry.load - weight).max(0.0),
-            candidate_count,
+            candidate_count: pick.candidate_count,
+            expected: pick.expected,
             limit_before: entry.limit,
             restarted: entry.restart_token.clone(),
         }
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -97,7 +97,7 @@
 pub use crate::roll_outs::{
     AllowedVersions, LatencyClass, OldSessions, Report, ResponseSource, RollOuts,
 };
-pub use crate::settings::{Bounds, Ladder, Listen, Platform, Settings, SettingsError};
+pub use crate::settings::{Bounds, Ladder, Listen, LoadControl, Platform, Settings, SettingsError};
 pub use crate::site::{
     CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, SiteConfig,
 };
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -302,6 +302,14 @@
         cx.has_eligible_endpoint(&self.placement_request(&allowed, LimitedEndpoints::Excluded))
     }
 
+    /// Returns the expected time until the response head if the request is placed now; `None` if no
+    /// endpoint can take it.
+    #[expect(dead_code, reason = "admission does not use it yet")]
+    pub(crate) fn expected_time<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
+        let allowed = self.allowed_versions(cx);
+        cx.expected_time(&self.placement_request(&allowed, LimitedEndpoints::Allowed))
+    }
+
     /// Returns the time until an endpoint accepts a new request of the caller, if none does and that
     /// is known, and counts the caller as told so.
     pub(crate) fn time_to_capacity<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -37,6 +37,9 @@
     /// When a small model's response is accepted.
     #[serde(default)]
     pub ladder: Ladder,
+    /// Which parts of load control are used.
+    #[serde(default)]
+    pub load_control: LoadControl,
     /// State addresses of other nodes, from which a node that starts while the key-value service is
     /// unavailable loads its initial state. The nodes need not be up, and the list may be empty.
     #[serde(default)]
@@ -51,6 +54,20 @@
     pub least_confidence: u8,
 }
 
+/// Parts of load control. Without a part, requests are served as if the others were alone.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct LoadControl {
+    /// Learns how fast each endpoint works and shares that with all nodes.
+    pub endpoint_speeds: bool,
+    /// Places requests by the expected time to their first event instead of by load.
+    pub expected_time: bool,
+    /// Decides about escalations by the room that is left at the endpoints.
+    pub escalation_by_room: bool,
+    /// Queues or refuses requests that no endpoint can serve in time.
+    pub admission: bool,
+}
+
 impl Default for Ladder {
     fn default() -> Self {
         Ladder {
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -107,6 +107,16 @@
     pub(crate) limited: LimitedEndpoints,
 }
 
+/// The endpoint picked for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pick {
+    pub(crate) key: EndpointKey,
+    /// Number of endpoints it was picked from.
+    pub(crate) candidate_count: usize,
+    /// Expected time until the response head, or the first event of a stream.
+    pub(crate) expected: Duration,
+}
+
 impl LimitedEndpoints {
     pub(crate) fn includes(self, entry: &Entry) -> bool {
         self == LimitedEndpoints::Allowed || entry.limit.per_second().is_none()
@@ -207,13 +217,20 @@
             .map_or(0.0, |mean| mean.get_or(0.0))
     }
 
-    /// Picks the endpoint for a request; also returns the number of candidates.
+    /// Returns the time that a unit of work takes at an endpoint relative to the usual one of its
+    /// service; 1 if unknown.
+    #[expect(clippy::unused_self, reason = "speeds are not learned yet")]
+    pub(crate) fn speed_factor(&self, _now: Duration, _entry: &Entry) -> f64 {
+        1.0
+    }
+
+    /// Picks the endpoint for a request.
     pub(crate) fn pick_endpoint(
         &self,
         now: Duration,
         request: &PlacementRequest<'_>,
         domain: &str,
-    ) -> Option<(EndpointKey, usize)> {
+    ) -> Option<Pick> {
         let all: Vec<_> = self.directory.eligible(now, request.service).collect();
         let eligible = self.filter_by_capacity(now, request, &all);
         // Ejected endpoints are used only when there is no other.
@@ -227,7 +244,9 @@
         let candidates: Vec<Candidate> = eligible
             .iter()
             .map(|(_, e)| Candidate {
-                in_flight: (self.load(now, request, e) + 0.1) * e.health.load_factor(),
+                in_flight: (self.load(now, request, e) + 0.1)
+                    * e.health.load_factor()
+                    * self.speed_factor(now, e),
                 same_domain: e.endpoint.domain == domain,
                 may_warm_up: e.reports_cold(now),
                 affinity: request.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
@@ -238,7 +257,11 @@
             None => Placement::Load,
         };
         let chosen = choose(&candidates, placement, rand::random())?;
-        Some((eligible[chosen].0, candidates.len()))
+        Some(Pick {
+            key: eligible[chosen].0,
+            candidate_count: candidates.len(),
+            expected: Duration::ZERO,
+        })
     }
 }
 
