--- a/crates/oatdale-policy/tests/relay.rs
+++ b/crates/oatdale-policy/tests/relay.rs
@@ -155,6 +155,38 @@
     assert!(retried.len() as f64 > 0.8 * RETRY_LIMIT.ratio * requested.len() as f64);
 }
 
+// A burst of three times the usual requests ends while half of the endpoints restart: the last of its
+// requests are retried in the calm after it, and must not use up what the requests of the calm need.
+// The burst allows these retries half a window longer than its requests are in the window.
+#[test]
+fn retries_of_a_burst_leave_the_limit_to_requests_after_it() {
+    let retry_limit = RetryLimit {
+        window: Duration::from_secs(10),
+        ratio: 0.765,
+        slack: 2.1,
+    };
+    let mut limiter = RetryLimiter::default();
+    let mut refused = 0;
+    for tick in 0..3_000_u64 {
+        let now = Duration::from_millis(tick * 10);
+        let is_request = match tick {
+            1_000..1_600 => tick % 4 == 0,
+            _ => tick % 12 == 0,
+        };
+        if is_request {
+            limiter.record_request(now, &retry_limit);
+            // Four requests in ten are sent to a larger model, and half of those at the end of the
+            // burst once more.
+            let is_broken = (1_400..1_600).contains(&tick) && tick % 8 == 0;
+            let repeats = u32::from(tick % 10 < 4) + u32::from(is_broken);
+            let allowed = (0..repeats).filter(|_| limiter.try_retry(now, &retry_limit, 0.2));
+            let allowed = allowed.count() as u32;
+            refused += u32::from(tick >= 1_600) * (repeats - allowed);
+        }
+    }
+    assert_eq!(refused, 0, "requests after the burst that got no retry");
+}
+
 #[test]
 fn reserved_share_is_left_for_other_retries() {
     let mut limiter = RetryLimiter::default();
