Keep the outcome of a roll-out in force under later orders

Cause: RollOuts::update replaced the state of a service by the new order. When an order for v3 followed the rollback of v2 at once, requests ran on v2 again, and after the completion of v2 its requests were spread over the endpoints of v1 that were still running.

Change: the latest outcome of each version is kept per service by revision (roll_outs/history.rs), so that the order in which a host learns of an end and of the next order does not matter. AllowedVersions becomes a ranking: the version of the session, the version of the last completed order, versions without an outcome, and last those that are excluded, which are used only if no other version has endpoints. An order that names a version again starts without old evidence. Responses of an excluded version no longer count towards the baseline of the next order. The version of an order that was replaced before it was decided keeps its sessions and gets no new requests.

Announced sessions carry service and version; they are kept per service, since two services may use equal version names.

outcome_is_final_until_a_new_order asserted that only v3 is excluded after the order for v3 although v2 was rolled back; it now requires both.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -143,6 +143,9 @@
             }
             Update::Evacuated(domains) => self.apply_evacuated(&mut state, domains),
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
+            Update::VersionOutcome { service, outcome } => {
+                state.roll_outs.record_outcome(&service, &outcome);
+            }
             Update::Quarantine {
                 request,
                 is_quarantined,
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -95,7 +95,8 @@
 };
 pub use crate::revision::Revision;
 pub use crate::roll_outs::{
-    AllowedVersions, LatencyClass, OldSessions, Report, ResponseSource, RollOuts,
+    AllowedVersions, LatencyClass, OldSessions, Outcome, Report, ResponseSource, RollOuts, Trial,
+    VersionOutcome,
 };
 pub use crate::settings::{Bounds, Ladder, Listen, LoadControl, Platform, Settings, SettingsError};
 pub use crate::site::{
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -102,6 +102,7 @@
         under_way: state.roll_outs.reports(now, host, |service, target| {
             state.directory.has_other_work(service, target)
         }),
+        outcomes: state.roll_outs.outcomes(),
         quarantined: state
             .quarantine
             .quarantined(now)
@@ -199,6 +200,11 @@
     if let Some(site) = snapshot.site {
         cx.apply_site(state, Arc::new(site.into()));
     }
+    for (service, outcomes) in &snapshot.outcomes {
+        for outcome in outcomes {
+            state.roll_outs.record_outcome(service, outcome);
+        }
+    }
     for roll_out in snapshot.ended {
         state.roll_outs.update(now, roll_out);
     }
--- a/crates/oatdale-relay/src/peers/wire.rs
+++ b/crates/oatdale-relay/src/peers/wire.rs
@@ -1,6 +1,6 @@
 //! CBOR encoding of the state that a node sends to a peer.
 
-use crate::roll_outs::Report;
+use crate::roll_outs::{Report, VersionOutcome};
 use crate::site::{CallerLimits, Customers, Route, ServiceFacts, SiteConfig};
 use crate::update::{Endpoint, Node, RollOut};
 use bytes::Bytes;
@@ -26,6 +26,9 @@
     pub(super) ended: Vec<RollOut>,
     /// Rollouts under way, with the sender's counts.
     pub(super) under_way: Vec<Report>,
+    /// Outcomes of earlier orders, by service; nodes of an earlier version do not send them.
+    #[serde(default)]
+    pub(super) outcomes: Vec<(String, Vec<VersionOutcome>)>,
     /// Requests refused because they crash endpoints; nodes of an earlier version do not send them.
     #[serde(default)]
     pub(super) quarantined: Vec<u128>,
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -4,16 +4,18 @@
 //! An operator starts a rollout by writing an order: a service, its target version and a duration.
 
 mod active;
+mod allowed;
 mod baseline;
+mod history;
 mod rates;
 mod report;
 mod sessions;
 
-use crate::state;
 use crate::update::{RollOut, RollOutEnd};
 use active::{PeerReport, RollOutState};
 use baseline::BaselineTimes;
-use oatdale_policy::relay::{Counts, ExposureLimit, Origin, Phase, Verdict, uses_new_version};
+use history::VersionHistory;
+use oatdale_policy::relay::{Counts, ExposureLimit, Origin};
 use rates::Rates;
 use report::millis;
 use sessions::Sessions;
@@ -21,34 +23,11 @@
 use std::time::Duration;
 
 pub(crate) use active::COORDINATORS;
+pub use allowed::{AllowedVersions, Trial};
 pub use baseline::LatencyClass;
+pub use history::{Outcome, VersionOutcome};
 pub use report::{OldSessions, Report};
 
-/// The software versions that a request may use.
-#[derive(Clone, PartialEq, Debug)]
-pub enum AllowedVersions {
-    /// Any version.
-    All,
-    /// This version; others only if it has no endpoint.
-    Prefer(String),
-    /// A subset of this version's endpoints, the same on all nodes; other versions only if it has
-    /// none.
-    ///
-    /// A version may be faulty only under load, and the few requests of a trial would not load a
-    /// whole pool. Concentrated on a fraction of the endpoints equal to their share of the traffic,
-    /// they are a normal load for each.
-    Trial {
-        /// The version.
-        version: String,
-        /// Seed that selects the endpoints.
-        seed: u64,
-        /// The share of requests in the trial, and the fraction of endpoints that serve them.
-        share: f64,
-    },
-    /// Any version but this one.
-    Exclude(String),
-}
-
 /// The origin of a response.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct ResponseSource<'a> {
@@ -66,6 +45,8 @@
 #[derive(Debug, Default)]
 pub struct RollOuts {
     by_service: HashMap<String, RollOutState>,
+    /// Outcomes of earlier orders, by service.
+    histories: HashMap<String, VersionHistory>,
     /// Baseline durations of versions that are not in a trial, including those from before an
     /// order.
     baselines: BaselineTimes,
@@ -83,10 +64,14 @@
 /// trial.
 const SESSION_LIST_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Maximum number of outcomes of a service's earlier orders in one message.
+const MAX_SENT_OUTCOMES: usize = 3;
+
 impl RollOuts {
     /// Applies a rollout record written by an operator or a node.
     pub fn update(&mut self, now: Duration, roll_out: RollOut) {
         let known = self.by_service.get_mut(&roll_out.service);
+        let replaced = known.as_ref().map(|active| active.outcome(now));
         match known {
             Some(active) if active.roll_out.is_same_order(&roll_out) => active.update(&roll_out),
             Some(active) if active.roll_out.order > roll_out.order => {}
@@ -100,12 +85,35 @@
                 self.has_new_order = true;
                 self.sessions_sent_at = None;
                 let service = roll_out.service.clone();
+                if let Some(replaced) = replaced {
+                    self.record_outcome(&service, &replaced);
+                }
                 self.by_service
                     .insert(service, RollOutState::new(now, roll_out));
             }
         }
     }
 
+    /// Records the outcome of a version's rollout, possibly of an order before the current one. It
+    /// applies until a later order names the version as its target.
+    pub fn record_outcome(&mut self, service: &str, outcome: &VersionOutcome) {
+        let history = self.histories.entry(service.to_owned()).or_default();
+        if history.record(outcome) {
+            log::info!(
+                target: "roll-out",
+                "event=version_outcome service={service} version={} outcome={:?} revision={}",
+                outcome.version, outcome.outcome, outcome.revision
+            );
+        }
+    }
+
+    /// Returns the latest outcomes of each service's earlier orders.
+    pub fn outcomes(&self) -> Vec<(String, Vec<VersionOutcome>)> {
+        let all = self.histories.iter();
+        all.map(|(service, history)| (service.clone(), history.latest(MAX_SENT_OUTCOMES)))
+            .collect()
+    }
+
     /// Handles the loss of the record that holds the outcome of a service's last rollout.
     pub fn handle_lost_end(&mut self, now: Duration, service: &str) {
         if let Some(active) = self.by_service.get_mut(service) {
@@ -113,43 +121,6 @@
         }
     }
 
-    /// Returns the versions that a request may use. `hash` is the hash of the request, used if it
-    /// has no session.
-    pub fn allowed(
-        &self,
-        now: Duration,
-        service: &str,
-        session: Option<u64>,
-        hash: u64,
-    ) -> AllowedVersions {
-        let Some(active) = self.by_service.get(service) else {
-            return AllowedVersions::All;
-        };
-        let target = active.roll_out.target.clone();
-        match active.roll_out.end {
-            Some(RollOutEnd::Completed) => return AllowedVersions::Prefer(target),
-            Some(RollOutEnd::RolledBack) => return AllowedVersions::Exclude(target),
-            None => {}
-        }
-        if active.verdict == Verdict::Bad {
-            return AllowedVersions::Exclude(target);
-        }
-        let phase = active.phase(now);
-        let in_trial = phase == Phase::Trial;
-        let is_old = session.is_some_and(|s| self.sessions.is_on_old(s, &target));
-        let share = active.share.unwrap_or(0.0);
-        match uses_new_version(phase, share, session.unwrap_or(hash)) {
-            true if in_trial && is_old => AllowedVersions::Exclude(target),
-            true if in_trial => AllowedVersions::Trial {
-                version: target,
-                seed: state::hash(&(service, &active.roll_out.target)),
-                share,
-            },
-            true => AllowedVersions::Prefer(target),
-            false => AllowedVersions::Exclude(target),
-        }
-    }
-
     /// Counts a request for a service.
     pub fn count_request(&mut self, now: Duration, service: &str) {
         self.rates.add(now, service);
@@ -179,15 +150,23 @@
         session: u64,
         version: &str,
     ) -> Option<OldSessions> {
-        self.sessions.pin(now, session, version);
+        self.sessions.pin(now, service, session, version);
         let active = self.by_service.get(service)?;
-        let is_old = version != active.roll_out.target;
-        let must_announce = is_old && active.is_undecided(now) && active.may_join(session);
+        let must_announce = active.is_undecided(now)
+            && version != active.roll_out.target
+            && (active.may_join(session) || self.is_not_in_use(service, version));
         must_announce
-            .then(|| self.sessions.announce(now, session))
+            .then(|| self.sessions.announce(now, service, session))
             .flatten()
     }
 
+    /// Whether new requests outside the trial use another version than this one.
+    fn is_not_in_use(&self, service: &str, version: &str) -> bool {
+        let in_use = self.histories.get(service);
+        let in_use = in_use.and_then(|history| history.last_completed(None));
+        in_use.is_some_and(|in_use| in_use != version)
+    }
+
     /// Removes expired sessions.
     pub fn expire_sessions(&mut self, now: Duration, ttl: Duration) {
         self.sessions.expire(now, ttl);
@@ -225,7 +204,7 @@
             self.record_slow(source, time > threshold);
         }
         let is_new = self.counts(source).is_some_and(|(_, is_new)| is_new);
-        if !is_new {
+        if !is_new && !self.is_excluded(source.service, source.version) {
             self.baselines.record(class, time);
         }
     }
@@ -250,6 +229,7 @@
     /// Returns the counters for a response and whether it is from the new version, while a rollout
     /// is in progress.
     fn counts(&mut self, source: &ResponseSource<'_>) -> Option<(&mut Counts, bool)> {
+        let is_excluded = self.is_excluded(source.service, source.version);
         let active = self.by_service.get_mut(source.service)?;
         let is_new = active.roll_out.target == source.version;
         // The endpoints of the old version are counted together: they form the baseline.
@@ -264,10 +244,23 @@
             // version that fails a third of its requests looks like the old one, and its rollout
             // completes.
             None if source.is_failing => None,
+            // The same holds for a version of an earlier order that was not completed.
+            None if is_excluded => None,
             None => Some((active.own_counts.old.entry(old), false)),
         }
     }
 
+    /// Whether the last order of a version ended, or is about to end, without its completion.
+    fn is_excluded(&self, service: &str, version: &str) -> bool {
+        let active = self.by_service.get(service);
+        if active.is_some_and(|a| a.roll_out.target == version && a.is_withdrawn()) {
+            return true;
+        }
+        let history = self.histories.get(service);
+        let outcome = history.and_then(|history| history.outcome(version));
+        outcome.is_some_and(|outcome| outcome != Outcome::Completed)
+    }
+
     /// Merges another node's report.
     ///
     /// A node that the key-value service rejects, or that started late, learns of an order and its
@@ -279,6 +272,9 @@
         if known.is_none_or(|known| known.is_superseded_by(&reported_order)) {
             self.update(now, reported_order.clone());
         }
+        for outcome in &report.outcomes {
+            self.record_outcome(&report.service, outcome);
+        }
         let Some(active) = self.by_service.get_mut(&report.service) else {
             return;
         };
@@ -300,9 +296,7 @@
 
     /// Merges the sessions that another node has on an old version.
     pub fn merge_old_sessions(&mut self, now: Duration, old_sessions: &OldSessions) {
-        for &session in &old_sessions.sessions {
-            self.sessions.pin_old(now, session);
-        }
+        self.sessions.pin_old(now, old_sessions);
     }
 
     /// Returns whether a new order has to be sent to other nodes at once, and resets the flag.
@@ -335,10 +329,16 @@
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
                 rate: self.rates.get(now, &a.roll_out.service),
                 recent_rate: self.rates.recent(now, &a.roll_out.service),
+                outcomes: self.latest_outcomes(&a.roll_out.service),
             })
             .collect()
     }
 
+    fn latest_outcomes(&self, service: &str) -> Vec<VersionOutcome> {
+        let history = self.histories.get(service);
+        history.map_or_else(Vec::new, |history| history.latest(MAX_SENT_OUTCOMES))
+    }
+
     /// Returns the rollouts that have ended.
     pub fn ended(&self) -> Vec<RollOut> {
         let all = self.by_service.values().map(|a| &a.roll_out);
@@ -358,7 +358,14 @@
         let active = self.by_service.values();
         let undecided = active.filter(|a| a.is_undecided(now));
         let messages: Vec<OldSessions> = undecided
-            .flat_map(|a| self.sessions.to_send(&a.roll_out.target, |s| a.may_join(s)))
+            .flat_map(|a| {
+                let service = a.roll_out.service.as_str();
+                let needs_sending = |session: u64, version: &str| {
+                    version != a.roll_out.target
+                        && (a.may_join(session) || self.is_not_in_use(service, version))
+                };
+                self.sessions.to_send(service, needs_sending)
+            })
             .collect();
         self.sessions_sent_at = Some(now).filter(|_| !messages.is_empty());
         messages
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -1,5 +1,6 @@
 //! One rollout: its schedule, the evidence of all nodes, and its outcome.
 
+use super::history::{Outcome, VersionOutcome};
 use super::report::to_array;
 use crate::update::{RollOut, RollOutEnd};
 use oatdale_policy::relay::{
@@ -90,6 +91,31 @@
         self.last_write = None;
     }
 
+    /// Returns the outcome if another order replaces this one now.
+    ///
+    /// After the switch all requests, and with them the sessions, are on the version.
+    pub(super) fn outcome(&self, now: Duration) -> VersionOutcome {
+        let outcome = match (self.roll_out.end, self.verdict, self.phase(now)) {
+            (Some(end), _, _) => end.into(),
+            (None, Verdict::Bad, _) => Outcome::RolledBack,
+            (None, Verdict::Sound, Phase::Switched | Phase::Done) => self.final_outcome().into(),
+            (None, Verdict::Sound, Phase::Announced | Phase::Trial) => Outcome::Replaced,
+        };
+        VersionOutcome {
+            version: self.roll_out.target.clone(),
+            outcome,
+            revision: self.roll_out.order,
+        }
+    }
+
+    /// Whether the version was rolled back or is about to be.
+    pub(super) fn is_withdrawn(&self) -> bool {
+        match self.roll_out.end {
+            Some(end) => end == RollOutEnd::RolledBack,
+            None => self.verdict == Verdict::Bad,
+        }
+    }
+
     fn total(&self) -> VersionCounts {
         let mut sum = self.own_counts.clone();
         for peer in self.peers.values() {
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -1,5 +1,6 @@
 //! Messages that nodes exchange about a rollout.
 
+use super::history::VersionOutcome;
 use crate::revision::Revision;
 use crate::update::RollOut;
 use oatdale_policy::relay::{Counts, CountsByOrigin, Origin, VersionCounts};
@@ -31,6 +32,10 @@
     pub rate: f64,
     /// The same rate within about the last second.
     pub recent_rate: f64,
+    /// Latest outcomes of the service's earlier orders; nodes of an earlier version do not send
+    /// them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub outcomes: Vec<VersionOutcome>,
 }
 
 /// Response counts of one origin: route, endpoint, and the numbers of all, failed, timed and slow
@@ -38,11 +43,17 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct OriginCountsWire(u32, u32, [u64; 4]);
 
-/// Sessions that began on an old version and would be in the trial if they were new.
+/// Sessions that began on an old version and that other nodes might route to another one.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct OldSessions {
     /// Hashes of the session names.
     pub sessions: Vec<u64>,
+    /// The service; nodes of an earlier version do not send it.
+    #[serde(default)]
+    pub service: Option<String>,
+    /// The version on which the sessions are; nodes of an earlier version do not send it.
+    #[serde(default)]
+    pub version: Option<String>,
 }
 
 impl Report {
--- a/crates/oatdale-relay/src/roll_outs/sessions.rs
+++ b/crates/oatdale-relay/src/roll_outs/sessions.rs
@@ -6,7 +6,8 @@
 //! and all of them periodically, for nodes that missed the first message or started later.
 
 use super::report::OldSessions;
-use std::collections::{HashMap, VecDeque};
+use crate::state::hash;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 /// Maximum number of sessions kept. Further ones are not pinned, which matters only during a trial.
@@ -27,18 +28,23 @@
 /// which is several times as long.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Sessions by hash of their name.
+/// A session of a service: hash of the service's name, hash of the session's.
+type SessionKey = (u64, u64);
+
+/// Sessions by service and name.
 #[derive(Debug, Default)]
 pub(super) struct Sessions {
-    pins: HashMap<u64, Pin>,
+    pins: HashMap<SessionKey, Pin>,
     /// Most recently announced sessions, newest first.
-    recent: VecDeque<u64>,
+    recent: VecDeque<SessionKey>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Pin {
-    /// `None` if another node announced that the session is on an old version.
+    /// `None` if a node of an earlier version announced that the session is on an old version.
     version: Option<String>,
+    /// Whether this node sent a request of the session.
+    is_own: bool,
     last_used: Duration,
     /// When this node last announced the session.
     announced_at: Option<Duration>,
@@ -46,19 +52,33 @@
 
 impl Sessions {
     /// Pins a session to the version that its request went to.
-    pub(super) fn pin(&mut self, now: Duration, session: u64, version: &str) {
-        let is_known = self.pins.contains_key(&session);
+    pub(super) fn pin(&mut self, now: Duration, service: &str, session: u64, version: &str) {
+        let key = key(Some(service), session);
+        let is_known = self.pins.contains_key(&key);
         if is_known || self.pins.len() < MAX_SESSIONS {
-            let pin = self.pins.entry(session).or_default();
+            let pin = self.pins.entry(key).or_default();
             pin.version = Some(version.to_owned());
+            pin.is_own = true;
             pin.last_used = now;
         }
     }
 
+    /// Returns the version of a session, if it is known.
+    pub(super) fn version(&self, service: &str, session: u64) -> Option<&str> {
+        let pin = self.pins.get(&key(Some(service), session))?;
+        pin.version.as_deref()
+    }
+
     /// Returns the announcement of a session that this node has just pinned to an old version, or
     /// `None` if it was announced less than `ANNOUNCE_INTERVAL` ago.
-    pub(super) fn announce(&mut self, now: Duration, session: u64) -> Option<OldSessions> {
-        let pin = self.pins.get_mut(&session)?;
+    pub(super) fn announce(
+        &mut self,
+        now: Duration,
+        service: &str,
+        session: u64,
+    ) -> Option<OldSessions> {
+        let key = key(Some(service), session);
+        let pin = self.pins.get_mut(&key)?;
         if pin
             .announced_at
             .is_some_and(|announced_at| now < announced_at + ANNOUNCE_INTERVAL)
@@ -66,15 +86,32 @@
             return None;
         }
         pin.announced_at = Some(now);
-        self.recent.push_front(session);
+        let version = pin.version.clone();
+        self.recent.push_front(key);
         self.recent.truncate(RECENT_SESSIONS);
-        let sessions = self.recent.iter().copied().collect();
-        Some(OldSessions { sessions })
+        let is_alike = |other: &&SessionKey| {
+            let pin = self.pins.get(other);
+            other.0 == key.0 && pin.is_some_and(|pin| pin.version == version)
+        };
+        let sessions = self.recent.iter().filter(is_alike);
+        Some(OldSessions {
+            sessions: sessions.map(|(_, session)| *session).collect(),
+            service: Some(service.to_owned()),
+            version,
+        })
     }
 
-    /// Pins a session that another node has on an old version.
-    pub(super) fn pin_old(&mut self, now: Duration, session: u64) {
-        self.pins.entry(session).or_default().last_used = now;
+    /// Pins sessions that another node has on an old version. What this node knows of a session's
+    /// version takes precedence.
+    pub(super) fn pin_old(&mut self, now: Duration, old_sessions: &OldSessions) {
+        for &session in &old_sessions.sessions {
+            let key = key(old_sessions.service.as_deref(), session);
+            let pin = self.pins.entry(key).or_default();
+            pin.last_used = now;
+            if !pin.is_own {
+                pin.version.clone_from(&old_sessions.version);
+            }
+        }
     }
 
     /// Removes sessions whose last request was more than `ttl` ago.
@@ -83,27 +120,44 @@
     }
 
     /// Whether a session runs on a version other than `target`.
-    pub(super) fn is_on_old(&self, session: u64, target: &str) -> bool {
-        let pin = self.pins.get(&session);
+    pub(super) fn is_on_old(&self, service: &str, session: u64, target: &str) -> bool {
+        let pin = self.pins.get(&key(Some(service), session));
+        let pin = pin.or_else(|| self.pins.get(&key(None, session)));
         pin.is_some_and(|pin| pin.version.as_deref() != Some(target))
     }
 
-    /// Returns announcements of the sessions that this node itself has on an old version and that
-    /// other nodes might route to the new one because they may be in the trial.
-    pub(super) fn to_send(&self, target: &str, may_join: impl Fn(u64) -> bool) -> Vec<OldSessions> {
-        let on_old = |pin: &Pin| pin.version.as_deref().is_some_and(|v| v != target);
-        let all: Vec<u64> = self
-            .pins
-            .iter()
-            .filter(|(hash, pin)| may_join(**hash) && on_old(pin))
-            .map(|(hash, _)| *hash)
-            .take(SESSIONS_PER_DATAGRAM * MAX_DATAGRAMS)
-            .collect();
-        let batches = all.chunks(SESSIONS_PER_DATAGRAM);
+    /// Returns announcements of a service's sessions on which this node has sent requests and that
+    /// `needs_sending` selects by session and version.
+    pub(super) fn to_send(
+        &self,
+        service: &str,
+        needs_sending: impl Fn(u64, &str) -> bool,
+    ) -> Vec<OldSessions> {
+        let (service_hash, _) = key(Some(service), 0);
+        let mut by_version: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+        let own = self.pins.iter().filter(|(_, pin)| pin.is_own);
+        let own = own.filter_map(|(key, pin)| Some((key, pin.version.as_deref()?)));
+        let selected = own.filter(|((hash, session), version)| {
+            *hash == service_hash && needs_sending(*session, version)
+        });
+        for ((_, session), version) in selected.take(SESSIONS_PER_DATAGRAM * MAX_DATAGRAMS) {
+            by_version.entry(version).or_default().push(*session);
+        }
+        let batches = by_version.into_iter().flat_map(|(version, all)| {
+            all.chunks(SESSIONS_PER_DATAGRAM)
+                .map(move |b| (version, b.to_vec()))
+                .collect::<Vec<_>>()
+        });
         batches
-            .map(|batch| OldSessions {
-                sessions: batch.to_vec(),
+            .map(|(version, sessions)| OldSessions {
+                sessions,
+                service: Some(service.to_owned()),
+                version: Some(version.to_owned()),
             })
             .collect()
     }
 }
+
+fn key(service: Option<&str>, session: u64) -> SessionKey {
+    (service.map_or(0, |service| hash(&service)), session)
+}
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -286,14 +286,11 @@
         };
         let mut available = filter_by_version(now, request.allowed, all);
         available.retain(is_available);
-        match request.allowed {
-            AllowedVersions::Trial { version, .. } if available.is_empty() => {
-                let mut others = filter_entries(all, |e| e.endpoint.version != *version);
-                others.retain(is_available);
-                others
-            }
-            _ => available,
+        if request.allowed.trial.is_some() && available.is_empty() {
+            available = filter_by_rank(request.allowed, all);
+            available.retain(is_available);
         }
+        available
     }
 
     /// Returns an endpoint's load as used for placement.
@@ -322,35 +319,33 @@
 /// Endpoint considered for a request.
 type KeyedEntry<'a> = (EndpointKey, &'a Entry);
 
-/// Returns the endpoints whose version the request may use.
+/// Returns the endpoints of the versions that the request may use.
 fn filter_by_version<'a>(
     now: Duration,
     allowed: &AllowedVersions,
     all: &[KeyedEntry<'a>],
 ) -> Vec<KeyedEntry<'a>> {
-    let is_version = |version: &str, e: &Entry| e.endpoint.version == version;
-    match allowed {
-        AllowedVersions::All => all.to_vec(),
-        AllowedVersions::Exclude(version) => filter_entries(all, |e| !is_version(version, e)),
-        AllowedVersions::Prefer(version) => match filter_entries(all, |e| is_version(version, e)) {
-            preferred if preferred.is_empty() => all.to_vec(),
-            preferred => preferred,
-        },
-        AllowedVersions::Trial {
-            version,
-            seed,
-            share,
-        } => {
-            let mut trial_endpoints =
-                filter_entries(all, |e| is_version(version, e) && !e.health.is_ejected(now));
-            trial_endpoints.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
-            let sample_size = (share * trial_endpoints.len() as f64).ceil() as usize;
-            trial_endpoints.truncate(sample_size.max(MIN_TRIAL_ENDPOINTS));
-            match trial_endpoints.is_empty() {
-                true => filter_entries(all, |e| !is_version(version, e)),
-                false => trial_endpoints,
-            }
-        }
+    let Some(trial) = &allowed.trial else {
+        return filter_by_rank(allowed, all);
+    };
+    let mut endpoints = filter_entries(all, |e| {
+        e.endpoint.version == trial.version && !e.health.is_ejected(now)
+    });
+    endpoints.sort_by_key(|(_, e)| hash(&(trial.seed, &e.endpoint.id)));
+    let sample_size = (trial.share * endpoints.len() as f64).ceil() as usize;
+    endpoints.truncate(sample_size.max(MIN_TRIAL_ENDPOINTS));
+    match endpoints.is_empty() {
+        true => filter_by_rank(allowed, all),
+        false => endpoints,
+    }
+}
+
+/// Returns the endpoints of the best version that has any, without regard to the trial.
+fn filter_by_rank<'a>(allowed: &AllowedVersions, all: &[KeyedEntry<'a>]) -> Vec<KeyedEntry<'a>> {
+    let rank = |e: &Entry| allowed.rank(&e.endpoint.version);
+    match all.iter().map(|(_, e)| rank(e)).min() {
+        Some(best) => filter_entries(all, |e| rank(e) == best),
+        None => Vec::new(),
     }
 }
 
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -2,6 +2,7 @@
 
 use crate::replica::Replica;
 use crate::revision::Revision;
+use crate::roll_outs::VersionOutcome;
 use crate::settings::Settings;
 use crate::site::SiteConfig;
 use crate::state::hash;
@@ -40,6 +41,13 @@
     Evacuated(BTreeSet<String>),
     /// The current state of a rollout.
     RollOut(RollOut),
+    /// The outcome of a service's rollout, possibly of an order before the current one.
+    VersionOutcome {
+        /// The service.
+        service: String,
+        /// The outcome.
+        outcome: VersionOutcome,
+    },
     /// The record of how this service's rollout ended was lost.
     RollOutEndLost(String),
     /// The key-value service was restored from an older backup.
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -43,9 +43,18 @@
     }
 }
 
+/// A request uses this version, others only if it has no endpoint.
+fn prefer(version: &str) -> AllowedVersions {
+    AllowedVersions {
+        preferred: vec![version.to_owned()],
+        ..AllowedVersions::default()
+    }
+}
+
 /// Whether a request may use any version but `v2`.
 fn not_v2(allowed: &AllowedVersions) -> bool {
-    matches!(allowed, AllowedVersions::Exclude(version) if version == "v2")
+    let rank = |version| allowed.rank(version);
+    allowed.trial.is_none() && rank("v2") > rank("v1") && rank("v2") > rank("unknown")
 }
 
 #[test]
@@ -53,14 +62,12 @@
     let node = node();
     assert!(not_v2(&node.allowed(ms(500), "pool", None, IN_TRIAL)));
     let allowed = node.allowed(ms(2_000), "pool", None, IN_TRIAL);
-    assert!(
-        matches!(allowed, AllowedVersions::Trial { .. }),
-        "{allowed:?}"
-    );
+    let trial = allowed.trial.as_ref();
+    assert!(trial.is_some_and(|t| t.version == "v2"), "{allowed:?}");
     assert!(not_v2(&node.allowed(ms(2_000), "pool", None, u64::MAX)));
     assert_eq!(
         node.allowed(ms(2_000), "desk", None, IN_TRIAL),
-        AllowedVersions::All
+        AllowedVersions::default()
     );
 }
 
@@ -78,7 +85,7 @@
     assert!(not_v2(&peer.allowed(ms(2_000), "pool", Some(IN_TRIAL), 7)));
     // Once all requests go to the new version, the session's do too.
     let switched = peer.allowed(ms(9_900), "pool", Some(IN_TRIAL), 7);
-    assert_eq!(switched, AllowedVersions::Prefer("v2".to_owned()));
+    assert_eq!(switched, prefer("v2"));
 }
 
 // A session's second request may arrive at any other node within half a second of the first, and a
@@ -113,7 +120,7 @@
         unaware.merge_report(ms(100_000), &report);
     }
     let allowed = unaware.allowed(ms(100_000), "pool", None, u64::MAX);
-    assert_eq!(allowed, AllowedVersions::Prefer("v2".to_owned()));
+    assert_eq!(allowed, prefer("v2"));
 }
 
 // Each of three nodes sees one failure per endpoint, too few for a verdict. Their sum must be
@@ -156,7 +163,8 @@
     assert!(not_v2(&node.allowed(ms(9_900), "pool", None, u64::MAX)));
     node.update(ms(20_000), order(3, None));
     let allowed = node.allowed(ms(20_100), "pool", None, u64::MAX);
-    assert_eq!(allowed, AllowedVersions::Exclude("v3".to_owned()));
+    assert_eq!(allowed.excluded, ["v3", "v2"]);
+    assert_eq!((allowed.trial, allowed.preferred), (None, Vec::new()));
 }
 
 // The outcome is written once the old version has no requests in flight, or shortly before the
