Hold requests of returning callers until a starting node has a configuration

When all hosts are killed at once, callers return within 250 ms of the start, before the configuration is read (about 120 ms). They were refused as not-ready and had then used their only retry.

A starting node now holds a request until it has a configuration and endpoints, for at most a second or a quarter of the time that the caller waits, and as far as the memory for bodies allows. Bodies are not read meanwhile. Nothing has been sent, so a refusal afterwards is truthful. Once two reads of the key-value service have failed at the start, requests are refused at once: the adapter reports that now also before the first answer. Requests that other nodes forward are not held, since those can choose another node.

The bound on memory has no test of its own.

--- a/crates/oatdale-relay/src/body.rs
+++ b/crates/oatdale-relay/src/body.rs
@@ -45,6 +45,12 @@
 }
 
 impl BodyMemory {
+    /// Reserves memory for a request whose body is not read yet; `None` if there is not enough.
+    pub(crate) fn try_reserve(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let bytes = u32::try_from(bytes).ok()?;
+        self.0.clone().try_acquire_many_owned(bytes).ok()
+    }
+
     /// Reads a body to its end.
     ///
     /// While there is no memory for it, nothing is read, which applies back pressure to the caller.
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -10,6 +10,7 @@
 use crate::roll_outs::AllowedVersions;
 use crate::settings::Settings;
 use crate::site::SiteConfig;
+use crate::start_up::StartUp;
 use crate::state::{PlacementRequest, State};
 use crate::update::{Endpoint, EndpointChange, Update};
 use crate::wire::Wire;
@@ -62,6 +63,7 @@
     pub(crate) body_memory: BodyMemory,
     /// Socket for datagrams between nodes.
     pub(crate) socket: UdpSocket,
+    pub(crate) start_up: StartUp,
     /// Notified when the quarantined requests change, for in-flight requests that are among them.
     pub(crate) quarantine_changed: watch::Sender<()>,
     started: Instant,
@@ -87,6 +89,7 @@
             metrics,
             body_memory: BodyMemory::default(),
             socket,
+            start_up: StartUp::default(),
             quarantine_changed: watch::Sender::default(),
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds)),
@@ -133,13 +136,10 @@
         let mut state = self.state();
         match update {
             Update::Site(site) => self.apply_site(&mut state, site),
-            Update::Endpoints(all) => {
-                for addr in state.directory.replace(now, all) {
-                    self.pool.forget(addr);
-                }
-            }
+            Update::Endpoints(all) => self.replace_endpoints(&mut state, now, all),
             Update::EndpointChanges(changes) => {
                 self.apply_endpoint_changes(&mut state, now, changes);
+                self.record_endpoints_known(&state);
             }
             Update::Evacuated(domains) => self.apply_evacuated(&mut state, domains),
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
@@ -159,12 +159,17 @@
             Update::ReadsOnlyForItself(is_set) => state.reads_only_for_itself = is_set,
             Update::StoreUnavailable => {
                 self.metrics.store.set(0);
-                state.store_unavailable_since = Some(now);
-                state.directory.mark_store_unavailable();
-                state.nodes.mark_store_unavailable();
+                self.start_up.record_store(false);
+                // Until it has answered once, there is nothing that could be out of date.
+                if state.store_unavailable_since.is_none() {
+                    state.store_unavailable_since = Some(now);
+                    state.directory.mark_store_unavailable();
+                    state.nodes.mark_store_unavailable();
+                }
             }
             Update::StoreAvailable => {
                 self.metrics.store.set(1);
+                self.start_up.record_store(true);
                 state.mark_store_available(now);
                 state.directory.mark_store_available(now);
                 state.nodes.mark_store_available(now);
@@ -173,6 +178,20 @@
         self.metrics.endpoints.set(state.directory.len() as i64);
     }
 
+    /// Applies a complete list of endpoints.
+    pub(crate) fn replace_endpoints(&self, state: &mut State, now: Duration, all: Vec<Endpoint>) {
+        for addr in state.directory.replace(now, all) {
+            self.pool.forget(addr);
+        }
+        self.record_endpoints_known(state);
+    }
+
+    fn record_endpoints_known(&self, state: &State) {
+        if !state.directory.is_empty() {
+            self.start_up.record_endpoints();
+        }
+    }
+
     /// Applies the changes of one read and logs their counts; single endpoints are logged as far as
     /// [`LineLimit`](crate::line_limit::LineLimit) allows, first those that requests may be at.
     fn apply_endpoint_changes(
@@ -267,6 +286,7 @@
         self.metrics.version.set(site.version as i64);
         state.retain_routes(&site);
         state.site = Some(site);
+        self.start_up.record_site();
     }
 
     /// Updates the metric of quarantined requests and notifies requests in flight.
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -73,6 +73,7 @@
 mod serve;
 mod settings;
 mod site;
+mod start_up;
 mod state;
 mod stream;
 mod traffic;
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -182,9 +182,7 @@
         crashes::apply_state(cx, state, Fingerprint(request), true);
     }
     if snapshot.is_current || state.directory.is_empty() {
-        for addr in state.directory.replace(now, snapshot.endpoints) {
-            cx.pool.forget(addr);
-        }
+        cx.replace_endpoints(state, now, snapshot.endpoints);
     }
     // Applied before the configuration: a node that gets its first one serves at once.
     match snapshot.evacuated {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -101,6 +101,12 @@
     let (head, body) = req.into_parts();
     let metadata = cx.wire.request(&head);
     let mut request_log = RequestLog::new(cx.clone(), tracker, arrival, metadata.id.as_deref());
+    // Another node that forwards a request can choose one that has started.
+    if !is_forwarded {
+        cx.start_up
+            .hold(&cx.body_memory, &head, &metadata, arrival)
+            .await;
+    }
     let mut res = match prepare(&cx, head, metadata, body, arrival, &mut request_log).await {
         Ok(mut request_cx) => {
             if let Some(forwarded) = forwarded {
