--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -33,6 +33,7 @@
 mod request_limit;
 mod retry_limiter;
 mod roll_out;
+mod speed;
 mod warm_up;
 
 pub use crate::average::{Mean, Rate};
@@ -63,4 +64,8 @@
 pub use crate::relay::roll_out::{
     ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, is_in_trial, trial_share, uses_new_version,
 };
+pub use crate::relay::speed::{
+    EstimateFault, GapSampler, MAX_SPEED_FACTOR, MAX_SPEED_WEIGHT, MIN_SPEED_FACTOR, MergeOutcome,
+    ReceivedEstimate, SlownessChange, SpeedEstimate, SpeedOrigin, SpeedSample, SpeedTable, UsualTime,
+};
 pub use crate::relay::warm_up::{WarmUp, warm_up_share};
