--- a/crates/oatdale-policy/src/relay/speed/gaps.rs
+++ b/crates/oatdale-policy/src/relay/speed/gaps.rs
@@ -45,7 +45,7 @@
         // Events that come together share the time since the one before.
         self.gaps[self.count % GAPS_PER_SAMPLE] = gap / events;
         self.count += 1;
-        if self.count < GAPS_PER_SAMPLE || self.count % GAPS_BETWEEN_SAMPLES != 0 {
+        if self.count < GAPS_PER_SAMPLE || !self.count.is_multiple_of(GAPS_BETWEEN_SAMPLES) {
             return None;
         }
         let mut sorted = self.gaps;
--- a/crates/oatdale-policy/tests/relay_speeds.rs
+++ b/crates/oatdale-policy/tests/relay_speeds.rs
@@ -368,7 +368,7 @@
         assert!((0.99..1.01).contains(&ratio), "{ratio} at event {event}");
         event += arrived;
         // The caller blocks the relay for up to 0.6 s at every tenth event.
-        let is_blocked = event % 10 == 0;
+        let is_blocked = event.is_multiple_of(10);
         began = now
             + if is_blocked {
                 0.01 * f64::from(event % 61)
