Place requests by the expected time to the response head

Placement counted requests, so endpoints of different speed got equal loads and their waits differed by a factor of six. The time to the response head is flat up to some load and then rises steeply, so a straight line fits neither part.

ResponseTimes keeps mean times at evenly spaced loads (load of all nodes times speed factor), with forgetting, made monotone by pooling. Requests with a prefix stay with the endpoint that caches it while the expected time there is at most the best other time plus the time to read the prefix. The others go to the better of two endpoints drawn in proportion to speed. If no candidate has recent load sums, requests with a prefix are placed by load as before.

What the interfaces return:

- State::spare_capacity(now, service) -> SpareCapacity { used, available } is the load in hand and the load at which waiting begins, each summed over the usable, not ejected, warm endpoints; `available` is divided by the speed factor.
It is computed at most every 100 ms per service.
`available` is the total, not the remainder: spare is available - used.
- Before any response, 100 ms are expected up to a load of 6, and 200 ms more per unit of load above it.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -20,6 +20,7 @@
 mod announcement;
 mod engine;
 mod evidence;
+mod expected_time;
 mod fingerprint;
 mod forwarding;
 mod health;
@@ -33,6 +34,7 @@
 mod request_limit;
 mod retry_limiter;
 mod roll_out;
+mod timed_placement;
 mod warm_up;
 
 pub use crate::average::{Mean, Rate};
@@ -43,6 +45,7 @@
 pub use crate::relay::evidence::{
     Counts, CountsByOrigin, Origin, Verdict, VersionCounts, completion_verdict, verdict,
 };
+pub use crate::relay::expected_time::{LoadAhead, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve};
 pub use crate::relay::fingerprint::Fingerprint;
 pub use crate::relay::forwarding::ForwardTargets;
 pub use crate::relay::health::Health;
@@ -63,4 +66,5 @@
 pub use crate::relay::roll_out::{
     ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, is_in_trial, trial_share, uses_new_version,
 };
+pub use crate::relay::timed_placement::{TimedCandidate, choose_cached, choose_of_two};
 pub use crate::relay::warm_up::{WarmUp, warm_up_share};
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -384,6 +384,15 @@
             attempt_time.as_secs_f64() / latency_target(request_cx).as_secs_f64().max(0.001);
         cx.state().record_wait(&request_cx.service, relative_wait);
     }
+    match result {
+        Ok((head, ..)) if head.status.is_success() => {
+            in_flight.record_response_time(&request_cx.service, attempt_time, false);
+        }
+        Err(Failure::TimedOut) => {
+            in_flight.record_response_time(&request_cx.service, attempt_time, true);
+        }
+        _ => {}
+    }
     let failed = match result {
         Ok((head, ..)) => {
             let failed = head.status.is_server_error();
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -89,7 +89,7 @@
             socket,
             quarantine_changed: watch::Sender::default(),
             started: Instant::now(),
-            state: Mutex::new(State::new(settings.bounds)),
+            state: Mutex::new(State::new(settings.bounds, settings.load_control)),
             settings,
         }
     }
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -15,7 +15,7 @@
 use crate::roll_outs::{COORDINATORS, OldSessions, Report};
 use crate::state::State;
 use crate::wire::Wire;
-use oatdale_policy::relay::{Fingerprint, is_prompt_announced};
+use oatdale_policy::relay::{Fingerprint, READ_TIME_PER_WEIGHT, is_prompt_announced};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,10 +39,6 @@
 /// Maximum weight counted for one prompt.
 const MAX_PROMPT_WEIGHT: f64 = 50.0;
 
-/// Time that an engine takes to read a prompt, per unit of weight: 3,000 tokens of the largest
-/// model at 15 to 20 tokens per millisecond.
-const READ_TIME_PER_WEIGHT: Duration = Duration::from_millis(200);
-
 /// Message of one datagram.
 #[derive(Serialize, Deserialize)]
 pub(crate) enum Message {
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -4,7 +4,7 @@
 use crate::directory::{EndpointKey, Entry};
 use crate::gossip::{self, Message};
 use crate::reachability;
-use crate::state::{Pick, State};
+use crate::state::{Pick, State, TimeBasis};
 use crate::wire::Wire;
 use oatdale_policy::relay::RequestLimit;
 use std::net::SocketAddr;
@@ -31,6 +31,8 @@
     pub(crate) candidate_count: usize,
     /// Expected time until the response head when the endpoint was picked.
     pub(crate) expected: Duration,
+    /// What that time was computed from; `None` where load control is off.
+    basis: Option<TimeBasis>,
     /// The endpoint's limit as known when it was picked, for the log.
     pub(crate) limit_before: RequestLimit,
     /// Cancelled when the endpoint restarts.
@@ -51,6 +53,7 @@
             load_before: (entry.load - weight).max(0.0),
             candidate_count: pick.candidate_count,
             expected: pick.expected,
+            basis: pick.basis,
             limit_before: entry.limit,
             restarted: entry.restart_token.clone(),
         }
@@ -130,6 +133,15 @@
         entry.is_some_and(|e| e.last_progress > since)
     }
 
+    /// Records how long the response head took, or for how long it had not arrived if `is_missing`.
+    pub(crate) fn record_response_time(&self, service: &str, time: Duration, is_missing: bool) {
+        let now = self.cx.now();
+        if let Some(basis) = &self.basis {
+            let mut state = self.cx.state();
+            state.record_response_time(now, service, basis, time, is_missing);
+        }
+    }
+
     /// Records a response; `is_ok` is false if the endpoint failed.
     pub(crate) fn record_response(&self, is_ok: bool) {
         if let Some(entry) = self.cx.state().directory.get_mut(self.key) {
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -269,22 +269,40 @@
     /// requests there.
     fn weight(&self) -> f64 {
         let tokens = self.metadata.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
+        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * self.relative_cost()
+    }
+
+    /// Cost of the model relative to the service's most expensive one; 1 if unknown.
+    fn relative_cost(&self) -> f64 {
         let facts = self.site.services.get(&self.service);
-        let cost = match (facts, self.model()) {
+        match (facts, self.model()) {
             (Some(facts), Some(model)) => facts.relative_cost(model),
             _ => 1.0,
-        };
-        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * cost
+        }
+    }
+
+    /// Parts of the prompt that other requests share; the only part of a prompt counts as shared.
+    fn shared_parts(&self) -> &[(String, u32)] {
+        let parts = self.metadata.prompt.as_ref().map_or(&[][..], |p| &p.parts);
+        let shared_len = parts.len().saturating_sub(1).max(1).min(parts.len());
+        &parts[..shared_len]
     }
 
     /// Hash of the prompt prefix that other requests share, and of the model that would cache it.
     fn prefix_hash(&self) -> Option<u64> {
-        let parts = &self.metadata.prompt.as_ref()?.parts;
-        let shared_len = parts.len().saturating_sub(1).max(1).min(parts.len());
-        let last = parts[..shared_len].last()?;
+        let last = self.shared_parts().last()?;
         Some(hash(&(&last.0, self.model_index)))
     }
 
+    /// Load that reading the shared prefix adds to an endpoint that does not have it cached.
+    fn prefix_weight(&self) -> f64 {
+        let tokens = self
+            .shared_parts()
+            .iter()
+            .map(|(_, tokens)| f64::from(*tokens));
+        tokens.sum::<f64>() / TOKENS_PER_REQUEST * self.relative_cost()
+    }
+
     /// Assigns the request to an endpoint that has not received it yet.
     pub(crate) fn place<W: Wire>(
         &self,
@@ -344,6 +362,7 @@
             allowed,
             excluded: &self.excluded,
             prefix: self.prefix_hash(),
+            prefix_weight: self.prefix_weight(),
             weight: self.weight(),
             limited,
         }
--- a/crates/oatdale-relay/src/settings.rs
+++ b/crates/oatdale-relay/src/settings.rs
@@ -68,6 +68,13 @@
     pub admission: bool,
 }
 
+impl LoadControl {
+    /// Whether a part is on that uses expected times, so that they are learned.
+    pub(crate) fn uses_expected_time(&self) -> bool {
+        self.expected_time || self.escalation_by_room || self.admission
+    }
+}
+
 impl Default for Ladder {
     fn default() -> Self {
         Ladder {
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,18 +1,20 @@
 //! State learned from the platform and from responses, and the endpoint selection based on it.
 
+mod expected_time;
 mod listing;
 mod warm_up;
 
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
 use crate::line_limit::LineLimit;
-use crate::loads::{AggregationScheme, LoadAggregator, LoadSums};
+use crate::loads::{LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
 use crate::permits::PendingAsks;
 use crate::reachability::ServiceReach;
 use crate::roll_outs::{AllowedVersions, RollOuts};
-use crate::settings::Bounds;
+use crate::settings::{Bounds, LoadControl};
 use crate::site::SiteConfig;
+use crate::state::expected_time::ExpectedTimes;
 use oatdale_policy::relay::{
     Candidate, Mean, Placement, Quarantine, RetryLimit, RetryLimiter, choose,
 };
@@ -23,6 +25,11 @@
 use tokio::time::Instant;
 use warm_up::has_capacity;
 
+use crate::state::expected_time::LoadScope;
+#[expect(unused_imports, reason = "escalation and admission do not use it yet")]
+pub(crate) use crate::state::expected_time::SpareCapacity;
+pub(crate) use crate::state::expected_time::TimeBasis;
+
 /// Part of the site's retry budget that nodes plan to use. The rest is a margin, since nodes
 /// count independently and restarted nodes do not know of their earlier retries.
 const PLANNED_RETRY_SHARE: f64 = 0.85;
@@ -42,6 +49,7 @@
 /// State of the relay, as learned from the platform and from responses.
 pub(crate) struct State {
     pub(crate) bounds: Bounds,
+    load_control: LoadControl,
     pub(crate) site: Option<Arc<SiteConfig>>,
     pub(crate) directory: Directory,
     /// Limit on the log lines about single endpoints.
@@ -69,6 +77,7 @@
     largest_model_waits: HashMap<String, Mean>,
     /// Mean generation size by route.
     generation_sizes: HashMap<String, Mean>,
+    expected_times: ExpectedTimes,
     /// When this node began to shut down, if it has.
     pub(crate) stopping: Option<Instant>,
     /// Whether this node reads the platform's records only for itself.
@@ -102,6 +111,8 @@
     pub(crate) excluded: &'a [EndpointKey],
     /// Hash of the prompt's shared prefix, if an engine may have it cached.
     pub(crate) prefix: Option<u64>,
+    /// Load that reading that prefix adds to an endpoint that does not have it cached.
+    pub(crate) prefix_weight: f64,
     /// Load that the request adds to an endpoint.
     pub(crate) weight: f64,
     pub(crate) limited: LimitedEndpoints,
@@ -113,8 +124,18 @@
     pub(crate) key: EndpointKey,
     /// Number of endpoints it was picked from.
     pub(crate) candidate_count: usize,
-    /// Expected time until the response head, or the first event of a stream.
+    /// Expected time until the response head, or the first event of a stream; zero where load
+    /// control is off.
     pub(crate) expected: Duration,
+    /// What that time was computed from; `None` where load control is off.
+    pub(crate) basis: Option<TimeBasis>,
+}
+
+impl PlacementRequest<'_> {
+    /// Rendezvous hash of the request's prefix and an endpoint; 0 without a prefix.
+    fn affinity(&self, entry: &Entry) -> u64 {
+        self.prefix.map_or(0, |p| hash(&(p, &entry.endpoint.id)))
+    }
 }
 
 impl LimitedEndpoints {
@@ -125,9 +146,10 @@
 
 impl State {
     /// Creates an empty state.
-    pub(crate) fn new(bounds: Bounds) -> Self {
+    pub(crate) fn new(bounds: Bounds, load_control: LoadControl) -> Self {
         State {
             bounds,
+            load_control,
             site: None,
             directory: Directory::default(),
             endpoint_lines: LineLimit::default(),
@@ -144,6 +166,7 @@
             retry_limiters: HashMap::new(),
             largest_model_waits: HashMap::new(),
             generation_sizes: HashMap::new(),
+            expected_times: ExpectedTimes::default(),
             stopping: None,
             reads_only_for_itself: true,
             // The service counts as unavailable until it has answered once.
@@ -240,28 +263,47 @@
         } else {
             healthy
         };
+        let index = match self.load_control.expected_time {
+            true => self.choose_by_time(now, request, domain, &eligible)?,
+            false => self.choose_by_load(now, request, domain, &eligible)?,
+        };
+        let (key, entry) = eligible[index];
+        let basis = self.load_control.uses_expected_time();
+        let basis = basis.then(|| self.time_basis(now, request, entry));
+        let expected = basis.map(|basis| self.expected_times.time(now, request.service, &basis));
+        Some(Pick {
+            key,
+            candidate_count: eligible.len(),
+            expected: expected.unwrap_or_default(),
+            basis,
+        })
+    }
+
+    /// Selects an endpoint by load and returns its index.
+    fn choose_by_load(
+        &self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+        domain: &str,
+        eligible: &[KeyedEntry<'_>],
+    ) -> Option<usize> {
         // 0.1 is added to the load so that the health of idle endpoints counts too.
         let candidates: Vec<Candidate> = eligible
             .iter()
             .map(|(_, e)| Candidate {
-                in_flight: (self.load(now, request, e) + 0.1)
+                in_flight: (self.load(now, request, e).1 + 0.1)
                     * e.health.load_factor()
                     * self.speed_factor(now, e),
                 same_domain: e.endpoint.domain == domain,
                 may_warm_up: e.reports_cold(now),
-                affinity: request.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
+                affinity: request.affinity(e),
             })
             .collect();
         let placement = match request.prefix {
             Some(_) => Placement::Affinity,
             None => Placement::Load,
         };
-        let chosen = choose(&candidates, placement, rand::random())?;
-        Some(Pick {
-            key: eligible[chosen].0,
-            candidate_count: candidates.len(),
-            expected: Duration::ZERO,
-        })
+        choose(&candidates, placement, rand::random())
     }
 }
 
@@ -302,19 +344,15 @@
     /// they go to the endpoint with the least load, and if all nodes used the same sums, they would
     /// all pick the same endpoint until the next sums arrive. Requests with a prefix stay with the
     /// engine that has it cached, and use the sums to move to another one when it is overloaded.
-    fn load(&self, now: Duration, request: &PlacementRequest<'_>, entry: &Entry) -> f64 {
-        let last_sum = request
-            .prefix
-            .and_then(|_| self.load_sums.last_sum_at(now, entry.number));
-        match last_sum {
-            Some(last_sum) => {
-                // A load is in the sums after up to two intervals: one until the node's next
-                // report, one until the aggregator's next sum.
-                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
-                entry.known_load(now, Some(summed_until))
-                    + self.load_sums.other_nodes_load(now, entry.number)
-            }
-            None => entry.known_load(now, None),
+    fn load(
+        &self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+        entry: &Entry,
+    ) -> (LoadScope, f64) {
+        match request.prefix {
+            Some(_) => self.load_of_all_nodes(now, entry),
+            None => (LoadScope::Own, entry.known_load(now, None)),
         }
     }
 }
--- /dev/null
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -0,0 +1,246 @@
+//! Expected times until the response head, by service, and the spare capacity of its endpoints.
+
+use crate::directory::Entry;
+use crate::loads::AggregationScheme;
+use crate::state::{KeyedEntry, PlacementRequest, State};
+use oatdale_policy::relay::{
+    LoadAhead, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve, TimedCandidate, choose_cached,
+    choose_of_two,
+};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Half-life of observed times by the load of all nodes. They depend on the engines alone and
+/// should outlast the time between two bursts; new responses replace them sooner.
+const ALL_NODES_HALF_LIFE: Duration = Duration::from_secs(60);
+
+/// Half-life of observed times by the node's own load. They also depend on the other nodes' loads,
+/// which change within seconds.
+const OWN_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// How long a computed spare capacity is used.
+const SPARE_CAPACITY_VALIDITY: Duration = Duration::from_millis(100);
+
+/// Whose load at an endpoint is known.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum LoadScope {
+    /// That of all nodes, from load sums.
+    AllNodes,
+    /// Only this node's own.
+    Own,
+}
+
+/// What the expected time of a request at an endpoint was computed from.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) struct TimeBasis {
+    pub(crate) scope: LoadScope,
+    pub(crate) ahead: LoadAhead,
+}
+
+/// Load in hand at the endpoints of a service and the load at which requests begin to wait, in
+/// units of weight at an endpoint of usual speed.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub(crate) struct SpareCapacity {
+    pub(crate) used: f64,
+    pub(crate) available: f64,
+}
+
+/// Observed times and capacities of all services.
+#[derive(Debug, Default)]
+pub(super) struct ExpectedTimes {
+    services: HashMap<String, ServiceTimes>,
+}
+
+#[derive(Debug)]
+struct ServiceTimes {
+    all_nodes: ResponseTimes,
+    own: ResponseTimes,
+    spare_capacity: Option<(Duration, SpareCapacity)>,
+}
+
+/// Expected times of a service at one moment.
+#[derive(Clone, Copy, Debug)]
+struct ServiceCurves {
+    all_nodes: TimeCurve,
+    own: TimeCurve,
+}
+
+impl Default for ServiceTimes {
+    fn default() -> Self {
+        ServiceTimes {
+            all_nodes: ResponseTimes::new(ALL_NODES_HALF_LIFE),
+            own: ResponseTimes::new(OWN_HALF_LIFE),
+            spare_capacity: None,
+        }
+    }
+}
+
+impl ServiceTimes {
+    fn curves(&self, now: Duration) -> ServiceCurves {
+        ServiceCurves {
+            all_nodes: self.all_nodes.curve(now),
+            own: self.own.curve(now),
+        }
+    }
+}
+
+impl ServiceCurves {
+    fn curve(&self, scope: LoadScope) -> &TimeCurve {
+        match scope {
+            LoadScope::AllNodes => &self.all_nodes,
+            LoadScope::Own => &self.own,
+        }
+    }
+}
+
+impl ExpectedTimes {
+    /// Returns the expected times of a service.
+    fn curves(&self, now: Duration, service: &str) -> ServiceCurves {
+        let known = self.services.get(service);
+        known.map_or_else(|| ServiceTimes::default().curves(now), |t| t.curves(now))
+    }
+
+    /// Returns the expected time of a request.
+    pub(super) fn time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
+        let curves = self.curves(now, service);
+        curves.curve(basis.scope).time(basis.ahead)
+    }
+
+    fn service_mut(&mut self, service: &str) -> &mut ServiceTimes {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_owned(), ServiceTimes::default());
+        }
+        self.services.entry(service.to_owned()).or_default()
+    }
+}
+
+impl State {
+    /// Records when a response arrived, or for how long it had not if `is_missing`.
+    pub(crate) fn record_response_time(
+        &mut self,
+        now: Duration,
+        service: &str,
+        basis: &TimeBasis,
+        time: Duration,
+        is_missing: bool,
+    ) {
+        let service = self.expected_times.service_mut(service);
+        let times = match basis.scope {
+            LoadScope::AllNodes => &mut service.all_nodes,
+            LoadScope::Own => &mut service.own,
+        };
+        match is_missing {
+            true => times.record_missing(now, basis.ahead, time),
+            false => times.record(now, basis.ahead, time),
+        }
+    }
+
+    /// Returns the load in hand at a service's endpoints and the load at which requests begin to
+    /// wait there. Both are at most 100 ms old. Where sums have stopped, only this node's own load
+    /// counts; endpoints that get no requests now do not count.
+    #[expect(dead_code, reason = "escalation and admission do not use it yet")]
+    pub(crate) fn spare_capacity(&mut self, now: Duration, service: &str) -> SpareCapacity {
+        let known = self.expected_times.service_mut(service).spare_capacity;
+        if let Some((at, capacity)) = known
+            && now < at + SPARE_CAPACITY_VALIDITY
+        {
+            return capacity;
+        }
+        let capacity = self.compute_spare_capacity(now, service);
+        self.expected_times.service_mut(service).spare_capacity = Some((now, capacity));
+        capacity
+    }
+
+    fn compute_spare_capacity(&self, now: Duration, service: &str) -> SpareCapacity {
+        let curves = self.expected_times.curves(now, service);
+        let knee_load = curves.all_nodes.knee_load();
+        let cold_time = self.cold_time(service);
+        let is_cold = |e: &Entry| cold_time.is_some_and(|time| e.is_cold(now, time));
+        let mut capacity = SpareCapacity::default();
+        for (_, entry) in self.directory.usable(now, service) {
+            if entry.health.is_ejected(now) || is_cold(entry) {
+                continue;
+            }
+            let (_, load) = self.load_of_all_nodes(now, entry);
+            capacity.used += load;
+            capacity.available += knee_load / self.speed_factor(now, entry);
+        }
+        capacity
+    }
+
+    /// Returns what the expected time of a request at an endpoint depends on.
+    pub(super) fn time_basis(
+        &self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+        entry: &Entry,
+    ) -> TimeBasis {
+        let (scope, load) = self.load(now, request, entry);
+        let factor = self.speed_factor(now, entry);
+        let ahead = LoadAhead {
+            load: load * factor,
+            weight: request.weight * factor,
+        };
+        TimeBasis { scope, ahead }
+    }
+
+    /// Selects an endpoint by expected time and returns its index.
+    pub(super) fn choose_by_time(
+        &self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+        domain: &str,
+        eligible: &[KeyedEntry<'_>],
+    ) -> Option<usize> {
+        let candidates: Vec<TimedCandidate> = eligible
+            .iter()
+            .map(|(_, e)| TimedCandidate {
+                load: self.load(now, request, e).1,
+                speed_factor: self.speed_factor(now, e),
+                health_factor: e.health.load_factor(),
+                same_domain: e.endpoint.domain == domain,
+                may_warm_up: e.reports_cold(now),
+                affinity: request.affinity(e),
+            })
+            .collect();
+        if request.prefix.is_none() {
+            return choose_of_two(&candidates, &mut rand::rng());
+        }
+        let has_sums = |e: &Entry| self.load_sums.last_sum_at(now, e.number).is_some();
+        if !eligible.iter().any(|(_, e)| has_sums(e)) {
+            // The node's own load is a small part of an engine's and says little about the time.
+            return self.choose_by_load(now, request, domain, eligible);
+        }
+        let curve = self.expected_times.curves(now, request.service).all_nodes;
+        let time_s = |c: &TimedCandidate| {
+            curve.time_s(LoadAhead {
+                load: c.scaled_load(),
+                weight: request.weight * c.speed_factor,
+            })
+        };
+        let prefix_time = READ_TIME_PER_WEIGHT.mul_f64(request.prefix_weight);
+        choose_cached(
+            &candidates,
+            time_s,
+            prefix_time.as_secs_f64(),
+            &mut rand::rng(),
+        )
+    }
+
+    /// Returns an endpoint's load, of all nodes if sums are recent.
+    ///
+    /// A load is in the sums after up to two intervals: one until the node's next report, one until
+    /// the aggregator's next sum.
+    pub(super) fn load_of_all_nodes(&self, now: Duration, entry: &Entry) -> (LoadScope, f64) {
+        match self.load_sums.last_sum_at(now, entry.number) {
+            Some(last_sum) => {
+                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
+                let load = entry.known_load(now, Some(summed_until))
+                    + self.load_sums.other_nodes_load(now, entry.number);
+                (LoadScope::AllNodes, load)
+            }
+            None => (LoadScope::Own, entry.known_load(now, None)),
+        }
+    }
+}
