--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -92,7 +92,7 @@
             start_up: StartUp::default(),
             quarantine_changed: watch::Sender::default(),
             started: Instant::now(),
-            state: Mutex::new(State::new(settings.bounds)),
+            state: Mutex::new(State::new(settings.bounds, settings.load_control)),
             settings,
         }
     }
