--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -19,6 +19,7 @@
 mod addresses;
 mod announcement;
 mod engine;
+mod escalation;
 mod evidence;
 mod fingerprint;
 mod forwarding;
@@ -40,6 +41,9 @@
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
+pub use crate::relay::escalation::{
+    EscalationRule, EscalationVerdict, RunTime, ServiceLoad, WAIT_FREE_LOAD,
+};
 pub use crate::relay::evidence::{
     Counts, CountsByOrigin, Origin, Verdict, VersionCounts, completion_verdict, verdict,
 };
--- a/crates/oatdale-policy/src/relay/ladder.rs
+++ b/crates/oatdale-policy/src/relay/ladder.rs
@@ -62,10 +62,10 @@
         confidence: Option<u8>,
         may_run: bool,
     ) -> EscalationDecision {
-        let top = model_count.saturating_sub(1);
-        match confidence {
-            Some(score) if may_run && pos < top && f64::from(score) < self.min_confidence() => {
-                EscalationDecision::Escalate(top)
+        let larger = larger_model(pos, model_count).filter(|_| may_run);
+        match (confidence, larger) {
+            (Some(score), Some(larger)) if f64::from(score) < self.min_confidence() => {
+                EscalationDecision::Escalate(larger)
             }
             _ => EscalationDecision::Accept,
         }
@@ -76,20 +76,27 @@
         let overload =
             (self.relative_wait - FULL_THRESHOLD_WAIT) / (MIN_THRESHOLD_WAIT - FULL_THRESHOLD_WAIT);
         let wait_factor = (1.0 - overload).clamp(MIN_THRESHOLD_SHARE, 1.0);
-        f64::from(self.threshold) * wait_factor * self.size_factor()
+        f64::from(self.threshold) * wait_factor * size_factor(self.relative_size)
     }
+}
 
-    /// Returns the factor by which the generation's size changes the threshold.
-    ///
-    /// The cost of a second run grows with the size. Its benefit to callers grows more slowly: a
-    /// part is the same for every answer, and beyond a few times the usual size it no longer grows.
-    /// Compared over 120 days, the factor gave callers 0.0025 more of the achievable value at the
-    /// same cost.
-    fn size_factor(&self) -> f64 {
-        let size = self.relative_size.max(MIN_SIZE);
-        let value = BASE_VALUE_SHARE + (1.0 - BASE_VALUE_SHARE) * size.min(MAX_VALUE_SIZE);
-        (value / size)
-            .sqrt()
-            .clamp(MIN_SIZE_FACTOR, MAX_SIZE_FACTOR)
-    }
+/// Returns the position of the model that answers a request again after the one at `pos`; `None` if
+/// that one is the largest.
+pub(super) fn larger_model(pos: usize, model_count: usize) -> Option<usize> {
+    let top = model_count.saturating_sub(1);
+    (pos < top).then_some(top)
+}
+
+/// Returns the factor by which the size of a generation, as a multiple of the usual size, changes
+/// the threshold.
+///
+/// The cost of a second run grows with the size. Its benefit to callers grows more slowly: a part
+/// is the same for every answer, and beyond a few times the usual size it no longer grows. Compared
+/// over 120 days, the factor gave callers 0.0025 more of the achievable value at the same cost.
+pub(super) fn size_factor(relative_size: f64) -> f64 {
+    let size = relative_size.max(MIN_SIZE);
+    let value = BASE_VALUE_SHARE + (1.0 - BASE_VALUE_SHARE) * size.min(MAX_VALUE_SIZE);
+    (value / size)
+        .sqrt()
+        .clamp(MIN_SIZE_FACTOR, MAX_SIZE_FACTOR)
 }
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -27,6 +27,9 @@
     pub(crate) is_failing: bool,
     /// The endpoint's load when it was picked, for the log.
     pub(crate) load_before: f64,
+    /// Load from all nodes at the endpoint when it was picked; this node's own one if there are no
+    /// recent sums.
+    pub(crate) total_load_before: f64,
     /// Number of candidates among which the endpoint was picked, for the log.
     pub(crate) candidate_count: usize,
     /// Expected time until the response head when the endpoint was picked.
@@ -49,6 +52,7 @@
             version: entry.endpoint.version.clone(),
             is_failing: entry.health.is_failing(),
             load_before: (entry.load - weight).max(0.0),
+            total_load_before: pick.total_load,
             candidate_count: pick.candidate_count,
             expected: pick.expected,
             limit_before: entry.limit,
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -48,6 +48,7 @@
 mod directory;
 mod endpoint_response;
 mod error;
+mod escalation;
 mod events;
 mod forwarding;
 mod front;
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) retries: IntCounter,
     /// Responses discarded in favor of a larger model's.
     pub(crate) escalations: IntCounter,
+    /// Decisions by spare capacity about answers with a low confidence, by outcome.
+    pub(crate) escalation_decisions: IntCounterVec,
     /// Streams that another endpoint resumed.
     pub(crate) resumed: IntCounter,
     /// Endpoints that crashed while this node had requests in flight there.
@@ -68,6 +70,10 @@
             "limited_requests_total",
             "Requests sent to endpoints that state a limit",
         );
+        let escalation_decisions = Opts::new(
+            "escalation_decisions_total",
+            "Answers with a low confidence, by whether a larger model makes them again",
+        );
         let permits = Opts::new("permits_total", "Requests for permits by outcome");
         let reach_checks = Opts::new(
             "reach_checks_total",
@@ -83,6 +89,7 @@
             requests: IntCounterVec::new(opts, &["end"])?,
             retries: IntCounter::new("repeats_total", "Attempts beyond the first")?,
             escalations: IntCounter::new("escalations_total", "Answers made again larger")?,
+            escalation_decisions: IntCounterVec::new(escalation_decisions, &["outcome"])?,
             resumed: IntCounter::new(
                 "resumed_total",
                 "Streams that another endpoint went on with",
@@ -127,10 +134,11 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
+            Box::new(self.escalation_decisions.clone()),
             Box::new(self.resumed.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Priority of the request; 0 is the most urgent.
+    pub(crate) fn urgency(&self) -> u8 {
+        self.urgency
+    }
+
     /// The model for the next attempt, where the route's ladder selects it instead of the caller.
     pub(crate) fn model(&self) -> Option<&str> {
         self.route()
@@ -268,9 +273,15 @@
     /// Load that the request adds to an endpoint: a long prompt and a large model delay all other
     /// requests there.
     fn weight(&self) -> f64 {
+        self.weight_of_model(self.model_index)
+    }
+
+    /// Load that the request adds with the model at this index of the ladder.
+    pub(crate) fn weight_of_model(&self, model_index: usize) -> f64 {
         let tokens = self.metadata.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
         let facts = self.site.services.get(&self.service);
-        let cost = match (facts, self.model()) {
+        let model = self.route().ladder.get(model_index);
+        let cost = match (facts, model) {
             (Some(facts), Some(model)) => facts.relative_cost(model),
             _ => 1.0,
         };
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::conn_timeouts::ConnTracker;
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
+use crate::escalation;
 use crate::forwarding::{self, FORWARDED, ForwardedRequest};
 use crate::headers::{forwarded_head, host_header, is_event_stream, strip_hop_by_hop};
 use crate::in_flight::InFlightRequest;
@@ -16,7 +17,6 @@
 use futures::stream::{self, StreamExt};
 use http::{HeaderValue, Request, Response, header, response};
 use hyper::body::Incoming;
-use oatdale_policy::relay::{EscalationDecision, Ladder};
 use rand::RngExt;
 use std::convert::Infallible;
 use std::io;
@@ -347,30 +347,13 @@
 ) -> Decision<W> {
     let status = endpoint_res.head.status;
     if status.is_success() {
-        let model_count = request_cx.route().ladder.len();
-        let can_retry = request_cx.has_attempts_left();
-        let ladder = Ladder {
-            threshold: cx.settings.ladder.least_confidence,
-            relative_wait: cx.state().mean_wait(&request_cx.service),
-            relative_size: request_cx.relative_size,
-        };
-        request_cx
-            .confidences
-            .extend(endpoint_res.metadata.confidence);
-        let decision = ladder.decide(
-            request_cx.model_index,
-            model_count,
-            endpoint_res.metadata.confidence,
-            can_retry,
-        );
+        let confidence = endpoint_res.metadata.confidence;
+        request_cx.confidences.extend(confidence);
+        // A node that forwards a request leaves the decision to the one that it forwards it to.
         let is_own = endpoint_res.in_flight().is_some();
-        let larger = match decision {
-            EscalationDecision::Escalate(model_index)
-                if is_own && cx.try_escalate(&request_cx.service) =>
-            {
-                place_larger(cx, request_cx, model_index).await
-            }
-            _ => None,
+        let larger = match is_own {
+            true => escalation::place(cx, request_cx, confidence).await,
+            false => None,
         };
         if let Some(in_flight) = larger {
             cx.metrics.escalations.inc();
@@ -391,24 +374,6 @@
     buffer_body(cx, request_cx, endpoint_res, may_abandon).await
 }
 
-/// Assigns a request that has a smaller model's response to an endpoint for the model at this index
-/// of the ladder. The response is kept if no endpoint accepts the request.
-async fn place_larger<W: Wire>(
-    cx: &Arc<Cx<W>>,
-    request_cx: &mut RequestContext,
-    model_index: usize,
-) -> Option<InFlightRequest<W>> {
-    let smaller = std::mem::replace(&mut request_cx.model_index, model_index);
-    // The endpoint that responded may run the larger model too.
-    let responded = request_cx.excluded.pop();
-    let placed = attempt::place(cx, request_cx, Purpose::Escalation).await;
-    if placed.is_err() {
-        request_cx.model_index = smaller;
-        request_cx.excluded.extend(responded);
-    }
-    placed.ok()
-}
-
 /// Buffers a response body, or returns it for streaming once it exceeds the bound.
 async fn buffer_body<W: Wire>(
     cx: &Arc<Cx<W>>,
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
+use crate::escalation::ServiceLoads;
 use crate::line_limit::LineLimit;
 use crate::loads::{AggregationScheme, LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
@@ -67,6 +68,10 @@
     retry_limiters: HashMap<String, RetryLimiter>,
     /// Mean wait at the largest models, as a fraction of their target latency, by service.
     largest_model_waits: HashMap<String, Mean>,
+    /// Load of each service, as last computed for escalations.
+    pub(crate) service_loads: ServiceLoads,
+    /// Limit on the log lines about escalations.
+    pub(crate) escalation_lines: LineLimit,
     /// Mean generation size by route.
     generation_sizes: HashMap<String, Mean>,
     /// When this node began to shut down, if it has.
@@ -113,6 +118,8 @@
     pub(crate) key: EndpointKey,
     /// Number of endpoints it was picked from.
     pub(crate) candidate_count: usize,
+    /// Load from all nodes at the endpoint; this node's own one if there are no recent sums.
+    pub(crate) total_load: f64,
     /// Expected time until the response head, or the first event of a stream.
     pub(crate) expected: Duration,
 }
@@ -143,6 +150,8 @@
             load_sums: LoadSums::default(),
             retry_limiters: HashMap::new(),
             largest_model_waits: HashMap::new(),
+            service_loads: ServiceLoads::default(),
+            escalation_lines: LineLimit::default(),
             generation_sizes: HashMap::new(),
             stopping: None,
             reads_only_for_itself: true,
@@ -257,9 +266,12 @@
             None => Placement::Load,
         };
         let chosen = choose(&candidates, placement, rand::random())?;
+        let (key, entry) = eligible[chosen];
+        let total_load = self.total_load(now, entry);
         Some(Pick {
-            key: eligible[chosen].0,
+            key,
             candidate_count: candidates.len(),
+            total_load: total_load.unwrap_or_else(|| entry.known_load(now, None)),
             expected: Duration::ZERO,
         })
     }
@@ -303,20 +315,24 @@
     /// all pick the same endpoint until the next sums arrive. Requests with a prefix stay with the
     /// engine that has it cached, and use the sums to move to another one when it is overloaded.
     fn load(&self, now: Duration, request: &PlacementRequest<'_>, entry: &Entry) -> f64 {
-        let last_sum = request
-            .prefix
-            .and_then(|_| self.load_sums.last_sum_at(now, entry.number));
-        match last_sum {
-            Some(last_sum) => {
-                // A load is in the sums after up to two intervals: one until the node's next
-                // report, one until the aggregator's next sum.
-                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
-                entry.known_load(now, Some(summed_until))
-                    + self.load_sums.other_nodes_load(now, entry.number)
+        match request.prefix {
+            Some(_) => {
+                let total = self.total_load(now, entry);
+                total.unwrap_or_else(|| entry.known_load(now, None))
             }
             None => entry.known_load(now, None),
         }
     }
+
+    /// Returns an endpoint's load from all nodes, or `None` if there are no recent sums with it.
+    pub(crate) fn total_load(&self, now: Duration, entry: &Entry) -> Option<f64> {
+        let last_sum = self.load_sums.last_sum_at(now, entry.number)?;
+        // A load is in the sums after up to two intervals: one until the node's next report, one
+        // until the aggregator's next sum.
+        let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
+        let other_nodes = self.load_sums.other_nodes_load(now, entry.number);
+        Some(entry.known_load(now, Some(summed_until)) + other_nodes)
+    }
 }
 
 /// Endpoint considered for a request.
