--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -138,7 +138,13 @@
 
     fn load_factor(&self) -> f64 {
         let overload = (self.load.relative() - FULL_THRESHOLD_LOAD) / THRESHOLD_LOAD_RANGE;
-        (1.0 - overload.max(0.0) * self.relative_cost()).clamp(0.0, 1.0)
+        let lowered_by = overload * self.relative_cost();
+        match () {
+            () if overload <= 0.0 => 1.0,
+            () if lowered_by < 1.0 => 1.0 - lowered_by,
+            // Also if a value is not a number.
+            () => 0.0,
+        }
     }
 
     fn time_factor(&self) -> f64 {
@@ -153,7 +159,7 @@
     /// escalations.
     fn relative_cost(&self) -> f64 {
         let weight = self.weight / self.relative_size.max(1.0);
-        let work = (weight / (AVERAGE_WORK * WAIT_FREE_LOAD)).sqrt();
+        let work = (weight / (AVERAGE_WORK * WAIT_FREE_LOAD)).cbrt();
         let cost = work * URGENCY_VALUE_FACTOR.powi(self.urgency.into());
         cost.clamp(MIN_RELATIVE_COST, MAX_RELATIVE_COST)
     }
--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -5,6 +5,7 @@
 
 use crate::attempt::{self, Purpose};
 use crate::cx::Cx;
+use crate::directory::Entry;
 use crate::in_flight::InFlightRequest;
 use crate::request_context::RequestContext;
 use crate::state::State;
@@ -26,9 +27,18 @@
 /// known. Measured with all models.
 const TIME_PER_LOAD: Duration = Duration::from_millis(100);
 
-/// Loads of services over all nodes, each with the time at which it was computed.
+/// Loads of services over all nodes, as last computed.
 #[derive(Debug, Default)]
-pub(crate) struct ServiceLoads(HashMap<String, (Duration, ServiceLoad)>);
+pub(crate) struct ServiceLoads(HashMap<String, ComputedLoad>);
+
+/// Load of one service over all nodes.
+#[derive(Clone, Copy, Debug)]
+struct ComputedLoad {
+    computed_at: Duration,
+    load: ServiceLoad,
+    /// Number of nodes for each of which this node's load stands; 0 if there are sums.
+    assumed_nodes: usize,
+}
 
 /// Outcome of a decision about an answer whose confidence is below the full threshold.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -56,14 +66,16 @@
 }
 
 /// Assigns a request to an endpoint for a larger model if the response of a smaller one, with this
-/// confidence, is to be replaced. `None` if the response is to be kept.
+/// confidence, is to be replaced. `None` if the response is to be kept. `weight` is the load of the
+/// run that gave the response.
 pub(crate) async fn place<W: Wire>(
     cx: &Arc<Cx<W>>,
     request_cx: &mut RequestContext,
     confidence: Option<u8>,
+    weight: f64,
 ) -> Option<InFlightRequest<W>> {
     match cx.settings.load_control.escalation_by_room {
-        true => place_by_capacity(cx, request_cx, confidence).await,
+        true => place_by_capacity(cx, request_cx, confidence, weight).await,
         false => place_by_wait(cx, request_cx, confidence).await,
     }
 }
@@ -94,6 +106,7 @@
     cx: &Arc<Cx<W>>,
     request_cx: &mut RequestContext,
     confidence: Option<u8>,
+    weight: f64,
 ) -> Option<InFlightRequest<W>> {
     if !request_cx.has_attempts_left() {
         return None;
@@ -101,7 +114,9 @@
     let (pos, model_count) = (request_cx.model_index, request_cx.route().ladder.len());
     let mut rule = EscalationRule {
         threshold: cx.settings.ladder.least_confidence,
-        load: cx.state().service_load(cx.now(), &request_cx.service),
+        load: cx
+            .state()
+            .service_load(cx.now(), &request_cx.service, weight),
         weight: request_cx.weight_of_model(model_count.saturating_sub(1)),
         urgency: request_cx.urgency(),
         relative_size: request_cx.relative_size,
@@ -207,36 +222,63 @@
     /// Returns the load of a service over all nodes, and what its endpoints take before requests
     /// wait.
     ///
-    /// Only endpoints that are used now and of which there are recent sums count. Without any sums,
-    /// this node's own load stands for that of each node.
-    pub(crate) fn service_load(&mut self, now: Duration, service: &str) -> ServiceLoad {
-        match self.service_loads.0.get(service) {
-            Some((at, load)) if now < *at + SERVICE_LOAD_VALIDITY => return *load,
-            _ => {}
+    /// Only endpoints count that accept requests now, are warm, if any is, and of which there are
+    /// recent sums. Without any sums, this node's own load stands for that of each node. A request
+    /// of this node with the weight `own_weight` is left out of it: a node with few requests decides
+    /// only while it has one, and would always find more load than the others have.
+    pub(crate) fn service_load(
+        &mut self,
+        now: Duration,
+        service: &str,
+        own_weight: f64,
+    ) -> ServiceLoad {
+        let known = self.service_loads.0.get(service).copied();
+        let computed = match known {
+            Some(known) if now < known.computed_at + SERVICE_LOAD_VALIDITY => known,
+            _ => {
+                let computed = self.compute_service_load(now, service);
+                let loads = &mut self.service_loads.0;
+                loads.insert(service.to_owned(), computed);
+                computed
+            }
+        };
+        let own = own_weight * computed.assumed_nodes as f64;
+        ServiceLoad {
+            used: (computed.load.used - own).max(0.0),
+            ..computed.load
         }
-        let load = self.compute_service_load(now, service);
-        self.service_loads.0.insert(service.to_owned(), (now, load));
-        load
     }
 
-    fn compute_service_load(&self, now: Duration, service: &str) -> ServiceLoad {
+    fn compute_service_load(&self, now: Duration, service: &str) -> ComputedLoad {
+        let cold_time = self.cold_time(service);
+        let is_cold = |e: &Entry| cold_time.is_some_and(|cold_time| e.is_cold(now, cold_time));
+        let usable = self.directory.usable(now, service).map(|(_, e)| e);
+        let usable = usable.filter(|e| !e.health.is_ejected(now));
+        let (cold, warm): (Vec<_>, Vec<_>) = usable.partition(|e| is_cold(e));
+        let counted = if warm.is_empty() { cold } else { warm };
+        let add = |load: &mut ServiceLoad, entry: &Entry, used: f64| {
+            load.used += used;
+            load.available += WAIT_FREE_LOAD / self.speed_factor(now, entry);
+        };
         let (mut summed, mut own) = (ServiceLoad::default(), ServiceLoad::default());
-        let entries = self.directory.eligible(now, service);
-        for (_, entry) in entries.filter(|(_, e)| !e.health.is_ejected(now)) {
-            let available = WAIT_FREE_LOAD / self.speed_factor(now, entry);
-            own.used += entry.load;
-            own.available += available;
+        for entry in counted {
+            add(&mut own, entry, entry.load);
             if let Some(used) = self.total_load(now, entry) {
-                summed.used += used;
-                summed.available += available;
+                add(&mut summed, entry, used);
             }
         }
-        match summed.available > 0.0 {
-            true => summed,
-            false => ServiceLoad {
-                used: own.used * self.nodes.iter(now).count().max(1) as f64,
-                available: own.available,
-            },
+        let nodes = self.nodes.iter(now).count().max(1);
+        let (load, assumed_nodes) = match summed.available > 0.0 {
+            true => (summed, 0),
+            false => {
+                own.used *= nodes as f64;
+                (own, nodes)
+            }
+        };
+        ComputedLoad {
+            computed_at: now,
+            load,
+            assumed_nodes,
         }
     }
 }
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -350,10 +350,10 @@
         let confidence = endpoint_res.metadata.confidence;
         request_cx.confidences.extend(confidence);
         // A node that forwards a request leaves the decision to the one that it forwards it to.
-        let is_own = endpoint_res.in_flight().is_some();
-        let larger = match is_own {
-            true => escalation::place(cx, request_cx, confidence).await,
-            false => None,
+        let weight = endpoint_res.in_flight().map(|in_flight| in_flight.weight);
+        let larger = match weight {
+            Some(weight) => escalation::place(cx, request_cx, confidence, weight).await,
+            None => None,
         };
         if let Some(in_flight) = larger {
             cx.metrics.escalations.inc();
--- a/crates/oatdale-relay/src/state/warm_up.rs
+++ b/crates/oatdale-relay/src/state/warm_up.rs
@@ -25,7 +25,7 @@
 
     /// Returns how long an endpoint of a service is cold after its start, if its request rate is
     /// limited then.
-    pub(super) fn cold_time(&self, service: &str) -> Option<Duration> {
+    pub(crate) fn cold_time(&self, service: &str) -> Option<Duration> {
         Some(self.cold_service_config(service)?.cold_time)
     }
 
