--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Priority of the request; 0 is the most urgent.
+    pub(crate) fn urgency(&self) -> u8 {
+        self.urgency
+    }
+
     /// The model for the next attempt, where the route's ladder selects it instead of the caller.
     pub(crate) fn model(&self) -> Option<&str> {
         self.route()
@@ -268,14 +273,21 @@
     /// Load that the request adds to an endpoint: a long prompt and a large model delay all other
     /// requests there.
     fn weight(&self) -> f64 {
+        self.weight_of_model(self.model_index)
+    }
+
+    /// Load that the request adds with the model at this index of the ladder.
+    pub(crate) fn weight_of_model(&self, model_index: usize) -> f64 {
         let tokens = self.metadata.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
-        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * self.relative_cost()
+        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * self.relative_cost(model_index)
     }
 
-    /// Cost of the model relative to the service's most expensive one; 1 if unknown.
-    fn relative_cost(&self) -> f64 {
+    /// Cost of the model at this index of the ladder relative to the service's most expensive one; 1
+    /// if unknown.
+    fn relative_cost(&self, model_index: usize) -> f64 {
         let facts = self.site.services.get(&self.service);
-        match (facts, self.model()) {
+        let model = self.route().ladder.get(model_index);
+        match (facts, model) {
             (Some(facts), Some(model)) => facts.relative_cost(model),
             _ => 1.0,
         }
@@ -300,7 +312,7 @@
             .shared_parts()
             .iter()
             .map(|(_, tokens)| f64::from(*tokens));
-        tokens.sum::<f64>() / TOKENS_PER_REQUEST * self.relative_cost()
+        tokens.sum::<f64>() / TOKENS_PER_REQUEST * self.relative_cost(self.model_index)
     }
 
     /// Assigns the request to an endpoint that has not received it yet.
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -6,6 +6,7 @@
 
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
+use crate::escalation::ServiceLoads;
 use crate::line_limit::LineLimit;
 use crate::loads::{LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
@@ -78,6 +79,10 @@
     retry_limiters: HashMap<String, RetryLimiter>,
     /// Mean wait at the largest models, as a fraction of their target latency, by service.
     largest_model_waits: HashMap<String, Mean>,
+    /// Load of each service, as last computed for escalations.
+    pub(crate) service_loads: ServiceLoads,
+    /// Limit on the log lines about escalations.
+    pub(crate) escalation_lines: LineLimit,
     /// Mean generation size by route.
     generation_sizes: HashMap<String, Mean>,
     expected_times: ExpectedTimes,
@@ -169,6 +174,8 @@
             speeds: Speeds::default(),
             retry_limiters: HashMap::new(),
             largest_model_waits: HashMap::new(),
+            service_loads: ServiceLoads::default(),
+            escalation_lines: LineLimit::default(),
             generation_sizes: HashMap::new(),
             expected_times: ExpectedTimes::default(),
             stopping: None,
@@ -355,6 +362,14 @@
             None => (LoadScope::Own, entry.known_load(now, None)),
         }
     }
+
+    /// Returns an endpoint's load from all nodes, or `None` if there are no recent sums with it.
+    pub(crate) fn total_load(&self, now: Duration, entry: &Entry) -> Option<f64> {
+        match self.load_of_all_nodes(now, entry) {
+            (LoadScope::AllNodes, load) => Some(load),
+            (LoadScope::Own, _) => None,
+        }
+    }
 }
 
 /// Endpoint considered for a request.
