Decide before the first attempt whether a request is placed, waits or is refused

In a burst that exceeds the capacity of a service, all requests were placed and most of them were late; none was refused, and nothing ordered them.

oatdale-policy: admission.rs decides by the expected time, the time left and the utilization of the service. Callers that return are recognized by fingerprint or by a shorter time than usual. Below half of the capacity, and without recent sums, everything is placed at once.

oatdale-relay: admission.rs asks before the first attempt, if the setting load-control.admission is on, with a log line and metrics.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -17,6 +17,7 @@
 
 mod adaptive_rate;
 mod addresses;
+mod admission;
 mod announcement;
 mod engine;
 mod evidence;
@@ -38,6 +39,10 @@
 pub use crate::average::{Mean, Rate};
 pub use crate::relay::adaptive_rate::AdaptiveRate;
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
+pub use crate::relay::admission::{
+    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, Allowance, Prospect,
+    ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, WaitingRequest, admit,
+};
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::evidence::{
--- /dev/null
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -0,0 +1,159 @@
+//! Admission control: whether a request is placed at once, waits at its host or is refused, and when
+//! a refused caller is to return.
+//!
+//! Answers the load of a burst that exceeds the capacity of a service for some seconds: 2,800
+//! requests within two seconds made the median time to the first event exceed its target, without a
+//! single refusal. Each host decides by itself, on sums of the load that are up to half a second old.
+
+mod queue;
+mod returning;
+mod share;
+
+pub use crate::relay::admission::queue::{AdmissionQueue, WaitingRequest};
+pub use crate::relay::admission::returning::ReturningCallers;
+pub use crate::relay::admission::share::{Allowance, ReleaseShare, SpareCapacity};
+
+use std::time::Duration;
+
+/// Utilization of a service below which each request is placed at once, whatever is expected: with
+/// half of the capacity unused, a long expected time is an error of the estimate.
+const MIN_UTILIZATION: f64 = 0.5;
+
+/// Maximum wait of a request that can be in time, as a fraction of its target.
+const MAX_WAIT_DIVISOR: u32 = 8;
+
+/// Callers honour `Retry-After` up to this fraction of the time that they have left.
+const RETRY_TIME_DIVISOR: u32 = 3;
+
+/// Maximum wait of a request that can only be late, as a fraction of the time left.
+const MAX_LATE_WAIT_DIVISOR: u32 = 4;
+
+/// A request that is not placed yet.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct AdmissionRequest {
+    /// Target time to the response or its first event, if the route has one.
+    pub target: Option<Duration>,
+    /// Time since the request arrived.
+    pub elapsed: Duration,
+    /// Time left until the caller stops waiting.
+    pub time_left: Duration,
+    /// Whether the caller was refused before, so that another refusal would be its last response.
+    pub has_returned: bool,
+    /// Whether the request may still wait at this host.
+    pub may_wait: bool,
+    /// Whether requests that are more urgent and can be in time wait at this host.
+    pub is_behind: bool,
+}
+
+/// What is known of the service that a request is for.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct ServiceOutlook {
+    /// Expected time to the first event if the request is placed now.
+    pub expected: Duration,
+    /// Load of all hosts as a fraction of the capacity; `None` if no recent sum is known.
+    pub utilization: Option<f64>,
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AdmissionDecision {
+    /// Place it now.
+    Place,
+    /// Keep it in the host's queue for at most this time, and decide again afterwards.
+    Wait {
+        /// How it is ordered among the waiting requests.
+        prospect: Prospect,
+        /// Maximum time to wait.
+        limit: Duration,
+    },
+    /// Refuse it.
+    Refuse {
+        /// Why.
+        reason: AdmissionRefusal,
+        /// When the caller is to return.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AdmissionRefusal {
+    /// No endpoint is expected to respond in time, but one is if the caller returns.
+    Overloaded,
+    /// No endpoint is expected to respond before the deadline.
+    AfterDeadline,
+}
+
+/// When a waiting request is expected to be served.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Prospect {
+    /// Before its target.
+    InTime,
+    /// After its target. It waits for capacity that no request needs which can be in time.
+    Late,
+}
+
+impl AdmissionRefusal {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AdmissionRefusal::Overloaded => "overloaded",
+            AdmissionRefusal::AfterDeadline => "after-deadline",
+        }
+    }
+}
+
+impl AdmissionRequest {
+    /// Expected time up to which the request is in time.
+    fn in_time_bound(&self) -> Duration {
+        self.target.map_or(self.time_left, |target| {
+            target.saturating_sub(self.elapsed).min(self.time_left)
+        })
+    }
+
+    fn max_wait(&self) -> Duration {
+        self.target.unwrap_or(self.time_left).min(self.time_left) / MAX_WAIT_DIVISOR
+    }
+}
+
+/// Decides about a request. `draw` is a random number from 0 to 1, which spreads the callers that are
+/// refused together.
+pub fn admit(request: &AdmissionRequest, outlook: &ServiceOutlook, draw: f64) -> AdmissionDecision {
+    let bound = request.in_time_bound();
+    let excess = outlook.expected.saturating_sub(bound);
+    let max_retry = request.time_left / RETRY_TIME_DIVISOR;
+    let refuse = |reason| AdmissionDecision::Refuse {
+        reason,
+        retry_after: retry_after(excess, outlook.expected, max_retry, draw),
+    };
+    let wait = |prospect, limit| AdmissionDecision::Wait { prospect, limit };
+    match outlook.utilization {
+        None => AdmissionDecision::Place,
+        Some(utilization) if utilization < MIN_UTILIZATION => AdmissionDecision::Place,
+        _ if excess.is_zero() && request.is_behind && request.may_wait => {
+            wait(Prospect::InTime, request.max_wait())
+        }
+        _ if excess.is_zero() => AdmissionDecision::Place,
+        _ if outlook.expected > request.time_left => refuse(AdmissionRefusal::AfterDeadline),
+        // The estimate is as old as the sums: so short an excess may be gone by now.
+        _ if request.may_wait && excess <= request.max_wait() => {
+            wait(Prospect::InTime, request.max_wait())
+        }
+        _ if !request.has_returned && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
+        // A late response is worth more than none.
+        _ if request.may_wait => {
+            let spare_time = request.time_left - outlook.expected;
+            let limit = (spare_time / 2).min(request.time_left / MAX_LATE_WAIT_DIVISOR);
+            wait(Prospect::Late, limit)
+        }
+        _ => AdmissionDecision::Place,
+    }
+}
+
+/// Returns a time between the one at which a new request is expected to be in time and the one at
+/// which the work in hand has drained, at most `max`. The callers are spread evenly over it.
+fn retry_after(excess: Duration, drained: Duration, max: Duration, draw: f64) -> Duration {
+    let earliest = excess.min(max);
+    let spread = drained.min(max).saturating_sub(earliest);
+    earliest + spread.mul_f64(draw.clamp(0.0, 1.0))
+}
--- a/crates/oatdale-policy/src/request_slab.rs
+++ b/crates/oatdale-policy/src/request_slab.rs
@@ -16,6 +16,12 @@
     item: Option<T>,
 }
 
+impl<T> Default for RequestSlab<T> {
+    fn default() -> Self {
+        RequestSlab::new()
+    }
+}
+
 impl<T> RequestSlab<T> {
     pub(crate) fn new() -> Self {
         RequestSlab {
--- /dev/null
+++ b/crates/oatdale-relay/src/admission.rs
@@ -0,0 +1,209 @@
+//! Decides before the first attempt of a request whether it is placed, waits or is refused.
+//!
+//! Applies to requests for models, where the load sums of all nodes are known. Requests that other
+//! nodes forward and streams that a caller resumes are at a later stage and are placed at once, as is
+//! everything while no sums arrive.
+
+mod load;
+mod waiting;
+
+use crate::admission::load::ServiceLoad;
+use crate::admission::waiting::Waiting;
+use crate::cx::Cx;
+use crate::line_limit::LineLimit;
+use crate::reachability;
+use crate::request_context::RequestContext;
+use crate::wire::Wire;
+use oatdale_policy::relay::{
+    AdmissionDecision, AdmissionRefusal, AdmissionRequest, ReturningCallers, ServiceOutlook, admit,
+};
+use rand::RngExt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Admission control of one node.
+#[derive(Default)]
+pub(crate) struct Admission {
+    waiting: Waiting,
+    callers: Mutex<Callers>,
+}
+
+/// What is known of callers that were refused.
+#[derive(Default)]
+struct Callers {
+    returning: ReturningCallers,
+    lines: LineLimit,
+}
+
+impl Admission {
+    fn callers(&self) -> MutexGuard<'_, Callers> {
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits until a request may be sent to an endpoint.
+///
+/// # Errors
+///
+/// The request is to be refused; nothing of it has been sent.
+pub(crate) async fn admit_request<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    request_cx: &mut RequestContext,
+) -> Result<(), AdmissionRefusal> {
+    if !cx.settings.load_control.admission || !is_subject_to_admission(cx, request_cx) {
+        return Ok(());
+    }
+    let has_returned = has_returned(cx, request_cx);
+    let mut evaluation = evaluate(cx, request_cx, has_returned, true);
+    let began = Instant::now();
+    let mut is_released = false;
+    if let AdmissionDecision::Wait { prospect, limit } = evaluation.decision {
+        let waiter = cx
+            .admission
+            .waiting
+            .add(cx, request_cx, prospect, has_returned);
+        if let Some(mut waiter) = waiter {
+            is_released = timeout(limit, waiter.released()).await.is_ok();
+        }
+        if !is_released {
+            evaluation = evaluate(cx, request_cx, has_returned, false);
+        }
+    }
+    let waited = began.elapsed();
+    match evaluation.decision {
+        AdmissionDecision::Refuse {
+            reason,
+            retry_after,
+        } => {
+            refuse(cx, request_cx, reason);
+            log_decision(cx, request_cx, &evaluation, waited, "refused", retry_after);
+            request_cx.retry_after = Some(retry_after);
+            Err(reason)
+        }
+        AdmissionDecision::Place if waited.is_zero() => Ok(()),
+        AdmissionDecision::Place | AdmissionDecision::Wait { .. } => {
+            let decision = if is_released { "released" } else { "placed" };
+            log_decision(
+                cx,
+                request_cx,
+                &evaluation,
+                waited,
+                decision,
+                Duration::ZERO,
+            );
+            Ok(())
+        }
+    }
+}
+
+fn is_subject_to_admission<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> bool {
+    request_cx.metadata.prompt.is_some()
+        && request_cx.metadata.last_event_id.is_none()
+        && request_cx.forwarded.is_none()
+        && !reachability::is_unreachable(cx, &request_cx.service)
+}
+
+/// A decision and what it was based on, for the log.
+struct Evaluation {
+    decision: AdmissionDecision,
+    expected: Duration,
+    load: Option<ServiceLoad>,
+}
+
+fn evaluate<W: Wire>(
+    cx: &Cx<W>,
+    request_cx: &RequestContext,
+    has_returned: bool,
+    may_wait: bool,
+) -> Evaluation {
+    // If no endpoint can take it, the attempt finds out why and when one can.
+    let Some(expected) = request_cx.expected_time(cx) else {
+        return Evaluation {
+            decision: AdmissionDecision::Place,
+            expected: Duration::ZERO,
+            load: None,
+        };
+    };
+    let (service, urgency) = (&request_cx.service, request_cx.urgency);
+    let request = AdmissionRequest {
+        target: request_cx.route().target_latency,
+        elapsed: request_cx.arrival.elapsed(),
+        time_left: request_cx.time_left(),
+        has_returned,
+        may_wait,
+        is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
+    };
+    let draw = rand::rng().random_range(0.0..1.0);
+    let decide = |utilization| {
+        let outlook = ServiceOutlook {
+            expected,
+            utilization,
+        };
+        admit(&request, &outlook, draw)
+    };
+    // The sum over all endpoints is needed only if the request would not be placed at full load.
+    let (decision, load) = match decide(Some(f64::INFINITY)) {
+        AdmissionDecision::Place => (AdmissionDecision::Place, None),
+        _ => {
+            let load = ServiceLoad::new(&cx.state(), cx.now(), service);
+            (decide(load.map(|l| l.utilization())), load)
+        }
+    };
+    Evaluation {
+        decision,
+        expected,
+        load,
+    }
+}
+
+/// Whether the caller was probably refused before, by this node or another one.
+fn has_returned<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> bool {
+    let route = &request_cx.route().name;
+    let (is_short_of_time, has_refused) = {
+        let returning = &mut cx.admission.callers().returning;
+        let time = request_cx.metadata.timeout;
+        let is_short = time.is_some_and(|time| returning.record_time(route, time));
+        (is_short, returning.has_refused(cx.now()))
+    };
+    // The fingerprint takes time, so it is not computed unless it may be known.
+    is_short_of_time
+        || has_refused && {
+            let request = request_cx.fingerprint();
+            cx.admission.callers().returning.was_refused(request)
+        }
+}
+
+fn refuse<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext, reason: AdmissionRefusal) {
+    let request = request_cx.fingerprint();
+    let now = cx.now();
+    cx.admission
+        .callers()
+        .returning
+        .record_refused(now, request);
+    let urgency = request_cx.urgency.to_string();
+    let labels = [reason.name(), request_cx.service.as_str(), urgency.as_str()];
+    cx.metrics.overloaded.with_label_values(&labels).inc();
+}
+
+fn log_decision<W: Wire>(
+    cx: &Cx<W>,
+    request_cx: &RequestContext,
+    evaluation: &Evaluation,
+    waited: Duration,
+    decision: &str,
+    retry_after: Duration,
+) {
+    if !cx.admission.callers().lines.allows(cx.now()) {
+        return;
+    }
+    let omitted = cx.admission.callers().lines.take_omitted();
+    log::info!(
+        target: "admission",
+        "event=admission id={} service={} urgency={} decision={decision} expected_ms={} waited_ms={} \
+         sums_age_ms={} retry_after_ms={} omitted={omitted}",
+        request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.service, request_cx.urgency,
+        evaluation.expected.as_millis(), waited.as_millis(),
+        evaluation.load.map_or_else(|| "-".to_owned(), |l| l.sums_age.as_millis().to_string()), retry_after.as_millis()
+    );
+}
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of a relay.
 
+use crate::admission::Admission;
 use crate::body::BodyMemory;
 use crate::crashes;
 use crate::directory::{IneligibleCounts, RecordChange};
@@ -64,6 +65,7 @@
     /// Socket for datagrams between nodes.
     pub(crate) socket: UdpSocket,
     pub(crate) start_up: StartUp,
+    pub(crate) admission: Admission,
     /// Notified when the quarantined requests change, for in-flight requests that are among them.
     pub(crate) quarantine_changed: watch::Sender<()>,
     started: Instant,
@@ -90,6 +92,7 @@
             body_memory: BodyMemory::default(),
             socket,
             start_up: StartUp::default(),
+            admission: Admission::default(),
             quarantine_changed: watch::Sender::default(),
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds)),
--- a/crates/oatdale-relay/src/forwarding.rs
+++ b/crates/oatdale-relay/src/forwarding.rs
@@ -349,6 +349,7 @@
             | Refusal::BadKey
             | Refusal::TooLarge => NodeRefusal::OtherNode,
             Refusal::NoEndpoint
+            | Refusal::Overloaded
             | Refusal::Evacuated
             | Refusal::NoTime
             | Refusal::Quarantined
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -40,6 +40,7 @@
 //! assert_eq!(site.route("other.example", "/slots/41"), None);
 //! ```
 
+mod admission;
 mod attempt;
 mod body;
 mod conn_timeouts;
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use crate::traffic::Traffic;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -42,6 +42,12 @@
     pub(crate) forwarded: IntCounterVec,
     /// Requests that other nodes forwarded to this one.
     pub(crate) forwarded_here: IntCounter,
+    /// Requests that wait until an endpoint has capacity, by service and urgency.
+    pub(crate) waiting: IntGaugeVec,
+    /// Time for which requests waited for capacity, by service and urgency.
+    pub(crate) waited: HistogramVec,
+    /// Requests refused for lack of capacity, by reason, service and urgency.
+    pub(crate) overloaded: IntCounterVec,
     /// Announcements of endpoints that this version does not know.
     pub(crate) unknown_announcements: IntCounter,
     /// Time to the head of the forwarded response, in seconds.
@@ -79,7 +85,17 @@
         );
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
             .buckets(LATENCY_BUCKETS_S.to_vec());
+        let waiting = Opts::new("waiting_requests", "Requests that wait for capacity");
+        let waited = HistogramOpts::new("waited_seconds", "Time for which requests waited")
+            .buckets(LATENCY_BUCKETS_S.to_vec());
+        let overloaded = Opts::new(
+            "overload_refusals_total",
+            "Requests refused for lack of capacity, by reason",
+        );
         let metrics = Metrics {
+            waiting: IntGaugeVec::new(waiting, &["service", "urgency"])?,
+            waited: HistogramVec::new(waited, &["service", "urgency"])?,
+            overloaded: IntCounterVec::new(overloaded, &["reason", "service", "urgency"])?,
             requests: IntCounterVec::new(opts, &["end"])?,
             retries: IntCounter::new("repeats_total", "Attempts beyond the first")?,
             escalations: IntCounter::new("escalations_total", "Answers made again larger")?,
@@ -127,7 +143,7 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 24] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
@@ -149,6 +165,9 @@
             Box::new(self.connections.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.store.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.waited.clone()),
+            Box::new(self.overloaded.clone()),
         ];
         collectors
             .into_iter()
--- a/crates/oatdale-relay/src/reply.rs
+++ b/crates/oatdale-relay/src/reply.rs
@@ -34,6 +34,8 @@
     Stopping,
     /// No endpoint has capacity for the request; none has run it.
     NoEndpoint,
+    /// All endpoints are so busy that the response would be late; none has run the request.
+    Overloaded,
     /// All failure domains with endpoints for the request are evacuated.
     Evacuated,
     /// The deadline was too close to send the request to any endpoint.
@@ -58,6 +60,7 @@
             | Refusal::NotReady
             | Refusal::Stopping
             | Refusal::NoEndpoint
+            | Refusal::Overloaded
             | Refusal::Evacuated
             | Refusal::NoTime
             | Refusal::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
@@ -79,6 +82,7 @@
             Refusal::NotReady => "not-ready",
             Refusal::Stopping => "stopping",
             Refusal::NoEndpoint => "no-endpoint",
+            Refusal::Overloaded => "overloaded",
             Refusal::Evacuated => "domains-evacuated",
             Refusal::NoTime => "no-time",
             Refusal::Quarantined => "quarantined",
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -42,7 +42,7 @@
     pub(crate) arrival: Instant,
     /// Deadline: when the caller stops waiting or the route's timeout expires, whichever is first.
     pub(crate) deadline_at: Instant,
-    urgency: u8,
+    pub(crate) urgency: u8,
     /// Index in the route's ladder of the model for the next attempt.
     pub(crate) model_index: usize,
     /// Endpoints that are excluded from the next attempt because they received the request.
@@ -267,7 +267,7 @@
 
     /// Load that the request adds to an endpoint: a long prompt and a large model delay all other
     /// requests there.
-    fn weight(&self) -> f64 {
+    pub(crate) fn weight(&self) -> f64 {
         let tokens = self.metadata.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
         let facts = self.site.services.get(&self.service);
         let cost = match (facts, self.model()) {
@@ -304,7 +304,6 @@
 
     /// Returns the expected time until the response head if the request is placed now; `None` if no
     /// endpoint can take it.
-    #[expect(dead_code, reason = "admission does not use it yet")]
     pub(crate) fn expected_time<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
         let allowed = self.allowed_versions(cx);
         cx.expected_time(&self.placement_request(&allowed, LimitedEndpoints::Allowed))
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -188,6 +188,11 @@
             .flatten()
     }
 
+    /// Whether a session has had requests sent to endpoints, as far as this node knows.
+    pub(crate) fn has_session(&self, session: u64) -> bool {
+        self.sessions.contains(session)
+    }
+
     /// Removes expired sessions.
     pub fn expire_sessions(&mut self, now: Duration, ttl: Duration) {
         self.sessions.expire(now, ttl);
--- a/crates/oatdale-relay/src/roll_outs/sessions.rs
+++ b/crates/oatdale-relay/src/roll_outs/sessions.rs
@@ -45,6 +45,11 @@
 }
 
 impl Sessions {
+    /// Whether a request of the session has been sent to an endpoint.
+    pub(super) fn contains(&self, session: u64) -> bool {
+        self.pins.contains_key(&session)
+    }
+
     /// Pins a session to the version that its request went to.
     pub(super) fn pin(&mut self, now: Duration, session: u64, version: &str) {
         let is_known = self.pins.contains_key(&session);
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serves one request of a caller, from its head to the end of the response.
 
+use crate::admission;
 use crate::attempt::{self, Failure, Purpose, SendOptions};
 use crate::conn_timeouts::ConnTracker;
 use crate::cx::Cx;
@@ -264,6 +265,9 @@
     let mut last_error_reply: Option<Reply<W>> = None;
     let mut purpose = Purpose::First;
     let mut placed = None;
+    admission::admit_request(cx, request_cx)
+        .await
+        .map_err(|reason| (Refusal::Overloaded, format!("{reason:?}")))?;
     loop {
         if request_cx.time_left() < MIN_ATTEMPT_TIME && request_cx.sends == 0 {
             return Err((Refusal::NoTime, "deadline too close".to_owned()));
