--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -40,7 +40,7 @@
 pub use crate::relay::adaptive_rate::AdaptiveRate;
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::admission::{
-    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, Allowance, Prospect,
+    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, LoadGrowth, Prospect,
     ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, WaitingRequest, admit,
 };
 pub use crate::relay::announcement::is_prompt_announced;
--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -5,13 +5,15 @@
 //! requests within two seconds made the median time to the first event exceed its target, without a
 //! single refusal. Each host decides by itself, on sums of the load that are up to half a second old.
 
+mod growth;
 mod queue;
 mod returning;
 mod share;
 
+pub use crate::relay::admission::growth::LoadGrowth;
 pub use crate::relay::admission::queue::{AdmissionQueue, WaitingRequest};
 pub use crate::relay::admission::returning::ReturningCallers;
-pub use crate::relay::admission::share::{Allowance, ReleaseShare, SpareCapacity};
+pub use crate::relay::admission::share::{ReleaseShare, SpareCapacity};
 
 use std::time::Duration;
 
@@ -52,6 +54,8 @@
     pub expected: Duration,
     /// Load of all hosts as a fraction of the capacity; `None` if no recent sum is known.
     pub utilization: Option<f64>,
+    /// Fraction of the load that was added in the time by which the sums lag, from 0 to 1.
+    pub growth: f64,
 }
 
 /// What to do with a request.
@@ -120,11 +124,15 @@
 /// refused together.
 pub fn admit(request: &AdmissionRequest, outlook: &ServiceOutlook, draw: f64) -> AdmissionDecision {
     let bound = request.in_time_bound();
-    let excess = outlook.expected.saturating_sub(bound);
+    // As much load as the sums have gained may have been added since.
+    let projected = outlook
+        .expected
+        .mul_f64(1.0 + outlook.growth.clamp(0.0, 1.0));
+    let excess = projected.saturating_sub(bound);
     let max_retry = request.time_left / RETRY_TIME_DIVISOR;
     let refuse = |reason| AdmissionDecision::Refuse {
         reason,
-        retry_after: retry_after(excess, outlook.expected, max_retry, draw),
+        retry_after: retry_after(excess, projected, max_retry, draw),
     };
     let wait = |prospect, limit| AdmissionDecision::Wait { prospect, limit };
     match outlook.utilization {
@@ -151,9 +159,14 @@
 }
 
 /// Returns a time between the one at which a new request is expected to be in time and the one at
-/// which the work in hand has drained, at most `max`. The callers are spread evenly over it.
+/// which the work in hand and that of the refused callers has drained, at most `max`. The callers are
+/// spread evenly over it.
 fn retry_after(excess: Duration, drained: Duration, max: Duration, draw: f64) -> Duration {
     let earliest = excess.min(max);
-    let spread = drained.min(max).saturating_sub(earliest);
-    earliest + spread.mul_f64(draw.clamp(0.0, 1.0))
+    // The refused callers bring about as much work as there is in hand.
+    let latest = (2 * drained).min(max);
+    earliest
+        + latest
+            .saturating_sub(earliest)
+            .mul_f64(draw.clamp(0.0, 1.0))
 }
--- a/crates/oatdale-policy/src/relay/admission/share.rs
+++ b/crates/oatdale-policy/src/relay/admission/share.rs
@@ -7,10 +7,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time until a released request is in the sums that a host uses: one interval until the host's
-/// report, one until the next sum.
-const LAG: Duration = Duration::from_millis(500);
-
 /// Spare capacity of a service, as the sums show it.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct SpareCapacity {
@@ -18,6 +14,8 @@
     pub load: f64,
     /// Number of hosts that share it.
     pub hosts: usize,
+    /// Requests that were placed before this time are in the sums.
+    pub summed_until: Duration,
 }
 
 /// What one host may release.
@@ -25,25 +23,16 @@
 pub struct ReleaseShare {
     /// Load that was granted, by time, until the sums include it.
     granted: VecDeque<(Duration, f64)>,
-}
-
-/// Load that may be released now.
-#[derive(Clone, Copy, Debug)]
-pub struct Allowance {
-    load: f64,
-    draw: f64,
+    /// Load that was granted and not used; `None` before the first grant.
+    credit: Option<f64>,
 }
 
 impl ReleaseShare {
-    /// Returns the load that the host may release now. It counts as released, whether it is used or
-    /// not, so it is to be asked for only while requests wait, once in an interval of the sums.
-    pub fn grant(
-        &mut self,
-        now: Duration,
-        spare: SpareCapacity,
-        rng: &mut impl rand::Rng,
-    ) -> Allowance {
-        while self.granted.front().is_some_and(|(at, _)| now >= *at + LAG) {
+    /// Grants the load that the host may release now. It counts as released, whether it is used or
+    /// not, so this is to be called only while requests wait.
+    pub fn grant(&mut self, now: Duration, spare: SpareCapacity, rng: &mut impl rand::Rng) {
+        let is_summed = |at: Duration| at < spare.summed_until;
+        while self.granted.front().is_some_and(|(at, _)| is_summed(*at)) {
             self.granted.pop_front();
         }
         let granted: f64 = self.granted.iter().map(|(_, load)| load).sum();
@@ -52,19 +41,27 @@
         if load > 0.0 {
             self.granted.push_back((now, load));
         }
-        Allowance {
-            load,
-            draw: rng.random_range(0.0..1.0),
-        }
+        // Hosts whose shares are fractions of a request release it at different times.
+        let credit = self
+            .credit
+            .get_or_insert_with(|| rng.random_range(0.0..1.0));
+        *credit += load;
     }
-}
 
-impl Allowance {
-    /// Whether a request of this weight may be released; if so, it uses a part of the allowance. The
-    /// last one, which fits only in part, is released with the probability of that part.
+    /// Whether a request of this weight may be released; if so, it uses a part of what was granted.
     pub fn take(&mut self, weight: f64) -> bool {
-        let is_allowed = self.load > self.draw * weight;
-        self.load -= weight;
-        is_allowed
+        match &mut self.credit {
+            Some(credit) if *credit >= weight => {
+                *credit -= weight;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Drops what was granted and is not needed, except the fraction of a request, because no request
+    /// waits any more.
+    pub fn forfeit(&mut self) {
+        self.credit = self.credit.map(f64::fract);
     }
 }
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -7,7 +7,7 @@
 mod load;
 mod waiting;
 
-use crate::admission::load::ServiceLoad;
+use crate::admission::load::{ServiceLoad, ServiceLoads};
 use crate::admission::waiting::Waiting;
 use crate::cx::Cx;
 use crate::line_limit::LineLimit;
@@ -26,6 +26,7 @@
 #[derive(Default)]
 pub(crate) struct Admission {
     waiting: Waiting,
+    loads: ServiceLoads,
     callers: Mutex<Callers>,
 }
 
@@ -135,21 +136,13 @@
         is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
     };
     let draw = rand::rng().random_range(0.0..1.0);
-    let decide = |utilization| {
-        let outlook = ServiceOutlook {
-            expected,
-            utilization,
-        };
-        admit(&request, &outlook, draw)
-    };
-    // The sum over all endpoints is needed only if the request would not be placed at full load.
-    let (decision, load) = match decide(Some(f64::INFINITY)) {
-        AdmissionDecision::Place => (AdmissionDecision::Place, None),
-        _ => {
-            let load = ServiceLoad::new(&cx.state(), cx.now(), service);
-            (decide(load.map(|l| l.utilization())), load)
-        }
+    let load = cx.admission.loads.get(cx, service);
+    let outlook = ServiceOutlook {
+        expected,
+        utilization: load.map(|l| l.utilization()),
+        growth: load.map_or(0.0, |l| l.growth),
     };
+    let decision = admit(&request, &outlook, draw);
     Evaluation {
         decision,
         expected,
--- a/crates/oatdale-relay/src/admission/waiting.rs
+++ b/crates/oatdale-relay/src/admission/waiting.rs
@@ -170,10 +170,11 @@
     /// Releases the requests that fit into this node's share of the spare capacity, or all of them if
     /// the load is not known.
     fn release(&mut self, now: Duration, load: Option<ServiceLoad>) {
-        let share = &mut self.share;
-        let mut allowance = load.map(|l| share.grant(now, l.spare(), &mut rand::rng()));
+        if let Some(load) = load {
+            self.share.grant(now, load.spare(), &mut rand::rng());
+        }
         while let Some(head) = self.queue.head() {
-            if allowance.as_mut().is_some_and(|a| !a.take(head.weight)) {
+            if load.is_some() && !self.share.take(head.weight) {
                 return;
             }
             let released = self.queue.pop();
@@ -182,6 +183,7 @@
                 let _ = waiter.tx.send(());
             }
         }
+        self.share.forfeit();
     }
 }
 
@@ -199,11 +201,9 @@
 fn release<W: Wire>(cx: &Cx<W>) -> usize {
     let now = cx.now();
     let services = cx.admission.waiting.services_with_requests();
-    let (site, loads): (_, Vec<_>) = {
-        let state = cx.state();
-        let loads = services.iter().map(|s| ServiceLoad::new(&state, now, s));
-        (state.site.clone(), loads.collect())
-    };
+    let loads = services.iter().map(|s| cx.admission.loads.get(cx, s));
+    let loads: Vec<_> = loads.collect();
+    let site = cx.site();
     let mut queues = cx.admission.waiting.lock();
     let new_site = site.filter(|site| site.version > queues.site_version);
     if let Some(site) = &new_site {
