Spread callers of plain services after rejections, and look twice before a refusal

No load sums are used for plain services. When their endpoints reject requests for some time, refused callers now return after as long again as the rejections have lasted, instead of within a part of the short target.

The expected time depends on a random choice among the endpoints, so up to three choices are looked at before a request is held or refused.

Tested: relay_admission_replay.rs.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -41,7 +41,8 @@
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::admission::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, LoadGrowth, Prospect,
-    ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, WaitingRequest, admit,
+    Rejections, ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, WaitingRequest,
+    admit,
 };
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -7,11 +7,13 @@
 
 mod growth;
 mod queue;
+mod rejections;
 mod returning;
 mod share;
 
 pub use crate::relay::admission::growth::LoadGrowth;
 pub use crate::relay::admission::queue::{AdmissionQueue, WaitingRequest};
+pub use crate::relay::admission::rejections::Rejections;
 pub use crate::relay::admission::returning::ReturningCallers;
 pub use crate::relay::admission::share::{ReleaseShare, SpareCapacity};
 
--- a/crates/oatdale-policy/tests/relay_admission_replay.rs
+++ b/crates/oatdale-policy/tests/relay_admission_replay.rs
@@ -2,8 +2,8 @@
 //! release of waiting requests by many hosts.
 
 use oatdale_policy::relay::{
-    AdmissionDecision, AdmissionRequest, LoadGrowth, ReleaseShare, ServiceOutlook, SpareCapacity,
-    admit,
+    AdmissionDecision, AdmissionRequest, LoadGrowth, Rejections, ReleaseShare, ServiceOutlook,
+    SpareCapacity, admit,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -136,6 +136,47 @@
     }
 }
 
+/// Returns the fraction of the callers of a plain service that are rejected twice in a burst, with or
+/// without callers spread over the time for which the overload has lasted.
+fn replay_rejections(is_spread: bool) -> f64 {
+    let mut rng = Pcg64::seed_from_u64(5);
+    let mut due: BTreeMap<usize, u32> = BTreeMap::new();
+    // As each host sees them; all see about the same.
+    let mut rejections = Rejections::default();
+    let (mut queued, mut callers, mut lost) = (0, 0, 0);
+    for step in 0..600 {
+        // Four endpoints with six places and a queue of 24 serve 800 requests in a second.
+        queued = u32::saturating_sub(queued, 8);
+        let now = ms(10 * step as u64);
+        let (new, returned) = (if step < 100 { 16 } else { 3 }, due.remove(&step));
+        callers += new;
+        for n in 0..new + returned.unwrap_or(0) {
+            match queued < 120 {
+                true => queued += 1,
+                false if n >= new => lost += 1,
+                false => {
+                    rejections.record(now);
+                    let mut delay = ms(150).mul_f64(rng.random_range(0.4..1.2));
+                    if is_spread {
+                        delay += rejections.delay(now, rng.random_range(0.0..1.0));
+                    }
+                    let delay = delay.min(ms(2_500 / 3)).as_millis() as usize / 10;
+                    *due.entry(step + delay.max(1)).or_default() += 1;
+                }
+            }
+        }
+    }
+    f64::from(lost) / f64::from(callers)
+}
+
+// Guards against callers of a plain service that return while it still rejects requests.
+#[test]
+fn fewer_callers_are_rejected_twice_if_they_return_over_the_length_of_the_overload() {
+    let (without, with) = (replay_rejections(false), replay_rejections(true));
+    println!("rejected twice: {without:.3} without a spread, {with:.3} with");
+    assert!(with < without / 2.0, "{with} {without}");
+}
+
 // Guards against hosts that each release what fits into the spare capacity, because all of them see
 // the same sums half a second late; and against leaving it unused.
 #[test]
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -13,15 +13,22 @@
 use crate::line_limit::LineLimit;
 use crate::reachability;
 use crate::request_context::RequestContext;
+use crate::site::SiteConfig;
 use crate::wire::Wire;
 use oatdale_policy::relay::{
-    AdmissionDecision, AdmissionRefusal, AdmissionRequest, ReturningCallers, ServiceOutlook, admit,
+    AdmissionDecision, AdmissionRefusal, AdmissionRequest, Rejections, ReturningCallers,
+    ServiceOutlook, admit,
 };
 use rand::RngExt;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
+/// Maximum number of endpoints that are considered for a request before it is held or refused: the
+/// choice is random in part, and the first one may be a bad one.
+const MAX_EVALUATIONS: usize = 3;
+
 /// Admission control of one node.
 #[derive(Default)]
 pub(crate) struct Admission {
@@ -34,10 +41,18 @@
 #[derive(Default)]
 struct Callers {
     returning: ReturningCallers,
+    /// Rejections by service.
+    rejections: HashMap<String, Rejections>,
     lines: LineLimit,
 }
 
 impl Admission {
+    /// Drops what is known of the callers of routes that the configuration no longer has.
+    pub(crate) fn retain_routes(&self, site: &SiteConfig) {
+        let is_known = |route: &str| site.routes.iter().any(|r| r.name == route);
+        self.callers().returning.retain_routes(is_known);
+    }
+
     fn callers(&self) -> MutexGuard<'_, Callers> {
         self.callers.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -98,6 +113,24 @@
     }
 }
 
+/// Records that an endpoint rejected a request without running it.
+pub(crate) fn record_rejected<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) {
+    if cx.settings.load_control.admission && request_cx.metadata.prompt.is_none() {
+        let mut callers = cx.admission.callers();
+        let known = callers.rejections.entry(request_cx.service.clone());
+        known.or_default().record(cx.now());
+    }
+}
+
+/// Returns how much longer than usual callers that are refused now are to wait because endpoints reject
+/// requests.
+pub(crate) fn rejection_delay<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> Duration {
+    let callers = cx.admission.callers();
+    let known = callers.rejections.get(&request_cx.service);
+    let draw = rand::rng().random_range(0.0..1.0);
+    known.map_or(Duration::ZERO, |r| r.delay(cx.now(), draw))
+}
+
 fn is_subject_to_admission<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> bool {
     request_cx.metadata.prompt.is_some()
         && request_cx.metadata.last_event_id.is_none()
@@ -117,6 +150,25 @@
     request_cx: &RequestContext,
     has_returned: bool,
     may_wait: bool,
+) -> Evaluation {
+    let mut evaluation = evaluate_once(cx, request_cx, has_returned, may_wait);
+    for _ in 1..MAX_EVALUATIONS {
+        if evaluation.decision == AdmissionDecision::Place {
+            break;
+        }
+        let other = evaluate_once(cx, request_cx, has_returned, may_wait);
+        if other.expected < evaluation.expected {
+            evaluation = other;
+        }
+    }
+    evaluation
+}
+
+fn evaluate_once<W: Wire>(
+    cx: &Cx<W>,
+    request_cx: &RequestContext,
+    has_returned: bool,
+    may_wait: bool,
 ) -> Evaluation {
     // If no endpoint can take it, the attempt finds out why and when one can.
     let Some(expected) = request_cx.expected_time(cx) else {
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -288,6 +288,7 @@
         );
         self.metrics.version.set(site.version as i64);
         state.retain_routes(&site);
+        self.admission.retain_routes(&site);
         state.site = Some(site);
         self.start_up.record_site();
     }
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -248,7 +248,10 @@
     let remaining = request_cx.time_to_capacity(cx);
     match remaining {
         Some(remaining) => remaining + jitter,
-        None => jitter.min(request_cx.time_left() / 3),
+        None => {
+            let delay = jitter + admission::rejection_delay(cx, request_cx);
+            delay.min(request_cx.time_left() / 3)
+        }
     }
 }
 
@@ -267,7 +270,7 @@
     let mut placed = None;
     admission::admit_request(cx, request_cx)
         .await
-        .map_err(|reason| (Refusal::Overloaded, format!("{reason:?}")))?;
+        .map_err(|reason| (Refusal::Overloaded, reason.name().to_owned()))?;
     loop {
         if request_cx.time_left() < MIN_ATTEMPT_TIME && request_cx.sends == 0 {
             return Err((Refusal::NoTime, "deadline too close".to_owned()));
@@ -304,6 +307,9 @@
             Err(failure) => failure,
         };
         may_have_run |= !failure.is_not_run();
+        if matches!(failure, Failure::NotRun(_)) {
+            admission::record_rejected(cx, request_cx);
+        }
         let should_retry = match &failure {
             Failure::NoEndpoint(_)
             | Failure::NoNode(_)
