--- a/crates/oatdale-relay/src/roll_outs/sessions.rs
+++ b/crates/oatdale-relay/src/roll_outs/sessions.rs
@@ -51,6 +51,11 @@
 }
 
 impl Sessions {
+    /// Whether a request of the session has been sent to an endpoint.
+    pub(super) fn contains(&self, session: u64) -> bool {
+        self.pins.contains_key(&session)
+    }
+
     /// Pins a session to the version that its request went to.
     pub(super) fn pin(&mut self, now: Duration, service: &str, session: u64, version: &str) {
         let key = key(Some(service), session);
