--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -28,6 +28,7 @@
 mod pace;
 mod permits;
 mod placement;
+mod prefix_shares;
 mod quarantine;
 mod reachability;
 mod readers;
@@ -55,6 +56,7 @@
     IssuerRank, IssuerView, PermitIssuer, PermitReply, PermitRequest, PermitSeeker,
 };
 pub use crate::relay::placement::{Candidate, Placement, choose};
+pub use crate::relay::prefix_shares::PrefixShares;
 pub use crate::relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine, Tracking};
 pub use crate::relay::reachability::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
 pub use crate::relay::readers::{
@@ -66,5 +68,7 @@
 pub use crate::relay::roll_out::{
     ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, is_in_trial, trial_share, uses_new_version,
 };
-pub use crate::relay::timed_placement::{TimedCandidate, choose_cached, choose_of_two};
+pub use crate::relay::timed_placement::{
+    CachedPrefix, TimedCandidate, choose_cached, choose_of_two,
+};
 pub use crate::relay::warm_up::{WarmUp, warm_up_share};
--- a/crates/oatdale-policy/src/relay/expected_time.rs
+++ b/crates/oatdale-policy/src/relay/expected_time.rs
@@ -5,7 +5,14 @@
 //! responses of a service per second, and in a burst the load passes through its whole range within
 //! two seconds. So the times are means at evenly spaced loads: each response counts towards the two
 //! nearest ones, old responses lose their weight, and the result is made monotone in the load, so
-//! that neighbouring loads share what is known.
+//! that neighbouring loads share what is known. A slow endpoint has as many places as others and
+//! takes longer for each request, so the time at a load is multiplied by its speed factor.
+//!
+//! Nodes know loads late: many send to an endpoint that looks idle. If such a response counted
+//! towards the load that was known when its request was sent, idle endpoints would seem slow, all
+//! loads would look alike, and every request would go to the fastest endpoints. So it counts towards
+//! the load known when it arrives, if that is higher, and the ratio of observed to expected times
+//! is kept apart.
 
 use std::time::Duration;
 
@@ -53,17 +60,26 @@
 /// Fraction of the time at a load that a request of any weight takes at least.
 const MIN_TIME_FRACTION: f64 = 0.25;
 
+/// Half-life of the ratio of observed to expected times, and the weight of the prior ratio of 1, in
+/// seconds of expected time.
+const LAG_HALF_LIFE: Duration = Duration::from_secs(1);
+const LAG_PRIOR_S: f64 = 0.1;
+
+/// Maximum ratio of observed to expected times.
+const MAX_LAG_FACTOR: f64 = 8.0;
+
 /// Longest time that is recorded, in seconds.
 const MAX_TIME_S: f64 = 60.0;
 
 /// A request at an endpoint, as far as its time depends on it.
-#[derive(Clone, Copy, PartialEq, Debug, Default)]
+#[derive(Clone, Copy, PartialEq, Debug)]
 pub struct LoadAhead {
-    /// Load at the endpoint before the request, in units of weight, times the endpoint's speed
-    /// factor.
+    /// Load at the endpoint before the request, in units of weight.
     pub load: f64,
-    /// The request's own weight times the speed factor.
+    /// The request's own weight.
     pub weight: f64,
+    /// Time that a unit of work takes at the endpoint relative to the usual one.
+    pub speed_factor: f64,
 }
 
 /// Mean of the times observed at one load.
@@ -86,16 +102,28 @@
     /// expected at the load for a request of mean weight.
     weight_squares: f64,
     weight_times: f64,
+    lag: Lag,
+}
+
+/// Sums of observed and of expected seconds of recent responses.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lag {
+    observed_s: f64,
+    expected_s: f64,
+    updated_at: Duration,
 }
 
 /// Expected time as a function of the load.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct TimeCurve {
-    /// Time in seconds of a request of mean weight at each point; never decreases.
+    /// Time in seconds of a request of mean weight at each point, at an endpoint of usual speed;
+    /// never decreases.
     times_s: [f64; POINTS],
     mean_weight: f64,
     /// Additional seconds per unit of the request's own weight.
     per_weight_s: f64,
+    /// Ratio of observed to expected times, due to loads that are known late.
+    lag_factor: f64,
 }
 
 impl ResponseTimes {
@@ -108,15 +136,24 @@
             weight_samples: 0.0,
             weight_squares: 0.0,
             weight_times: 0.0,
+            lag: Lag::default(),
         }
     }
 
-    /// Records the time of a response. Loads that are not finite are ignored.
-    pub fn record(&mut self, now: Duration, ahead: LoadAhead, time: Duration) {
-        if !(ahead.load.is_finite() && ahead.weight.is_finite()) {
+    /// Records the time of a response. `later_load` is the load without this request as known when
+    /// the response arrives. Loads that are not finite are ignored.
+    pub fn record(&mut self, now: Duration, ahead: LoadAhead, later_load: f64, time: Duration) {
+        let is_valid = ahead.load.is_finite() && ahead.weight.is_finite();
+        if !(is_valid && ahead.speed_factor.is_normal() && ahead.speed_factor > 0.0) {
             return;
         }
-        let time_s = time.as_secs_f64().min(MAX_TIME_S);
+        let time_s = (time.as_secs_f64() / ahead.speed_factor).min(MAX_TIME_S);
+        let expected_s = self.curve(now).time_s(ahead) / ahead.speed_factor;
+        self.lag.record(now, time_s, expected_s);
+        let ahead = LoadAhead {
+            load: ahead.load.max(later_load),
+            ..ahead
+        };
         self.record_weight(now, ahead, time_s);
         let own_s = self.per_weight_s() * (ahead.weight - self.mean_weight);
         let mean_weight_s = (time_s - own_s).max(0.0);
@@ -131,19 +168,21 @@
 
     /// Records that a response had not arrived after a time. This counts only if the response was
     /// expected before: otherwise it says nothing.
-    pub fn record_missing(&mut self, now: Duration, ahead: LoadAhead, time: Duration) {
-        if self.curve(now).time(ahead) < time {
-            self.record(now, ahead, time);
+    pub fn record_missing(
+        &mut self,
+        now: Duration,
+        ahead: LoadAhead,
+        later_load: f64,
+        time: Duration,
+    ) {
+        if self.curve(now).expected(ahead) < time {
+            self.record(now, ahead, later_load, time);
         }
     }
 
     fn record_weight(&mut self, now: Duration, ahead: LoadAhead, time_s: f64) {
-        let average = LoadAhead {
-            weight: self.mean_weight,
-            ..ahead
-        };
         let weight = ahead.weight - self.mean_weight;
-        let surplus_s = time_s - self.curve(now).time(average).as_secs_f64();
+        let surplus_s = time_s - self.curve(now).mean_weight_time_s(ahead.load);
         self.weight_squares = self.weight_squares * REGRESSION_RETENTION + weight * weight;
         self.weight_times = self.weight_times * REGRESSION_RETENTION + weight * surplus_s;
         self.weight_samples = (self.weight_samples + 1.0).min(WEIGHT_MEAN_SAMPLES);
@@ -186,6 +225,7 @@
             times_s,
             mean_weight: self.mean_weight,
             per_weight_s: self.per_weight_s(),
+            lag_factor: self.lag.factor(now),
         }
     }
 
@@ -214,6 +254,29 @@
     }
 }
 
+impl Lag {
+    /// Returns the part that is left of the sums.
+    fn retention(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.updated_at).as_secs_f64();
+        (-age / LAG_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    fn record(&mut self, now: Duration, observed_s: f64, expected_s: f64) {
+        let retention = self.retention(now);
+        // A request that was sent long ago says little about loads that are known now.
+        let part = (-observed_s / LAG_HALF_LIFE.as_secs_f64()).exp2();
+        self.observed_s = self.observed_s * retention + observed_s * part;
+        self.expected_s = self.expected_s * retention + expected_s * part;
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    fn factor(&self, now: Duration) -> f64 {
+        let retention = self.retention(now);
+        let expected_s = self.expected_s * retention + LAG_PRIOR_S;
+        ((self.observed_s * retention + LAG_PRIOR_S) / expected_s).clamp(1.0, MAX_LAG_FACTOR)
+    }
+}
+
 impl Point {
     /// Returns the weight that the mean still has, in responses.
     fn remaining(&self, now: Duration, half_life: Duration) -> f64 {
@@ -231,16 +294,19 @@
 }
 
 impl TimeCurve {
-    /// Returns the expected time of a request.
-    pub fn time(&self, ahead: LoadAhead) -> Duration {
-        Duration::from_secs_f64(self.time_s(ahead))
+    /// Returns the expected time of a request, given that its load is known late; 60 s if its speed
+    /// factor is not a number.
+    pub fn expected(&self, ahead: LoadAhead) -> Duration {
+        let time = Duration::try_from_secs_f64(self.time_s(ahead) * self.lag_factor);
+        time.unwrap_or(Duration::from_secs_f64(MAX_TIME_S))
     }
 
-    /// Returns the expected time of a request in seconds.
+    /// Returns the time of a request in seconds if its load is as known; endpoints are compared by
+    /// it.
     pub fn time_s(&self, ahead: LoadAhead) -> f64 {
         let time_s = self.mean_weight_time_s(ahead.load);
         let own_s = self.per_weight_s * (ahead.weight - self.mean_weight);
-        (time_s + own_s).clamp(time_s * MIN_TIME_FRACTION, time_s + MAX_TIME_S)
+        (time_s + own_s).clamp(time_s * MIN_TIME_FRACTION, time_s + MAX_TIME_S) * ahead.speed_factor
     }
 
     fn mean_weight_time_s(&self, load: f64) -> f64 {
@@ -258,8 +324,8 @@
         }
     }
 
-    /// Returns the load up to which requests hardly wait: there they take twice as long as at an
-    /// idle endpoint.
+    /// Returns the load up to which requests hardly wait at an endpoint of usual speed: there they
+    /// take twice as long as at an idle one.
     pub fn knee_load(&self) -> f64 {
         let idle_s = self.times_s[0];
         let waiting_s = (idle_s * KNEE_TIME_FACTOR).max(idle_s + MIN_KNEE_WAIT_S);
@@ -275,7 +341,8 @@
 
 /// Returns the point at or below a load and the fraction of the way to the next one.
 fn position(load: f64) -> (usize, f64) {
-    let position = (load / POINT_SPACING).clamp(0.0, (POINTS - 1) as f64);
+    // `max` also replaces a load that is not a number.
+    let position = (load / POINT_SPACING).max(0.0).min((POINTS - 1) as f64);
     let index = position as usize;
     (index, position - index as f64)
 }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -386,10 +386,10 @@
     }
     match result {
         Ok((head, ..)) if head.status.is_success() => {
-            in_flight.record_response_time(&request_cx.service, attempt_time, false);
+            in_flight.record_response_time(attempt_time, false);
         }
         Err(Failure::TimedOut) => {
-            in_flight.record_response_time(&request_cx.service, attempt_time, true);
+            in_flight.record_response_time(attempt_time, true);
         }
         _ => {}
     }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -325,6 +325,7 @@
             return Err(state.count_ineligible(now, request));
         };
         state.count_warm_up_request(now, pick.key);
+        state.record_prefix(now, request);
         let Some(entry) = state.directory.begin_request(pick.key, request.weight) else {
             return Err(state.count_ineligible(now, request));
         };
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -134,11 +134,11 @@
     }
 
     /// Records how long the response head took, or for how long it had not arrived if `is_missing`.
-    pub(crate) fn record_response_time(&self, service: &str, time: Duration, is_missing: bool) {
+    pub(crate) fn record_response_time(&self, time: Duration, is_missing: bool) {
         let now = self.cx.now();
         if let Some(basis) = &self.basis {
             let mut state = self.cx.state();
-            state.record_response_time(now, service, basis, time, is_missing);
+            state.record_response_time(now, self.key, basis, time, is_missing);
         }
     }
 
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -1,11 +1,11 @@
 //! Expected times until the response head, by service, and the spare capacity of its endpoints.
 
-use crate::directory::Entry;
+use crate::directory::{EndpointKey, Entry};
 use crate::loads::AggregationScheme;
 use crate::state::{KeyedEntry, PlacementRequest, State};
 use oatdale_policy::relay::{
-    LoadAhead, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve, TimedCandidate, choose_cached,
-    choose_of_two,
+    CachedPrefix, LoadAhead, PrefixShares, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve,
+    TimedCandidate, choose_cached, choose_of_two,
 };
 use std::collections::HashMap;
 use std::time::Duration;
@@ -55,6 +55,7 @@
 struct ServiceTimes {
     all_nodes: ResponseTimes,
     own: ResponseTimes,
+    prefixes: PrefixShares,
     spare_capacity: Option<(Duration, SpareCapacity)>,
 }
 
@@ -70,6 +71,7 @@
         ServiceTimes {
             all_nodes: ResponseTimes::new(ALL_NODES_HALF_LIFE),
             own: ResponseTimes::new(OWN_HALF_LIFE),
+            prefixes: PrefixShares::default(),
             spare_capacity: None,
         }
     }
@@ -103,36 +105,55 @@
     /// Returns the expected time of a request.
     pub(super) fn time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
         let curves = self.curves(now, service);
-        curves.curve(basis.scope).time(basis.ahead)
+        curves.curve(basis.scope).expected(basis.ahead)
+    }
+
+    fn prefix_share(&self, now: Duration, request: &PlacementRequest<'_>, prefix: u64) -> f64 {
+        let known = self.services.get(request.service);
+        known.map_or(0.0, |t| t.prefixes.share(now, prefix, request.weight))
     }
 
     fn service_mut(&mut self, service: &str) -> &mut ServiceTimes {
-        if !self.services.contains_key(service) {
-            self.services
-                .insert(service.to_owned(), ServiceTimes::default());
-        }
         self.services.entry(service.to_owned()).or_default()
     }
 }
 
 impl State {
+    /// Counts the prefix of a request that is placed.
+    pub(crate) fn record_prefix(&mut self, now: Duration, request: &PlacementRequest<'_>) {
+        let prefix = request.prefix.filter(|_| self.load_control.expected_time);
+        if let Some(prefix) = prefix {
+            let service = self.expected_times.service_mut(request.service);
+            service.prefixes.record(now, prefix, request.weight);
+        }
+    }
+
     /// Records when a response arrived, or for how long it had not if `is_missing`.
     pub(crate) fn record_response_time(
         &mut self,
         now: Duration,
-        service: &str,
+        key: EndpointKey,
         basis: &TimeBasis,
         time: Duration,
         is_missing: bool,
     ) {
+        let Some(entry) = self.directory.get(key) else {
+            return;
+        };
+        let (scope, load) = self.load_of_all_nodes(now, entry);
+        let later_load = match (basis.scope, scope) {
+            (LoadScope::AllNodes, LoadScope::AllNodes) => load - basis.ahead.weight,
+            _ => basis.ahead.load,
+        };
+        let service = &entry.endpoint.service;
         let service = self.expected_times.service_mut(service);
         let times = match basis.scope {
             LoadScope::AllNodes => &mut service.all_nodes,
             LoadScope::Own => &mut service.own,
         };
         match is_missing {
-            true => times.record_missing(now, basis.ahead, time),
-            false => times.record(now, basis.ahead, time),
+            true => times.record_missing(now, basis.ahead, later_load, time),
+            false => times.record(now, basis.ahead, later_load, time),
         }
     }
 
@@ -177,10 +198,10 @@
         entry: &Entry,
     ) -> TimeBasis {
         let (scope, load) = self.load(now, request, entry);
-        let factor = self.speed_factor(now, entry);
         let ahead = LoadAhead {
-            load: load * factor,
-            weight: request.weight * factor,
+            load,
+            weight: request.weight,
+            speed_factor: self.speed_factor(now, entry),
         };
         TimeBasis { scope, ahead }
     }
@@ -204,9 +225,9 @@
                 affinity: request.affinity(e),
             })
             .collect();
-        if request.prefix.is_none() {
+        let Some(prefix) = request.prefix else {
             return choose_of_two(&candidates, &mut rand::rng());
-        }
+        };
         let has_sums = |e: &Entry| self.load_sums.last_sum_at(now, e.number).is_some();
         if !eligible.iter().any(|(_, e)| has_sums(e)) {
             // The node's own load is a small part of an engine's and says little about the time.
@@ -215,17 +236,16 @@
         let curve = self.expected_times.curves(now, request.service).all_nodes;
         let time_s = |c: &TimedCandidate| {
             curve.time_s(LoadAhead {
-                load: c.scaled_load(),
-                weight: request.weight * c.speed_factor,
+                load: c.health_load(),
+                weight: request.weight,
+                speed_factor: c.speed_factor,
             })
         };
-        let prefix_time = READ_TIME_PER_WEIGHT.mul_f64(request.prefix_weight);
-        choose_cached(
-            &candidates,
-            time_s,
-            prefix_time.as_secs_f64(),
-            &mut rand::rng(),
-        )
+        let prefix = CachedPrefix {
+            read_s: READ_TIME_PER_WEIGHT.as_secs_f64() * request.prefix_weight,
+            share: self.expected_times.prefix_share(now, request, prefix),
+        };
+        choose_cached(&candidates, time_s, prefix, &mut rand::rng())
     }
 
     /// Returns an endpoint's load, of all nodes if sums are recent.
