Bound the time of a placement among many endpoints, and measure it

The time elsewhere is now estimated from at most 32 random candidates, and only the first ones in rendezvous order, at most 64, are looked at as ones that cache the prefix. The caller names the cold endpoints, which it knows while it lists the candidates.

This is the decision alone: listing the eligible endpoints of a service walks all of its entries, as before.

--- a/crates/oatdale-policy/benches/decision.rs
+++ b/crates/oatdale-policy/benches/decision.rs
@@ -2,16 +2,22 @@
 //!
 //! `cargo bench -p oatdale-policy` prints the nanoseconds of a decision (offer), of a complete
 //! request (offer and finish) and of a reconfiguration, as the median and the worst of several
-//! rounds.
+//! rounds, and the nanoseconds of a placement by expected time among few and many endpoints.
 
 use oatdale_config::{
     Arena, Config, Customer, CustomerKey, Digest, Domain, DomainKey, Endpoint, EndpointKey, Key,
     Limits, Model, ModelKey, Pool, PoolKey, PoolKind, Price, Service, ServiceKey, ServiceKind,
     Version, VersionKey, VersionState,
 };
+use oatdale_policy::relay::{
+    CachedPrefix, LoadAhead, ResponseTimes, TimedCandidate, choose_cached, choose_of_two,
+};
 use oatdale_policy::{
     AdmissionDecision, AttemptResult, NodeIdentity, Outcome, RequestInfo, Router, Session,
 };
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +29,11 @@
 const REQUESTS: u64 = 200_000;
 const ROUNDS: usize = 7;
 
+/// Numbers of endpoints among which requests are placed by expected time, and the number of
+/// placements in a round.
+const CANDIDATES: [usize; 2] = [144, 20_000];
+const PLACEMENTS: u32 = 2_000;
+
 fn main() {
     let cfg = Arc::new(config());
     let identity = NodeIdentity {
@@ -40,6 +51,7 @@
     print("offer", offers);
     print("reconfigure", reconfigure(&mut router, &cfg));
     print("offer and finish", requests);
+    CANDIDATES.into_iter().for_each(place);
 }
 
 /// Measures the application of a configuration of the same size; returns nanoseconds per round.
@@ -72,6 +84,59 @@
     (per_request(offers), per_request(start.elapsed()))
 }
 
+/// Measures placements among `count` endpoints with different loads and speeds.
+fn place(count: usize) {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let candidates: Vec<_> = (0..count)
+        .map(|_| TimedCandidate {
+            load: rng.random_range(0.0..20.0),
+            speed_factor: rng.random_range(0.7..2.5),
+            health_factor: 1.0,
+            same_domain: rng.random(),
+            affinity: rng.random(),
+        })
+        .collect();
+    let mut times = ResponseTimes::new(Duration::from_secs(60));
+    let ahead = |c: &TimedCandidate| LoadAhead {
+        load: c.load,
+        weight: 1.0,
+        speed_factor: c.speed_factor,
+    };
+    for candidate in &candidates[..100] {
+        let time = Duration::from_millis(60 + 10 * candidate.load as u64);
+        times.record(Duration::ZERO, ahead(candidate), candidate.load, time);
+    }
+    for share in [0.0, 0.1] {
+        print_placement(&format!("cached prefix, share {share}"), count, || {
+            let curve = times.curve(Duration::from_secs(1));
+            let prefix = CachedPrefix { read_s: 0.1, share };
+            choose_cached(
+                &candidates,
+                &[],
+                |c| curve.time_s(ahead(c)),
+                prefix,
+                &mut rng,
+            )
+        });
+    }
+    print_placement("no prefix", count, || choose_of_two(&candidates, &mut rng));
+}
+
+fn print_placement(name: &str, count: usize, mut place: impl FnMut() -> Option<usize>) {
+    let mut rounds: Vec<_> = (0..ROUNDS)
+        .map(|_| {
+            let start = Instant::now();
+            (0..PLACEMENTS).for_each(|_| {
+                black_box(place());
+            });
+            start.elapsed() / PLACEMENTS
+        })
+        .collect();
+    rounds.sort_unstable();
+    let (median, worst) = (rounds[ROUNDS / 2], rounds[ROUNDS - 1]);
+    println!("placement, {name}: {median:?} (worst round {worst:?}) at {count} endpoints");
+}
+
 fn print(name: &str, mut nanoseconds: Vec<u64>) {
     nanoseconds.sort_unstable();
     let (median, worst) = (nanoseconds[ROUNDS / 2], nanoseconds[ROUNDS - 1]);
--- a/crates/oatdale-policy/src/relay/timed_placement.rs
+++ b/crates/oatdale-policy/src/relay/timed_placement.rs
@@ -32,13 +32,14 @@
 /// busy: popularity and speeds are known roughly.
 const CACHED_HEADROOM: f64 = 1.5;
 
-/// Maximum number of candidates that are all compared. Of more, those with the highest affinity and
-/// a random sample are, which bounds the time of a decision.
-const MAX_COMPARED: usize = 256;
+/// Maximum number of candidates that a request's time elsewhere is estimated from, and maximum
+/// number of those that may have its prefix cached. Among thousands of endpoints, a random sample
+/// bounds the time of a decision.
+const MAX_SAMPLED: usize = 32;
+const MAX_CACHED: usize = 64;
 
-/// Number of candidates with the highest affinity, and of random ones, that are compared then.
-const COMPARED_BY_AFFINITY: usize = 16;
-const COMPARED_AT_RANDOM: usize = 32;
+/// Minimum number of candidates, in rendezvous order, that are considered: some are too busy.
+const MIN_CACHED: usize = 32;
 
 /// Speed relative to the usual one that a draw does not distinguish from higher ones.
 const MAX_DRAWN_SPEED: f64 = 2.0;
@@ -57,8 +58,6 @@
     pub health_factor: f64,
     /// Whether the endpoint is in the node's own failure domain.
     pub same_domain: bool,
-    /// Whether the endpoint is cold and may get this request: it warms up by the requests it gets.
-    pub may_warm_up: bool,
     /// Rendezvous hash of the request's prefix and the endpoint; the endpoint with the highest one
     /// caches the prefix.
     pub affinity: u64,
@@ -96,6 +95,9 @@
     }
 }
 
+/// Indices of candidates.
+type Indices = SmallVec<[usize; MAX_CACHED]>;
+
 /// What a request with a prompt prefix is placed by.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct CachedPrefix {
@@ -106,43 +108,38 @@
 }
 
 /// Selects an endpoint for a request with a prompt prefix; `time_s` is the expected time at a
-/// candidate in seconds.
+/// candidate in seconds. `cold` are the indices of cold endpoints that may get the request: they warm
+/// up by the requests they get.
 ///
 /// The endpoints that cache the prefix are the first ones in its rendezvous order, as many as its
 /// share of the work needs.
 pub fn choose_cached(
     candidates: &[TimedCandidate],
+    cold: &[usize],
     time_s: impl Fn(&TimedCandidate) -> f64,
     prefix: CachedPrefix,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let compared = compared_candidates(candidates, rng);
-    let all = || compared.iter().map(|&i| (i, &candidates[i]));
+    let sample = sample(candidates.len(), rng);
     let scaled_load = |c: &TimedCandidate| c.health_load() * c.speed_factor;
-    let loads: f64 = all().map(|(_, c)| scaled_load(c)).sum();
-    let mean = loads / compared.len().max(1) as f64;
+    let loads = sample.iter().map(|&i| scaled_load(&candidates[i]));
+    let mean = loads.sum::<f64>() / sample.len().max(1) as f64;
+    let needed = 1 + (prefix.share * candidates.len() as f64 * CACHED_HEADROOM) as usize;
     // Few nodes may send to a cold endpoint, so they prefer it to compensate for the other nodes.
-    let cold = all().filter(|(_, c)| c.may_warm_up && scaled_load(c) < mean);
-    if let Some((cold, _)) = cold.max_by_key(|(_, c)| c.affinity) {
+    let cold = cold.iter().copied();
+    let cold = cold.filter(|&i| scaled_load(&candidates[i]) < mean);
+    if let Some(cold) = cold.max_by_key(|&i| candidates[i].affinity) {
         return Some(cold);
     }
-    let times: SmallVec<[f64; MAX_COMPARED]> = all().map(|(_, c)| time_s(c)).collect();
-    let bounds = all().zip(&times);
-    let bounds = bounds.map(|((_, c), time_s)| time_s + prefix.read_s * c.speed_factor);
-    let mut bounds: SmallVec<[f64; MAX_COMPARED]> = bounds.collect();
-    let best = (bounds.len() as f64 * BEST_FRACTION) as usize;
-    if best >= bounds.len() {
-        return None;
-    }
-    let (_, best_s, _) = bounds.select_nth_unstable_by(best, f64::total_cmp);
-    let bound_s = *best_s + AFFINITY_SLACK_S * 2.0 * rng.random::<f64>();
-    let allowed = compared.iter().zip(&times);
-    let allowed = allowed.filter(|(_, time_s)| **time_s <= bound_s);
-    let mut allowed: SmallVec<[usize; MAX_COMPARED]> = allowed.map(|(i, _)| *i).collect();
-    let needed = 1 + (prefix.share * candidates.len() as f64 * CACHED_HEADROOM) as usize;
-    if needed < allowed.len() {
-        allowed.select_nth_unstable_by_key(needed, |&i| Reverse(candidates[i].affinity));
-        allowed.truncate(needed);
+    let cached = first_by_affinity(candidates, needed, rng);
+    let elsewhere_s = |c: &TimedCandidate| time_s(c) + prefix.read_s * c.speed_factor;
+    let elsewhere_s = sample.iter().map(|&i| elsewhere_s(&candidates[i]));
+    let best_s = low_quantile(elsewhere_s.collect())?;
+    let bound_s = best_s + AFFINITY_SLACK_S * 2.0 * rng.random::<f64>();
+    let is_allowed = |i: &usize| time_s(&candidates[*i]) <= bound_s;
+    let mut allowed: Indices = cached.into_iter().filter(is_allowed).take(needed).collect();
+    if allowed.is_empty() {
+        allowed = sample.into_iter().filter(is_allowed).collect();
     }
     let cost = TimedCandidate::next_request_cost;
     let chosen = better_of_two(allowed.len(), |i| &candidates[allowed[i]], cost, rng)?;
@@ -199,38 +196,39 @@
     Some(drawn)
 }
 
-/// Returns the candidates that are compared: all, or a bounded number.
-fn compared_candidates(
-    candidates: &[TimedCandidate],
-    rng: &mut impl Rng,
-) -> SmallVec<[usize; MAX_COMPARED]> {
-    if candidates.len() <= MAX_COMPARED {
-        return (0..candidates.len()).collect();
+/// Returns a random sample of `count` candidates, or all of them if they are few.
+fn sample(count: usize, rng: &mut impl Rng) -> Indices {
+    match count <= MAX_SAMPLED {
+        true => (0..count).collect(),
+        false => (0..MAX_SAMPLED)
+            .map(|_| rng.random_range(0..count))
+            .collect(),
     }
-    let mut highest: SmallVec<[(u64, usize); COMPARED_BY_AFFINITY]> = SmallVec::new();
-    let mut cold: Option<usize> = None;
-    for (i, candidate) in candidates.iter().enumerate() {
-        if candidate.may_warm_up && cold.is_none_or(|c| candidates[c].affinity < candidate.affinity)
-        {
-            cold = Some(i);
-        }
-        let is_full = highest.len() == COMPARED_BY_AFFINITY;
-        if is_full
-            && highest
-                .last()
-                .is_some_and(|(h, _)| *h >= candidate.affinity)
-        {
-            continue;
-        }
-        let at = highest.partition_point(|(h, _)| *h >= candidate.affinity);
-        highest.truncate(COMPARED_BY_AFFINITY - 1);
-        highest.insert(at, (candidate.affinity, i));
+}
+
+/// Returns the time that [`BEST_FRACTION`] of the times are below.
+fn low_quantile(mut times_s: SmallVec<[f64; MAX_SAMPLED]>) -> Option<f64> {
+    let index = (times_s.len() as f64 * BEST_FRACTION) as usize;
+    let is_known = index < times_s.len();
+    is_known.then(|| *times_s.select_nth_unstable_by(index, f64::total_cmp).1)
+}
+
+/// Returns the first candidates in rendezvous order, in this order: more than `needed`, or if these
+/// are very many, a random sample of them.
+fn first_by_affinity(candidates: &[TimedCandidate], needed: usize, rng: &mut impl Rng) -> Indices {
+    let count = candidates.len();
+    if count == 0 {
+        return Indices::new();
     }
-    let random = (0..COMPARED_AT_RANDOM).map(|_| rng.random_range(0..candidates.len()));
-    highest
-        .iter()
-        .map(|(_, i)| *i)
-        .chain(cold)
-        .chain(random)
-        .collect()
+    // Hashes are evenly distributed.
+    let fraction = (needed.max(MIN_CACHED) as f64 / count as f64).min(1.0);
+    let least = u64::MAX - (u64::MAX as f64 * fraction) as u64;
+    let start = rng.random_range(0..count);
+    let (before, after) = candidates.split_at(start);
+    let after = after.iter().zip(start..);
+    let all = after.chain(before.iter().zip(0..));
+    let first = all.filter(|(c, _)| c.affinity >= least).map(|(_, i)| i);
+    let mut first: Indices = first.take(MAX_CACHED).collect();
+    first.sort_unstable_by_key(|&i| Reverse(candidates[i].affinity));
+    first
 }
--- a/crates/oatdale-policy/tests/relay_placement.rs
+++ b/crates/oatdale-policy/tests/relay_placement.rs
@@ -171,7 +171,6 @@
                 speed_factor: endpoint.speed_factor * estimate_error,
                 health_factor: 1.0,
                 same_domain: true,
-                may_warm_up: false,
                 affinity: affinity(prefix, i as u64),
             };
             if !endpoint.is_released {
@@ -186,7 +185,7 @@
             let by_count = |c: &TimedCandidate| Candidate {
                 in_flight: c.load + 0.1,
                 same_domain: c.same_domain,
-                may_warm_up: c.may_warm_up,
+                may_warm_up: false,
                 affinity: c.affinity,
             };
             let all: Vec<_> = all.iter().map(by_count).collect();
@@ -198,7 +197,7 @@
             read_s: PREFIX_S,
             share: self.shares[host].share(now, prefix, 1.0),
         };
-        choose_cached(all, |c| curve.time_s(ahead(c)), prefix, &mut self.rng)
+        choose_cached(all, &[], |c| curve.time_s(ahead(c)), prefix, &mut self.rng)
     }
 
     /// Returns the median time at the slowest quarter of the endpoints relative to the fastest one,
@@ -287,7 +286,6 @@
         speed_factor: 1.0 / speed,
         health_factor: 1.0,
         same_domain: true,
-        may_warm_up: false,
         affinity: affinity(1, i as u64),
     };
     let all: Vec<_> = speeds.iter().enumerate().map(candidate).collect();
@@ -307,7 +305,9 @@
     assert!(without_prefix.iter().all(|n| *n < 50), "{without_prefix:?}");
     let cached = |share| {
         let prefix = CachedPrefix { read_s: 1.0, share };
-        let counts = picks(&speeds, |all, rng| choose_cached(all, |_| 0.1, prefix, rng));
+        let counts = picks(&speeds, |all, rng| {
+            choose_cached(all, &[], |_| 0.1, prefix, rng)
+        });
         counts.into_iter().filter(|n| *n > 0).count()
     };
     assert_eq!(cached(0.0), 1);
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -7,6 +7,7 @@
     CachedPrefix, LoadAhead, PrefixShares, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve,
     TimedCandidate, choose_cached, choose_of_two,
 };
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -221,7 +222,6 @@
                 speed_factor: self.speed_factor(now, e),
                 health_factor: e.health.load_factor(),
                 same_domain: e.endpoint.domain == domain,
-                may_warm_up: e.reports_cold(now),
                 affinity: request.affinity(e),
             })
             .collect();
@@ -241,11 +241,14 @@
                 speed_factor: c.speed_factor,
             })
         };
+        let cold = eligible.iter().enumerate();
+        let cold = cold.filter(|(_, (_, e))| e.reports_cold(now));
+        let cold: SmallVec<[usize; 8]> = cold.map(|(i, _)| i).collect();
         let prefix = CachedPrefix {
             read_s: READ_TIME_PER_WEIGHT.as_secs_f64() * request.prefix_weight,
             share: self.expected_times.prefix_share(now, request, prefix),
         };
-        choose_cached(&candidates, time_s, prefix, &mut rand::rng())
+        choose_cached(&candidates, &cold, time_s, prefix, &mut rand::rng())
     }
 
     /// Returns an endpoint's load, of all nodes if sums are recent.
