--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -30,6 +30,7 @@
 mod pace;
 mod permits;
 mod placement;
+mod prefix_shares;
 mod quarantine;
 mod reachability;
 mod readers;
@@ -66,6 +67,7 @@
     IssuerRank, IssuerView, PermitIssuer, PermitReply, PermitRequest, PermitSeeker,
 };
 pub use crate::relay::placement::{Candidate, Placement, choose};
+pub use crate::relay::prefix_shares::PrefixShares;
 pub use crate::relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine, Tracking};
 pub use crate::relay::reachability::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
 pub use crate::relay::readers::{
@@ -82,5 +84,7 @@
     ReceivedEstimate, SlownessChange, SpeedEstimate, SpeedOrigin, SpeedSample, SpeedTable, Trend,
     UsualTime,
 };
-pub use crate::relay::timed_placement::{TimedCandidate, choose_cached, choose_of_two};
+pub use crate::relay::timed_placement::{
+    CachedPrefix, TimedCandidate, choose_cached, choose_of_two,
+};
 pub use crate::relay::warm_up::{WarmUp, warm_up_share};
