Bound what a host holds for a caller that reads slowly

Cause: three buffers had no bound of ours. The connection to an endpoint buffered up to 408 KB in the process and as much in the kernel as the system allows, the caller's socket took up to 4 MB, and an event without an end was kept until the stream's deadline. A few dozen callers that read nothing fill a host of 88 MB.

Change: connections to endpoints and other hosts have a buffer and a socket receive buffer of 64 KB (PoolConfig::receive_buffer_bytes), and callers' sockets a send buffer of 128 KB. An event of which 64 KB are received without its end is forwarded in parts; a stream that breaks off in such an event ends with an error, since its rest cannot be joined to what the caller has.

--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -41,6 +41,10 @@
     pub idle_timeout: Duration,
     /// Unused connections kept for one address.
     pub max_idle: usize,
+    /// Size of a connection's buffer, and of its socket's receive buffer, which the system doubles;
+    /// what arrives beyond them while an answer is not read stays with its sender. Without a value
+    /// both grow as the library and the system decide, up to megabytes.
+    pub receive_buffer_bytes: Option<usize>,
 }
 
 impl Default for PoolConfig {
@@ -49,6 +53,7 @@
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(30),
             max_idle: 256,
+            receive_buffer_bytes: None,
         }
     }
 }
@@ -190,7 +195,14 @@
         };
         stream.set_nodelay(true).map_err(|err| not_sent(&err))?;
         notice_dead_host(&stream).map_err(|err| not_sent(&err))?;
-        let (tx, conn) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.shared.cfg.receive_buffer_bytes {
+            let limited = SockRef::from(&stream).set_recv_buffer_size(bytes);
+            limited.map_err(|err| not_sent(&err))?;
+            builder.max_buf_size(bytes);
+        }
+        let (tx, conn) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(&err))?;
         tokio::spawn(async move {
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -29,6 +29,10 @@
 /// How long an idle connection to an endpoint is kept, unless the endpoint announces a time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Buffer of a connection to an endpoint, and receive buffer of its socket. A response that its
+/// caller does not read is left with the endpoint beyond them. It also bounds a response's head.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
@@ -80,6 +84,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             max_idle: MAX_IDLE_PER_ENDPOINT,
+            receive_buffer_bytes: Some(RECEIVE_BUFFER_BYTES),
         });
         Cx {
             wire,
--- a/crates/oatdale-relay/src/events.rs
+++ b/crates/oatdale-relay/src/events.rs
@@ -2,7 +2,8 @@
 //!
 //! Only complete events are forwarded. An endpoint that crashes stops in the middle of an event,
 //! and the endpoint that resumes the stream begins with the event after the last complete one: had
-//! a partial event been forwarded, the caller would read two events as one.
+//! a partial event been forwarded, the caller would read two events as one. An event that is too
+//! long to be kept is forwarded in parts, and a stream that breaks off in it can't be resumed.
 //!
 //! ```
 //! use oatdale_relay::EventReassembler;
@@ -14,20 +15,35 @@
 
 use bytes::Bytes;
 
+/// Length from which on the part of an event that has been received is forwarded without its end.
+/// Usual events have some hundred bytes; without a bound, an event that never ends would occupy as
+/// much memory as its endpoint sends.
+const MAX_PARTIAL_BYTES: usize = 64 << 10;
+
 /// Reassembles the complete events of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventReassembler {
     /// Start of an event whose end has not been received yet.
     partial: Vec<u8>,
     last: Option<u64>,
+    /// The current event, if a part of it was already returned.
+    long_event: Option<LongEvent>,
+}
+
+/// An event that is returned in parts.
+#[derive(Clone, Copy, Debug)]
+struct LongEvent {
+    /// Its id, if the first part has one.
+    id: Option<u64>,
+    is_duplicate: bool,
 }
 
 impl EventReassembler {
     /// Creates a reassembler for a stream that resumes after event `last`.
     pub fn after(last: Option<u64>) -> Self {
         EventReassembler {
-            partial: Vec::new(),
             last,
+            ..EventReassembler::default()
         }
     }
 
@@ -38,34 +54,65 @@
 
     /// Whether the data received so far ends in the middle of an event.
     pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+        !self.partial.is_empty() || self.long_event.is_some()
+    }
+
+    /// Whether another endpoint can continue after the last complete event: no part of a later one
+    /// was returned.
+    pub fn can_resume(&self) -> bool {
+        self.long_event.is_none_or(|event| event.is_duplicate)
     }
 
     /// Discards a partial event that its endpoint will not complete.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.long_event = None;
     }
 
-    /// Appends the next chunk and returns the events that it completes.
+    /// Appends the next chunk and returns the events that it completes, and the part of a long one.
     ///
     /// Events with an id up to the last one are dropped: an endpoint that resumes a stream may
     /// begin too early, and the caller would receive them twice.
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
         self.partial.extend_from_slice(chunk);
-        let mut complete = Vec::new();
+        let mut returned = Vec::new();
         let mut start = 0;
         while let Some(len) = event_len(&self.partial[start..]) {
             let event = &self.partial[start..start + len];
-            let id = event_id(event);
-            let is_duplicate = matches!((id, self.last), (Some(id), Some(last)) if id <= last);
+            let long_event = self.long_event.take();
+            let LongEvent { id, is_duplicate } = long_event.unwrap_or_else(|| self.inspect(event));
             if !is_duplicate {
-                complete.extend_from_slice(event);
+                returned.extend_from_slice(event);
                 self.last = id.or(self.last);
             }
             start += len;
         }
         self.partial.drain(..start);
-        complete.into()
+        if self.partial.len() > MAX_PARTIAL_BYTES {
+            self.split_partial(&mut returned);
+        }
+        returned.into()
+    }
+
+    /// Appends the partial event to `returned`, except the end of its last line: whether the next
+    /// line break ends the event depends on it.
+    fn split_partial(&mut self, returned: &mut Vec<u8>) {
+        let mut lines = self.partial.split(|b| *b == b'\n');
+        let last_line_len = lines.next_back().map_or(0, <[u8]>::len);
+        let split_at = self.partial.len() - last_line_len.min(2);
+        let event = self.long_event;
+        let event = event.unwrap_or_else(|| self.inspect(&self.partial[..split_at]));
+        let part = self.partial.drain(..split_at);
+        if !event.is_duplicate {
+            returned.extend(part);
+        }
+        self.long_event = Some(event);
+    }
+
+    fn inspect(&self, event: &[u8]) -> LongEvent {
+        let id = event_id(event);
+        let is_duplicate = matches!((id, self.last), (Some(id), Some(last)) if id <= last);
+        LongEvent { id, is_duplicate }
     }
 }
 
--- a/crates/oatdale-relay/src/front.rs
+++ b/crates/oatdale-relay/src/front.rs
@@ -30,6 +30,11 @@
 /// gone, and its requests would occupy endpoints needlessly.
 const CALLER_TCP_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Send buffer of a caller's socket, which the system doubles. Left to the system it grows to
+/// megabytes for a caller that does not read, and a few dozen of these would fill the memory of the
+/// smallest hosts. At a round trip of 100 ms it still allows over 1 MB per second.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// Phase of a shutdown, as callers' connections see it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(crate) enum ShutdownPhase {
@@ -72,7 +77,8 @@
     let options = SockRef::from(&stream);
     let options_set = stream
         .set_nodelay(true)
-        .and_then(|()| options.set_tcp_user_timeout(Some(CALLER_TCP_TIMEOUT)));
+        .and_then(|()| options.set_tcp_user_timeout(Some(CALLER_TCP_TIMEOUT)))
+        .and_then(|()| options.set_send_buffer_size(SEND_BUFFER_BYTES));
     if let Err(err) = options_set {
         log::debug!(target: "front", "event=socket_option_failed err={err}");
     }
--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -212,6 +212,9 @@
         if self.request_cx.forwarded.is_some() {
             return Err(break_reason.to_owned());
         }
+        if !self.events.can_resume() {
+            return Err(format!("{break_reason}, in a long event"));
+        }
         self.events.discard_partial();
         let last_event_id = self.events.last();
         let mut reason = break_reason.to_owned();
