--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -243,7 +243,7 @@
         let counted = if warm.is_empty() { cold } else { warm };
         let add = |load: &mut ServiceLoad, entry: &Entry, used: f64| {
             load.used += used;
-            load.available += WAIT_FREE_LOAD / self.speed_factor(now, entry);
+            load.available += WAIT_FREE_LOAD;
         };
         let (mut summed, mut own) = (ServiceLoad::default(), ServiceLoad::default());
         for entry in counted {
