--- a/crates/oatdale-relay/src/admission/waiting.rs
+++ b/crates/oatdale-relay/src/admission/waiting.rs
@@ -94,7 +94,8 @@
         has_returned: bool,
     ) -> Option<Waiter<W>> {
         let session = request_cx.session_hash();
-        let has_session = session.is_some_and(|s| cx.state().roll_outs.has_session(s));
+        let has_session =
+            session.is_some_and(|s| cx.state().roll_outs.has_session(&request_cx.service, s));
         let mut queues = self.lock();
         if queues
             .services
--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -241,15 +241,15 @@
         let usable = usable.filter(|e| !e.health.is_ejected(now));
         let (cold, warm): (Vec<_>, Vec<_>) = usable.partition(|e| is_cold(e));
         let counted = if warm.is_empty() { cold } else { warm };
-        let add = |load: &mut ServiceLoad, entry: &Entry, used: f64| {
+        let add = |load: &mut ServiceLoad, used: f64| {
             load.used += used;
             load.available += WAIT_FREE_LOAD;
         };
         let (mut summed, mut own) = (ServiceLoad::default(), ServiceLoad::default());
         for entry in counted {
-            add(&mut own, entry, entry.load);
+            add(&mut own, entry.load);
             if let Some(used) = self.total_load(now, entry) {
-                add(&mut summed, entry, used);
+                add(&mut summed, used);
             }
         }
         let nodes = self.nodes.iter(now).count().max(1);
--- a/crates/oatdale-relay/src/events.rs
+++ b/crates/oatdale-relay/src/events.rs
@@ -89,7 +89,6 @@
             let long_event = self.long_event.take();
             let LongEvent { id, is_duplicate } = long_event.unwrap_or_else(|| self.inspect(event));
             if !is_duplicate {
-                complete.extend_from_slice(event);
                 self.completed += 1;
                 returned.extend_from_slice(event);
                 self.last = id.or(self.last);
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -168,8 +168,8 @@
     }
 
     /// Whether a session has had requests sent to endpoints, as far as this node knows.
-    pub(crate) fn has_session(&self, session: u64) -> bool {
-        self.sessions.contains(session)
+    pub(crate) fn has_session(&self, service: &str, session: u64) -> bool {
+        self.sessions.contains(service, session)
     }
 
     /// Removes expired sessions.
--- a/crates/oatdale-relay/src/roll_outs/sessions.rs
+++ b/crates/oatdale-relay/src/roll_outs/sessions.rs
@@ -52,8 +52,8 @@
 
 impl Sessions {
     /// Whether a request of the session has been sent to an endpoint.
-    pub(super) fn contains(&self, session: u64) -> bool {
-        self.pins.contains_key(&session)
+    pub(super) fn contains(&self, service: &str, session: u64) -> bool {
+        self.pins.contains_key(&key(Some(service), session))
     }
 
     /// Pins a session to the version that its request went to.
