--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -66,7 +66,7 @@
 };
 pub use crate::relay::speed::{
     EstimateFault, GapSampler, MAX_SPEED_FACTOR, MAX_SPEED_WEIGHT, MIN_SPEED_FACTOR, MergeOutcome,
-    ReceivedEstimate, SlownessChange, SpeedEstimate, SpeedOrigin, SpeedSample, SpeedTable, Trend,
+    SlownessChange, SpeedEstimate, SpeedOrigin, SpeedSample, SpeedTable, StatedEstimate, Trend,
     UsualTime,
 };
 pub use crate::relay::warm_up::{WarmUp, warm_up_share};
--- a/crates/oatdale-policy/src/relay/speed.rs
+++ b/crates/oatdale-policy/src/relay/speed.rs
@@ -18,9 +18,9 @@
 
 use std::time::Duration;
 
-/// Smallest and largest factor.
+/// Smallest factor: a smaller one is due to an error in the measurement.
 pub const MIN_SPEED_FACTOR: f64 = 0.25;
-/// See [`MIN_SPEED_FACTOR`].
+/// Largest factor: an endpoint that is slower than this gets hardly any requests anyway.
 pub const MAX_SPEED_FACTOR: f64 = 8.0;
 
 /// Largest weight of an estimate, in samples.
@@ -98,9 +98,9 @@
     }
 }
 
-/// Estimate as another host states it.
+/// Estimate as hosts state it to each other.
 #[derive(Clone, Copy, PartialEq, Debug)]
-pub struct ReceivedEstimate {
+pub struct StatedEstimate {
     /// Number of the endpoint, the same on all hosts.
     pub endpoint: u32,
     /// The factor.
@@ -113,7 +113,7 @@
     pub trend: Trend,
 }
 
-/// Why a received estimate is dropped.
+/// Why the estimate of another host is dropped.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum EstimateFault {
     /// The factor is not finite, or outside the range of factors.
@@ -191,8 +191,8 @@
     }
 
     /// Returns the estimate as it is sent to other hosts.
-    pub fn to_received(&self, now: Duration, endpoint: u32) -> ReceivedEstimate {
-        ReceivedEstimate {
+    pub fn to_stated(&self, now: Duration, endpoint: u32) -> StatedEstimate {
+        StatedEstimate {
             endpoint,
             factor: self.log_factor.exp(),
             weight: self.weight,
@@ -202,9 +202,9 @@
     }
 }
 
-impl ReceivedEstimate {
-    /// Checks the values of another host. One that is out of range shows a fault of its sender, so
-    /// that nothing is known of the true value.
+impl StatedEstimate {
+    /// Returns the estimate as of this host's time. A value out of range shows a fault of the sender,
+    /// so that nothing is known of the true one.
     fn check(&self, now: Duration) -> Result<SpeedEstimate, EstimateFault> {
         if !(MIN_SPEED_FACTOR..=MAX_SPEED_FACTOR).contains(&self.factor) {
             return Err(EstimateFault::Factor);
--- a/crates/oatdale-policy/src/relay/speed/table.rs
+++ b/crates/oatdale-policy/src/relay/speed/table.rs
@@ -1,7 +1,7 @@
 //! Estimates of all endpoints that a host knows of, and which of them it sends next.
 
 use crate::relay::speed::{
-    EstimateFault, MAX_SENT_AGE, MIN_WEIGHT, ReceivedEstimate, SpeedEstimate, SpeedSample,
+    EstimateFault, MAX_SENT_AGE, MIN_WEIGHT, SpeedEstimate, SpeedSample, StatedEstimate,
 };
 use std::collections::HashMap;
 use std::hash::{BuildHasherDefault, Hasher};
@@ -121,7 +121,7 @@
     pub fn merge(
         &mut self,
         now: Duration,
-        received: &ReceivedEstimate,
+        received: &StatedEstimate,
         max_len: usize,
     ) -> MergeOutcome {
         let estimate = match received.check(now) {
@@ -158,7 +158,7 @@
 
     /// Returns at most `limit` estimates for the next datagram: first those that changed most since
     /// they were sent, then the others in rotation.
-    pub fn next_estimates(&mut self, now: Duration, limit: usize) -> Vec<ReceivedEstimate> {
+    pub fn next_estimates(&mut self, now: Duration, limit: usize) -> Vec<StatedEstimate> {
         let rotated = (limit as f64 * ROTATION_SHARE).ceil() as usize;
         let mut chosen = self.most_changed(now, limit.saturating_sub(rotated));
         let rest = limit - chosen.len();
@@ -168,7 +168,7 @@
         let sent = chosen.into_iter().filter_map(|endpoint| {
             let tracked = self.by_endpoint.get_mut(&endpoint)?;
             tracked.sent_log += SENT_SHARE * (tracked.estimate.log_factor - tracked.sent_log);
-            Some(tracked.estimate.to_received(now, endpoint))
+            Some(tracked.estimate.to_stated(now, endpoint))
         });
         sent.collect()
     }
--- a/crates/oatdale-policy/tests/relay_speeds.rs
+++ b/crates/oatdale-policy/tests/relay_speeds.rs
@@ -1,7 +1,7 @@
 //! Replay of hosts that learn the speeds of endpoints and exchange their estimates.
 
 use oatdale_policy::relay::{
-    EstimateFault, GapSampler, MergeOutcome, ReceivedEstimate, SpeedSample, SpeedTable, Trend,
+    EstimateFault, GapSampler, MergeOutcome, SpeedSample, SpeedTable, StatedEstimate, Trend,
     UsualTime,
 };
 use rand::{RngExt, SeedableRng};
@@ -31,7 +31,7 @@
     Request(usize),
     Sample(usize, u32, Duration),
     Exchange(usize),
-    Datagram(usize, Vec<ReceivedEstimate>),
+    Datagram(usize, Vec<StatedEstimate>),
 }
 
 struct Host {
@@ -261,8 +261,8 @@
         .expect("the usual time is known")
 }
 
-fn received(factor: f64, weight: f64) -> ReceivedEstimate {
-    ReceivedEstimate {
+fn received(factor: f64, weight: f64) -> StatedEstimate {
+    StatedEstimate {
         endpoint: 7,
         factor,
         weight,
@@ -322,7 +322,7 @@
             "{weight}"
         );
     }
-    let old = ReceivedEstimate {
+    let old = StatedEstimate {
         age: Duration::MAX,
         ..received(2.0, 5.0)
     };
--- a/crates/oatdale-relay/src/speeds/wire.rs
+++ b/crates/oatdale-relay/src/speeds/wire.rs
@@ -1,6 +1,6 @@
 //! Estimates of speeds as they are sent between nodes.
 
-use oatdale_policy::relay::{ReceivedEstimate, Trend};
+use oatdale_policy::relay::{StatedEstimate, Trend};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -23,8 +23,8 @@
 #[serde(transparent)]
 pub struct EndpointSpeed(u64);
 
-impl From<&ReceivedEstimate> for EndpointSpeed {
-    fn from(estimate: &ReceivedEstimate) -> Self {
+impl From<&StatedEstimate> for EndpointSpeed {
+    fn from(estimate: &StatedEstimate) -> Self {
         // Truncated towards the usual speed, so that the ends of the range stay in it.
         let log = (estimate.factor.ln() * LOG_STEPS) as i16;
         let weight = (estimate.weight * WEIGHT_STEPS).round();
@@ -42,12 +42,12 @@
     }
 }
 
-impl From<&EndpointSpeed> for ReceivedEstimate {
+impl From<&EndpointSpeed> for StatedEstimate {
     fn from(speed: &EndpointSpeed) -> Self {
         let log = (speed.0 >> 16) as u16 as i16;
         let weight = (speed.0 >> 10 & 0x3f) as u8;
         let age_ms = (speed.0 & 0xff) * AGE_STEP_MS as u64;
-        ReceivedEstimate {
+        StatedEstimate {
             endpoint: (speed.0 >> 32) as u32,
             factor: (f64::from(log) / LOG_STEPS).exp(),
             weight: f64::from(weight) / WEIGHT_STEPS,
--- a/crates/oatdale-relay/tests/speeds.rs
+++ b/crates/oatdale-relay/tests/speeds.rs
@@ -1,14 +1,14 @@
 //! Estimates of endpoint speeds on the wire, and the numbers that they belong to.
 
-use oatdale_policy::relay::{MergeOutcome, ReceivedEstimate, SpeedTable, Trend};
+use oatdale_policy::relay::{MergeOutcome, SpeedTable, StatedEstimate, Trend};
 use oatdale_relay::{Directory, Endpoint, EndpointSpeed, MAX_SPEEDS_PER_DATAGRAM};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(60);
 
-fn estimate(endpoint: u32, factor: f64) -> ReceivedEstimate {
-    ReceivedEstimate {
+fn estimate(endpoint: u32, factor: f64) -> StatedEstimate {
+    StatedEstimate {
         endpoint,
         factor,
         weight: 10.0,
@@ -33,7 +33,7 @@
 fn estimate_survives_the_wire_and_does_not_get_younger() {
     for factor in [0.25, 0.8, 1.0, 2.2, 8.0] {
         let sent = estimate(4_000_000_000, factor);
-        let got = ReceivedEstimate::from(&EndpointSpeed::from(&sent));
+        let got = StatedEstimate::from(&EndpointSpeed::from(&sent));
         assert!((got.factor / factor - 1.0).abs() < 0.002, "{got:?}");
         assert_eq!((got.endpoint, got.weight), (sent.endpoint, sent.weight));
         assert_eq!((got.age.as_millis(), got.trend), (350, sent.trend));
@@ -51,7 +51,7 @@
         let mut bytes = Vec::new();
         ciborium::into_writer(&rng.random::<u64>(), &mut bytes).expect("it can be encoded");
         let speed: EndpointSpeed = ciborium::from_reader(&bytes[..]).expect("any bits decode");
-        let got = ReceivedEstimate::from(&speed);
+        let got = StatedEstimate::from(&speed);
         table.merge(NOW, &got, usize::MAX);
         let factor = table.factor(NOW, got.endpoint);
         assert!((0.25..=8.0).contains(&factor), "{got:?} {factor}");
