Leave requests for services with spare capacity out of admission

The expected time of a request takes another choice among the endpoints. Requests that were placed at once had a log line as if they had waited, since the time measured between two readings of the clock is not zero; now only those that waited have one.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -42,7 +42,7 @@
 pub use crate::relay::admission::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, LoadGrowth, Prospect,
     Rejections, ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, WaitingRequest,
-    admit,
+    admit, may_be_overloaded,
 };
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -122,6 +122,12 @@
     }
 }
 
+/// Whether a service is so loaded that a request for it may have to wait. Below that, the expected
+/// time need not be known.
+pub fn may_be_overloaded(utilization: Option<f64>) -> bool {
+    utilization.is_some_and(|utilization| utilization >= MIN_UTILIZATION)
+}
+
 /// Decides about a request. `draw` is a random number from 0 to 1, which spreads the callers that are
 /// refused together.
 pub fn admit(request: &AdmissionRequest, outlook: &ServiceOutlook, draw: f64) -> AdmissionDecision {
@@ -137,26 +143,25 @@
         retry_after: retry_after(excess, projected, max_retry, draw),
     };
     let wait = |prospect, limit| AdmissionDecision::Wait { prospect, limit };
-    match outlook.utilization {
-        None => AdmissionDecision::Place,
-        Some(utilization) if utilization < MIN_UTILIZATION => AdmissionDecision::Place,
-        _ if excess.is_zero() && request.is_behind && request.may_wait => {
+    match () {
+        () if !may_be_overloaded(outlook.utilization) => AdmissionDecision::Place,
+        () if excess.is_zero() && request.is_behind && request.may_wait => {
             wait(Prospect::InTime, request.max_wait())
         }
-        _ if excess.is_zero() => AdmissionDecision::Place,
-        _ if outlook.expected > request.time_left => refuse(AdmissionRefusal::AfterDeadline),
+        () if excess.is_zero() => AdmissionDecision::Place,
+        () if outlook.expected > request.time_left => refuse(AdmissionRefusal::AfterDeadline),
         // The estimate is as old as the sums: so short an excess may be gone by now.
-        _ if request.may_wait && excess <= request.max_wait() => {
+        () if request.may_wait && excess <= request.max_wait() => {
             wait(Prospect::InTime, request.max_wait())
         }
-        _ if !request.has_returned && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
+        () if !request.has_returned && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
         // A late response is worth more than none.
-        _ if request.may_wait => {
+        () if request.may_wait => {
             let spare_time = request.time_left - outlook.expected;
             let limit = (spare_time / 2).min(request.time_left / MAX_LATE_WAIT_DIVISOR);
             wait(Prospect::Late, limit)
         }
-        _ => AdmissionDecision::Place,
+        () => AdmissionDecision::Place,
     }
 }
 
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -17,7 +17,7 @@
 use crate::wire::Wire;
 use oatdale_policy::relay::{
     AdmissionDecision, AdmissionRefusal, AdmissionRequest, Rejections, ReturningCallers,
-    ServiceOutlook, admit,
+    ServiceOutlook, admit, may_be_overloaded,
 };
 use rand::RngExt;
 use std::collections::HashMap;
@@ -74,6 +74,7 @@
     let mut evaluation = evaluate(cx, request_cx, has_returned, true);
     let began = Instant::now();
     let mut is_released = false;
+    let must_wait = matches!(evaluation.decision, AdmissionDecision::Wait { .. });
     if let AdmissionDecision::Wait { prospect, limit } = evaluation.decision {
         let waiter = cx
             .admission
@@ -97,7 +98,7 @@
             request_cx.retry_after = Some(retry_after);
             Err(reason)
         }
-        AdmissionDecision::Place if waited.is_zero() => Ok(()),
+        AdmissionDecision::Place if !must_wait => Ok(()),
         AdmissionDecision::Place | AdmissionDecision::Wait { .. } => {
             let decision = if is_released { "released" } else { "placed" };
             log_decision(
@@ -170,15 +171,22 @@
     has_returned: bool,
     may_wait: bool,
 ) -> Evaluation {
+    let (service, urgency) = (&request_cx.service, request_cx.urgency);
+    let load = cx.admission.loads.get(cx, service);
+    let utilization = load.map(|l| l.utilization());
+    // Not known for most requests, since it takes another choice among the endpoints.
+    let expected = match may_be_overloaded(utilization) {
+        true => request_cx.expected_time(cx),
+        false => None,
+    };
     // If no endpoint can take it, the attempt finds out why and when one can.
-    let Some(expected) = request_cx.expected_time(cx) else {
+    let Some(expected) = expected else {
         return Evaluation {
             decision: AdmissionDecision::Place,
             expected: Duration::ZERO,
-            load: None,
+            load,
         };
     };
-    let (service, urgency) = (&request_cx.service, request_cx.urgency);
     let request = AdmissionRequest {
         target: request_cx.route().target_latency,
         elapsed: request_cx.arrival.elapsed(),
@@ -188,10 +196,9 @@
         is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
     };
     let draw = rand::rng().random_range(0.0..1.0);
-    let load = cx.admission.loads.get(cx, service);
     let outlook = ServiceOutlook {
         expected,
-        utilization: load.map(|l| l.utilization()),
+        utilization,
         growth: load.map_or(0.0, |l| l.growth),
     };
     let decision = admit(&request, &outlook, draw);
