--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -19,19 +19,20 @@
 
 /// Load beyond [`FULL_THRESHOLD_LOAD`] at which a run of average cost for its value is no longer
 /// made at any confidence. The runs that hosts start within the lag of the sums must not move the
-/// load across this range, or the hosts oscillate.
+/// load across this range, or the hosts oscillate; in the replay they do with a range of 0.5.
 const THRESHOLD_LOAD_RANGE: f64 = 1.75;
 
 /// Shares of the time left until the target: an expected time up to the first one does not lower
-/// the threshold, and from the second one on no run is made. Expected times are exceeded about as
-/// often as not.
+/// the threshold, and from the second one on no run is made. In between, the run is less and less
+/// likely to be in time.
 const FULL_THRESHOLD_TIME: f64 = 0.5;
 const NO_RUN_TIME: f64 = 1.0;
 
 /// Work of a run that counts as average, as a multiple of the wait-free load of an endpoint.
 const AVERAGE_WORK: f64 = 0.5;
 
-/// Factor by which the value of an answer falls with each level of urgency.
+/// Factor by which the value of an answer falls with each level of urgency. With equal values, less
+/// urgent routes with short prompts get more of the capacity than urgent ones with long prompts.
 const URGENCY_VALUE_FACTOR: f64 = 1.5;
 
 /// Bounds of the cost of a run relative to its value.
@@ -154,6 +155,9 @@
 
     /// Returns the work of the run relative to the value of its answer.
     ///
+    /// The cube root makes urgency count before work: three times the work costs as much as one
+    /// level of urgency.
+    ///
     /// A request that is larger than usual for its route counts as one of the usual size: the size
     /// factor already lowers its threshold, and large requests must get their share of the
     /// escalations.
--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -199,18 +199,19 @@
 ) {
     let counter = &cx.metrics.escalation_decisions;
     counter.with_label_values(&[outcome.name()]).inc();
-    let is_logged = {
+    let omitted = {
         let now = cx.now();
-        cx.state().escalation_lines.allows(now)
+        let lines = &mut cx.state().escalation_lines;
+        if !lines.allows(now) {
+            return;
+        }
+        lines.take_omitted()
     };
-    if !is_logged {
-        return;
-    }
-    let ms = |time: Option<Duration>| time.map_or(-1, |time| time.as_millis() as i64);
+    let ms = |time: Option<Duration>| time.map_or("-".to_owned(), |t| t.as_millis().to_string());
     log::info!(
         target: "escalation",
         "event=escalation id={} service={} urgency={} confidence={:?} threshold={:.1} weight={:.1} size={:.2} \
-         expected_ms={} left_ms={} used={:.1} available={:.1} outcome={}",
+         expected_ms={} left_ms={} used={:.1} available={:.1} outcome={} omitted={omitted}",
         request_cx.metadata.id.as_deref().unwrap_or("-"), request_cx.service, rule.urgency,
         request_cx.confidences, rule.threshold(), rule.weight, rule.relative_size,
         ms(rule.time.map(|time| time.expected)), ms(rule.time.and_then(|time| time.left)),
