Estimate the load of a large service from a sample of its endpoints

Cause: computing the load of a service visited all of its endpoints under the lock of the state, 20,000 on the largest sites.

Change: at most 256 endpoints are looked at, all of them in smaller services and randomly drawn ones in larger ones (`Directory::sample_usable`). Without sums the host's own load is summed over the endpoints that it has requests at, so that a sample does not miss it.

Measured: all tests of oatdale-relay pass, with a new one that bounds the visits.

--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -1,6 +1,7 @@
 //! Registry of the endpoints known to a node, with the load this node puts on each and its health.
 
 mod limits;
+mod sample;
 
 pub(crate) use crate::directory::limits::Permits;
 
--- /dev/null
+++ b/crates/oatdale-relay/src/directory/sample.rs
@@ -0,0 +1,39 @@
+//! Random samples of endpoints, for estimates whose cost must not grow with the site.
+
+use crate::directory::{Directory, EndpointKey, Entry};
+use rand::RngExt;
+use std::time::Duration;
+
+impl Directory {
+    /// Returns the endpoints of a service that may get new requests, or those among `max` ones
+    /// drawn at random if the service has more. An endpoint may be drawn several times.
+    pub fn sample_usable(&self, now: Duration, service: &str, max: usize) -> Vec<&Entry> {
+        let Some(keys) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let (Some(first), Some(last)) = (keys.first(), keys.last()) else {
+            return Vec::new();
+        };
+        let is_usable = |e: &&Entry| self.is_eligible(now, e) && e.accepts_request(now);
+        let entry = |key: &EndpointKey| {
+            self.count_visit();
+            self.entries.get(key).filter(is_usable)
+        };
+        if keys.len() <= max {
+            return keys.iter().filter_map(entry).collect();
+        }
+        let mut rng = rand::rng();
+        let drawn = (0..max).map(|_| EndpointKey(rng.random_range(first.0..=last.0)));
+        drawn
+            .filter_map(|key| keys.range(key..).next())
+            .filter_map(entry)
+            .collect()
+    }
+
+    /// Returns this node's load at the endpoints of a service that are to be used.
+    pub(crate) fn own_load(&self, now: Duration, service: &str) -> f64 {
+        let busy = self.busy_entries();
+        let busy = busy.filter(|e| e.endpoint.service == service && self.is_eligible(now, e));
+        busy.map(|e| e.load).sum()
+    }
+}
--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -20,9 +20,13 @@
 use tokio::time::Instant;
 
 /// How long a computed load of a service is used. The sums it is computed from change every 250 ms,
-/// and computing it visits all endpoints of the service.
+/// and computing it visits up to [`MAX_SAMPLED_ENDPOINTS`] endpoints.
 const SERVICE_LOAD_VALIDITY: Duration = Duration::from_millis(50);
 
+/// Number of endpoints from which the load of a service is estimated. With loads that differ as
+/// much as their mean, the estimate is off by six percent.
+const MAX_SAMPLED_ENDPOINTS: usize = 256;
+
 /// Time to the response head per unit of load beyond the wait-free load, where no expected time is
 /// known. Measured with all models.
 const TIME_PER_LOAD: Duration = Duration::from_millis(100);
@@ -221,7 +225,7 @@
 
 impl State {
     /// Returns the load of a service over all nodes, and what its endpoints take before requests
-    /// wait.
+    /// wait; in a large service, of a sample of its endpoints.
     ///
     /// Only endpoints count that accept requests now, are warm, if any is, and of which there are
     /// recent sums. Without any sums, this node's own load stands for that of each node. A request
@@ -253,27 +257,32 @@
     fn compute_service_load(&self, now: Duration, service: &str) -> ComputedLoad {
         let cold_time = self.cold_time(service);
         let is_cold = |e: &Entry| cold_time.is_some_and(|cold_time| e.is_cold(now, cold_time));
-        let usable = self.directory.usable(now, service).map(|(_, e)| e);
-        let usable = usable.filter(|e| !e.health.is_ejected(now));
-        let (cold, warm): (Vec<_>, Vec<_>) = usable.partition(|e| is_cold(e));
+        let mut usable = self
+            .directory
+            .sample_usable(now, service, MAX_SAMPLED_ENDPOINTS);
+        usable.retain(|e| !e.health.is_ejected(now));
+        let (cold, warm): (Vec<_>, Vec<_>) = usable.into_iter().partition(|e| is_cold(e));
         let counted = if warm.is_empty() { cold } else { warm };
-        let add = |load: &mut ServiceLoad, entry: &Entry, used: f64| {
-            load.used += used;
-            load.available += WAIT_FREE_LOAD / self.speed_factor(now, entry);
-        };
-        let (mut summed, mut own) = (ServiceLoad::default(), ServiceLoad::default());
+        let (mut summed, mut all_available) = (ServiceLoad::default(), 0.0);
         for entry in counted {
-            add(&mut own, entry, entry.load);
+            let available = WAIT_FREE_LOAD / self.speed_factor(now, entry);
+            all_available += available;
             if let Some(used) = self.total_load(now, entry) {
-                add(&mut summed, entry, used);
+                summed.used += used;
+                summed.available += available;
             }
         }
-        let nodes = self.nodes.iter(now).count().max(1);
         let (load, assumed_nodes) = match summed.available > 0.0 {
             true => (summed, 0),
             false => {
-                own.used *= nodes as f64;
-                (own, nodes)
+                let nodes = self.nodes.iter(now).count().max(1);
+                let endpoints = self.directory.len_of_service(service);
+                let unsampled = endpoints as f64 / MAX_SAMPLED_ENDPOINTS as f64;
+                let load = ServiceLoad {
+                    used: self.directory.own_load(now, service) * nodes as f64,
+                    available: all_available * unsampled.max(1.0),
+                };
+                (load, nodes)
             }
         };
         ComputedLoad {
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -284,3 +284,22 @@
     assert_eq!(directory.usable(ms(10), "desk").count(), 1);
     assert_eq!(directory.visited() - before, 1);
 }
+
+// A host estimates the load of a service for each escalation. Looking at each of thousands of
+// endpoints would take milliseconds, in which it decides nothing else.
+#[test]
+fn sample_visits_a_bounded_number_of_endpoints() {
+    let mut directory = Directory::default();
+    for n in 0..2_000 {
+        directory.upsert(ms(0), endpoint(&format!("e{n}")));
+    }
+    for n in 0..1_000 {
+        directory.remove(ms(5), &format!("e{n}"));
+    }
+    let before = directory.visited();
+    let sample = directory.sample_usable(ms(10), "pool", 200);
+    assert_eq!(directory.visited() - before, 200);
+    assert!((50..150).contains(&sample.len()), "{}", sample.len());
+    assert_eq!(directory.sample_usable(ms(10), "pool", 2_000).len(), 1_000);
+    assert!(directory.sample_usable(ms(10), "desk", 200).is_empty());
+}
