Let starting followers wait for readers that start at the same time

Cause: after a power cut all hosts start at once. A follower asks its two readers within 200 ms, these have not loaded the records yet, and the follower then reads all records from the key-value service itself. Nearly all hosts did so: 24 hosts with 300 endpoints made 192 to 276 reads, about nine each, where 40 suffice. The service refuses reads beyond its limit, those of the readers too, and a refused read of all records starts anew.

Change: a node without records asks its readers only for another 250 ms and a random part of 3.3 ms for each known node, before it reads from the service. That spreads the reads of all nodes over half of the service's rate.

--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -32,6 +32,15 @@
 /// Link speed in Mbit/s at which the start delay is half as long as at 0 Mbit/s.
 const HALF_DELAY_LINK_MBPS: f64 = 20.0;
 
+/// How long a starting node asks its readers only, before it reads from the service: a reader that
+/// starts at the same time has loaded the records by then.
+const READER_START_TIME: Duration = Duration::from_millis(250);
+
+/// Time over which the first reads of all nodes are spread, for each node. A read of all records
+/// takes up to ten calls, and the service answers 6,000 reads per second, half of which are left to
+/// other calls.
+const FIRST_READ_TIME_PER_NODE: Duration = Duration::from_micros(3_300);
+
 /// Seconds for which forwarding one change may saturate a reader's link.
 const FORWARD_LINK_SECONDS: f64 = 1.0;
 
@@ -94,6 +103,17 @@
     MAX_START_DELAY.mul_f64(slowness * (1.0 + draw) / 2.0)
 }
 
+/// Returns how long a node that has no records yet asks its readers only, after they have not
+/// answered, before it reads from the service. `draw` is from 0 to 1.
+///
+/// Nodes that all start at once ask their readers before these have loaded the records. If all of
+/// them then read everything from the service, its limit on reads also delays their readers.
+pub fn first_read_delay(nodes: usize, draw: f64) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    let spread = FIRST_READ_TIME_PER_NODE.saturating_mul(nodes);
+    READER_START_TIME + spread.mul_f64(draw.clamp(0.0, 1.0))
+}
+
 /// Returns the size in bytes up to which a reader forwards a record to `followers` nodes; these
 /// read larger records themselves.
 ///
