--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -215,6 +215,11 @@
         domain: &str,
         eligible: &[KeyedEntry<'_>],
     ) -> Option<usize> {
+        let has_sums = |e: &Entry| self.load_sums.last_sum_at(now, e.number).is_some();
+        if request.prefix.is_some() && !eligible.iter().any(|(_, e)| has_sums(e)) {
+            // The node's own load is a small part of an engine's and says little about the time.
+            return self.choose_by_load(now, request, domain, eligible);
+        }
         let candidates: Vec<TimedCandidate> = eligible
             .iter()
             .map(|(_, e)| TimedCandidate {
@@ -228,11 +233,6 @@
         let Some(prefix) = request.prefix else {
             return choose_of_two(&candidates, &mut rand::rng());
         };
-        let has_sums = |e: &Entry| self.load_sums.last_sum_at(now, e.number).is_some();
-        if !eligible.iter().any(|(_, e)| has_sums(e)) {
-            // The node's own load is a small part of an engine's and says little about the time.
-            return self.choose_by_load(now, request, domain, eligible);
-        }
         let curve = self.expected_times.curves(now, request.service).all_nodes;
         let time_s = |c: &TimedCandidate| {
             curve.time_s(LoadAhead {
