Compute the usage of a service in one place, over the versions that requests use

Cause: three parts each summed up the load of a service, and counted endpoints of a version that requests may not use during a roll-out, so that a service looked half idle. One module now computes the usage over the versions in use.

--- a/crates/oatdale-policy/src/relay/admission/growth.rs
+++ b/crates/oatdale-policy/src/relay/admission/growth.rs
@@ -9,6 +9,9 @@
 /// Time by which sums lag at most.
 const LAG: Duration = Duration::from_millis(500);
 
+/// Minimum time between two loads that are kept: more would only take memory.
+const KEPT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Age from which on a load is no longer compared with the present one.
 const MAX_AGE: Duration = Duration::from_millis(1_000);
 
@@ -26,7 +29,10 @@
         }
         let before = self.0.iter().rfind(|(at, _)| now >= *at + LAG);
         let growth = before.map_or(0.0, |(_, before)| 1.0 - before / load.max(f64::EPSILON));
-        self.0.push_back((now, load));
+        let last = self.0.back().map(|(at, _)| *at);
+        if last.is_none_or(|last| now >= last + KEPT_INTERVAL) {
+            self.0.push_back((now, load));
+        }
         growth.clamp(0.0, 1.0)
     }
 }
--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -5,45 +5,16 @@
 
 use crate::attempt::{self, Purpose};
 use crate::cx::Cx;
-use crate::directory::Entry;
 use crate::in_flight::InFlightRequest;
 use crate::request_context::RequestContext;
-use crate::state::State;
 use crate::wire::Wire;
 use oatdale_policy::relay::{
     EscalationDecision, EscalationRule, EscalationVerdict, Ladder, RunTime, ServiceLoad,
-    WAIT_FREE_LOAD,
 };
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a computed load of a service is used. The sums it is computed from change every 250 ms,
-/// and computing it visits up to [`MAX_SAMPLED_ENDPOINTS`] endpoints.
-const SERVICE_LOAD_VALIDITY: Duration = Duration::from_millis(50);
-
-/// Number of endpoints from which the load of a service is estimated. With loads that differ as
-/// much as their mean, the estimate is off by six percent.
-const MAX_SAMPLED_ENDPOINTS: usize = 256;
-
-/// Time to the response head per unit of load beyond the wait-free load, where no expected time is
-/// known. Measured with all models.
-const TIME_PER_LOAD: Duration = Duration::from_millis(100);
-
-/// Loads of services over all nodes, as last computed.
-#[derive(Debug, Default)]
-pub(crate) struct ServiceLoads(HashMap<String, ComputedLoad>);
-
-/// Load of one service over all nodes.
-#[derive(Clone, Copy, Debug)]
-struct ComputedLoad {
-    computed_at: Duration,
-    load: ServiceLoad,
-    /// Number of nodes for each of which this node's load stands; 0 if there are sums.
-    assumed_nodes: usize,
-}
-
 /// Outcome of a decision about an answer whose confidence is below the full threshold.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Outcome {
@@ -116,11 +87,14 @@
         return None;
     }
     let (pos, model_count) = (request_cx.model_index, request_cx.route().ladder.len());
+    let usage = cx.state().service_usage(cx.now(), &request_cx.service);
+    let usage = usage.without_own(weight);
     let mut rule = EscalationRule {
         threshold: cx.settings.ladder.least_confidence,
-        load: cx
-            .state()
-            .service_load(cx.now(), &request_cx.service, weight),
+        load: ServiceLoad {
+            used: usage.used,
+            available: usage.wait_free,
+        },
         weight: request_cx.weight_of_model(model_count.saturating_sub(1)),
         urgency: request_cx.urgency(),
         relative_size: request_cx.relative_size,
@@ -137,7 +111,7 @@
             let left = time_to_target(request_cx);
             let service = request_cx.service.clone();
             let confirm = |in_flight: &InFlightRequest<W>| {
-                let expected = expected_time(in_flight);
+                let expected = in_flight.expected;
                 rule.time = Some(RunTime { expected, left });
                 outcome = match rule.decide(pos, model_count, confidence) {
                     EscalationVerdict::Escalate(_) if cx.try_escalate(&service) => {
@@ -184,17 +158,6 @@
     Some(target_at.saturating_duration_since(Instant::now()))
 }
 
-/// Returns the expected time to the first event at the endpoint picked.
-fn expected_time<W>(in_flight: &InFlightRequest<W>) -> Duration {
-    match in_flight.expected {
-        Duration::ZERO => {
-            let load = in_flight.total_load_before + in_flight.weight;
-            TIME_PER_LOAD.mul_f64((load - WAIT_FREE_LOAD).max(0.0))
-        }
-        expected => expected,
-    }
-}
-
 fn record<W: Wire>(
     cx: &Cx<W>,
     request_cx: &RequestContext,
@@ -222,73 +185,3 @@
         rule.load.used, rule.load.available, outcome.name()
     );
 }
-
-impl State {
-    /// Returns the load of a service over all nodes, and what its endpoints take before requests
-    /// wait; in a large service, of a sample of its endpoints.
-    ///
-    /// Only endpoints count that accept requests now, are warm, if any is, and of which there are
-    /// recent sums. Without any sums, this node's own load stands for that of each node. A request
-    /// of this node with the weight `own_weight` is left out of it: a node with few requests decides
-    /// only while it has one, and would always find more load than the others have.
-    pub(crate) fn service_load(
-        &mut self,
-        now: Duration,
-        service: &str,
-        own_weight: f64,
-    ) -> ServiceLoad {
-        let known = self.service_loads.0.get(service).copied();
-        let computed = match known {
-            Some(known) if now < known.computed_at + SERVICE_LOAD_VALIDITY => known,
-            _ => {
-                let computed = self.compute_service_load(now, service);
-                let loads = &mut self.service_loads.0;
-                loads.insert(service.to_owned(), computed);
-                computed
-            }
-        };
-        let own = own_weight * computed.assumed_nodes as f64;
-        ServiceLoad {
-            used: (computed.load.used - own).max(0.0),
-            ..computed.load
-        }
-    }
-
-    fn compute_service_load(&self, now: Duration, service: &str) -> ComputedLoad {
-        let cold_time = self.cold_time(service);
-        let is_cold = |e: &Entry| cold_time.is_some_and(|cold_time| e.is_cold(now, cold_time));
-        let mut usable = self
-            .directory
-            .sample_usable(now, service, MAX_SAMPLED_ENDPOINTS);
-        usable.retain(|e| !e.health.is_ejected(now));
-        let (cold, warm): (Vec<_>, Vec<_>) = usable.into_iter().partition(|e| is_cold(e));
-        let counted = if warm.is_empty() { cold } else { warm };
-        let (mut summed, mut all_available) = (ServiceLoad::default(), 0.0);
-        for entry in counted {
-            let available = WAIT_FREE_LOAD / self.speed_factor(now, entry);
-            all_available += available;
-            if let Some(used) = self.total_load(now, entry) {
-                summed.used += used;
-                summed.available += available;
-            }
-        }
-        let (load, assumed_nodes) = match summed.available > 0.0 {
-            true => (summed, 0),
-            false => {
-                let nodes = self.nodes.iter(now).count().max(1);
-                let endpoints = self.directory.len_of_service(service);
-                let unsampled = endpoints as f64 / MAX_SAMPLED_ENDPOINTS as f64;
-                let load = ServiceLoad {
-                    used: self.directory.own_load(now, service) * nodes as f64,
-                    available: all_available * unsampled.max(1.0),
-                };
-                (load, nodes)
-            }
-        };
-        ComputedLoad {
-            computed_at: now,
-            load,
-            assumed_nodes,
-        }
-    }
-}
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -2,11 +2,11 @@
 
 mod expected_time;
 mod listing;
+mod service_usage;
 mod warm_up;
 
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
-use crate::escalation::ServiceLoads;
 use crate::line_limit::LineLimit;
 use crate::loads::{LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
@@ -17,6 +17,7 @@
 use crate::site::SiteConfig;
 use crate::speeds::Speeds;
 use crate::state::expected_time::ExpectedTimes;
+use crate::state::service_usage::ServiceUsages;
 use oatdale_policy::relay::{
     Candidate, Mean, Placement, Quarantine, RetryLimit, RetryLimiter, choose,
 };
@@ -28,9 +29,8 @@
 use warm_up::has_capacity;
 
 use crate::state::expected_time::LoadScope;
-#[expect(unused_imports, reason = "escalation and admission do not use it yet")]
-pub(crate) use crate::state::expected_time::SpareCapacity;
 pub(crate) use crate::state::expected_time::TimeBasis;
+pub(crate) use crate::state::service_usage::ServiceUsage;
 
 /// Part of the site's retry budget that nodes plan to use. The rest is a margin, since nodes
 /// count independently and restarted nodes do not know of their earlier retries.
@@ -79,8 +79,8 @@
     retry_limiters: HashMap<String, RetryLimiter>,
     /// Mean wait at the largest models, as a fraction of their target latency, by service.
     largest_model_waits: HashMap<String, Mean>,
-    /// Load of each service, as last computed for escalations.
-    pub(crate) service_loads: ServiceLoads,
+    /// Usage of each service, as last computed.
+    service_usages: ServiceUsages,
     /// Limit on the log lines about escalations.
     pub(crate) escalation_lines: LineLimit,
     /// Mean generation size by route.
@@ -174,7 +174,7 @@
             speeds: Speeds::default(),
             retry_limiters: HashMap::new(),
             largest_model_waits: HashMap::new(),
-            service_loads: ServiceLoads::default(),
+            service_usages: ServiceUsages::default(),
             escalation_lines: LineLimit::default(),
             generation_sizes: HashMap::new(),
             expected_times: ExpectedTimes::default(),
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -1,4 +1,4 @@
-//! Expected times until the response head, by service, and the spare capacity of its endpoints.
+//! Expected times until the response head, by service.
 
 use crate::directory::{EndpointKey, Entry};
 use crate::loads::AggregationScheme;
@@ -19,9 +19,6 @@
 /// which change within seconds.
 const OWN_HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// How long a computed spare capacity is used.
-const SPARE_CAPACITY_VALIDITY: Duration = Duration::from_millis(100);
-
 /// Whose load at an endpoint is known.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum LoadScope {
@@ -38,15 +35,7 @@
     pub(crate) ahead: LoadAhead,
 }
 
-/// Load in hand at the endpoints of a service and the load at which requests begin to wait, in
-/// units of weight at an endpoint of usual speed.
-#[derive(Clone, Copy, PartialEq, Debug, Default)]
-pub(crate) struct SpareCapacity {
-    pub(crate) used: f64,
-    pub(crate) available: f64,
-}
-
-/// Observed times and capacities of all services.
+/// Observed times of all services.
 #[derive(Debug, Default)]
 pub(super) struct ExpectedTimes {
     services: HashMap<String, ServiceTimes>,
@@ -57,7 +46,6 @@
     all_nodes: ResponseTimes,
     own: ResponseTimes,
     prefixes: PrefixShares,
-    spare_capacity: Option<(Duration, SpareCapacity)>,
 }
 
 /// Expected times of a service at one moment.
@@ -73,7 +61,6 @@
             all_nodes: ResponseTimes::new(ALL_NODES_HALF_LIFE),
             own: ResponseTimes::new(OWN_HALF_LIFE),
             prefixes: PrefixShares::default(),
-            spare_capacity: None,
         }
     }
 }
@@ -114,6 +101,11 @@
         known.map_or(0.0, |t| t.prefixes.share(now, prefix, request.weight))
     }
 
+    /// Returns the load at an endpoint of usual speed up to which requests hardly wait.
+    pub(super) fn knee_load(&self, now: Duration, service: &str) -> f64 {
+        self.curves(now, service).all_nodes.knee_load()
+    }
+
     fn service_mut(&mut self, service: &str) -> &mut ServiceTimes {
         self.services.entry(service.to_owned()).or_default()
     }
@@ -158,39 +150,6 @@
         }
     }
 
-    /// Returns the load in hand at a service's endpoints and the load at which requests begin to
-    /// wait there. Both are at most 100 ms old. Where sums have stopped, only this node's own load
-    /// counts; endpoints that get no requests now do not count.
-    #[expect(dead_code, reason = "escalation and admission do not use it yet")]
-    pub(crate) fn spare_capacity(&mut self, now: Duration, service: &str) -> SpareCapacity {
-        let known = self.expected_times.service_mut(service).spare_capacity;
-        if let Some((at, capacity)) = known
-            && now < at + SPARE_CAPACITY_VALIDITY
-        {
-            return capacity;
-        }
-        let capacity = self.compute_spare_capacity(now, service);
-        self.expected_times.service_mut(service).spare_capacity = Some((now, capacity));
-        capacity
-    }
-
-    fn compute_spare_capacity(&self, now: Duration, service: &str) -> SpareCapacity {
-        let curves = self.expected_times.curves(now, service);
-        let knee_load = curves.all_nodes.knee_load();
-        let cold_time = self.cold_time(service);
-        let is_cold = |e: &Entry| cold_time.is_some_and(|time| e.is_cold(now, time));
-        let mut capacity = SpareCapacity::default();
-        for (_, entry) in self.directory.usable(now, service) {
-            if entry.health.is_ejected(now) || is_cold(entry) {
-                continue;
-            }
-            let (_, load) = self.load_of_all_nodes(now, entry);
-            capacity.used += load;
-            capacity.available += knee_load / self.speed_factor(now, entry);
-        }
-        capacity
-    }
-
     /// Returns what the expected time of a request at an endpoint depends on.
     pub(super) fn time_basis(
         &self,
