--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -20,7 +20,7 @@
 /// Load beyond [`FULL_THRESHOLD_LOAD`] at which a run of average cost for its value is no longer
 /// made at any confidence. The runs that hosts start within the lag of the sums must not move the
 /// load across this range, or the hosts oscillate; in the replay they do with a range of 0.5.
-const THRESHOLD_LOAD_RANGE: f64 = 1.75;
+const THRESHOLD_LOAD_RANGE: f64 = 1.0;
 
 /// Shares of the time left until the target: an expected time up to the first one does not lower
 /// the threshold, and from the second one on no run is made. In between, the run is less and less
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -101,11 +101,6 @@
         known.map_or(0.0, |t| t.prefixes.share(now, prefix, request.weight))
     }
 
-    /// Returns the load at an endpoint of usual speed up to which requests hardly wait.
-    pub(super) fn knee_load(&self, now: Duration, service: &str) -> f64 {
-        self.curves(now, service).all_nodes.knee_load()
-    }
-
     fn service_mut(&mut self, service: &str) -> &mut ServiceTimes {
         self.services.entry(service.to_owned()).or_default()
     }
--- a/crates/oatdale-relay/src/state/service_usage.rs
+++ b/crates/oatdale-relay/src/state/service_usage.rs
@@ -4,6 +4,7 @@
 use crate::loads::AggregationScheme;
 use crate::roll_outs::AllowedVersions;
 use crate::state::State;
+use oatdale_policy::relay::WAIT_FREE_LOAD;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -92,19 +93,18 @@
 
     fn compute_usage(&self, now: Duration, service: &str) -> ServiceUsage {
         let counted = self.counted_endpoints(now, service);
-        let wait_free = self.expected_times.knee_load(now, service);
         let mut summed = ServiceUsage::default();
         let mut all = ServiceUsage::default();
         for entry in &counted {
             let slots = f64::from(entry.endpoint.slots);
-            all.wait_free += wait_free;
+            all.wait_free += WAIT_FREE_LOAD;
             all.slots += slots;
             let Some(load) = self.total_load(now, entry) else {
                 continue;
             };
             let sums = self.sum_times(now, entry);
             summed.used += load;
-            summed.wait_free += wait_free;
+            summed.wait_free += WAIT_FREE_LOAD;
             summed.slots += slots;
             summed.spare_slots += (slots - load).max(0.0);
             summed.sums = summed
