Escalate up to nine tenths of the wait-free load, and use more of the retry limit

The margin is now 8% and the part a tenth. The threshold for escalations fell while hardly a request waited.

--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -15,7 +15,7 @@
 
 /// Load of a service, as a multiple of its wait-free load, up to which the full threshold applies.
 /// Below 1, so that the threshold falls before requests wait.
-const FULL_THRESHOLD_LOAD: f64 = 0.75;
+const FULL_THRESHOLD_LOAD: f64 = 0.9;
 
 /// Load beyond [`FULL_THRESHOLD_LOAD`] at which a run of average cost for its value is no longer
 /// made at any confidence. The runs that hosts start within the lag of the sums must not move the
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -41,7 +41,7 @@
 /// Fraction of the retry budget that escalations to larger models leave for retries of broken
 /// streams: a broken stream is lost without a retry, while an answer of a small model is only
 /// worse. When an endpoint with several streams of one node dies, all of them need a retry at once.
-const STREAM_RETRY_RESERVE: f64 = 0.2;
+const STREAM_RETRY_RESERVE: f64 = 0.1;
 
 /// Fraction of the stop time in which new streams are accepted: most of them end within the rest.
 const STREAM_ACCEPT_FRACTION: f64 = 0.3;
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -34,7 +34,7 @@
 
 /// Part of the site's retry budget that nodes plan to use. The rest is a margin, since nodes
 /// count independently and restarted nodes do not know of their earlier retries.
-const PLANNED_RETRY_SHARE: f64 = 0.85;
+const PLANNED_RETRY_SHARE: f64 = 0.92;
 
 /// Minimum number of nodes over which the fixed part of the retry budget (`repeat_slack`) is
 /// divided: a starting node does not know the others yet.
