--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -52,7 +52,7 @@
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
 pub use crate::relay::escalation::{
-    EscalationRule, EscalationVerdict, RunTime, ServiceLoad, WAIT_FREE_LOAD,
+    EscalationRule, EscalationVerdict, RunTime, ServiceLoad, WAIT_FREE_LOAD, wait_free_load,
 };
 pub use crate::relay::evidence::{
     Counts, CountsByOrigin, Origin, Verdict, VersionCounts, completion_verdict, verdict,
--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -9,10 +9,14 @@
 use crate::relay::ladder::{larger_model, size_factor};
 use std::time::Duration;
 
-/// Weighted load at an endpoint up to which requests do not wait. Measured: the time to the
-/// response head is the same up to a load of five to six and then grows by 100 ms per unit.
+/// Smallest weighted load at an endpoint up to which requests do not wait: an endpoint with few slots
+/// reads some prompts ahead.
 pub const WAIT_FREE_LOAD: f64 = 6.0;
 
+/// Weighted load up to which requests do not wait, as a share of the endpoint's slots. It is below 1,
+/// since a request that is being read weighs more than one, and reading delays the others.
+const WAIT_FREE_SLOT_SHARE: f64 = 0.4;
+
 /// Load of a service, as a multiple of its wait-free load, up to which the full threshold applies.
 /// Below 1, so that the threshold falls before requests wait.
 const FULL_THRESHOLD_LOAD: f64 = 0.9;
@@ -39,6 +43,12 @@
 const MIN_RELATIVE_COST: f64 = 0.5;
 const MAX_RELATIVE_COST: f64 = 2.0;
 
+/// Returns the weighted load up to which requests do not wait at an endpoint that runs this number of
+/// requests at the same time.
+pub fn wait_free_load(slots: u32) -> f64 {
+    (f64::from(slots) * WAIT_FREE_SLOT_SHARE).max(WAIT_FREE_LOAD)
+}
+
 /// Load of a service over all hosts and endpoints, in weighted requests.
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
 pub struct ServiceLoad {
--- a/crates/oatdale-relay/src/state/service_usage.rs
+++ b/crates/oatdale-relay/src/state/service_usage.rs
@@ -4,7 +4,7 @@
 use crate::loads::AggregationScheme;
 use crate::roll_outs::AllowedVersions;
 use crate::state::State;
-use oatdale_policy::relay::WAIT_FREE_LOAD;
+use oatdale_policy::relay::wait_free_load;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -97,14 +97,15 @@
         let mut all = ServiceUsage::default();
         for entry in &counted {
             let slots = f64::from(entry.endpoint.slots);
-            all.wait_free += WAIT_FREE_LOAD;
+            let wait_free = wait_free_load(entry.endpoint.slots);
+            all.wait_free += wait_free;
             all.slots += slots;
             let Some(load) = self.total_load(now, entry) else {
                 continue;
             };
             let sums = self.sum_times(now, entry);
             summed.used += load;
-            summed.wait_free += WAIT_FREE_LOAD;
+            summed.wait_free += wait_free;
             summed.slots += slots;
             summed.spare_slots += (slots - load).max(0.0);
             summed.sums = summed
