--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::permits;
 use crate::reachability;
 use crate::request_context::RequestContext;
+use crate::speeds;
 use crate::wire::{ResponseMetadata, Wire};
 use http::response;
 use hyper::body::Incoming;
@@ -384,6 +385,15 @@
             attempt_time.as_secs_f64() / latency_target(request_cx).as_secs_f64().max(0.001);
         cx.state().record_wait(&request_cx.service, relative_wait);
     }
+    match result {
+        Ok((head, ..)) if head.status.is_success() => {
+            in_flight.record_response_time(attempt_time, false);
+        }
+        Err(Failure::TimedOut) => {
+            in_flight.record_response_time(attempt_time, true);
+        }
+        _ => {}
+    }
     let failed = match result {
         Ok((head, ..)) => {
             let failed = head.status.is_server_error();
@@ -414,6 +424,9 @@
     // says little about a version; the intervals between its events say more and are recorded while
     // the stream runs.
     let is_timed = !failed && !request_cx.route().kind.is_stream();
+    if is_timed && matches!(result, Ok((head, ..)) if head.status.is_success()) {
+        speeds::record_response(cx, request_cx, in_flight, attempt_time);
+    }
     let timing = is_timed.then(|| (request_cx.response_latency_class(), attempt_time));
     let source = request_cx.source(in_flight);
     cx.state()
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of a relay.
 
+use crate::admission::Admission;
 use crate::body::BodyMemory;
 use crate::crashes;
 use crate::directory::{IneligibleCounts, RecordChange};
@@ -10,6 +11,7 @@
 use crate::roll_outs::AllowedVersions;
 use crate::settings::Settings;
 use crate::site::SiteConfig;
+use crate::start_up::StartUp;
 use crate::state::{PlacementRequest, State};
 use crate::update::{Endpoint, EndpointChange, Update};
 use crate::wire::Wire;
@@ -29,13 +31,17 @@
 /// How long an idle connection to an endpoint is kept, unless the endpoint announces a time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Buffer of a connection to an endpoint, and receive buffer of its socket. A response that its
+/// caller does not read is left with the endpoint beyond them. It also bounds a response's head.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
 /// Fraction of the retry budget that escalations to larger models leave for retries of broken
 /// streams: a broken stream is lost without a retry, while an answer of a small model is only
 /// worse. When an endpoint with several streams of one node dies, all of them need a retry at once.
-const STREAM_RETRY_RESERVE: f64 = 0.2;
+const STREAM_RETRY_RESERVE: f64 = 0.1;
 
 /// Fraction of the stop time in which new streams are accepted: most of them end within the rest.
 const STREAM_ACCEPT_FRACTION: f64 = 0.3;
@@ -62,6 +68,8 @@
     pub(crate) body_memory: BodyMemory,
     /// Socket for datagrams between nodes.
     pub(crate) socket: UdpSocket,
+    pub(crate) start_up: StartUp,
+    pub(crate) admission: Admission,
     /// Notified when the quarantined requests change, for in-flight requests that are among them.
     pub(crate) quarantine_changed: watch::Sender<()>,
     started: Instant,
@@ -80,6 +88,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             max_idle: MAX_IDLE_PER_ENDPOINT,
+            receive_buffer_bytes: Some(RECEIVE_BUFFER_BYTES),
         });
         Cx {
             wire,
@@ -87,9 +96,11 @@
             metrics,
             body_memory: BodyMemory::default(),
             socket,
+            start_up: StartUp::default(),
+            admission: Admission::default(),
             quarantine_changed: watch::Sender::default(),
             started: Instant::now(),
-            state: Mutex::new(State::new(settings.bounds)),
+            state: Mutex::new(State::new(settings.bounds, settings.load_control)),
             settings,
         }
     }
@@ -133,16 +144,16 @@
         let mut state = self.state();
         match update {
             Update::Site(site) => self.apply_site(&mut state, site),
-            Update::Endpoints(all) => {
-                for addr in state.directory.replace(now, all) {
-                    self.pool.forget(addr);
-                }
-            }
+            Update::Endpoints(all) => self.replace_endpoints(&mut state, now, all),
             Update::EndpointChanges(changes) => {
                 self.apply_endpoint_changes(&mut state, now, changes);
+                self.record_endpoints_known(&state);
             }
             Update::Evacuated(domains) => self.apply_evacuated(&mut state, domains),
             Update::RollOut(roll_out) => state.roll_outs.update(now, roll_out),
+            Update::VersionOutcome { service, outcome } => {
+                state.roll_outs.record_outcome(&service, &outcome);
+            }
             Update::Quarantine {
                 request,
                 is_quarantined,
@@ -159,12 +170,17 @@
             Update::ReadsOnlyForItself(is_set) => state.reads_only_for_itself = is_set,
             Update::StoreUnavailable => {
                 self.metrics.store.set(0);
-                state.store_unavailable_since = Some(now);
-                state.directory.mark_store_unavailable();
-                state.nodes.mark_store_unavailable();
+                self.start_up.record_store(false);
+                // Until it has answered once, there is nothing that could be out of date.
+                if state.store_unavailable_since.is_none() {
+                    state.store_unavailable_since = Some(now);
+                    state.directory.mark_store_unavailable();
+                    state.nodes.mark_store_unavailable();
+                }
             }
             Update::StoreAvailable => {
                 self.metrics.store.set(1);
+                self.start_up.record_store(true);
                 state.mark_store_available(now);
                 state.directory.mark_store_available(now);
                 state.nodes.mark_store_available(now);
@@ -173,6 +189,20 @@
         self.metrics.endpoints.set(state.directory.len() as i64);
     }
 
+    /// Applies a complete list of endpoints.
+    pub(crate) fn replace_endpoints(&self, state: &mut State, now: Duration, all: Vec<Endpoint>) {
+        for addr in state.directory.replace(now, all) {
+            self.pool.forget(addr);
+        }
+        self.record_endpoints_known(state);
+    }
+
+    fn record_endpoints_known(&self, state: &State) {
+        if !state.directory.is_empty() {
+            self.start_up.record_endpoints();
+        }
+    }
+
     /// Applies the changes of one read and logs their counts; single endpoints are logged as far as
     /// [`LineLimit`](crate::line_limit::LineLimit) allows, first those that requests may be at.
     fn apply_endpoint_changes(
@@ -266,7 +296,9 @@
         );
         self.metrics.version.set(site.version as i64);
         state.retain_routes(&site);
+        self.admission.retain_routes(&site);
         state.site = Some(site);
+        self.start_up.record_site();
     }
 
     /// Updates the metric of quarantined requests and notifies requests in flight.
@@ -325,6 +357,7 @@
             return Err(state.count_ineligible(now, request));
         };
         state.count_warm_up_request(now, pick.key);
+        state.record_prefix(now, request);
         let Some(entry) = state.directory.begin_request(pick.key, request.weight) else {
             return Err(state.count_ineligible(now, request));
         };
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -40,6 +40,7 @@
 //! assert_eq!(site.route("other.example", "/slots/41"), None);
 //! ```
 
+mod admission;
 mod attempt;
 mod body;
 mod conn_timeouts;
@@ -48,6 +49,7 @@
 mod directory;
 mod endpoint_response;
 mod error;
+mod escalation;
 mod events;
 mod forwarding;
 mod front;
@@ -73,6 +75,8 @@
 mod serve;
 mod settings;
 mod site;
+mod speeds;
+mod start_up;
 mod state;
 mod stream;
 mod traffic;
@@ -95,12 +99,14 @@
 };
 pub use crate::revision::Revision;
 pub use crate::roll_outs::{
-    AllowedVersions, LatencyClass, OldSessions, Report, ResponseSource, RollOuts,
+    AllowedVersions, LatencyClass, OldSessions, Outcome, Report, ResponseSource, RollOuts, Trial,
+    VersionOutcome,
 };
 pub use crate::settings::{Bounds, Ladder, Listen, LoadControl, Platform, Settings, SettingsError};
 pub use crate::site::{
     CallerLimits, Customer, Customers, Route, RouteKind, ServiceFacts, SiteConfig,
 };
+pub use crate::speeds::{EndpointSpeed, MAX_SPEEDS_PER_DATAGRAM};
 pub use crate::traffic::Traffic;
 pub use crate::update::{
     Command, Endpoint, EndpointChange, Link, Node, RollOut, RollOutEnd, Update,
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use crate::traffic::Traffic;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -20,6 +20,8 @@
     pub(crate) retries: IntCounter,
     /// Responses discarded in favor of a larger model's.
     pub(crate) escalations: IntCounter,
+    /// Decisions by spare capacity about answers with a low confidence, by outcome.
+    pub(crate) escalation_decisions: IntCounterVec,
     /// Streams that another endpoint resumed.
     pub(crate) resumed: IntCounter,
     /// Endpoints that crashed while this node had requests in flight there.
@@ -42,8 +44,22 @@
     pub(crate) forwarded: IntCounterVec,
     /// Requests that other nodes forwarded to this one.
     pub(crate) forwarded_here: IntCounter,
+    /// Requests that wait until an endpoint has capacity, by service and urgency.
+    pub(crate) waiting: IntGaugeVec,
+    /// Time for which requests waited for capacity, by service and urgency.
+    pub(crate) waited: HistogramVec,
+    /// Requests refused for lack of capacity, by reason, service and urgency.
+    pub(crate) overloaded: IntCounterVec,
     /// Announcements of endpoints that this version does not know.
     pub(crate) unknown_announcements: IntCounter,
+    /// Endpoints with an estimate of their speed.
+    pub(crate) endpoint_speeds: IntGauge,
+    /// Endpoints that are considered slow.
+    pub(crate) slow_endpoints: IntGauge,
+    /// Samples of the speeds of endpoints.
+    pub(crate) speed_samples: IntCounter,
+    /// Estimates received from other nodes, by what became of them.
+    pub(crate) speed_estimates: IntCounterVec,
     /// Time to the head of the forwarded response, in seconds.
     pub(crate) first_byte: Histogram,
     /// Version of the active configuration.
@@ -68,6 +84,10 @@
             "limited_requests_total",
             "Requests sent to endpoints that state a limit",
         );
+        let escalation_decisions = Opts::new(
+            "escalation_decisions_total",
+            "Answers with a low confidence, by whether a larger model makes them again",
+        );
         let permits = Opts::new("permits_total", "Requests for permits by outcome");
         let reach_checks = Opts::new(
             "reach_checks_total",
@@ -77,12 +97,27 @@
             "forwarded_total",
             "Requests forwarded to other nodes, by outcome",
         );
+        let speed_estimates = Opts::new(
+            "speed_estimates_total",
+            "Estimates of endpoint speeds from other nodes, by outcome",
+        );
         let histogram = HistogramOpts::new("first_byte_seconds", "Time to an answer's head")
             .buckets(LATENCY_BUCKETS_S.to_vec());
+        let waiting = Opts::new("waiting_requests", "Requests that wait for capacity");
+        let waited = HistogramOpts::new("waited_seconds", "Time for which requests waited")
+            .buckets(LATENCY_BUCKETS_S.to_vec());
+        let overloaded = Opts::new(
+            "overload_refusals_total",
+            "Requests refused for lack of capacity, by reason",
+        );
         let metrics = Metrics {
+            waiting: IntGaugeVec::new(waiting, &["service", "urgency"])?,
+            waited: HistogramVec::new(waited, &["service", "urgency"])?,
+            overloaded: IntCounterVec::new(overloaded, &["reason", "service", "urgency"])?,
             requests: IntCounterVec::new(opts, &["end"])?,
             retries: IntCounter::new("repeats_total", "Attempts beyond the first")?,
             escalations: IntCounter::new("escalations_total", "Answers made again larger")?,
+            escalation_decisions: IntCounterVec::new(escalation_decisions, &["outcome"])?,
             resumed: IntCounter::new(
                 "resumed_total",
                 "Streams that another endpoint went on with",
@@ -113,6 +148,16 @@
                 "unknown_announcements_total",
                 "Announcements of endpoints that are not known",
             )?,
+            endpoint_speeds: IntGauge::new(
+                "endpoint_speeds",
+                "Endpoints with an estimate of their speed",
+            )?,
+            slow_endpoints: IntGauge::new("slow_endpoints", "Endpoints considered slow")?,
+            speed_samples: IntCounter::new(
+                "speed_samples_total",
+                "Samples of the speeds of endpoints",
+            )?,
+            speed_estimates: IntCounterVec::new(speed_estimates, &["outcome"])?,
             first_byte: Histogram::with_opts(histogram)?,
             version: IntGauge::new("configuration_version", "Configuration in force")?,
             endpoints: IntGauge::new("endpoints", "Endpoints known")?,
@@ -127,10 +172,11 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 29] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
+            Box::new(self.escalation_decisions.clone()),
             Box::new(self.resumed.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.quarantined.clone()),
@@ -143,12 +189,19 @@
             Box::new(self.forwarded.clone()),
             Box::new(self.forwarded_here.clone()),
             Box::new(self.unknown_announcements.clone()),
+            Box::new(self.endpoint_speeds.clone()),
+            Box::new(self.slow_endpoints.clone()),
+            Box::new(self.speed_samples.clone()),
+            Box::new(self.speed_estimates.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.version.clone()),
             Box::new(self.endpoints.clone()),
             Box::new(self.connections.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.store.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.waited.clone()),
+            Box::new(self.overloaded.clone()),
         ];
         collectors
             .into_iter()
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -42,7 +42,7 @@
     pub(crate) arrival: Instant,
     /// Deadline: when the caller stops waiting or the route's timeout expires, whichever is first.
     pub(crate) deadline_at: Instant,
-    urgency: u8,
+    pub(crate) urgency: u8,
     /// Index in the route's ladder of the model for the next attempt.
     pub(crate) model_index: usize,
     /// Endpoints that are excluded from the next attempt because they received the request.
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Priority of the request; 0 is the most urgent.
+    pub(crate) fn urgency(&self) -> u8 {
+        self.urgency
+    }
+
     /// The model for the next attempt, where the route's ladder selects it instead of the caller.
     pub(crate) fn model(&self) -> Option<&str> {
         self.route()
@@ -267,24 +272,49 @@
 
     /// Load that the request adds to an endpoint: a long prompt and a large model delay all other
     /// requests there.
-    fn weight(&self) -> f64 {
+    pub(crate) fn weight(&self) -> f64 {
+        self.weight_of_model(self.model_index)
+    }
+
+    /// Load that the request adds with the model at this index of the ladder.
+    pub(crate) fn weight_of_model(&self, model_index: usize) -> f64 {
         let tokens = self.metadata.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
+        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * self.relative_cost(model_index)
+    }
+
+    /// Cost of the model at this index of the ladder relative to the service's most expensive one; 1
+    /// if unknown.
+    fn relative_cost(&self, model_index: usize) -> f64 {
         let facts = self.site.services.get(&self.service);
-        let cost = match (facts, self.model()) {
+        let model = self.route().ladder.get(model_index);
+        match (facts, model) {
             (Some(facts), Some(model)) => facts.relative_cost(model),
             _ => 1.0,
-        };
-        (1.0 + f64::from(tokens) / TOKENS_PER_REQUEST) * cost
+        }
+    }
+
+    /// Parts of the prompt that other requests share; the only part of a prompt counts as shared.
+    fn shared_parts(&self) -> &[(String, u32)] {
+        let parts = self.metadata.prompt.as_ref().map_or(&[][..], |p| &p.parts);
+        let shared_len = parts.len().saturating_sub(1).max(1).min(parts.len());
+        &parts[..shared_len]
     }
 
     /// Hash of the prompt prefix that other requests share, and of the model that would cache it.
     fn prefix_hash(&self) -> Option<u64> {
-        let parts = &self.metadata.prompt.as_ref()?.parts;
-        let shared_len = parts.len().saturating_sub(1).max(1).min(parts.len());
-        let last = parts[..shared_len].last()?;
+        let last = self.shared_parts().last()?;
         Some(hash(&(&last.0, self.model_index)))
     }
 
+    /// Load that reading the shared prefix adds to an endpoint that does not have it cached.
+    fn prefix_weight(&self) -> f64 {
+        let tokens = self
+            .shared_parts()
+            .iter()
+            .map(|(_, tokens)| f64::from(*tokens));
+        tokens.sum::<f64>() / TOKENS_PER_REQUEST * self.relative_cost(self.model_index)
+    }
+
     /// Assigns the request to an endpoint that has not received it yet.
     pub(crate) fn place<W: Wire>(
         &self,
@@ -304,7 +334,6 @@
 
     /// Returns the expected time until the response head if the request is placed now; `None` if no
     /// endpoint can take it.
-    #[expect(dead_code, reason = "admission does not use it yet")]
     pub(crate) fn expected_time<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
         let allowed = self.allowed_versions(cx);
         cx.expected_time(&self.placement_request(&allowed, LimitedEndpoints::Allowed))
@@ -344,6 +373,7 @@
             allowed,
             excluded: &self.excluded,
             prefix: self.prefix_hash(),
+            prefix_weight: self.prefix_weight(),
             weight: self.weight(),
             limited,
         }
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -1,9 +1,11 @@
 //! Serves one request of a caller, from its head to the end of the response.
 
+use crate::admission;
 use crate::attempt::{self, Failure, Purpose, SendOptions};
 use crate::conn_timeouts::ConnTracker;
 use crate::cx::Cx;
 use crate::endpoint_response::{EndpointResponse, Read};
+use crate::escalation;
 use crate::forwarding::{self, FORWARDED, ForwardedRequest};
 use crate::headers::{forwarded_head, host_header, is_event_stream, strip_hop_by_hop};
 use crate::in_flight::InFlightRequest;
@@ -16,7 +18,6 @@
 use futures::stream::{self, StreamExt};
 use http::{HeaderValue, Request, Response, header, response};
 use hyper::body::Incoming;
-use oatdale_policy::relay::{EscalationDecision, Ladder};
 use rand::RngExt;
 use std::convert::Infallible;
 use std::io;
@@ -101,6 +102,12 @@
     let (head, body) = req.into_parts();
     let metadata = cx.wire.request(&head);
     let mut request_log = RequestLog::new(cx.clone(), tracker, arrival, metadata.id.as_deref());
+    // Another node that forwards a request can choose one that has started.
+    if !is_forwarded {
+        cx.start_up
+            .hold(&cx.body_memory, &head, &metadata, arrival)
+            .await;
+    }
     let mut res = match prepare(&cx, head, metadata, body, arrival, &mut request_log).await {
         Ok(mut request_cx) => {
             if let Some(forwarded) = forwarded {
@@ -241,7 +248,10 @@
     let remaining = request_cx.time_to_capacity(cx);
     match remaining {
         Some(remaining) => remaining + jitter,
-        None => jitter.min(request_cx.time_left() / 3),
+        None => {
+            let delay = jitter + admission::rejection_delay(cx, request_cx);
+            delay.min(request_cx.time_left() / 3)
+        }
     }
 }
 
@@ -258,6 +268,9 @@
     let mut last_error_reply: Option<Reply<W>> = None;
     let mut purpose = Purpose::First;
     let mut placed = None;
+    admission::admit_request(cx, request_cx)
+        .await
+        .map_err(|reason| (Refusal::Overloaded, reason.name().to_owned()))?;
     loop {
         if request_cx.time_left() < MIN_ATTEMPT_TIME && request_cx.sends == 0 {
             return Err((Refusal::NoTime, "deadline too close".to_owned()));
@@ -294,6 +307,9 @@
             Err(failure) => failure,
         };
         may_have_run |= !failure.is_not_run();
+        if matches!(failure, Failure::NotRun(_)) {
+            admission::record_rejected(cx, request_cx);
+        }
         let should_retry = match &failure {
             Failure::NoEndpoint(_)
             | Failure::NoNode(_)
@@ -347,30 +363,13 @@
 ) -> Decision<W> {
     let status = endpoint_res.head.status;
     if status.is_success() {
-        let model_count = request_cx.route().ladder.len();
-        let can_retry = request_cx.has_attempts_left();
-        let ladder = Ladder {
-            threshold: cx.settings.ladder.least_confidence,
-            relative_wait: cx.state().mean_wait(&request_cx.service),
-            relative_size: request_cx.relative_size,
-        };
-        request_cx
-            .confidences
-            .extend(endpoint_res.metadata.confidence);
-        let decision = ladder.decide(
-            request_cx.model_index,
-            model_count,
-            endpoint_res.metadata.confidence,
-            can_retry,
-        );
-        let is_own = endpoint_res.in_flight().is_some();
-        let larger = match decision {
-            EscalationDecision::Escalate(model_index)
-                if is_own && cx.try_escalate(&request_cx.service) =>
-            {
-                place_larger(cx, request_cx, model_index).await
-            }
-            _ => None,
+        let confidence = endpoint_res.metadata.confidence;
+        request_cx.confidences.extend(confidence);
+        // A node that forwards a request leaves the decision to the one that it forwards it to.
+        let weight = endpoint_res.in_flight().map(|in_flight| in_flight.weight);
+        let larger = match weight {
+            Some(weight) => escalation::place(cx, request_cx, confidence, weight).await,
+            None => None,
         };
         if let Some(in_flight) = larger {
             cx.metrics.escalations.inc();
@@ -391,24 +390,6 @@
     buffer_body(cx, request_cx, endpoint_res, may_abandon).await
 }
 
-/// Assigns a request that has a smaller model's response to an endpoint for the model at this index
-/// of the ladder. The response is kept if no endpoint accepts the request.
-async fn place_larger<W: Wire>(
-    cx: &Arc<Cx<W>>,
-    request_cx: &mut RequestContext,
-    model_index: usize,
-) -> Option<InFlightRequest<W>> {
-    let smaller = std::mem::replace(&mut request_cx.model_index, model_index);
-    // The endpoint that responded may run the larger model too.
-    let responded = request_cx.excluded.pop();
-    let placed = attempt::place(cx, request_cx, Purpose::Escalation).await;
-    if placed.is_err() {
-        request_cx.model_index = smaller;
-        request_cx.excluded.extend(responded);
-    }
-    placed.ok()
-}
-
 /// Buffers a response body, or returns it for streaming once it exceeds the bound.
 async fn buffer_body<W: Wire>(
     cx: &Arc<Cx<W>>,
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -1,18 +1,23 @@
 //! State learned from the platform and from responses, and the endpoint selection based on it.
 
+mod expected_time;
 mod listing;
+mod service_usage;
 mod warm_up;
 
 use crate::crashes::{CrashChecks, PendingRecords};
 use crate::directory::{Directory, EndpointKey, Entry};
 use crate::line_limit::LineLimit;
-use crate::loads::{AggregationScheme, LoadAggregator, LoadSums};
+use crate::loads::{LoadAggregator, LoadSums};
 use crate::nodes::Nodes;
 use crate::permits::PendingAsks;
 use crate::reachability::ServiceReach;
 use crate::roll_outs::{AllowedVersions, RollOuts};
-use crate::settings::Bounds;
+use crate::settings::{Bounds, LoadControl};
 use crate::site::SiteConfig;
+use crate::speeds::Speeds;
+use crate::state::expected_time::ExpectedTimes;
+use crate::state::service_usage::ServiceUsages;
 use oatdale_policy::relay::{
     Candidate, Mean, Placement, Quarantine, RetryLimit, RetryLimiter, choose,
 };
@@ -23,9 +28,13 @@
 use tokio::time::Instant;
 use warm_up::has_capacity;
 
+use crate::state::expected_time::LoadScope;
+pub(crate) use crate::state::expected_time::TimeBasis;
+pub(crate) use crate::state::service_usage::ServiceUsage;
+
 /// Part of the site's retry budget that nodes plan to use. The rest is a margin, since nodes
 /// count independently and restarted nodes do not know of their earlier retries.
-const PLANNED_RETRY_SHARE: f64 = 0.85;
+const PLANNED_RETRY_SHARE: f64 = 0.92;
 
 /// Minimum number of nodes over which the fixed part of the retry budget (`repeat_slack`) is
 /// divided: a starting node does not know the others yet.
@@ -42,6 +51,7 @@
 /// State of the relay, as learned from the platform and from responses.
 pub(crate) struct State {
     pub(crate) bounds: Bounds,
+    load_control: LoadControl,
     pub(crate) site: Option<Arc<SiteConfig>>,
     pub(crate) directory: Directory,
     /// Limit on the log lines about single endpoints.
@@ -64,11 +74,18 @@
     pub(crate) load_aggregator: LoadAggregator,
     /// Load of all nodes together at each endpoint.
     pub(crate) load_sums: LoadSums,
+    /// Speeds of endpoints; empty unless the settings enable them.
+    pub(crate) speeds: Speeds,
     retry_limiters: HashMap<String, RetryLimiter>,
     /// Mean wait at the largest models, as a fraction of their target latency, by service.
     largest_model_waits: HashMap<String, Mean>,
+    /// Usage of each service, as last computed.
+    service_usages: ServiceUsages,
+    /// Limit on the log lines about escalations.
+    pub(crate) escalation_lines: LineLimit,
     /// Mean generation size by route.
     generation_sizes: HashMap<String, Mean>,
+    expected_times: ExpectedTimes,
     /// When this node began to shut down, if it has.
     pub(crate) stopping: Option<Instant>,
     /// Whether this node reads the platform's records only for itself.
@@ -102,6 +119,8 @@
     pub(crate) excluded: &'a [EndpointKey],
     /// Hash of the prompt's shared prefix, if an engine may have it cached.
     pub(crate) prefix: Option<u64>,
+    /// Load that reading that prefix adds to an endpoint that does not have it cached.
+    pub(crate) prefix_weight: f64,
     /// Load that the request adds to an endpoint.
     pub(crate) weight: f64,
     pub(crate) limited: LimitedEndpoints,
@@ -113,8 +132,18 @@
     pub(crate) key: EndpointKey,
     /// Number of endpoints it was picked from.
     pub(crate) candidate_count: usize,
-    /// Expected time until the response head, or the first event of a stream.
+    /// Expected time until the response head, or the first event of a stream; zero where load
+    /// control is off.
     pub(crate) expected: Duration,
+    /// What that time was computed from; `None` where load control is off.
+    pub(crate) basis: Option<TimeBasis>,
+}
+
+impl PlacementRequest<'_> {
+    /// Rendezvous hash of the request's prefix and an endpoint; 0 without a prefix.
+    fn affinity(&self, entry: &Entry) -> u64 {
+        self.prefix.map_or(0, |p| hash(&(p, &entry.endpoint.id)))
+    }
 }
 
 impl LimitedEndpoints {
@@ -125,9 +154,10 @@
 
 impl State {
     /// Creates an empty state.
-    pub(crate) fn new(bounds: Bounds) -> Self {
+    pub(crate) fn new(bounds: Bounds, load_control: LoadControl) -> Self {
         State {
             bounds,
+            load_control,
             site: None,
             directory: Directory::default(),
             endpoint_lines: LineLimit::default(),
@@ -141,9 +171,13 @@
             reach: HashMap::new(),
             load_aggregator: LoadAggregator::default(),
             load_sums: LoadSums::default(),
+            speeds: Speeds::default(),
             retry_limiters: HashMap::new(),
             largest_model_waits: HashMap::new(),
+            service_usages: ServiceUsages::default(),
+            escalation_lines: LineLimit::default(),
             generation_sizes: HashMap::new(),
+            expected_times: ExpectedTimes::default(),
             stopping: None,
             reads_only_for_itself: true,
             // The service counts as unavailable until it has answered once.
@@ -219,9 +253,8 @@
 
     /// Returns the time that a unit of work takes at an endpoint relative to the usual one of its
     /// service; 1 if unknown.
-    #[expect(clippy::unused_self, reason = "speeds are not learned yet")]
-    pub(crate) fn speed_factor(&self, _now: Duration, _entry: &Entry) -> f64 {
-        1.0
+    pub(crate) fn speed_factor(&self, now: Duration, entry: &Entry) -> f64 {
+        self.speeds.factor(now, entry.number)
     }
 
     /// Picks the endpoint for a request.
@@ -240,28 +273,47 @@
         } else {
             healthy
         };
+        let index = match self.load_control.expected_time {
+            true => self.choose_by_time(now, request, domain, &eligible)?,
+            false => self.choose_by_load(now, request, domain, &eligible)?,
+        };
+        let (key, entry) = eligible[index];
+        let basis = self.load_control.uses_expected_time();
+        let basis = basis.then(|| self.time_basis(now, request, entry));
+        let expected = basis.map(|basis| self.expected_times.time(now, request.service, &basis));
+        Some(Pick {
+            key,
+            candidate_count: eligible.len(),
+            expected: expected.unwrap_or_default(),
+            basis,
+        })
+    }
+
+    /// Selects an endpoint by load and returns its index.
+    fn choose_by_load(
+        &self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+        domain: &str,
+        eligible: &[KeyedEntry<'_>],
+    ) -> Option<usize> {
         // 0.1 is added to the load so that the health of idle endpoints counts too.
         let candidates: Vec<Candidate> = eligible
             .iter()
             .map(|(_, e)| Candidate {
-                in_flight: (self.load(now, request, e) + 0.1)
+                in_flight: (self.load(now, request, e).1 + 0.1)
                     * e.health.load_factor()
                     * self.speed_factor(now, e),
                 same_domain: e.endpoint.domain == domain,
                 may_warm_up: e.reports_cold(now),
-                affinity: request.prefix.map_or(0, |p| hash(&(p, &e.endpoint.id))),
+                affinity: request.affinity(e),
             })
             .collect();
         let placement = match request.prefix {
             Some(_) => Placement::Affinity,
             None => Placement::Load,
         };
-        let chosen = choose(&candidates, placement, rand::random())?;
-        Some(Pick {
-            key: eligible[chosen].0,
-            candidate_count: candidates.len(),
-            expected: Duration::ZERO,
-        })
+        choose(&candidates, placement, rand::random())
     }
 }
 
@@ -286,14 +338,11 @@
         };
         let mut available = filter_by_version(now, request.allowed, all);
         available.retain(is_available);
-        match request.allowed {
-            AllowedVersions::Trial { version, .. } if available.is_empty() => {
-                let mut others = filter_entries(all, |e| e.endpoint.version != *version);
-                others.retain(is_available);
-                others
-            }
-            _ => available,
+        if request.allowed.trial.is_some() && available.is_empty() {
+            available = filter_by_rank(request.allowed, all);
+            available.retain(is_available);
         }
+        available
     }
 
     /// Returns an endpoint's load as used for placement.
@@ -302,19 +351,23 @@
     /// they go to the endpoint with the least load, and if all nodes used the same sums, they would
     /// all pick the same endpoint until the next sums arrive. Requests with a prefix stay with the
     /// engine that has it cached, and use the sums to move to another one when it is overloaded.
-    fn load(&self, now: Duration, request: &PlacementRequest<'_>, entry: &Entry) -> f64 {
-        let last_sum = request
-            .prefix
-            .and_then(|_| self.load_sums.last_sum_at(now, entry.number));
-        match last_sum {
-            Some(last_sum) => {
-                // A load is in the sums after up to two intervals: one until the node's next
-                // report, one until the aggregator's next sum.
-                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
-                entry.known_load(now, Some(summed_until))
-                    + self.load_sums.other_nodes_load(now, entry.number)
-            }
-            None => entry.known_load(now, None),
+    fn load(
+        &self,
+        now: Duration,
+        request: &PlacementRequest<'_>,
+        entry: &Entry,
+    ) -> (LoadScope, f64) {
+        match request.prefix {
+            Some(_) => self.load_of_all_nodes(now, entry),
+            None => (LoadScope::Own, entry.known_load(now, None)),
+        }
+    }
+
+    /// Returns an endpoint's load from all nodes, or `None` if there are no recent sums with it.
+    pub(crate) fn total_load(&self, now: Duration, entry: &Entry) -> Option<f64> {
+        match self.load_of_all_nodes(now, entry) {
+            (LoadScope::AllNodes, load) => Some(load),
+            (LoadScope::Own, _) => None,
         }
     }
 }
@@ -322,35 +375,33 @@
 /// Endpoint considered for a request.
 type KeyedEntry<'a> = (EndpointKey, &'a Entry);
 
-/// Returns the endpoints whose version the request may use.
+/// Returns the endpoints of the versions that the request may use.
 fn filter_by_version<'a>(
     now: Duration,
     allowed: &AllowedVersions,
     all: &[KeyedEntry<'a>],
 ) -> Vec<KeyedEntry<'a>> {
-    let is_version = |version: &str, e: &Entry| e.endpoint.version == version;
-    match allowed {
-        AllowedVersions::All => all.to_vec(),
-        AllowedVersions::Exclude(version) => filter_entries(all, |e| !is_version(version, e)),
-        AllowedVersions::Prefer(version) => match filter_entries(all, |e| is_version(version, e)) {
-            preferred if preferred.is_empty() => all.to_vec(),
-            preferred => preferred,
-        },
-        AllowedVersions::Trial {
-            version,
-            seed,
-            share,
-        } => {
-            let mut trial_endpoints =
-                filter_entries(all, |e| is_version(version, e) && !e.health.is_ejected(now));
-            trial_endpoints.sort_by_key(|(_, e)| hash(&(seed, &e.endpoint.id)));
-            let sample_size = (share * trial_endpoints.len() as f64).ceil() as usize;
-            trial_endpoints.truncate(sample_size.max(MIN_TRIAL_ENDPOINTS));
-            match trial_endpoints.is_empty() {
-                true => filter_entries(all, |e| !is_version(version, e)),
-                false => trial_endpoints,
-            }
-        }
+    let Some(trial) = &allowed.trial else {
+        return filter_by_rank(allowed, all);
+    };
+    let mut endpoints = filter_entries(all, |e| {
+        e.endpoint.version == trial.version && !e.health.is_ejected(now)
+    });
+    endpoints.sort_by_key(|(_, e)| hash(&(trial.seed, &e.endpoint.id)));
+    let sample_size = (trial.share * endpoints.len() as f64).ceil() as usize;
+    endpoints.truncate(sample_size.max(MIN_TRIAL_ENDPOINTS));
+    match endpoints.is_empty() {
+        true => filter_by_rank(allowed, all),
+        false => endpoints,
+    }
+}
+
+/// Returns the endpoints of the best version that has any, without regard to the trial.
+fn filter_by_rank<'a>(allowed: &AllowedVersions, all: &[KeyedEntry<'a>]) -> Vec<KeyedEntry<'a>> {
+    let rank = |e: &Entry| allowed.rank(&e.endpoint.version);
+    match all.iter().map(|(_, e)| rank(e)).min() {
+        Some(best) => filter_entries(all, |e| rank(e) == best),
+        None => Vec::new(),
     }
 }
 
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -2,6 +2,7 @@
 
 use crate::replica::Replica;
 use crate::revision::Revision;
+use crate::roll_outs::VersionOutcome;
 use crate::settings::Settings;
 use crate::site::SiteConfig;
 use crate::state::hash;
@@ -40,6 +41,13 @@
     Evacuated(BTreeSet<String>),
     /// The current state of a rollout.
     RollOut(RollOut),
+    /// The outcome of a service's rollout, possibly of an order before the current one.
+    VersionOutcome {
+        /// The service.
+        service: String,
+        /// The outcome.
+        outcome: VersionOutcome,
+    },
     /// The record of how this service's rollout ended was lost.
     RollOutEndLost(String),
     /// The key-value service was restored from an older backup.
@@ -127,6 +135,13 @@
     pub serial: u64,
 }
 
+impl Endpoint {
+    /// Number that identifies this incarnation in messages between nodes.
+    pub(crate) fn number(&self) -> u32 {
+        hash(&(&self.id, self.born)) as u32
+    }
+}
+
 /// An order to move a service's traffic to a software version, and its outcome.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct RollOut {
