Let other versions serve where the preferred one accepts nothing

Sessions preferred their version also in services without any order. While endpoints are replaced one by one they crowded onto the last ones of the old version, and were refused if those were full, in back-off or already tried, although others were idle. Without orders no version is preferred now. With orders, versions that are not excluded serve as substitutes, except once an order has moved all requests to its target. The comment in filter_by_capacity, by which sessions never moved to a version that accepts requests, is changed accordingly.

--- a/crates/oatdale-relay/src/roll_outs/allowed.rs
+++ b/crates/oatdale-relay/src/roll_outs/allowed.rs
@@ -21,6 +21,9 @@
     pub preferred: Vec<String>,
     /// Excluded versions, the one to use first if there is no other version first.
     pub excluded: Vec<String>,
+    /// Whether a version that is neither preferred nor excluded may serve the request while no
+    /// preferred one accepts it. Unset once an order has moved all requests to its target.
+    pub may_use_unlisted: bool,
 }
 
 /// A subset of a version's endpoints, the same on all nodes.
@@ -39,6 +42,11 @@
 }
 
 impl AllowedVersions {
+    /// Whether a request may use a version although a better one has endpoints that accept nothing.
+    pub(crate) fn includes_as_substitute(&self, version: &str) -> bool {
+        self.may_use_unlisted && self.rank(version) <= self.preferred.len()
+    }
+
     /// Returns a version's rank outside a trial. A request uses the versions with the lowest rank
     /// among those that have endpoints.
     pub fn rank(&self, version: &str) -> usize {
@@ -82,6 +90,7 @@
             TargetUse::Excluded => {}
             TargetUse::Preferred => {
                 allowed.preferred = vec![target.clone()];
+                allowed.may_use_unlisted = false;
                 allowed.excluded.retain(|version| version != target);
             }
             TargetUse::Trial => {
@@ -132,6 +141,11 @@
     ) -> AllowedVersions {
         let target = active.map(|active| active.roll_out.target.as_str());
         let history = self.histories.get(service);
+        // Without orders, endpoints are replaced one by one: sessions that kept to their version
+        // would crowd onto the last endpoints of the old one.
+        if active.is_none() && history.is_none() {
+            return AllowedVersions::default();
+        }
         let mut excluded: Vec<String> = history
             .into_iter()
             .flat_map(VersionHistory::excluded)
@@ -158,6 +172,7 @@
                 .map(str::to_owned)
                 .collect(),
             excluded,
+            may_use_unlisted: true,
         }
     }
 
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -3,6 +3,8 @@
 mod expected_time;
 mod listing;
 mod service_usage;
+#[cfg(test)]
+mod tests;
 mod warm_up;
 
 use crate::crashes::{CrashChecks, PendingRecords};
@@ -321,8 +323,9 @@
     /// Returns the endpoints whose version the request may use, that accept it now and have not
     /// received it.
     ///
-    /// The version is decided first: one whose endpoints accept nothing for a moment is still the
-    /// one to use, and its sessions must not move to another.
+    /// The version is decided first. One whose endpoints accept nothing for a moment is still the
+    /// one to use, unless other versions may serve as substitutes: then a request is not refused
+    /// while their endpoints are idle.
     fn filter_by_capacity<'a>(
         &self,
         now: Duration,
@@ -342,6 +345,12 @@
             available = filter_by_rank(request.allowed, all);
             available.retain(is_available);
         }
+        if available.is_empty() {
+            available = filter_entries(all, |e| {
+                request.allowed.includes_as_substitute(&e.endpoint.version)
+            });
+            available.retain(is_available);
+        }
         available
     }
 
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -111,6 +111,16 @@
     assert!(sender.pin(ms(2_600), "pool", IN_TRIAL, "v1").is_some());
 }
 
+// Guards against sessions that crowd onto the last endpoints of their version while endpoints are
+// replaced one by one without an order.
+#[test]
+fn sessions_prefer_no_version_without_an_order() {
+    let mut node = RollOuts::default();
+    node.pin(ms(0), "pool", IN_TRIAL, "v1");
+    let allowed = node.allowed(ms(100), "pool", Some(IN_TRIAL), 7);
+    assert_eq!(allowed, AllowedVersions::default());
+}
+
 // The key-value service rejects a node's requests, so the node has no order. It must not keep using
 // the old version when all other nodes have switched.
 #[test]
