Keep a completed version in use when its repeated order is replaced

A version that was completed, ordered again and replaced before a decision was recorded as replaced. It became excluded, and the untested version of the next order got all traffic. A replacement no longer overrides a completion, in whichever order they become known, and the target of an undecided order comes after replaced versions and before those that were rolled back.

--- a/crates/oatdale-relay/src/roll_outs/allowed.rs
+++ b/crates/oatdale-relay/src/roll_outs/allowed.rs
@@ -153,11 +153,14 @@
             .map(str::to_owned)
             .collect();
         if let Some(active) = active {
-            // A version that was not tried yet is better than one that was found bad.
-            let position = if active.is_withdrawn() {
-                excluded.len()
-            } else {
-                0
+            // A version that was not tried yet is better than one that was found bad, but not than
+            // one of an earlier order that was replaced.
+            let is_replaced = |version: &&String| {
+                history.and_then(|history| history.outcome(version)) == Some(Outcome::Replaced)
+            };
+            let position = match active.is_withdrawn() {
+                true => excluded.len(),
+                false => excluded.iter().take_while(is_replaced).count(),
             };
             excluded.insert(position, active.roll_out.target.clone());
         }
--- a/crates/oatdale-relay/src/roll_outs/history.rs
+++ b/crates/oatdale-relay/src/roll_outs/history.rs
@@ -44,10 +44,18 @@
 impl VersionHistory {
     /// Records an outcome unless it or a later one of the same version is known, and returns
     /// whether it was recorded.
+    ///
+    /// The replacement of an undecided order says nothing about a version that was completed
+    /// before: it stays completed.
     pub(super) fn record(&mut self, latest: &VersionOutcome) -> bool {
         let new = (latest.revision, latest.outcome);
-        let known = self.by_version.get(&latest.version);
-        if known.is_some_and(|known| *known >= new) {
+        let is_known = match self.by_version.get(&latest.version) {
+            Some((_, Outcome::Completed)) if latest.outcome == Outcome::Replaced => true,
+            Some((_, Outcome::Replaced)) if latest.outcome == Outcome::Completed => false,
+            Some(known) => *known >= new,
+            None => false,
+        };
+        if is_known {
             return false;
         }
         self.by_version.insert(latest.version.clone(), new);
--- a/crates/oatdale-relay/tests/consecutive_orders.rs
+++ b/crates/oatdale-relay/tests/consecutive_orders.rs
@@ -148,6 +148,7 @@
     assert_eq!(chosen(&node, ms(3_100), &["v2", "v1"]), "v1");
     let allowed = node.allowed(ms(3_100), "pool", Some(OUTSIDE), 7);
     assert_eq!(choose(&allowed, &["v1", "v2"]), "v2");
+    assert_eq!(chosen(&node, ms(3_100), &["v3", "v2"]), "v2");
 }
 
 // Guards against a trial of the version that is in use, which would send all other requests to
@@ -158,6 +159,16 @@
     node.update(ms(0), order("v2", 2, Some(RollOutEnd::Completed)));
     node.update(ms(100), order("v2", 5, None));
     assert_eq!(chosen(&node, ms(200), &["v1", "v2"]), "v2");
+    // Nor does its replacement by another order, which must not bring an untested version into use.
+    node.update(ms(300), order("v3", 6, None));
+    assert_eq!(chosen(&node, ms(400), &["v1", "v2", "v3"]), "v2");
+    assert_eq!(chosen(&node, ms(400), &["v3", "v2"]), "v2");
+    // The same holds where the earlier completion becomes known last.
+    let mut late = RollOuts::default();
+    late.update(ms(100), order("v2", 5, None));
+    late.update(ms(300), order("v3", 6, None));
+    late.record_outcome("pool", &outcome("v2", Outcome::Completed, 4));
+    assert_eq!(chosen(&late, ms(400), &["v1", "v2", "v3"]), "v2");
 }
 
 // Guards against a bad version that looks like the old one, because the responses of a version that
