Drop outcomes from reports that are too long for a datagram

Reports over 1,200 bytes are dropped whole, and the response counts with them. A report over 1,100 bytes now loses its oldest outcomes first; the size test uses longer version names and more responses.

--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -336,6 +336,10 @@
                 recent_rate: self.rates.recent(now, &a.roll_out.service),
                 outcomes: self.latest_outcomes(&a.roll_out.service),
             })
+            .map(|mut report| {
+                report.truncate_outcomes();
+                report
+            })
             .collect()
     }
 
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// Maximum size of an encoded report; with the frame of a message it fits into a datagram.
+const MAX_REPORT_BYTES: usize = 1_100;
+
 /// One node's report on a rollout.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Report {
@@ -68,6 +71,25 @@
         }
     }
 
+    /// Removes outcomes until the report fits into a datagram. Datagrams that are too long are
+    /// dropped, and the response counts with them; outcomes are in the records as well.
+    pub(super) fn truncate_outcomes(&mut self) {
+        while !self.outcomes.is_empty() && self.encoded_bytes() > MAX_REPORT_BYTES {
+            self.outcomes.pop();
+        }
+    }
+
+    fn encoded_bytes(&self) -> usize {
+        let mut wire = Vec::new();
+        match ciborium::into_writer(self, &mut wire) {
+            Ok(()) => wire.len(),
+            Err(err) => {
+                log::warn!(target: "roll-out", "event=report_not_encoded reason={err:?}");
+                usize::MAX
+            }
+        }
+    }
+
     pub(super) fn version_counts(&self) -> VersionCounts {
         let decode = |wire: &[OriginCountsWire]| wire.iter().copied().map(Into::into).collect();
         VersionCounts {
--- a/crates/oatdale-relay/tests/consecutive_orders.rs
+++ b/crates/oatdale-relay/tests/consecutive_orders.rs
@@ -197,13 +197,15 @@
 #[test]
 fn messages_with_outcomes_fit_into_datagrams() {
     let mut node = node_after(RollOutEnd::Completed);
-    let version = |n: u64| format!("release-2026-12-04.{n}-candidate");
+    let version = |n: u64| format!("release-2026-12-04.{n}-candidate-{}", "x".repeat(60));
     for n in 0..10 {
         node.record_outcome("pool", &outcome(&version(n), Outcome::RolledBack, 4));
     }
     let mut messages = 0;
     for n in 0..1_000_u64 {
         node.pin(ms(5_150), "pool", u64::MAX - n, &version(n % 3));
+    }
+    for n in 0..10_000_u64 {
         let origin = Origin {
             route: u32::MAX - n as u32 % 40,
             endpoint: u32::MAX - n as u32 % 12,
