Withdraw no version by the partial evidence of one node

When an order replaced another after the switch, each node judged the replaced one by its own view of the responses, and one node could withdraw a good version on all nodes. Such a version now counts as replaced unless the common verdict was bad.

--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -93,12 +93,16 @@
 
     /// Returns the outcome if another order replaces this one now.
     ///
-    /// After the switch all requests, and with them the sessions, are on the version.
+    /// After the switch all requests, and with them the sessions, are on the version. A node may
+    /// know only a part of the evidence, so that without the common verdict it withdraws no version.
     pub(super) fn outcome(&self, now: Duration) -> VersionOutcome {
         let outcome = match (self.roll_out.end, self.verdict, self.phase(now)) {
             (Some(end), _, _) => end.into(),
             (None, Verdict::Bad, _) => Outcome::RolledBack,
-            (None, Verdict::Sound, Phase::Switched | Phase::Done) => self.final_outcome().into(),
+            (None, Verdict::Sound, Phase::Switched | Phase::Done) => match self.final_outcome() {
+                RollOutEnd::Completed => Outcome::Completed,
+                RollOutEnd::RolledBack => Outcome::Replaced,
+            },
             (None, Verdict::Sound, Phase::Announced | Phase::Trial) => Outcome::Replaced,
         };
         VersionOutcome {
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -1,7 +1,9 @@
 //! Tests of rollout decisions from orders, a node's own responses and other nodes' reports.
 
 use oatdale_policy::relay::{ExposureLimit, Origin};
-use oatdale_relay::{AllowedVersions, ResponseSource, Revision, RollOut, RollOutEnd, RollOuts};
+use oatdale_relay::{
+    AllowedVersions, Outcome, ResponseSource, Revision, RollOut, RollOutEnd, RollOuts,
+};
 use std::time::Duration;
 
 const EXPOSURE_LIMIT: ExposureLimit = ExposureLimit {
@@ -302,4 +304,10 @@
     }
     let due = (0..200).find_map(|n| node.due_ends(ms(n * 50), 0, |_, _| true).pop());
     assert_eq!(due.map(|(_, end)| end), Some(RollOutEnd::RolledBack));
+    // A node that sees a part of the responses may err: if another order comes first, it must not
+    // withdraw the version on all nodes.
+    node.update(ms(9_900), order(3, None));
+    let outcomes = node.outcomes().into_iter().flat_map(|(_, all)| all);
+    let outcomes: Vec<_> = outcomes.map(|o| (o.version, o.outcome)).collect();
+    assert_eq!(outcomes, [("v2".to_owned(), Outcome::Replaced)]);
 }
