Record the rollback of an earlier order that arrives late

The record of an ended order before the current one was discarded. Its rollback now excludes the version. Completions are still discarded: the test outcome_is_final_until_a_new_order requires it.

--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -74,7 +74,9 @@
         let replaced = known.as_ref().map(|active| active.outcome(now));
         match known {
             Some(active) if active.roll_out.is_same_order(&roll_out) => active.update(&roll_out),
-            Some(active) if active.roll_out.order > roll_out.order => {}
+            Some(active) if active.roll_out.order > roll_out.order => {
+                self.record_earlier_roll_back(&roll_out);
+            }
             _ => {
                 log::info!(
                     target: "roll-out",
@@ -94,6 +96,18 @@
         }
     }
 
+    /// Records that an order before the current one was rolled back, if it was.
+    fn record_earlier_roll_back(&mut self, roll_out: &RollOut) {
+        if roll_out.end == Some(RollOutEnd::RolledBack) {
+            let outcome = VersionOutcome {
+                version: roll_out.target.clone(),
+                outcome: Outcome::RolledBack,
+                revision: roll_out.order,
+            };
+            self.record_outcome(&roll_out.service, &outcome);
+        }
+    }
+
     /// Records the outcome of a version's rollout, possibly of an order before the current one. It
     /// applies until a later order names the version as its target.
     pub fn record_outcome(&mut self, service: &str, outcome: &VersionOutcome) {
--- a/crates/oatdale-relay/tests/consecutive_orders.rs
+++ b/crates/oatdale-relay/tests/consecutive_orders.rs
@@ -87,6 +87,10 @@
     by_record.update(ms(5_100), order("v3", 5, None));
     by_record.record_outcome("pool", &outcome("v2", Outcome::RolledBack, 4));
     assert_eq!(late(&by_record, ms(5_200)), "v1");
+    let mut by_order = RollOuts::default();
+    by_order.update(ms(5_100), order("v3", 5, None));
+    by_order.update(ms(5_150), order("v2", 2, Some(RollOutEnd::RolledBack)));
+    assert_eq!(late(&by_order, ms(5_200)), "v1");
     let mut by_report = RollOuts::default();
     by_report.update(ms(0), order("v2", 2, None));
     let informed = node_after(RollOutEnd::RolledBack);
