--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -269,11 +269,11 @@
         }
     }
 
-    /// Whether the last order of a version ended, or is about to end, without its completion.
+    /// Whether the version's last order did not complete.
     fn is_excluded(&self, service: &str, version: &str) -> bool {
         let active = self.by_service.get(service);
-        if active.is_some_and(|a| a.roll_out.target == version && a.is_withdrawn()) {
-            return true;
+        if let Some(active) = active.filter(|a| a.roll_out.target == version) {
+            return active.is_withdrawn();
         }
         let history = self.histories.get(service);
         let outcome = history.and_then(|history| history.outcome(version));
--- a/crates/oatdale-relay/tests/consecutive_orders.rs
+++ b/crates/oatdale-relay/tests/consecutive_orders.rs
@@ -197,6 +197,27 @@
     assert_eq!(due.first().map(|d| d.1), Some(RollOutEnd::RolledBack));
 }
 
+// Guards against a version without a baseline that was rolled back once and completed later.
+#[test]
+fn version_that_completes_after_a_roll_back_has_a_baseline() {
+    let mut node = RollOuts::default();
+    node.record_outcome("pool", &outcome("v2", Outcome::RolledBack, 4));
+    node.update(ms(0), order("v2", 9, Some(RollOutEnd::Completed)));
+    let source = ResponseSource {
+        service: "pool",
+        version: "v2",
+        origin: Origin {
+            route: 1,
+            endpoint: 2,
+        },
+        is_failing: false,
+    };
+    for _ in 0..1_000 {
+        node.record_duration(&source, 1, ms(100));
+    }
+    assert!(node.slow_threshold(1).is_some());
+}
+
 // Guards against reports and lists that do not fit into a datagram with outcomes and versions.
 #[test]
 fn messages_with_outcomes_fit_into_datagrams() {
