--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -407,11 +407,19 @@
 
 /// Returns the endpoints of the best version that has any, without regard to the trial.
 fn filter_by_rank<'a>(allowed: &AllowedVersions, all: &[KeyedEntry<'a>]) -> Vec<KeyedEntry<'a>> {
-    let rank = |e: &Entry| allowed.rank(&e.endpoint.version);
-    match all.iter().map(|(_, e)| rank(e)).min() {
-        Some(best) => filter_entries(all, |e| rank(e) == best),
-        None => Vec::new(),
+    if allowed.preferred.is_empty() && allowed.excluded.is_empty() {
+        return all.to_vec();
     }
+    let ranks: Vec<_> = all
+        .iter()
+        .map(|(_, e)| allowed.rank(&e.endpoint.version))
+        .collect();
+    let best = ranks.iter().min();
+    let with_rank = all.iter().zip(&ranks);
+    with_rank
+        .filter(|(_, rank)| Some(*rank) == best)
+        .map(|(keyed, _)| *keyed)
+        .collect()
 }
 
 fn filter_entries<'a>(
