Apply the limit on sessions to announced ones

Announced sessions were added without a limit. The outcome of a replaced order was computed on each update, also of the same order. Recording an outcome that is evicted at once reported success. Version names from the network are quoted in the log line of an outcome.

--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -71,13 +71,13 @@
     /// Applies a rollout record written by an operator or a node.
     pub fn update(&mut self, now: Duration, roll_out: RollOut) {
         let known = self.by_service.get_mut(&roll_out.service);
-        let replaced = known.as_ref().map(|active| active.outcome(now));
         match known {
             Some(active) if active.roll_out.is_same_order(&roll_out) => active.update(&roll_out),
             Some(active) if active.roll_out.order > roll_out.order => {
                 self.record_earlier_roll_back(&roll_out);
             }
-            _ => {
+            known => {
+                let replaced = known.map(|active| active.outcome(now));
                 log::info!(
                     target: "roll-out",
                     "event=roll_out service={} target={} duration_ms={} order={} end={:?}",
@@ -115,7 +115,7 @@
         if history.record(outcome) {
             log::info!(
                 target: "roll-out",
-                "event=version_outcome service={service} version={} outcome={:?} revision={}",
+                "event=version_outcome service={service} version={:?} outcome={:?} revision={}",
                 outcome.version, outcome.outcome, outcome.revision
             );
         }
--- a/crates/oatdale-relay/src/roll_outs/history.rs
+++ b/crates/oatdale-relay/src/roll_outs/history.rs
@@ -60,7 +60,7 @@
         }
         self.by_version.insert(latest.version.clone(), new);
         self.evict();
-        true
+        self.by_version.contains_key(&latest.version)
     }
 
     fn evict(&mut self) {
--- a/crates/oatdale-relay/src/roll_outs/sessions.rs
+++ b/crates/oatdale-relay/src/roll_outs/sessions.rs
@@ -111,6 +111,9 @@
     pub(super) fn pin_old(&mut self, now: Duration, old_sessions: &OldSessions) {
         for &session in &old_sessions.sessions {
             let key = key(old_sessions.service.as_deref(), session);
+            if self.pins.len() >= MAX_SESSIONS && !self.pins.contains_key(&key) {
+                continue;
+            }
             let pin = self.pins.entry(key).or_default();
             pin.last_used = now;
             if !pin.is_own {
