Test that reports drop outcomes that do not fit

The size test also passed without the limit on reports, because its version names were too short for three outcomes to exceed a datagram. Outcomes now have longer names, and the test requires that some were dropped.

--- a/crates/oatdale-relay/tests/consecutive_orders.rs
+++ b/crates/oatdale-relay/tests/consecutive_orders.rs
@@ -222,9 +222,10 @@
 #[test]
 fn messages_with_outcomes_fit_into_datagrams() {
     let mut node = node_after(RollOutEnd::Completed);
-    let version = |n: u64| format!("release-2026-12-04.{n}-candidate-{}", "x".repeat(60));
+    let version = |n: u64| format!("release-2026-12-04.{n}-candidate");
+    let long_version = |n: u64| format!("{}-{}", version(n), "x".repeat(250));
     for n in 0..10 {
-        node.record_outcome("pool", &outcome(&version(n), Outcome::RolledBack, 4));
+        node.record_outcome("pool", &outcome(&long_version(n), Outcome::RolledBack, 4));
     }
     let mut messages = 0;
     for n in 0..1_000_u64 {
@@ -250,6 +251,9 @@
         assert!(wire.len() < 1_150, "{} bytes", wire.len());
     };
     for report in node.reports(ms(6_500), "front-thu-duc-12", |_, _| true) {
+        // The version in use comes first, so that it is dropped last.
+        assert_eq!(report.outcomes[0].version, "v2");
+        assert!(report.outcomes.len() < 3, "no outcome was dropped");
         let mut wire = Vec::new();
         ciborium::into_writer(&report, &mut wire).unwrap();
         check(wire);
