Round the age of an estimate up from nanoseconds

The age was first truncated to milliseconds, so that an estimate could arrive younger than it was sent. The time on the network is still not added.

--- a/crates/oatdale-relay/src/speeds/wire.rs
+++ b/crates/oatdale-relay/src/speeds/wire.rs
@@ -11,7 +11,7 @@
 /// Steps of the logarithm of the factor, of the weight and of the age.
 const LOG_STEPS: f64 = 1_000.0;
 const WEIGHT_STEPS: f64 = 4.0;
-const AGE_STEP_MS: u128 = 50;
+const AGE_STEP: Duration = Duration::from_millis(50);
 
 /// Largest value of the weight's six bits.
 const MAX_WEIGHT_STEPS: f64 = 63.0;
@@ -35,7 +35,7 @@
             Trend::Faster => 2,
         };
         // Rounded up: an estimate that returns to its sender must not be later than the sender's.
-        let age = estimate.age.as_millis().div_ceil(AGE_STEP_MS);
+        let age = estimate.age.as_nanos().div_ceil(AGE_STEP.as_nanos());
         let age = u64::from(u8::try_from(age).unwrap_or(u8::MAX));
         let endpoint = u64::from(estimate.endpoint) << 32;
         EndpointSpeed(endpoint | u64::from(log as u16) << 16 | weight << 10 | trend << 8 | age)
@@ -46,12 +46,12 @@
     fn from(speed: &EndpointSpeed) -> Self {
         let log = (speed.0 >> 16) as u16 as i16;
         let weight = (speed.0 >> 10 & 0x3f) as u8;
-        let age_ms = (speed.0 & 0xff) * AGE_STEP_MS as u64;
+        let age_steps = (speed.0 & 0xff) as u32;
         StatedEstimate {
             endpoint: (speed.0 >> 32) as u32,
             factor: (f64::from(log) / LOG_STEPS).exp(),
             weight: f64::from(weight) / WEIGHT_STEPS,
-            age: Duration::from_millis(age_ms),
+            age: AGE_STEP * age_steps,
             trend: match speed.0 >> 8 & 0b11 {
                 1 => Trend::Slower,
                 2 => Trend::Faster,
--- a/crates/oatdale-relay/tests/speeds.rs
+++ b/crates/oatdale-relay/tests/speeds.rs
@@ -40,6 +40,12 @@
         let outcome = SpeedTable::default().merge(NOW, &got, 10);
         assert_eq!(outcome, MergeOutcome::Kept);
     }
+    let sent = StatedEstimate {
+        age: Duration::from_micros(350_400),
+        ..estimate(1, 2.0)
+    };
+    let got = StatedEstimate::from(&EndpointSpeed::from(&sent));
+    assert!(got.age >= sent.age, "{got:?}");
 }
 
 // Guards against bits of a faulty sender that give an endpoint an impossible speed.
