Time an event from the first of its chunks

The time at which a read began was reset with each partial chunk, so that the speed of an endpoint was computed from the last chunk of an event. It is reset only after a complete event or a resumption. No test covers it.

--- a/crates/oatdale-relay/src/stream.rs
+++ b/crates/oatdale-relay/src/stream.rs
@@ -87,8 +87,9 @@
         if self.ended {
             return None;
         }
+        // An event may arrive in several chunks: its time is that of all of them.
+        let mut read_began = self.cx.now();
         loop {
-            let read_began = self.cx.now();
             let break_reason = match self.read().await {
                 Item::Chunk(chunk) => match self.events.push(&chunk) {
                     complete_events if complete_events.is_empty() => continue,
@@ -111,6 +112,7 @@
             if let Err(reason) = self.resume(&break_reason).await {
                 return Some(Err(self.end_with_error(&reason)));
             }
+            read_began = self.cx.now();
         }
     }
 
