--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -168,16 +168,16 @@
         let active = self.by_service.get(service)?;
         let must_announce = active.is_undecided(now)
             && version != active.roll_out.target
-            && (active.may_join(session) || self.is_not_in_use(service, version));
+            && (active.may_join(session) || self.is_superseded(service, version));
         must_announce
             .then(|| self.sessions.announce(now, service, session))
             .flatten()
     }
 
     /// Whether new requests outside the trial use another version than this one.
-    fn is_not_in_use(&self, service: &str, version: &str) -> bool {
+    fn is_superseded(&self, service: &str, version: &str) -> bool {
         let in_use = self.histories.get(service);
-        let in_use = in_use.and_then(|history| history.last_completed(None));
+        let in_use = in_use.and_then(|history| history.in_use());
         in_use.is_some_and(|in_use| in_use != version)
     }
 
@@ -385,7 +385,7 @@
                 let service = a.roll_out.service.as_str();
                 let needs_sending = |session: u64, version: &str| {
                     version != a.roll_out.target
-                        && (a.may_join(session) || self.is_not_in_use(service, version))
+                        && (a.may_join(session) || self.is_superseded(service, version))
                 };
                 self.sessions.to_send(service, needs_sending)
             })
--- a/crates/oatdale-relay/src/roll_outs/allowed.rs
+++ b/crates/oatdale-relay/src/roll_outs/allowed.rs
@@ -115,7 +115,7 @@
             service, target, ..
         } = &active.roll_out;
         let history = self.histories.get(service);
-        let in_use = history.and_then(|history| history.last_completed(None));
+        let in_use = history.and_then(|history| history.in_use());
         let phase = active.phase(now);
         let share = active.share.unwrap_or(0.0);
         let is_old = || session.is_some_and(|s| self.sessions.is_on_old(service, s, target));
--- a/crates/oatdale-relay/src/roll_outs/history.rs
+++ b/crates/oatdale-relay/src/roll_outs/history.rs
@@ -66,7 +66,7 @@
     fn evict(&mut self) {
         if self.by_version.len() > MAX_VERSIONS {
             // The version in use stays however many others have failed since.
-            let in_use = self.last_completed(None);
+            let in_use = self.in_use();
             let others = self.by_version.iter();
             let others = others.filter(|(version, _)| Some(version.as_str()) != in_use);
             let oldest = others.min_by_key(|(_, known)| **known);
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns the version in use, that of the last completed rollout.
+    pub(super) fn in_use(&self) -> Option<&str> {
+        self.last_completed(None)
+    }
+
     /// Returns the version of the last completed rollout, other than `except`.
     pub(super) fn last_completed(&self, except: Option<&str>) -> Option<&str> {
         let completed = self.by_version.iter().filter(|(version, (_, outcome))| {
@@ -102,7 +107,7 @@
 
     /// Returns at most `max` outcomes: that of the version in use, then the latest ones.
     pub(super) fn latest(&self, max: usize) -> Vec<VersionOutcome> {
-        let in_use = self.last_completed(None);
+        let in_use = self.in_use();
         let mut all: Vec<_> = self.by_version.iter().collect();
         all.sort_by_key(|(version, known)| (Some(version.as_str()) != in_use, Reverse(**known)));
         let latest = all.into_iter().take(max);
