--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -71,11 +71,13 @@
     /// Applies a rollout record written by an operator or a node.
     pub fn update(&mut self, now: Duration, roll_out: RollOut) {
         let known = self.by_service.get_mut(&roll_out.service);
-        let replaced = known.as_ref().map(|active| active.outcome(now));
         match known {
             Some(active) if active.roll_out.is_same_order(&roll_out) => active.update(&roll_out),
-            Some(active) if active.roll_out.order > roll_out.order => {}
-            _ => {
+            Some(active) if active.roll_out.order > roll_out.order => {
+                self.record_earlier_roll_back(&roll_out);
+            }
+            known => {
+                let replaced = known.map(|active| active.outcome(now));
                 log::info!(
                     target: "roll-out",
                     "event=roll_out service={} target={} duration_ms={} order={} end={:?}",
@@ -94,6 +96,18 @@
         }
     }
 
+    /// Records that an order before the current one was rolled back, if it was.
+    fn record_earlier_roll_back(&mut self, roll_out: &RollOut) {
+        if roll_out.end == Some(RollOutEnd::RolledBack) {
+            let outcome = VersionOutcome {
+                version: roll_out.target.clone(),
+                outcome: Outcome::RolledBack,
+                revision: roll_out.order,
+            };
+            self.record_outcome(&roll_out.service, &outcome);
+        }
+    }
+
     /// Records the outcome of a version's rollout, possibly of an order before the current one. It
     /// applies until a later order names the version as its target.
     pub fn record_outcome(&mut self, service: &str, outcome: &VersionOutcome) {
@@ -101,7 +115,7 @@
         if history.record(outcome) {
             log::info!(
                 target: "roll-out",
-                "event=version_outcome service={service} version={} outcome={:?} revision={}",
+                "event=version_outcome service={service} version={:?} outcome={:?} revision={}",
                 outcome.version, outcome.outcome, outcome.revision
             );
         }
@@ -154,16 +168,16 @@
         let active = self.by_service.get(service)?;
         let must_announce = active.is_undecided(now)
             && version != active.roll_out.target
-            && (active.may_join(session) || self.is_not_in_use(service, version));
+            && (active.may_join(session) || self.is_superseded(service, version));
         must_announce
             .then(|| self.sessions.announce(now, service, session))
             .flatten()
     }
 
     /// Whether new requests outside the trial use another version than this one.
-    fn is_not_in_use(&self, service: &str, version: &str) -> bool {
+    fn is_superseded(&self, service: &str, version: &str) -> bool {
         let in_use = self.histories.get(service);
-        let in_use = in_use.and_then(|history| history.last_completed(None));
+        let in_use = in_use.and_then(|history| history.in_use());
         in_use.is_some_and(|in_use| in_use != version)
     }
 
@@ -255,11 +269,11 @@
         }
     }
 
-    /// Whether the last order of a version ended, or is about to end, without its completion.
+    /// Whether the version's last order did not complete.
     fn is_excluded(&self, service: &str, version: &str) -> bool {
         let active = self.by_service.get(service);
-        if active.is_some_and(|a| a.roll_out.target == version && a.is_withdrawn()) {
-            return true;
+        if let Some(active) = active.filter(|a| a.roll_out.target == version) {
+            return active.is_withdrawn();
         }
         let history = self.histories.get(service);
         let outcome = history.and_then(|history| history.outcome(version));
@@ -336,6 +350,10 @@
                 recent_rate: self.rates.recent(now, &a.roll_out.service),
                 outcomes: self.latest_outcomes(&a.roll_out.service),
             })
+            .map(|mut report| {
+                report.truncate_outcomes();
+                report
+            })
             .collect()
     }
 
@@ -367,7 +385,7 @@
                 let service = a.roll_out.service.as_str();
                 let needs_sending = |session: u64, version: &str| {
                     version != a.roll_out.target
-                        && (a.may_join(session) || self.is_not_in_use(service, version))
+                        && (a.may_join(session) || self.is_superseded(service, version))
                 };
                 self.sessions.to_send(service, needs_sending)
             })
--- a/crates/oatdale-relay/src/roll_outs/history.rs
+++ b/crates/oatdale-relay/src/roll_outs/history.rs
@@ -44,21 +44,29 @@
 impl VersionHistory {
     /// Records an outcome unless it or a later one of the same version is known, and returns
     /// whether it was recorded.
+    ///
+    /// The replacement of an undecided order says nothing about a version that was completed
+    /// before: it stays completed.
     pub(super) fn record(&mut self, latest: &VersionOutcome) -> bool {
         let new = (latest.revision, latest.outcome);
-        let known = self.by_version.get(&latest.version);
-        if known.is_some_and(|known| *known >= new) {
+        let is_known = match self.by_version.get(&latest.version) {
+            Some((_, Outcome::Completed)) if latest.outcome == Outcome::Replaced => true,
+            Some((_, Outcome::Replaced)) if latest.outcome == Outcome::Completed => false,
+            Some(known) => *known >= new,
+            None => false,
+        };
+        if is_known {
             return false;
         }
         self.by_version.insert(latest.version.clone(), new);
         self.evict();
-        true
+        self.by_version.contains_key(&latest.version)
     }
 
     fn evict(&mut self) {
         if self.by_version.len() > MAX_VERSIONS {
             // The version in use stays however many others have failed since.
-            let in_use = self.last_completed(None);
+            let in_use = self.in_use();
             let others = self.by_version.iter();
             let others = others.filter(|(version, _)| Some(version.as_str()) != in_use);
             let oldest = others.min_by_key(|(_, known)| **known);
@@ -68,6 +76,11 @@
         }
     }
 
+    /// Returns the version in use, that of the last completed rollout.
+    pub(super) fn in_use(&self) -> Option<&str> {
+        self.last_completed(None)
+    }
+
     /// Returns the version of the last completed rollout, other than `except`.
     pub(super) fn last_completed(&self, except: Option<&str>) -> Option<&str> {
         let completed = self.by_version.iter().filter(|(version, (_, outcome))| {
@@ -94,7 +107,7 @@
 
     /// Returns at most `max` outcomes: that of the version in use, then the latest ones.
     pub(super) fn latest(&self, max: usize) -> Vec<VersionOutcome> {
-        let in_use = self.last_completed(None);
+        let in_use = self.in_use();
         let mut all: Vec<_> = self.by_version.iter().collect();
         all.sort_by_key(|(version, known)| (Some(version.as_str()) != in_use, Reverse(**known)));
         let latest = all.into_iter().take(max);
--- a/crates/oatdale-relay/tests/consecutive_orders.rs
+++ b/crates/oatdale-relay/tests/consecutive_orders.rs
@@ -87,6 +87,10 @@
     by_record.update(ms(5_100), order("v3", 5, None));
     by_record.record_outcome("pool", &outcome("v2", Outcome::RolledBack, 4));
     assert_eq!(late(&by_record, ms(5_200)), "v1");
+    let mut by_order = RollOuts::default();
+    by_order.update(ms(5_100), order("v3", 5, None));
+    by_order.update(ms(5_150), order("v2", 2, Some(RollOutEnd::RolledBack)));
+    assert_eq!(late(&by_order, ms(5_200)), "v1");
     let mut by_report = RollOuts::default();
     by_report.update(ms(0), order("v2", 2, None));
     let informed = node_after(RollOutEnd::RolledBack);
@@ -148,6 +152,7 @@
     assert_eq!(chosen(&node, ms(3_100), &["v2", "v1"]), "v1");
     let allowed = node.allowed(ms(3_100), "pool", Some(OUTSIDE), 7);
     assert_eq!(choose(&allowed, &["v1", "v2"]), "v2");
+    assert_eq!(chosen(&node, ms(3_100), &["v3", "v2"]), "v2");
 }
 
 // Guards against a trial of the version that is in use, which would send all other requests to
@@ -158,6 +163,16 @@
     node.update(ms(0), order("v2", 2, Some(RollOutEnd::Completed)));
     node.update(ms(100), order("v2", 5, None));
     assert_eq!(chosen(&node, ms(200), &["v1", "v2"]), "v2");
+    // Nor does its replacement by another order, which must not bring an untested version into use.
+    node.update(ms(300), order("v3", 6, None));
+    assert_eq!(chosen(&node, ms(400), &["v1", "v2", "v3"]), "v2");
+    assert_eq!(chosen(&node, ms(400), &["v3", "v2"]), "v2");
+    // The same holds where the earlier completion becomes known last.
+    let mut late = RollOuts::default();
+    late.update(ms(100), order("v2", 5, None));
+    late.update(ms(300), order("v3", 6, None));
+    late.record_outcome("pool", &outcome("v2", Outcome::Completed, 4));
+    assert_eq!(chosen(&late, ms(400), &["v1", "v2", "v3"]), "v2");
 }
 
 // Guards against a bad version that looks like the old one, because the responses of a version that
@@ -182,17 +197,41 @@
     assert_eq!(due.first().map(|d| d.1), Some(RollOutEnd::RolledBack));
 }
 
+// Guards against a version without a baseline that was rolled back once and completed later.
+#[test]
+fn version_that_completes_after_a_roll_back_has_a_baseline() {
+    let mut node = RollOuts::default();
+    node.record_outcome("pool", &outcome("v2", Outcome::RolledBack, 4));
+    node.update(ms(0), order("v2", 9, Some(RollOutEnd::Completed)));
+    let source = ResponseSource {
+        service: "pool",
+        version: "v2",
+        origin: Origin {
+            route: 1,
+            endpoint: 2,
+        },
+        is_failing: false,
+    };
+    for _ in 0..1_000 {
+        node.record_duration(&source, 1, ms(100));
+    }
+    assert!(node.slow_threshold(1).is_some());
+}
+
 // Guards against reports and lists that do not fit into a datagram with outcomes and versions.
 #[test]
 fn messages_with_outcomes_fit_into_datagrams() {
     let mut node = node_after(RollOutEnd::Completed);
     let version = |n: u64| format!("release-2026-12-04.{n}-candidate");
+    let long_version = |n: u64| format!("{}-{}", version(n), "x".repeat(250));
     for n in 0..10 {
-        node.record_outcome("pool", &outcome(&version(n), Outcome::RolledBack, 4));
+        node.record_outcome("pool", &outcome(&long_version(n), Outcome::RolledBack, 4));
     }
     let mut messages = 0;
     for n in 0..1_000_u64 {
         node.pin(ms(5_150), "pool", u64::MAX - n, &version(n % 3));
+    }
+    for n in 0..10_000_u64 {
         let origin = Origin {
             route: u32::MAX - n as u32 % 40,
             endpoint: u32::MAX - n as u32 % 12,
@@ -212,6 +251,9 @@
         assert!(wire.len() < 1_150, "{} bytes", wire.len());
     };
     for report in node.reports(ms(6_500), "front-thu-duc-12", |_, _| true) {
+        // The version in use comes first, so that it is dropped last.
+        assert_eq!(report.outcomes[0].version, "v2");
+        assert!(report.outcomes.len() < 3, "no outcome was dropped");
         let mut wire = Vec::new();
         ciborium::into_writer(&report, &mut wire).unwrap();
         check(wire);
