Bound less urgent requests by the targets that urgent ones miss

Cause: admission compared the expected time only with the request's own target. With 2 s expected, urgent requests with a target of 1.5 s were refused while less urgent ones with a target of 3 s were placed. Change: a host remembers for a second, per service and urgency, the smallest target that refused or waiting requests missed, and applies it to less urgent requests.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -46,8 +46,8 @@
 pub use crate::relay::addresses::{AddressCandidate, advertised_addresses};
 pub use crate::relay::admission::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, LoadGrowth, Prospect,
-    Rejections, ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, WaitingRequest,
-    admit, may_be_overloaded,
+    Rejections, ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, UrgentTargets,
+    WaitingRequest, admit, may_be_overloaded,
 };
 pub use crate::relay::announcement::is_prompt_announced;
 pub use crate::relay::engine::EngineReport;
--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -10,12 +10,14 @@
 mod rejections;
 mod returning;
 mod share;
+mod urgent_targets;
 
 pub use crate::relay::admission::growth::LoadGrowth;
 pub use crate::relay::admission::queue::{AdmissionQueue, WaitingRequest};
 pub use crate::relay::admission::rejections::Rejections;
 pub use crate::relay::admission::returning::ReturningCallers;
 pub use crate::relay::admission::share::{ReleaseShare, SpareCapacity};
+pub use crate::relay::admission::urgent_targets::UrgentTargets;
 
 use std::time::Duration;
 
@@ -47,6 +49,9 @@
     pub may_wait: bool,
     /// Whether requests that are more urgent and can be in time wait at this host.
     pub is_behind: bool,
+    /// Smallest target that more urgent requests have recently missed. This request is not placed
+    /// while they are refused.
+    pub urgent_target: Option<Duration>,
 }
 
 /// What is known of the service that a request is for.
@@ -60,6 +65,13 @@
     pub growth: f64,
 }
 
+impl ServiceOutlook {
+    /// Expected time with the load that may have been added since: as much as the sums have gained.
+    fn projected(&self) -> Duration {
+        self.expected.mul_f64(1.0 + self.growth.clamp(0.0, 1.0))
+    }
+}
+
 /// What to do with a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum AdmissionDecision {
@@ -112,11 +124,21 @@
 impl AdmissionRequest {
     /// Expected time up to which the request is in time.
     fn in_time_bound(&self) -> Duration {
-        self.target.map_or(self.time_left, |target| {
+        let target = match (self.target, self.urgent_target) {
+            (Some(own), Some(urgent)) => Some(own.min(urgent)),
+            (own, urgent) => own.or(urgent),
+        };
+        target.map_or(self.time_left, |target| {
             target.saturating_sub(self.elapsed).min(self.time_left)
         })
     }
 
+    /// Returns the request's own target if it is expected to be missed. A caller with a short deadline
+    /// says nothing about what other requests can expect.
+    pub fn missed_target(&self, outlook: &ServiceOutlook) -> Option<Duration> {
+        self.target.filter(|target| outlook.projected() > *target)
+    }
+
     fn max_wait(&self) -> Duration {
         self.target.unwrap_or(self.time_left).min(self.time_left) / MAX_WAIT_DIVISOR
     }
@@ -132,10 +154,7 @@
 /// refused together.
 pub fn admit(request: &AdmissionRequest, outlook: &ServiceOutlook, draw: f64) -> AdmissionDecision {
     let bound = request.in_time_bound();
-    // As much load as the sums have gained may have been added since.
-    let projected = outlook
-        .expected
-        .mul_f64(1.0 + outlook.growth.clamp(0.0, 1.0));
+    let projected = outlook.projected();
     let excess = projected.saturating_sub(bound);
     let max_retry = request.time_left / RETRY_TIME_DIVISOR;
     let refuse = |reason| AdmissionDecision::Refuse {
--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -2,7 +2,7 @@
 
 use oatdale_policy::relay::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, Fingerprint, Prospect,
-    ReturningCallers, ServiceOutlook, WaitingRequest, admit,
+    ReturningCallers, ServiceOutlook, UrgentTargets, WaitingRequest, admit,
 };
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
         has_returned: false,
         may_wait: true,
         is_behind: false,
+        urgent_target: None,
     };
     change(&mut request);
     request
@@ -112,6 +113,39 @@
     assert_eq!(has_waited, [true; 2]);
 }
 
+// Guards against placing less urgent requests with a longer target while urgent ones are refused.
+#[test]
+fn a_less_urgent_request_is_not_placed_while_a_more_urgent_one_misses_its_target() {
+    let outlook = ServiceOutlook {
+        expected: ms(2_000),
+        utilization: Some(1.0),
+        growth: 0.0,
+    };
+    let mut missed = UrgentTargets::default();
+    let urgent = request(|_| ());
+    assert_ne!(admit(&urgent, &outlook, 0.5), AdmissionDecision::Place);
+    missed.record_missed(ms(0), 0, urgent.missed_target(&outlook).unwrap());
+    missed.record_missed(ms(10), 0, ms(6_000));
+    let decide_at = |now, urgency| {
+        let less_urgent = AdmissionRequest {
+            target: Some(ms(3_000)),
+            urgent_target: missed.missed_by_more_urgent(ms(now), urgency),
+            ..request(|_| ())
+        };
+        admit(&less_urgent, &outlook, 0.5)
+    };
+    assert_ne!(decide_at(900, 1), AdmissionDecision::Place);
+    assert_eq!(decide_at(900, 0), AdmissionDecision::Place);
+    assert_eq!(decide_at(1_000, 1), AdmissionDecision::Place);
+    // A short deadline is no sign of load.
+    let hurried = request(|r| r.time_left = ms(50));
+    let idle = ServiceOutlook {
+        expected: ms(100),
+        ..outlook
+    };
+    assert_eq!(hurried.missed_target(&idle), None);
+}
+
 // Guards against callers that return all at once, before there is capacity, or later than they honour.
 #[test]
 fn refused_callers_return_while_the_queue_drains() {
--- a/crates/oatdale-policy/tests/relay_admission_replay.rs
+++ b/crates/oatdale-policy/tests/relay_admission_replay.rs
@@ -65,6 +65,7 @@
                 has_returned: call.first < call.arrival,
                 may_wait: call.may_wait,
                 is_behind: false,
+                urgent_target: None,
             };
             let outlook = ServiceOutlook {
                 expected: ms(seen as u64),
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -17,7 +17,7 @@
 use crate::wire::Wire;
 use oatdale_policy::relay::{
     AdmissionDecision, AdmissionRefusal, AdmissionRequest, Rejections, ReturningCallers,
-    ServiceOutlook, admit, may_be_overloaded,
+    ServiceOutlook, UrgentTargets, admit, may_be_overloaded,
 };
 use rand::RngExt;
 use std::collections::HashMap;
@@ -43,6 +43,8 @@
     returning: ReturningCallers,
     /// Rejections by service.
     rejections: HashMap<String, Rejections>,
+    /// Missed targets by service.
+    urgent_targets: HashMap<String, UrgentTargets>,
     lines: LineLimit,
 }
 
@@ -144,6 +146,8 @@
     decision: AdmissionDecision,
     expected: Duration,
     load: Option<ServiceLoad>,
+    /// The route's target, if the request is not placed because it would miss it.
+    missed_target: Option<Duration>,
 }
 
 fn evaluate<W: Wire>(
@@ -162,6 +166,12 @@
             evaluation = other;
         }
     }
+    if let Some(target) = evaluation.missed_target {
+        let mut callers = cx.admission.callers();
+        let missed = callers.urgent_targets.entry(request_cx.service.clone());
+        let missed = missed.or_default();
+        missed.record_missed(cx.now(), request_cx.urgency, target);
+    }
     evaluation
 }
 
@@ -185,8 +195,15 @@
             decision: AdmissionDecision::Place,
             expected: Duration::ZERO,
             load,
+            missed_target: None,
         };
     };
+    let now = cx.now();
+    let urgent_target = {
+        let callers = cx.admission.callers();
+        let missed = callers.urgent_targets.get(service);
+        missed.and_then(|m| m.missed_by_more_urgent(now, urgency))
+    };
     let request = AdmissionRequest {
         target: request_cx.route().target_latency,
         elapsed: request_cx.arrival.elapsed(),
@@ -194,6 +211,7 @@
         has_returned,
         may_wait,
         is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
+        urgent_target,
     };
     let draw = rand::rng().random_range(0.0..1.0);
     let outlook = ServiceOutlook {
@@ -202,10 +220,12 @@
         growth: load.map_or(0.0, |l| l.growth),
     };
     let decision = admit(&request, &outlook, draw);
+    let is_placed = decision == AdmissionDecision::Place;
     Evaluation {
         decision,
         expected,
         load,
+        missed_target: request.missed_target(&outlook).filter(|_| !is_placed),
     }
 }
 
