Place requests whose own reading time exceeds the target if they hardly wait

Cause: the expected time includes the request's own reading time, so the largest prompts of a route were refused and held whatever the load was. Change: the time at the same endpoint without other load is known to the decision. Such a request may wait for half of the bound of others on top of it. Growth of the load applies to the wait only, and a target that a request misses by itself does not hold back less urgent ones. The full time still decides about AfterDeadline.

--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -59,6 +59,8 @@
 pub struct ServiceOutlook {
     /// Expected time to the first event if the request is placed now.
     pub expected: Duration,
+    /// Expected time to it at the same endpoint without other load.
+    pub idle: Duration,
     /// Load of all hosts as a fraction of the capacity; `None` if no recent sum is known.
     pub utilization: Option<f64>,
     /// Fraction of the load that was added in the time by which the sums lag, from 0 to 1.
@@ -68,7 +70,8 @@
 impl ServiceOutlook {
     /// Expected time with the load that may have been added since: as much as the sums have gained.
     fn projected(&self) -> Duration {
-        self.expected.mul_f64(1.0 + self.growth.clamp(0.0, 1.0))
+        let wait = self.expected.saturating_sub(self.idle);
+        self.expected + wait.mul_f64(self.growth.clamp(0.0, 1.0))
     }
 }
 
@@ -136,7 +139,8 @@
     /// Returns the request's own target if it is expected to be missed. A caller with a short deadline
     /// says nothing about what other requests can expect.
     pub fn missed_target(&self, outlook: &ServiceOutlook) -> Option<Duration> {
-        self.target.filter(|target| outlook.projected() > *target)
+        self.target
+            .filter(|target| outlook.projected() > *target && outlook.idle < *target)
     }
 
     fn max_wait(&self) -> Duration {
@@ -154,6 +158,9 @@
 /// refused together.
 pub fn admit(request: &AdmissionRequest, outlook: &ServiceOutlook, draw: f64) -> AdmissionDecision {
     let bound = request.in_time_bound();
+    // A request that takes most of its target by itself would never be in time. It may wait for half
+    // as long as others, so that it gets a share of the capacity.
+    let bound = bound.max(outlook.idle + bound / 2).min(request.time_left);
     let projected = outlook.projected();
     let excess = projected.saturating_sub(bound);
     let max_retry = request.time_left / RETRY_TIME_DIVISOR;
--- a/crates/oatdale-policy/src/relay/expected_time.rs
+++ b/crates/oatdale-policy/src/relay/expected_time.rs
@@ -301,6 +301,12 @@
         time.unwrap_or(Duration::from_secs_f64(MAX_TIME_S))
     }
 
+    /// Returns the expected time of a request at the same endpoint without other load.
+    pub fn idle(&self, ahead: LoadAhead) -> Duration {
+        let time_s = self.time_s(LoadAhead { load: 0.0, ..ahead });
+        Duration::try_from_secs_f64(time_s).unwrap_or(Duration::from_secs_f64(MAX_TIME_S))
+    }
+
     /// Returns the time of a request in seconds if its load is as known; endpoints are compared by
     /// it.
     pub fn time_s(&self, ahead: LoadAhead) -> f64 {
--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -29,6 +29,7 @@
     let (expected, utilization, growth) = (ms(expected), Some(1.0), 0.0);
     let outlook = ServiceOutlook {
         expected,
+        idle: ms(0),
         utilization,
         growth,
     };
@@ -66,6 +67,7 @@
             for utilization in [None, Some(0.0), Some(0.49)] {
                 let outlook = ServiceOutlook {
                     expected,
+                    idle: ms(0),
                     utilization,
                     growth: 1.0,
                 };
@@ -113,11 +115,30 @@
     assert_eq!(has_waited, [true; 2]);
 }
 
+// Guards against refusing the largest prompts of a route, which take longer than its target by
+// themselves, while others are placed.
+#[test]
+fn a_request_that_misses_its_target_by_itself_is_placed_if_it_hardly_waits() {
+    let decide = |expected| {
+        let outlook = ServiceOutlook {
+            expected: ms(expected),
+            idle: ms(2_000),
+            utilization: Some(1.0),
+            growth: 0.5,
+        };
+        assert_eq!(request(|_| ()).missed_target(&outlook), None);
+        admit(&request(|_| ()), &outlook, 0.5)
+    };
+    assert_eq!(decide(2_500), AdmissionDecision::Place);
+    assert_ne!(decide(2_600), AdmissionDecision::Place);
+}
+
 // Guards against placing less urgent requests with a longer target while urgent ones are refused.
 #[test]
 fn a_less_urgent_request_is_not_placed_while_a_more_urgent_one_misses_its_target() {
     let outlook = ServiceOutlook {
         expected: ms(2_000),
+        idle: ms(0),
         utilization: Some(1.0),
         growth: 0.0,
     };
--- a/crates/oatdale-policy/tests/relay_admission_replay.rs
+++ b/crates/oatdale-policy/tests/relay_admission_replay.rs
@@ -69,6 +69,7 @@
             };
             let outlook = ServiceOutlook {
                 expected: ms(seen as u64),
+                idle: ms(0),
                 utilization: admission.then_some(1.0),
                 growth,
             };
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -185,12 +185,12 @@
     let load = cx.admission.loads.get(cx, service);
     let utilization = load.map(|l| l.utilization());
     // Not known for most requests, since it takes another choice among the endpoints.
-    let expected = match may_be_overloaded(utilization) {
+    let time = match may_be_overloaded(utilization) {
         true => request_cx.expected_time(cx),
         false => None,
     };
     // If no endpoint can take it, the attempt finds out why and when one can.
-    let Some(expected) = expected else {
+    let Some(time) = time else {
         return Evaluation {
             decision: AdmissionDecision::Place,
             expected: Duration::ZERO,
@@ -215,7 +215,8 @@
     };
     let draw = rand::rng().random_range(0.0..1.0);
     let outlook = ServiceOutlook {
-        expected,
+        expected: time.expected,
+        idle: time.idle,
         utilization,
         growth: load.map_or(0.0, |l| l.growth),
     };
@@ -223,7 +224,7 @@
     let is_placed = decision == AdmissionDecision::Place;
     Evaluation {
         decision,
-        expected,
+        expected: time.expected,
         load,
         missed_target: request.missed_target(&outlook).filter(|_| !is_placed),
     }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -12,7 +12,7 @@
 use crate::settings::Settings;
 use crate::site::SiteConfig;
 use crate::start_up::StartUp;
-use crate::state::{PlacementRequest, State};
+use crate::state::{PlacementRequest, RequestTime, State};
 use crate::update::{Endpoint, EndpointChange, Update};
 use crate::wire::Wire;
 use oatdale_platform::{Pool, PoolConfig};
@@ -335,14 +335,14 @@
         picked.is_some()
     }
 
-    /// Returns the expected time until the response head at the best endpoint that can take a
+    /// Returns the expected times until the response head at the best endpoint that can take a
     /// request now; `None` if none can.
-    pub(crate) fn expected_time(&self, request: &PlacementRequest<'_>) -> Option<Duration> {
+    pub(crate) fn expected_time(&self, request: &PlacementRequest<'_>) -> Option<RequestTime> {
         let now = self.now();
         let mut state = self.state();
         state.update_warm_up_shares(now, request.service, &self.settings.host);
         let pick = state.pick_endpoint(now, request, &self.settings.failure_domain)?;
-        Some(pick.expected)
+        Some(state.request_time(now, request.service, &pick))
     }
 
     /// Places a request and counts it, or returns why no endpoint can take it.
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -10,7 +10,7 @@
 use crate::reply::Refusal;
 use crate::roll_outs::{AllowedVersions, LatencyClass, ResponseSource};
 use crate::site::{Route, SiteConfig};
-use crate::state::{LimitedEndpoints, PlacementRequest, hash};
+use crate::state::{LimitedEndpoints, PlacementRequest, RequestTime, hash};
 use crate::wire::{Forward, RequestMetadata, Wire};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
@@ -332,9 +332,9 @@
         cx.has_eligible_endpoint(&self.placement_request(&allowed, LimitedEndpoints::Excluded))
     }
 
-    /// Returns the expected time until the response head if the request is placed now; `None` if no
+    /// Returns the expected times until the response head if the request is placed now; `None` if no
     /// endpoint can take it.
-    pub(crate) fn expected_time<W: Wire>(&self, cx: &Cx<W>) -> Option<Duration> {
+    pub(crate) fn expected_time<W: Wire>(&self, cx: &Cx<W>) -> Option<RequestTime> {
         let allowed = self.allowed_versions(cx);
         cx.expected_time(&self.placement_request(&allowed, LimitedEndpoints::Allowed))
     }
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -29,7 +29,7 @@
 use warm_up::has_capacity;
 
 use crate::state::expected_time::LoadScope;
-pub(crate) use crate::state::expected_time::TimeBasis;
+pub(crate) use crate::state::expected_time::{RequestTime, TimeBasis};
 pub(crate) use crate::state::service_usage::ServiceUsage;
 
 /// Part of the site's retry budget that nodes plan to use. The rest is a margin, since nodes
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -2,7 +2,7 @@
 
 use crate::directory::{EndpointKey, Entry};
 use crate::loads::AggregationScheme;
-use crate::state::{KeyedEntry, PlacementRequest, State};
+use crate::state::{KeyedEntry, Pick, PlacementRequest, State};
 use oatdale_policy::relay::{
     CachedPrefix, LoadAhead, PrefixShares, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve,
     TimedCandidate, choose_cached, choose_of_two,
@@ -96,6 +96,12 @@
         curves.curve(basis.scope).expected(basis.ahead)
     }
 
+    /// Returns the expected time of the request without other load at the endpoint.
+    fn idle_time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
+        let curves = self.curves(now, service);
+        curves.curve(basis.scope).idle(basis.ahead)
+    }
+
     fn prefix_share(&self, now: Duration, request: &PlacementRequest<'_>, prefix: u64) -> f64 {
         let known = self.services.get(request.service);
         known.map_or(0.0, |t| t.prefixes.share(now, prefix, request.weight))
@@ -106,7 +112,24 @@
     }
 }
 
+/// Expected times until the response head of a request that is not placed yet.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct RequestTime {
+    pub(crate) expected: Duration,
+    /// The time at the same endpoint without other load.
+    pub(crate) idle: Duration,
+}
+
 impl State {
+    /// Returns the expected times of a request at the endpoint picked for it.
+    pub(crate) fn request_time(&self, now: Duration, service: &str, pick: &Pick) -> RequestTime {
+        let idle = |basis| self.expected_times.idle_time(now, service, &basis);
+        RequestTime {
+            expected: pick.expected,
+            idle: pick.basis.map_or(Duration::ZERO, idle),
+        }
+    }
+
     /// Counts the prefix of a request that is placed.
     pub(crate) fn record_prefix(&mut self, now: Duration, request: &PlacementRequest<'_>) {
         let prefix = request.prefix.filter(|_| self.load_control.expected_time);
