Refuse no request for overload after it was held as a late one

Cause: after a hold of seconds the second evaluation could still refuse the request for overload, when its caller had little time left to return. Change: the decision knows as what the request has waited; after a wait as a late one it is placed, or refused only if it would miss its deadline. Ran: relay_admission (extended) and relay_admission_replay of oatdale-policy pass; clippy of oatdale-relay without warnings.

--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -45,8 +45,8 @@
     pub time_left: Duration,
     /// Whether the caller was refused before, so that another refusal would be its last response.
     pub has_returned: bool,
-    /// Whether the request may still wait at this host.
-    pub may_wait: bool,
+    /// As what the request has waited at this host; it waits only once.
+    pub has_waited: Option<Prospect>,
     /// Whether requests that are more urgent and can be in time wait at this host.
     pub is_behind: bool,
     /// Smallest target that more urgent requests have recently missed. This request is not placed
@@ -143,6 +143,16 @@
             .filter(|target| outlook.projected() > *target && outlook.idle < *target)
     }
 
+    fn may_wait(&self) -> bool {
+        self.has_waited.is_none()
+    }
+
+    /// Whether the caller has enough time left to return. It has not if it was refused before or
+    /// after the long wait of a request that can only be late.
+    fn may_return(&self) -> bool {
+        !self.has_returned && self.has_waited != Some(Prospect::Late)
+    }
+
     fn max_wait(&self) -> Duration {
         self.target.unwrap_or(self.time_left).min(self.time_left) / MAX_WAIT_DIVISOR
     }
@@ -171,18 +181,18 @@
     let wait = |prospect, limit| AdmissionDecision::Wait { prospect, limit };
     match () {
         () if !may_be_overloaded(outlook.utilization) => AdmissionDecision::Place,
-        () if excess.is_zero() && request.is_behind && request.may_wait => {
+        () if excess.is_zero() && request.is_behind && request.may_wait() => {
             wait(Prospect::InTime, request.max_wait())
         }
         () if excess.is_zero() => AdmissionDecision::Place,
         () if outlook.expected > request.time_left => refuse(AdmissionRefusal::AfterDeadline),
         // The estimate is as old as the sums: so short an excess may be gone by now.
-        () if request.may_wait && excess <= request.max_wait() => {
+        () if request.may_wait() && excess <= request.max_wait() => {
             wait(Prospect::InTime, request.max_wait())
         }
-        () if !request.has_returned && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
+        () if request.may_return() && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
         // A late response is worth more than none.
-        () if request.may_wait => {
+        () if request.may_wait() => {
             let spare_time = request.time_left - outlook.expected;
             let limit = (spare_time / 2).min(request.time_left / MAX_LATE_WAIT_DIVISOR);
             wait(Prospect::Late, limit)
--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -17,7 +17,7 @@
         elapsed: Duration::ZERO,
         time_left: ms(15_000),
         has_returned: false,
-        may_wait: true,
+        has_waited: None,
         is_behind: false,
         urgent_target: None,
     };
@@ -83,7 +83,7 @@
 }
 
 // Guards against holding a request that can be placed, until its deadline, or twice; and against
-// refusing a caller twice that can be served late.
+// refusing a caller twice that can be served late, or after a wait of seconds.
 #[test]
 fn a_request_waits_for_a_bounded_time_and_only_once() {
     let mut has_waited = [false; 2];
@@ -101,14 +101,17 @@
                 }
                 AdmissionDecision::Place => assert!(expected <= 1_500, "{expected}"),
             }
-            let afterwards = AdmissionRequest {
-                may_wait: false,
-                ..request
-            };
-            let decision = decide(&afterwards, expected, 0.5);
-            match request.has_returned && expected <= 15_000 {
-                true => assert_eq!(decision, AdmissionDecision::Place, "{expected}"),
-                false => assert!(!matches!(decision, AdmissionDecision::Wait { .. })),
+            for prospect in [Prospect::InTime, Prospect::Late] {
+                let afterwards = AdmissionRequest {
+                    has_waited: Some(prospect),
+                    ..request
+                };
+                let decision = decide(&afterwards, expected, 0.5);
+                let is_last = request.has_returned || prospect == Prospect::Late;
+                match is_last && expected <= 15_000 {
+                    true => assert_eq!(decision, AdmissionDecision::Place, "{expected}"),
+                    false => assert!(!matches!(decision, AdmissionDecision::Wait { .. })),
+                }
             }
         }
     }
--- a/crates/oatdale-policy/tests/relay_admission_replay.rs
+++ b/crates/oatdale-policy/tests/relay_admission_replay.rs
@@ -2,8 +2,8 @@
 //! release of waiting requests by many hosts.
 
 use oatdale_policy::relay::{
-    AdmissionDecision, AdmissionRequest, LoadGrowth, Rejections, ReleaseShare, ServiceOutlook,
-    SpareCapacity, admit,
+    AdmissionDecision, AdmissionRequest, LoadGrowth, Prospect, Rejections, ReleaseShare,
+    ServiceOutlook, SpareCapacity, admit,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -30,7 +30,7 @@
     /// When it arrived, and when its caller first sent it.
     arrival: u64,
     first: u64,
-    may_wait: bool,
+    has_waited: Option<Prospect>,
 }
 
 /// Returns the fraction of the callers that are served in time, and of those that are never served,
@@ -54,7 +54,7 @@
         let call = Call {
             arrival: now,
             first: now,
-            may_wait: true,
+            has_waited: None,
         };
         let calls = due.remove(&step).unwrap_or_default().into_iter();
         for call in calls.chain((0..new).map(|_| call)) {
@@ -63,7 +63,7 @@
                 elapsed: ms(now - call.arrival),
                 time_left: ms((call.first + TIME).saturating_sub(now)),
                 has_returned: call.first < call.arrival,
-                may_wait: call.may_wait,
+                has_waited: call.has_waited,
                 is_behind: false,
                 urgent_target: None,
             };
@@ -79,9 +79,9 @@
                     backlog += 1.0;
                     in_time += u32::from(now - call.arrival + wait(backlog) as u64 <= TARGET);
                 }
-                AdmissionDecision::Wait { limit, .. } => {
+                AdmissionDecision::Wait { prospect, limit } => {
                     let call = Call {
-                        may_wait: false,
+                        has_waited: Some(prospect),
                         ..call
                     };
                     due.entry(at(limit).max(step + 1)).or_default().push(call);
@@ -91,7 +91,7 @@
                     let at = at(retry_after).max(step + 1);
                     let call = Call {
                         arrival: 10 * at as u64,
-                        may_wait: true,
+                        has_waited: None,
                         ..call
                     };
                     due.entry(at).or_default().push(call);
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -16,7 +16,7 @@
 use crate::site::SiteConfig;
 use crate::wire::Wire;
 use oatdale_policy::relay::{
-    AdmissionDecision, AdmissionRefusal, AdmissionRequest, Rejections, ReturningCallers,
+    AdmissionDecision, AdmissionRefusal, AdmissionRequest, Prospect, Rejections, ReturningCallers,
     ServiceOutlook, UrgentTargets, admit, may_be_overloaded,
 };
 use rand::RngExt;
@@ -73,7 +73,7 @@
         return Ok(());
     }
     let has_returned = has_returned(cx, request_cx);
-    let mut evaluation = evaluate(cx, request_cx, has_returned, true);
+    let mut evaluation = evaluate(cx, request_cx, has_returned, None);
     let began = Instant::now();
     let mut is_released = false;
     let must_wait = matches!(evaluation.decision, AdmissionDecision::Wait { .. });
@@ -86,7 +86,7 @@
             is_released = timeout(limit, waiter.released()).await.is_ok();
         }
         if !is_released {
-            evaluation = evaluate(cx, request_cx, has_returned, false);
+            evaluation = evaluate(cx, request_cx, has_returned, Some(prospect));
         }
     }
     let waited = began.elapsed();
@@ -154,14 +154,14 @@
     cx: &Cx<W>,
     request_cx: &RequestContext,
     has_returned: bool,
-    may_wait: bool,
+    has_waited: Option<Prospect>,
 ) -> Evaluation {
-    let mut evaluation = evaluate_once(cx, request_cx, has_returned, may_wait);
+    let mut evaluation = evaluate_once(cx, request_cx, has_returned, has_waited);
     for _ in 1..MAX_EVALUATIONS {
         if evaluation.decision == AdmissionDecision::Place {
             break;
         }
-        let other = evaluate_once(cx, request_cx, has_returned, may_wait);
+        let other = evaluate_once(cx, request_cx, has_returned, has_waited);
         if other.expected < evaluation.expected {
             evaluation = other;
         }
@@ -179,7 +179,7 @@
     cx: &Cx<W>,
     request_cx: &RequestContext,
     has_returned: bool,
-    may_wait: bool,
+    has_waited: Option<Prospect>,
 ) -> Evaluation {
     let (service, urgency) = (&request_cx.service, request_cx.urgency);
     let load = cx.admission.loads.get(cx, service);
@@ -209,7 +209,7 @@
         elapsed: request_cx.arrival.elapsed(),
         time_left: request_cx.time_left(),
         has_returned,
-        may_wait,
+        has_waited,
         is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
         urgent_target,
     };
