Spread callers with a large excess over the later half of the retry time

Cause: with an excess beyond the longest Retry-After that callers honour, as always after the deadline, the earliest and the latest time were the same and all refused callers returned together. Change: the earliest time is at most half of the longest. The test expected 4.5 s as the earliest time of a caller with at most 5 s, which is this fault; it now checks 2.5 s, and that both ends are reached after the deadline.

--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -201,11 +201,13 @@
     }
 }
 
-/// Returns a time between the one at which a new request is expected to be in time and the one at
-/// which the work in hand and that of the refused callers has drained, at most `max`. The callers are
+/// Returns a time between the one at which a new request is expected to be in time, at most half of
+/// `max`, and the one at which the work in hand and that of the refused callers has drained, at most
+/// `max`. The callers are
 /// spread evenly over it.
 fn retry_after(excess: Duration, drained: Duration, max: Duration, draw: f64) -> Duration {
-    let earliest = excess.min(max);
+    // With an excess beyond `max`, all callers would otherwise return at the same time.
+    let earliest = excess.min(max / 2);
     // The refused callers bring about as much work as there is in hand.
     let latest = (2 * drained).min(max);
     earliest
--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -173,7 +173,7 @@
 // Guards against callers that return all at once, before there is capacity, or later than they honour.
 #[test]
 fn refused_callers_return_while_the_queue_drains() {
-    for (expected, earliest, latest) in [(1_800, 300, 3_600), (6_000, 4_500, 5_000)] {
+    for (expected, earliest, latest) in [(1_800, 300, 3_600), (6_000, 2_500, 5_000)] {
         for draw in [0.0, 0.3, 1.0] {
             let refused = AdmissionDecision::Refuse {
                 reason: AdmissionRefusal::Overloaded,
@@ -182,6 +182,13 @@
             assert_eq!(decide(&request(|_| ()), expected, draw), refused);
         }
     }
+    for (draw, expected_ms) in [(0.0, 2_500), (1.0, 5_000)] {
+        let refused = AdmissionDecision::Refuse {
+            reason: AdmissionRefusal::AfterDeadline,
+            retry_after: ms(expected_ms),
+        };
+        assert_eq!(decide(&request(|_| ()), 30_000, draw), refused);
+    }
 }
 
 // Guards against serving less urgent requests, new ones, or those that can only be late first.
