Bound the effect of one caller's long deadline on a route's usual time

Cause: the usual time rose at once to the longest deadline, so one caller that waits long made all others count as returning for hundreds of requests. Change: the usual time is the mean over up to 200 requests, of times up to the route's timeout. Ran: relay_admission (extended) of oatdale-policy passes; clippy of oatdale-relay without warnings.

--- a/crates/oatdale-policy/src/relay/admission/returning.rs
+++ b/crates/oatdale-policy/src/relay/admission/returning.rs
@@ -14,17 +14,39 @@
 /// on its first attempt.
 const RETURNING_TIME_SHARE: f64 = 0.9;
 
-/// Number of requests over which a route's usual time falls to a new, shorter one. Longer times apply
-/// at once.
+/// Number of requests over which a route's usual time is averaged. So many callers are counted before
+/// the first one that one caller with another time hardly changes it.
 const USUAL_TIME_REQUESTS: f64 = 200.0;
+const FIRST_TIME_REQUESTS: f64 = 10.0;
 
 /// What a host knows of the callers that it or other hosts have refused.
 #[derive(Clone, Debug, Default)]
 pub struct ReturningCallers {
     refused: HashMap<Fingerprint, Duration>,
     by_time: VecDeque<(Duration, Fingerprint)>,
-    /// Usual time that callers of a route wait, in seconds.
-    usual_times: HashMap<String, f64>,
+    /// Usual time that callers of a route wait.
+    usual_times: HashMap<String, UsualTime>,
+}
+
+/// Mean time that the callers of a route wait.
+#[derive(Clone, Copy, Debug)]
+struct UsualTime {
+    mean_s: f64,
+    requests: f64,
+}
+
+impl UsualTime {
+    fn new(time_s: f64) -> Self {
+        UsualTime {
+            mean_s: time_s,
+            requests: FIRST_TIME_REQUESTS,
+        }
+    }
+
+    fn add(&mut self, time_s: f64) {
+        self.requests = (self.requests + 1.0).min(USUAL_TIME_REQUESTS);
+        self.mean_s += (time_s - self.mean_s) / self.requests;
+    }
 }
 
 impl ReturningCallers {
@@ -49,16 +71,20 @@
         self.refused.contains_key(&request)
     }
 
-    /// Records the time that the caller of a new request waits, and returns whether it is so much
-    /// shorter than usual on its route that the caller has probably been refused elsewhere.
-    pub fn record_time(&mut self, route: &str, time: Duration) -> bool {
-        let time = time.as_secs_f64();
+    /// Records the time that the caller of a new request waits, which counts up to the longest that
+    /// its route allows, and returns whether it is so much shorter than usual on the route that the
+    /// caller has probably been refused elsewhere.
+    pub fn record_time(&mut self, route: &str, time: Duration, max_time: Duration) -> bool {
+        let time_s = time.min(max_time).as_secs_f64();
         let usual = match self.usual_times.get_mut(route) {
             Some(usual) => usual,
-            None => self.usual_times.entry(route.to_owned()).or_insert(time),
+            None => self
+                .usual_times
+                .entry(route.to_owned())
+                .or_insert(UsualTime::new(time_s)),
         };
-        let is_returning = time < *usual * RETURNING_TIME_SHARE;
-        *usual = time.max(*usual + (time - *usual) / USUAL_TIME_REQUESTS);
+        let is_returning = time_s < usual.mean_s * RETURNING_TIME_SHARE;
+        usual.add(time_s);
         is_returning
     }
 
--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -249,10 +249,15 @@
     assert!(callers.was_refused(Fingerprint(1_999)) && !callers.was_refused(Fingerprint(1)));
     assert!(callers.has_refused(ms(11_000)) && !callers.has_refused(ms(12_000)));
     assert!(!callers.was_refused(Fingerprint(1_999)));
-    assert!(!callers.record_time("drafts", ms(5_000)));
-    assert!(!callers.record_time("drafts", ms(4_990)));
-    assert!(callers.record_time("drafts", ms(4_000)));
+    let mut record = |time| callers.record_time("drafts", ms(time), ms(10_000));
+    assert!(!record(5_000));
+    assert!(!record(4_990));
+    assert!(record(4_000));
+    // One caller that waits longer does not make the others returning ones.
+    assert!(!record(600_000));
+    assert!(!record(5_000));
+    assert!(record(4_000));
     // A configuration with a shorter time takes effect after some hundred requests.
-    let still_returning = (0..1_000).filter(|_| callers.record_time("drafts", ms(2_500)));
+    let still_returning = (0..1_000).filter(|_| record(2_500));
     assert!(still_returning.count() < 500);
 }
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -232,11 +232,12 @@
 
 /// Whether the caller was probably refused before, by this node or another one.
 fn has_returned<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> bool {
-    let route = &request_cx.route().name;
+    let route = request_cx.route();
     let (is_short_of_time, has_refused) = {
         let returning = &mut cx.admission.callers().returning;
         let time = request_cx.metadata.timeout;
-        let is_short = time.is_some_and(|time| returning.record_time(route, time));
+        let is_short =
+            time.is_some_and(|time| returning.record_time(&route.name, time, route.timeout));
         (is_short, returning.has_refused(cx.now()))
     };
     // The fingerprint takes time, so it is not computed unless it may be known.
