Hold requests of a starting node only where enabled, and for some seconds

Cause: the hold applied with all settings off, had no end while no endpoint was known, and held requests that no route takes. Change: load_control.admission enables it, it ends 5 s after the start, and where a configuration exists requests are routed, authenticated and read before they are held for endpoints. Ran: the new test of start_up in oatdale-relay passes.

--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -96,7 +96,7 @@
             metrics,
             body_memory: BodyMemory::default(),
             socket,
-            start_up: StartUp::default(),
+            start_up: StartUp::new(settings.load_control.admission),
             admission: Admission::default(),
             quarantine_changed: watch::Sender::default(),
             started: Instant::now(),
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -105,13 +105,17 @@
     // Another node that forwards a request can choose one that has started.
     if !is_forwarded {
         cx.start_up
-            .hold(&cx.body_memory, &head, &metadata, arrival)
+            .hold_for_site(&cx.body_memory, &head, &metadata, arrival)
             .await;
     }
     let mut res = match prepare(&cx, head, metadata, body, arrival, &mut request_log).await {
         Ok(mut request_cx) => {
             if let Some(forwarded) = forwarded {
                 request_cx.set_forwarded(&cx, forwarded);
+            } else {
+                cx.start_up
+                    .hold_for_endpoints(&cx.body_memory, &request_cx)
+                    .await;
             }
             respond(&cx, request_cx, request_log).await
         }
--- a/crates/oatdale-relay/src/start_up.rs
+++ b/crates/oatdale-relay/src/start_up.rs
@@ -1,12 +1,13 @@
 //! Holds requests that arrive at a starting node until it has a configuration and endpoints.
 //!
-//! When all nodes were killed at once, their callers return within a quarter of a second, while the
-//! configuration is read after about 120 ms. A caller retries only once, so a refusal at that time
-//! is its last response. Nothing of a held request has been sent, so it can still be refused.
+//! When all nodes have been killed at once, their callers return before the new nodes have read the
+//! configuration. A caller retries only once, so a refusal at that time is its last response. Nothing
+//! of a held request has been sent, so it can still be refused.
 
 use crate::body::BodyMemory;
+use crate::request_context::RequestContext;
 use crate::wire::RequestMetadata;
-use http::request;
+use http::{HeaderMap, Uri, request};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -15,6 +16,10 @@
 /// milliseconds; if that takes longer, another node is the better choice.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
 
+/// Time after the start of the process from which on nothing is held: a node without endpoints by then
+/// has more than a start to wait for.
+const MAX_START_TIME: Duration = Duration::from_secs(5);
+
 /// Part of a request's time for which it may be held. The rest has to suffice for its response, or
 /// for a retry at another node.
 const HOLD_TIME_DIVISOR: u32 = 4;
@@ -32,9 +37,11 @@
 }
 
 /// Requests held while this node starts, and what they wait for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StartUp {
     progress: watch::Sender<Progress>,
+    /// Time from which on nothing is held; `None` if requests are never held.
+    hold_until: Option<Instant>,
 }
 
 impl Progress {
@@ -44,6 +51,14 @@
 }
 
 impl StartUp {
+    /// Creates the state of a node that starts now.
+    pub(crate) fn new(may_hold: bool) -> Self {
+        StartUp {
+            progress: watch::Sender::default(),
+            hold_until: may_hold.then(|| Instant::now() + MAX_START_TIME),
+        }
+    }
+
     /// Records that a configuration is in force.
     pub(crate) fn record_site(&self) {
         self.record(|progress| progress.has_site = true);
@@ -71,33 +86,91 @@
         });
     }
 
-    /// Waits until this node has a configuration and endpoints, as long as the request may be held
-    /// and there is memory for it. Does not wait if the key-value service is known not to answer.
-    pub(crate) async fn hold(
+    /// Waits until this node has a configuration, by which requests are routed.
+    pub(crate) async fn hold_for_site(
         &self,
         memory: &BodyMemory,
         head: &request::Parts,
         metadata: &RequestMetadata,
         arrival: Instant,
     ) {
-        if self.progress.borrow().is_complete() {
+        let bytes = head_bytes(&head.uri, &head.headers) + UNREAD_BODY_BYTES;
+        self.hold(memory, bytes, metadata.timeout, arrival, |p| p.has_site)
+            .await;
+    }
+
+    /// Waits until this node knows endpoints. The request has been routed and its body read.
+    pub(crate) async fn hold_for_endpoints(
+        &self,
+        memory: &BodyMemory,
+        request_cx: &RequestContext,
+    ) {
+        let bytes = head_bytes(&request_cx.uri, &request_cx.headers);
+        let (timeout, arrival) = (request_cx.metadata.timeout, request_cx.arrival);
+        self.hold(memory, bytes, timeout, arrival, Progress::is_complete)
+            .await;
+    }
+
+    /// Waits until this node is ready, as long as the request may be held and there is memory for it.
+    /// Does not wait if the key-value service is known not to answer.
+    async fn hold(
+        &self,
+        memory: &BodyMemory,
+        bytes: usize,
+        timeout: Option<Duration>,
+        arrival: Instant,
+        is_ready: impl Fn(Progress) -> bool,
+    ) {
+        let Some(hold_until) = self.hold_until.filter(|until| Instant::now() < *until) else {
+            return;
+        };
+        if is_ready(*self.progress.borrow()) {
             return;
         }
-        let Some(_reservation) = memory.try_reserve(head_bytes(head) + UNREAD_BODY_BYTES) else {
+        let Some(_reservation) = memory.try_reserve(bytes) else {
             return;
         };
-        let share = metadata.timeout.map(|time| time / HOLD_TIME_DIVISOR);
+        let share = timeout.map(|time| time / HOLD_TIME_DIVISOR);
         let until = arrival + share.map_or(MAX_HOLD_TIME, |share| share.min(MAX_HOLD_TIME));
         let mut progress = self.progress.subscribe();
-        let can_continue = progress.wait_for(|p| p.is_complete() || p.is_store_unavailable);
+        let can_continue = progress.wait_for(|p| is_ready(*p) || p.is_store_unavailable);
         // The caller finds out what is known then, in any of the cases.
-        let _ = timeout_at(until, can_continue).await;
+        let _ = timeout_at(until.min(hold_until), can_continue).await;
     }
 }
 
 /// Approximate size of a request head in bytes.
-fn head_bytes(head: &request::Parts) -> usize {
-    let headers = head.headers.iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len());
-    headers.sum::<usize>() + head.uri.path().len() + head.uri.query().map_or(0, str::len)
+fn head_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    sizes.sum::<usize>() + uri.path().len() + uri.query().map_or(0, str::len)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against holding requests where the settings do not enable it, long after the start, or
+    // when what they wait for is known.
+    #[tokio::test(start_paused = true)]
+    async fn requests_are_held_only_where_enabled_and_soon_after_the_start() {
+        let memory = BodyMemory::default();
+        let held = async |start_up: &StartUp| {
+            let arrival = Instant::now();
+            start_up
+                .hold(&memory, 1, None, arrival, Progress::is_complete)
+                .await;
+            arrival.elapsed()
+        };
+        assert_eq!(held(&StartUp::new(false)).await, Duration::ZERO);
+        let start_up = StartUp::new(true);
+        assert!(held(&start_up).await >= MAX_HOLD_TIME);
+        tokio::time::advance(MAX_START_TIME).await;
+        assert_eq!(held(&start_up).await, Duration::ZERO);
+        let start_up = StartUp::new(true);
+        start_up.record_site();
+        start_up.record_endpoints();
+        assert_eq!(held(&start_up).await, Duration::ZERO);
+    }
 }
