Draw each endpoint of a sample with the same probability

Cause: keys drawn from their range favour the endpoint after a gap. Change: evenly spaced positions from a random offset. Ran: tests/directory.rs of oatdale-relay with a new test passes; clippy passes.

--- a/crates/oatdale-relay/src/directory/sample.rs
+++ b/crates/oatdale-relay/src/directory/sample.rs
@@ -6,14 +6,11 @@
 
 impl Directory {
     /// Returns the endpoints of a service that may get new requests, or those among `max` ones
-    /// drawn at random if the service has more. An endpoint may be drawn several times.
+    /// drawn at random if the service has more. Each endpoint is equally likely.
     pub fn sample_usable(&self, now: Duration, service: &str, max: usize) -> Vec<&Entry> {
         let Some(keys) = self.by_service.get(service) else {
             return Vec::new();
         };
-        let (Some(first), Some(last)) = (keys.first(), keys.last()) else {
-            return Vec::new();
-        };
         let is_usable = |e: &&Entry| self.is_eligible(now, e) && e.accepts_request(now);
         let entry = |key: &EndpointKey| {
             self.count_visit();
@@ -22,12 +19,19 @@
         if keys.len() <= max {
             return keys.iter().filter_map(entry).collect();
         }
-        let mut rng = rand::rng();
-        let drawn = (0..max).map(|_| EndpointKey(rng.random_range(first.0..=last.0)));
-        drawn
-            .filter_map(|key| keys.range(key..).next())
-            .filter_map(entry)
-            .collect()
+        // Evenly spaced positions from a random one: keys drawn from their range would favour those
+        // after a gap.
+        let spacing = keys.len() as f64 / max.max(1) as f64;
+        let offset = rand::rng().random_range(0.0..spacing);
+        let mut keys = keys.iter();
+        let mut next = 0;
+        let drawn = (0..max).filter_map(|i| {
+            let position = (offset + i as f64 * spacing) as usize;
+            let key = keys.nth(position.checked_sub(next)?);
+            next = position + 1;
+            key
+        });
+        drawn.filter_map(entry).collect()
     }
 
     /// Returns this node's load at the endpoints of a service that are to be used.
--- a/crates/oatdale-relay/tests/directory.rs
+++ b/crates/oatdale-relay/tests/directory.rs
@@ -303,3 +303,25 @@
     assert_eq!(directory.sample_usable(ms(10), "pool", 2_000).len(), 1_000);
     assert!(directory.sample_usable(ms(10), "desk", 200).is_empty());
 }
+
+// Guards against an estimate that is dominated by the endpoint after a gap in the keys, which other
+// services or removed endpoints leave.
+#[test]
+fn sample_has_each_endpoint_at_most_once() {
+    let mut directory = Directory::default();
+    for n in 0..2_000 {
+        let service = if (200..1_800).contains(&n) {
+            "desk"
+        } else {
+            "pool"
+        };
+        let endpoint = Endpoint {
+            service: service.to_owned(),
+            ..endpoint(&format!("e{n}"))
+        };
+        directory.upsert(ms(0), endpoint);
+    }
+    let sample = directory.sample_usable(ms(10), "pool", 300);
+    let ids: std::collections::HashSet<_> = sample.iter().map(|e| &e.endpoint.id).collect();
+    assert_eq!((sample.len(), ids.len()), (300, 300));
+}
