--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -389,7 +389,7 @@
         Ok((head, ..)) if head.status.is_success() => {
             in_flight.record_response_time(attempt_time, false);
         }
-        Err(Failure::TimedOut) => {
+        Err(Failure::TimedOut | Failure::Abandoned) => {
             in_flight.record_response_time(attempt_time, true);
         }
         _ => {}
