Check the expected time of a larger model before an endpoint is placed

Cause: a run that the time check rejects had taken a permit and counted as a warm-up request of its endpoint. Change: the expected time at the larger model decides first, without placing the request; after the placement only the retry budget is checked. Ran: clippy of oatdale-relay, all targets, passes; no test covers the order.

--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -70,7 +70,7 @@
     let can_retry = request_cx.has_attempts_left();
     match ladder.decide(request_cx.model_index, model_count, confidence, can_retry) {
         EscalationDecision::Escalate(model_index) if cx.try_escalate(&request_cx.service) => {
-            place_larger(cx, request_cx, model_index, |_| true).await
+            place_larger(cx, request_cx, model_index, || true).await
         }
         _ => None,
     }
@@ -100,7 +100,7 @@
         relative_size: request_cx.relative_size,
         time: None,
     };
-    let mut outcome = Outcome::NoEndpoint;
+    let mut outcome;
     let placed = match rule.decide(pos, model_count, confidence) {
         EscalationVerdict::Accept => return None,
         EscalationVerdict::NoCapacity | EscalationVerdict::NoTime => {
@@ -108,22 +108,30 @@
             None
         }
         EscalationVerdict::Escalate(model_index) => {
+            let expected = expected_time(cx, request_cx, model_index);
             let left = time_to_target(request_cx);
-            let service = request_cx.service.clone();
-            let confirm = |in_flight: &InFlightRequest<W>| {
-                let expected = in_flight.expected;
-                rule.time = Some(RunTime { expected, left });
-                outcome = match rule.decide(pos, model_count, confidence) {
-                    EscalationVerdict::Escalate(_) if cx.try_escalate(&service) => {
-                        Outcome::Escalated
-                    }
-                    EscalationVerdict::Escalate(_) => Outcome::NoBudget,
-                    EscalationVerdict::NoCapacity => Outcome::NoCapacity,
-                    EscalationVerdict::NoTime | EscalationVerdict::Accept => Outcome::NoTime,
-                };
-                outcome == Outcome::Escalated
+            rule.time = expected.map(|expected| RunTime { expected, left });
+            outcome = match rule.decide(pos, model_count, confidence) {
+                _ if expected.is_none() => Outcome::NoEndpoint,
+                EscalationVerdict::Escalate(_) => Outcome::Escalated,
+                EscalationVerdict::NoCapacity => Outcome::NoCapacity,
+                EscalationVerdict::NoTime | EscalationVerdict::Accept => Outcome::NoTime,
             };
-            place_larger(cx, request_cx, model_index, confirm).await
+            match outcome {
+                Outcome::Escalated => {
+                    outcome = Outcome::NoEndpoint;
+                    let service = request_cx.service.clone();
+                    let confirm = || {
+                        outcome = match cx.try_escalate(&service) {
+                            true => Outcome::Escalated,
+                            false => Outcome::NoBudget,
+                        };
+                        outcome == Outcome::Escalated
+                    };
+                    place_larger(cx, request_cx, model_index, confirm).await
+                }
+                _ => None,
+            }
         }
     };
     record(cx, request_cx, &rule, outcome);
@@ -131,19 +139,18 @@
 }
 
 /// Assigns a request that has a smaller model's response to an endpoint for the model at this index
-/// of the ladder. The response is kept if no endpoint accepts the request or `confirm` rejects the
-/// endpoint.
+/// of the ladder. The response is kept if no endpoint accepts the request or `confirm` rejects it.
 async fn place_larger<W: Wire>(
     cx: &Arc<Cx<W>>,
     request_cx: &mut RequestContext,
     model_index: usize,
-    confirm: impl FnOnce(&InFlightRequest<W>) -> bool,
+    confirm: impl FnOnce() -> bool,
 ) -> Option<InFlightRequest<W>> {
     let smaller = std::mem::replace(&mut request_cx.model_index, model_index);
     // The endpoint that responded may run the larger model too.
     let responded = request_cx.excluded.pop();
     let placed = attempt::place(cx, request_cx, Purpose::Escalation).await;
-    let placed = placed.ok().filter(confirm);
+    let placed = placed.ok().filter(|_| confirm());
     if placed.is_none() {
         request_cx.model_index = smaller;
         request_cx.excluded.extend(responded);
@@ -151,6 +158,21 @@
     placed
 }
 
+/// Returns the expected time until the response head of the model at this index of the ladder; `None`
+/// if no endpoint can take the request. Unlike a placement, this uses no permit or warm-up request.
+fn expected_time<W: Wire>(
+    cx: &Cx<W>,
+    request_cx: &mut RequestContext,
+    model_index: usize,
+) -> Option<Duration> {
+    let smaller = std::mem::replace(&mut request_cx.model_index, model_index);
+    let responded = request_cx.excluded.pop();
+    let time = request_cx.expected_time(cx);
+    request_cx.model_index = smaller;
+    request_cx.excluded.extend(responded);
+    time.map(|time| time.expected)
+}
+
 /// Returns the time until the route's target; `None` if the route has none.
 fn time_to_target(request_cx: &RequestContext) -> Option<Duration> {
     let target = request_cx.route().target_latency?;
