Keep the number of nodes with the usage of a service, and build one curve

Cause: each evaluation counted all nodes under the state's lock and built the expected times of both scopes where one is used. Change: the cached usage has the number of nodes; a curve is built per scope.

--- a/crates/oatdale-relay/src/admission/load.rs
+++ b/crates/oatdale-relay/src/admission/load.rs
@@ -27,11 +27,7 @@
     /// Returns the load of a service; `None` if no recent sum has any of its endpoints.
     pub(crate) fn get<W: Wire>(&self, cx: &Cx<W>, service: &str) -> Option<ServiceLoad> {
         let now = cx.now();
-        let (usage, hosts) = {
-            let mut state = cx.state();
-            let usage = state.service_usage(now, service);
-            (usage, state.nodes.iter(now).count().max(1))
-        };
+        let usage = cx.state().service_usage(now, service);
         let sums = usage.sums?;
         let mut services = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let growth = match services.get_mut(service) {
@@ -42,7 +38,7 @@
             usage,
             spare: SpareCapacity {
                 load: usage.spare_slots,
-                hosts,
+                hosts: usage.nodes,
                 summed_until: sums.summed_until,
             },
             growth: growth.record(now, usage.used),
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -48,13 +48,6 @@
     prefixes: PrefixShares,
 }
 
-/// Expected times of a service at one moment.
-#[derive(Clone, Copy, Debug)]
-struct ServiceCurves {
-    all_nodes: TimeCurve,
-    own: TimeCurve,
-}
-
 impl Default for ServiceTimes {
     fn default() -> Self {
         ServiceTimes {
@@ -66,40 +59,33 @@
 }
 
 impl ServiceTimes {
-    fn curves(&self, now: Duration) -> ServiceCurves {
-        ServiceCurves {
-            all_nodes: self.all_nodes.curve(now),
-            own: self.own.curve(now),
-        }
-    }
-}
-
-impl ServiceCurves {
-    fn curve(&self, scope: LoadScope) -> &TimeCurve {
+    fn curve(&self, now: Duration, scope: LoadScope) -> TimeCurve {
         match scope {
-            LoadScope::AllNodes => &self.all_nodes,
-            LoadScope::Own => &self.own,
+            LoadScope::AllNodes => self.all_nodes.curve(now),
+            LoadScope::Own => self.own.curve(now),
         }
     }
 }
 
 impl ExpectedTimes {
-    /// Returns the expected times of a service.
-    fn curves(&self, now: Duration, service: &str) -> ServiceCurves {
-        let known = self.services.get(service);
-        known.map_or_else(|| ServiceTimes::default().curves(now), |t| t.curves(now))
+    /// Returns the expected times of a service by the load of this scope.
+    fn curve(&self, now: Duration, service: &str, scope: LoadScope) -> TimeCurve {
+        match self.services.get(service) {
+            Some(times) => times.curve(now, scope),
+            None => ServiceTimes::default().curve(now, scope),
+        }
     }
 
     /// Returns the expected time of a request.
     pub(super) fn time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
-        let curves = self.curves(now, service);
-        curves.curve(basis.scope).expected(basis.ahead)
+        let curve = self.curve(now, service, basis.scope);
+        curve.expected(basis.ahead)
     }
 
     /// Returns the expected time of the request without other load at the endpoint.
     fn idle_time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
-        let curves = self.curves(now, service);
-        curves.curve(basis.scope).idle(basis.ahead)
+        let curve = self.curve(now, service, basis.scope);
+        curve.idle(basis.ahead)
     }
 
     fn prefix_share(&self, now: Duration, request: &PlacementRequest<'_>, prefix: u64) -> f64 {
@@ -210,7 +196,9 @@
         let Some(prefix) = request.prefix else {
             return choose_of_two(&candidates, &mut rand::rng());
         };
-        let curve = self.expected_times.curves(now, request.service).all_nodes;
+        let curve = self
+            .expected_times
+            .curve(now, request.service, LoadScope::AllNodes);
         let time_s = |c: &TimedCandidate| {
             curve.time_s(LoadAhead {
                 load: c.health_load(),
--- a/crates/oatdale-relay/src/state/service_usage.rs
+++ b/crates/oatdale-relay/src/state/service_usage.rs
@@ -33,6 +33,8 @@
     /// The sums that the load is from; `None` if there are no recent ones, and this node's own load
     /// stands for that of each node.
     pub(crate) sums: Option<SumTimes>,
+    /// Number of nodes that share the service.
+    pub(crate) nodes: usize,
     /// Number of nodes that this node's own load stands for; 0 if there are sums.
     assumed_nodes: usize,
 }
@@ -93,8 +95,12 @@
 
     fn compute_usage(&self, now: Duration, service: &str) -> ServiceUsage {
         let counted = self.counted_endpoints(now, service);
-        let mut summed = ServiceUsage::default();
-        let mut all = ServiceUsage::default();
+        let nodes = self.nodes.iter(now).count().max(1);
+        let mut summed = ServiceUsage {
+            nodes,
+            ..ServiceUsage::default()
+        };
+        let mut all = summed;
         for entry in &counted {
             let slots = f64::from(entry.endpoint.slots);
             all.wait_free += WAIT_FREE_LOAD;
@@ -116,7 +122,6 @@
         if summed.sums.is_some() {
             return summed.scaled(unsampled);
         }
-        let nodes = self.nodes.iter(now).count().max(1);
         let all = all.scaled(unsampled);
         let used = self.directory.own_load(now, service) * nodes as f64;
         ServiceUsage {
