--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -1,8 +1,8 @@
 //! Decisions about single requests, and the order in which they wait.
 
 use oatdale_policy::relay::{
-    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, Fingerprint, Prospect,
-    ReturningCallers, ServiceOutlook, UrgentTargets, WaitingRequest, admit,
+    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, Fingerprint, LoadGrowth,
+    Prospect, ReturningCallers, ServiceOutlook, UrgentTargets, WaitingRequest, admit,
 };
 use std::time::Duration;
 
@@ -261,3 +261,13 @@
     let still_returning = (0..1_000).filter(|_| record(2_500));
     assert!(still_returning.count() < 500);
 }
+
+// Guards against a host with few requests that never sees the load grow.
+#[test]
+fn growth_is_known_from_loads_that_are_seconds_old() {
+    let mut growth = LoadGrowth::default();
+    assert_eq!(growth.record(ms(0), 20.0), 0.0);
+    assert_eq!(growth.record(ms(2_000), 100.0), 0.2);
+    assert_eq!(growth.record(ms(2_500), 200.0), 0.5);
+    assert_eq!(growth.record(ms(9_000), 400.0), 0.0);
+}
