Count zero slots in an endpoint's record as unknown

Cause: an endpoint with zero slots added its load but no capacity, which looked like an overload. Change: such an endpoint counts for the wait-free load but not for the utilization and spare slots. The time up to which a sum includes requests is computed in one place. Ran: the new test of state/service_usage.rs passes.

--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -1,7 +1,7 @@
 //! Expected times until the response head, by service.
 
 use crate::directory::{EndpointKey, Entry};
-use crate::loads::AggregationScheme;
+use crate::state::service_usage::SumTimes;
 use crate::state::{KeyedEntry, Pick, PlacementRequest, State};
 use oatdale_policy::relay::{
     CachedPrefix, LoadAhead, PrefixShares, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve,
@@ -217,13 +217,10 @@
     }
 
     /// Returns an endpoint's load, of all nodes if sums are recent.
-    ///
-    /// A load is in the sums after up to two intervals: one until the node's next report, one until
-    /// the aggregator's next sum.
     pub(super) fn load_of_all_nodes(&self, now: Duration, entry: &Entry) -> (LoadScope, f64) {
         match self.load_sums.last_sum_at(now, entry.number) {
             Some(last_sum) => {
-                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
+                let summed_until = SumTimes::new(last_sum).summed_until;
                 let load = entry.known_load(now, Some(summed_until))
                     + self.load_sums.other_nodes_load(now, entry.number);
                 (LoadScope::AllNodes, load)
--- a/crates/oatdale-relay/src/state/service_usage.rs
+++ b/crates/oatdale-relay/src/state/service_usage.rs
@@ -26,9 +26,11 @@
     pub(crate) used: f64,
     /// Load that they take before requests wait.
     pub(crate) wait_free: f64,
-    /// Requests that they run at the same time.
+    /// Requests that they run at the same time, as far as their records say so.
     pub(crate) slots: f64,
-    /// Load that they can take until each has as much as it runs at the same time.
+    /// Load at the endpoints that `slots` counts.
+    used_slots: f64,
+    /// Load that these can take until each has as much as it runs at the same time.
     pub(crate) spare_slots: f64,
     /// The sums that the load is from; `None` if there are no recent ones, and this node's own load
     /// stands for that of each node.
@@ -62,9 +64,21 @@
         }
     }
 
-    /// Returns the load as a fraction of the requests that the endpoints run at the same time.
+    /// Returns the load as a fraction of the requests that the endpoints run at the same time; 0 if
+    /// that is not known of any.
     pub(crate) fn utilization(&self) -> f64 {
-        self.used / self.slots.max(1.0)
+        self.used_slots / self.slots.max(1.0)
+    }
+
+    /// Adds an endpoint with a load; `slots` is 0 if unknown.
+    fn add(&mut self, load: f64, slots: u32) {
+        self.used += load;
+        self.wait_free += WAIT_FREE_LOAD;
+        if slots > 0 {
+            self.slots += f64::from(slots);
+            self.used_slots += load;
+            self.spare_slots += (f64::from(slots) - load).max(0.0);
+        }
     }
 
     fn scaled(self, factor: f64) -> ServiceUsage {
@@ -72,6 +86,7 @@
             used: self.used * factor,
             wait_free: self.wait_free * factor,
             slots: self.slots * factor,
+            used_slots: self.used_slots * factor,
             spare_slots: self.spare_slots * factor,
             ..self
         }
@@ -102,17 +117,13 @@
         };
         let mut all = summed;
         for entry in &counted {
-            let slots = f64::from(entry.endpoint.slots);
-            all.wait_free += WAIT_FREE_LOAD;
-            all.slots += slots;
+            let slots = entry.endpoint.slots;
+            all.add(0.0, slots);
             let Some(load) = self.total_load(now, entry) else {
                 continue;
             };
             let sums = self.sum_times(now, entry);
-            summed.used += load;
-            summed.wait_free += WAIT_FREE_LOAD;
-            summed.slots += slots;
-            summed.spare_slots += (slots - load).max(0.0);
+            summed.add(load, slots);
             summed.sums = summed
                 .sums
                 .map_or(sums, |s| sums.map(|sums| s.earlier(sums)));
@@ -126,6 +137,7 @@
         let used = self.directory.own_load(now, service) * nodes as f64;
         ServiceUsage {
             used,
+            used_slots: used,
             spare_slots: (all.slots - used).max(0.0),
             assumed_nodes: nodes,
             ..all
@@ -160,16 +172,20 @@
 
     fn sum_times(&self, now: Duration, entry: &Entry) -> Option<SumTimes> {
         let received_at = self.load_sums.last_sum_at(now, entry.number)?;
-        // A load is in the sums after up to two intervals, as in the placement of requests.
-        let summed_until = received_at.saturating_sub(2 * AggregationScheme::INTERVAL);
-        Some(SumTimes {
-            received_at,
-            summed_until,
-        })
+        Some(SumTimes::new(received_at))
     }
 }
 
 impl SumTimes {
+    /// Returns the times of a sum. A load is in the sums after up to two intervals: one until the
+    /// node's next report, one until the aggregator's next sum.
+    pub(super) fn new(received_at: Duration) -> Self {
+        SumTimes {
+            received_at,
+            summed_until: received_at.saturating_sub(2 * AggregationScheme::INTERVAL),
+        }
+    }
+
     fn earlier(self, other: SumTimes) -> SumTimes {
         SumTimes {
             received_at: self.received_at.min(other.received_at),
@@ -182,3 +198,18 @@
     let ranks = entries.iter().map(|e| allowed.rank(&e.endpoint.version));
     ranks.min()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against admission control that takes a record without slots for an overload.
+    #[test]
+    fn endpoints_with_unknown_slots_do_not_count_as_overloaded() {
+        let mut usage = ServiceUsage::default();
+        usage.add(30.0, 0);
+        assert_eq!((usage.used, usage.utilization()), (30.0, 0.0));
+        usage.add(4.0, 16);
+        assert_eq!((usage.spare_slots, usage.utilization()), (12.0, 0.25));
+    }
+}
