Let no new request overtake waiting ones of its urgency

Cause: a new request was placed past waiting ones of the same urgency, and a request placed after its wait did not use the host's release share. Change: a request waits behind those of its urgency with at least its progress; a request placed after its wait is charged to the share, with a debt of at most one request. Ran: relay_admission (extended; has_more_urgent became has_ahead, checked for both cases) and relay_admission_replay pass; clippy of oatdale-relay passes.

--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -47,7 +47,7 @@
     pub has_returned: bool,
     /// As what the request has waited at this host; it waits only once.
     pub has_waited: Option<Prospect>,
-    /// Whether requests that are more urgent and can be in time wait at this host.
+    /// Whether requests that go before this one and can be in time wait at this host.
     pub is_behind: bool,
     /// Smallest target that more urgent requests have recently missed. This request is not placed
     /// while they are refused.
--- a/crates/oatdale-policy/src/relay/admission/queue.rs
+++ b/crates/oatdale-policy/src/relay/admission/queue.rs
@@ -53,6 +53,13 @@
         Some(item.ticket)
     }
 
+    /// Whether a request with at least this progress waits.
+    fn has_progress(&self, progress: u32) -> bool {
+        let flows = self.queue.backlogged_flows();
+        let mut heads = flows.iter().filter_map(|flow| self.queue.head(*flow));
+        heads.any(|head| head.priority >= progress)
+    }
+
     fn head(&self) -> Option<Ticket> {
         let flow = self.queue.backlogged_flows().first().copied()?;
         Some(self.queue.head(flow)?.ticket)
@@ -93,10 +100,13 @@
         level.queue.push(flow, item);
     }
 
-    /// Whether requests that are more urgent than this and can be in time wait.
-    pub fn has_more_urgent(&self, urgency: u8) -> bool {
+    /// Whether requests wait that can be in time and go before a new one: more urgent ones, or those
+    /// of the same urgency with at least its progress.
+    pub fn has_ahead(&self, urgency: u8, progress: u32) -> bool {
         let in_time = (Prospect::InTime, 0)..(Prospect::InTime, urgency);
+        let same = self.levels.get(&(Prospect::InTime, urgency));
         self.levels.range(in_time).any(|(_, l)| l.queue.len() > 0)
+            || same.is_some_and(|l| l.has_progress(progress))
     }
 
     /// Returns the request that is released next.
--- a/crates/oatdale-policy/src/relay/admission/share.rs
+++ b/crates/oatdale-policy/src/relay/admission/share.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Deducts a request that was placed without being released. At most this request is owed, so that
+    /// those that wait are still released.
+    pub fn charge(&mut self, weight: f64) {
+        self.credit = self.credit.map(|credit| (credit - weight).max(-weight));
+    }
+
     /// Drops what was granted and is not needed, except the fraction of a request, because no request
     /// waits any more.
     pub fn forfeit(&mut self) {
--- a/crates/oatdale-policy/tests/relay_admission.rs
+++ b/crates/oatdale-policy/tests/relay_admission.rs
@@ -2,7 +2,8 @@
 
 use oatdale_policy::relay::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, Fingerprint, LoadGrowth,
-    Prospect, ReturningCallers, ServiceOutlook, UrgentTargets, WaitingRequest, admit,
+    Prospect, ReleaseShare, ReturningCallers, ServiceOutlook, SpareCapacity, UrgentTargets,
+    WaitingRequest, admit,
 };
 use std::time::Duration;
 
@@ -210,7 +211,7 @@
     queue.remove(gone);
     queue.reclassify(changed, 0, Some("first".to_owned()));
     assert_eq!(queue.len(), 6);
-    assert!(queue.has_more_urgent(1) && !queue.has_more_urgent(0));
+    assert!(queue.has_ahead(1, 1) && queue.has_ahead(0, 0) && !queue.has_ahead(0, 1));
     let order = customers_in_order(&mut queue);
     assert_eq!(order, ["urgent", "first", "new", "new", "draft", "late"]);
     assert!(queue.is_empty());
@@ -271,3 +272,22 @@
     assert_eq!(growth.record(ms(2_500), 200.0), 0.5);
     assert_eq!(growth.record(ms(9_000), 400.0), 0.0);
 }
+
+// Guards against requests that are placed after their wait and released by the share of others too.
+#[test]
+fn a_request_placed_after_its_wait_uses_the_release_share() {
+    let spare = SpareCapacity {
+        load: 10.0,
+        hosts: 1,
+        summed_until: ms(0),
+    };
+    let released = |charged: usize| {
+        let mut share = ReleaseShare::default();
+        share.grant(ms(0), spare, &mut rand::rng());
+        (0..charged).for_each(|_| share.charge(1.0));
+        std::iter::repeat_with(|| share.take(1.0))
+            .take_while(|t| *t)
+            .count()
+    };
+    assert_eq!((released(0), released(4), released(99)), (10, 6, 0));
+}
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -102,6 +102,9 @@
         }
         AdmissionDecision::Place if !must_wait => Ok(()),
         AdmissionDecision::Place | AdmissionDecision::Wait { .. } => {
+            if !is_released {
+                cx.admission.waiting.charge(request_cx);
+            }
             let decision = if is_released { "released" } else { "placed" };
             log_decision(
                 cx,
@@ -210,7 +213,7 @@
         time_left: request_cx.time_left(),
         has_returned,
         has_waited,
-        is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
+        is_behind: cx.admission.waiting.has_ahead(cx, request_cx, has_returned),
         urgent_target,
     };
     let draw = rand::rng().random_range(0.0..1.0);
--- a/crates/oatdale-relay/src/admission/waiting.rs
+++ b/crates/oatdale-relay/src/admission/waiting.rs
@@ -71,11 +71,29 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether requests of a service that are more urgent and can be in time wait.
-    pub(super) fn has_more_urgent(&self, service: &str, urgency: u8) -> bool {
+    /// Whether requests wait that go before this one and can be in time.
+    pub(super) fn has_ahead<W: Wire>(
+        &self,
+        cx: &Cx<W>,
+        request_cx: &RequestContext,
+        has_returned: bool,
+    ) -> bool {
+        let service = &request_cx.service;
+        let is_idle = |s: &ServiceQueue| s.queue.is_empty();
+        if self.lock().services.get(service).is_none_or(is_idle) {
+            return false;
+        }
+        let progress = progress(cx, request_cx, has_returned);
         let queues = self.lock();
         let known = queues.services.get(service);
-        known.is_some_and(|s| s.queue.has_more_urgent(urgency))
+        known.is_some_and(|s| s.queue.has_ahead(request_cx.urgency, progress))
+    }
+
+    /// Counts a request that is placed without being released.
+    pub(super) fn charge(&self, request_cx: &RequestContext) {
+        if let Some(known) = self.lock().services.get_mut(&request_cx.service) {
+            known.share.charge(request_cx.weight());
+        }
     }
 
     fn services_with_requests(&self) -> Vec<String> {
@@ -93,9 +111,7 @@
         prospect: Prospect,
         has_returned: bool,
     ) -> Option<Waiter<W>> {
-        let session = request_cx.session_hash();
-        let has_session =
-            session.is_some_and(|s| cx.state().roll_outs.has_session(&request_cx.service, s));
+        let progress = progress(cx, request_cx, has_returned);
         let mut queues = self.lock();
         if queues
             .services
@@ -111,7 +127,7 @@
         let ticket = known.queue.push(WaitingRequest {
             prospect,
             urgency: request_cx.urgency,
-            progress: 2 * u32::from(has_returned) + u32::from(has_session),
+            progress,
             customer: request_cx.customer.clone(),
             weight: request_cx.weight(),
         });
@@ -135,6 +151,14 @@
     }
 }
 
+/// Returns how far the caller of a request has come; callers that were refused before go first.
+fn progress<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext, has_returned: bool) -> u32 {
+    let session = request_cx.session_hash();
+    let has_session =
+        session.is_some_and(|s| cx.state().roll_outs.has_session(&request_cx.service, s));
+    2 * u32::from(has_returned) + u32::from(has_session)
+}
+
 impl From<&RequestContext> for Origin {
     fn from(request_cx: &RequestContext) -> Self {
         Origin {
