Shorten comments on load decisions, and name the type of summed loads

Two types were named ServiceLoad; that of the relay's admission control is now SummedLoad. No behaviour changes.

--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -1,9 +1,9 @@
 //! Admission control: whether a request is placed at once, waits at its host or is refused, and when
 //! a refused caller is to return.
 //!
-//! Answers the load of a burst that exceeds the capacity of a service for some seconds: 2,800
-//! requests within two seconds made the median time to the first event exceed its target, without a
-//! single refusal. Each host decides by itself, on sums of the load that are up to half a second old.
+//! Answers the load of a burst that exceeds the capacity of a service for some seconds, so that all
+//! responses miss their target unless some callers return later. Each host decides by itself, on sums
+//! of the load that are up to half a second old.
 
 mod growth;
 mod queue;
--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -9,8 +9,8 @@
 use crate::relay::ladder::{larger_model, size_factor};
 use std::time::Duration;
 
-/// Weighted load at an endpoint up to which requests do not wait. Measured: the time to the
-/// response head is the same up to a load of five to six and then grows by 100 ms per unit.
+/// Weighted load at an endpoint up to which requests do not wait: above it, the measured time to the
+/// response head grows with the load.
 pub const WAIT_FREE_LOAD: f64 = 6.0;
 
 /// Load of a service, as a multiple of its wait-free load, up to which the full threshold applies.
@@ -19,7 +19,7 @@
 
 /// Load beyond [`FULL_THRESHOLD_LOAD`] at which a run of average cost for its value is no longer
 /// made at any confidence. The runs that hosts start within the lag of the sums must not move the
-/// load across this range, or the hosts oscillate; in the replay they do with a range of 0.5.
+/// load across this range, or the hosts oscillate, as they do with a range of 0.5.
 const THRESHOLD_LOAD_RANGE: f64 = 1.0;
 
 /// Shares of the time left until the target: an expected time up to the first one does not lower
--- a/crates/oatdale-policy/src/relay/expected_time.rs
+++ b/crates/oatdale-policy/src/relay/expected_time.rs
@@ -1,18 +1,14 @@
 //! Expected time from sending a request to an endpoint until the response head.
 //!
-//! Load pattern: an engine works on several requests at once. Up to some load requests hardly wait,
-//! above it the time rises steeply, so a straight line fits neither part. A node gets only a few
-//! responses of a service per second, and in a burst the load passes through its whole range within
-//! two seconds. So the times are means at evenly spaced loads: each response counts towards the two
-//! nearest ones, old responses lose their weight, and the result is made monotone in the load, so
-//! that neighbouring loads share what is known. A slow endpoint has as many places as others and
-//! takes longer for each request, so the time at a load is multiplied by its speed factor.
+//! Answers bursts in which the load of an engine passes through its whole range within two seconds.
+//! Requests hardly wait up to some load, and above it the time rises steeply, which no straight line
+//! fits. So the times are means at evenly spaced loads, with forgetting, made monotone in the load,
+//! and multiplied by the endpoint's speed factor.
 //!
-//! Nodes know loads late: many send to an endpoint that looks idle. If such a response counted
-//! towards the load that was known when its request was sent, idle endpoints would seem slow, all
-//! loads would look alike, and every request would go to the fastest endpoints. So it counts towards
-//! the load known when it arrives, if that is higher, and the ratio of observed to expected times
-//! is kept apart.
+//! Nodes know loads late and many send to an endpoint that looks idle. If such a response counted
+//! towards the load known when its request was sent, idle endpoints would seem slow. So it counts
+//! towards the load known when it arrives, if that is higher, and the ratio of observed to expected
+//! times is kept apart.
 
 use std::time::Duration;
 
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -7,7 +7,7 @@
 mod load;
 mod waiting;
 
-use crate::admission::load::{ServiceLoad, ServiceLoads};
+use crate::admission::load::{ServiceLoads, SummedLoad};
 use crate::admission::waiting::Waiting;
 use crate::cx::Cx;
 use crate::line_limit::LineLimit;
@@ -148,7 +148,7 @@
 struct Evaluation {
     decision: AdmissionDecision,
     expected: Duration,
-    load: Option<ServiceLoad>,
+    load: Option<SummedLoad>,
     /// The route's target, if the request is not placed because it would miss it.
     missed_target: Option<Duration>,
 }
--- a/crates/oatdale-relay/src/admission/load.rs
+++ b/crates/oatdale-relay/src/admission/load.rs
@@ -10,7 +10,7 @@
 
 /// Load of a service for which recent sums are known.
 #[derive(Clone, Copy, PartialEq, Debug)]
-pub(crate) struct ServiceLoad {
+pub(crate) struct SummedLoad {
     usage: ServiceUsage,
     spare: SpareCapacity,
     /// Fraction of the load that was added in the time by which the sums lag.
@@ -25,7 +25,7 @@
 
 impl ServiceLoads {
     /// Returns the load of a service; `None` if no recent sum has any of its endpoints.
-    pub(crate) fn get<W: Wire>(&self, cx: &Cx<W>, service: &str) -> Option<ServiceLoad> {
+    pub(crate) fn get<W: Wire>(&self, cx: &Cx<W>, service: &str) -> Option<SummedLoad> {
         let now = cx.now();
         let usage = cx.state().service_usage(now, service);
         let sums = usage.sums?;
@@ -34,7 +34,7 @@
             Some(growth) => growth,
             None => services.entry(service.to_owned()).or_default(),
         };
-        Some(ServiceLoad {
+        Some(SummedLoad {
             usage,
             spare: SpareCapacity {
                 load: usage.spare_slots,
@@ -47,7 +47,7 @@
     }
 }
 
-impl ServiceLoad {
+impl SummedLoad {
     /// Load as a fraction of the capacity.
     pub(crate) fn utilization(&self) -> f64 {
         self.usage.utilization()
--- a/crates/oatdale-relay/src/admission/waiting.rs
+++ b/crates/oatdale-relay/src/admission/waiting.rs
@@ -1,6 +1,6 @@
 //! The requests that wait at this node, and the task that releases them.
 
-use crate::admission::load::ServiceLoad;
+use crate::admission::load::SummedLoad;
 use crate::cx::Cx;
 use crate::headers::host_header;
 use crate::request_context::RequestContext;
@@ -194,7 +194,7 @@
 
     /// Releases the requests that fit into this node's share of the spare capacity, or all of them if
     /// the load is not known.
-    fn release(&mut self, now: Duration, load: Option<ServiceLoad>) {
+    fn release(&mut self, now: Duration, load: Option<SummedLoad>) {
         if let Some(load) = load {
             self.share.grant(now, load.spare(), &mut rand::rng());
         }
