--- a/crates/oatdale-policy/src/relay/admission.rs
+++ b/crates/oatdale-policy/src/relay/admission.rs
@@ -1,21 +1,23 @@
 //! Admission control: whether a request is placed at once, waits at its host or is refused, and when
 //! a refused caller is to return.
 //!
-//! Answers the load of a burst that exceeds the capacity of a service for some seconds: 2,800
-//! requests within two seconds made the median time to the first event exceed its target, without a
-//! single refusal. Each host decides by itself, on sums of the load that are up to half a second old.
+//! Answers the load of a burst that exceeds the capacity of a service for some seconds, so that all
+//! responses miss their target unless some callers return later. Each host decides by itself, on sums
+//! of the load that are up to half a second old.
 
 mod growth;
 mod queue;
 mod rejections;
 mod returning;
 mod share;
+mod urgent_targets;
 
 pub use crate::relay::admission::growth::LoadGrowth;
 pub use crate::relay::admission::queue::{AdmissionQueue, WaitingRequest};
 pub use crate::relay::admission::rejections::Rejections;
 pub use crate::relay::admission::returning::ReturningCallers;
 pub use crate::relay::admission::share::{ReleaseShare, SpareCapacity};
+pub use crate::relay::admission::urgent_targets::UrgentTargets;
 
 use std::time::Duration;
 
@@ -43,10 +45,13 @@
     pub time_left: Duration,
     /// Whether the caller was refused before, so that another refusal would be its last response.
     pub has_returned: bool,
-    /// Whether the request may still wait at this host.
-    pub may_wait: bool,
-    /// Whether requests that are more urgent and can be in time wait at this host.
+    /// As what the request has waited at this host; it waits only once.
+    pub has_waited: Option<Prospect>,
+    /// Whether requests that go before this one and can be in time wait at this host.
     pub is_behind: bool,
+    /// Smallest target that more urgent requests have recently missed. This request is not placed
+    /// while they are refused.
+    pub urgent_target: Option<Duration>,
 }
 
 /// What is known of the service that a request is for.
@@ -54,12 +59,22 @@
 pub struct ServiceOutlook {
     /// Expected time to the first event if the request is placed now.
     pub expected: Duration,
+    /// Expected time to it at the same endpoint without other load.
+    pub idle: Duration,
     /// Load of all hosts as a fraction of the capacity; `None` if no recent sum is known.
     pub utilization: Option<f64>,
     /// Fraction of the load that was added in the time by which the sums lag, from 0 to 1.
     pub growth: f64,
 }
 
+impl ServiceOutlook {
+    /// Expected time with the load that may have been added since: as much as the sums have gained.
+    fn projected(&self) -> Duration {
+        let wait = self.expected.saturating_sub(self.idle);
+        self.expected + wait.mul_f64(self.growth.clamp(0.0, 1.0))
+    }
+}
+
 /// What to do with a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum AdmissionDecision {
@@ -112,11 +127,32 @@
 impl AdmissionRequest {
     /// Expected time up to which the request is in time.
     fn in_time_bound(&self) -> Duration {
-        self.target.map_or(self.time_left, |target| {
+        let target = match (self.target, self.urgent_target) {
+            (Some(own), Some(urgent)) => Some(own.min(urgent)),
+            (own, urgent) => own.or(urgent),
+        };
+        target.map_or(self.time_left, |target| {
             target.saturating_sub(self.elapsed).min(self.time_left)
         })
     }
 
+    /// Returns the request's own target if it is expected to be missed. A caller with a short deadline
+    /// says nothing about what other requests can expect.
+    pub fn missed_target(&self, outlook: &ServiceOutlook) -> Option<Duration> {
+        self.target
+            .filter(|target| outlook.projected() > *target && outlook.idle < *target)
+    }
+
+    fn may_wait(&self) -> bool {
+        self.has_waited.is_none()
+    }
+
+    /// Whether the caller has enough time left to return. It has not if it was refused before or
+    /// after the long wait of a request that can only be late.
+    fn may_return(&self) -> bool {
+        !self.has_returned && self.has_waited != Some(Prospect::Late)
+    }
+
     fn max_wait(&self) -> Duration {
         self.target.unwrap_or(self.time_left).min(self.time_left) / MAX_WAIT_DIVISOR
     }
@@ -132,10 +168,10 @@
 /// refused together.
 pub fn admit(request: &AdmissionRequest, outlook: &ServiceOutlook, draw: f64) -> AdmissionDecision {
     let bound = request.in_time_bound();
-    // As much load as the sums have gained may have been added since.
-    let projected = outlook
-        .expected
-        .mul_f64(1.0 + outlook.growth.clamp(0.0, 1.0));
+    // A request that takes most of its target by itself would never be in time. It may wait for half
+    // as long as others, so that it gets a share of the capacity.
+    let bound = bound.max(outlook.idle + bound / 2).min(request.time_left);
+    let projected = outlook.projected();
     let excess = projected.saturating_sub(bound);
     let max_retry = request.time_left / RETRY_TIME_DIVISOR;
     let refuse = |reason| AdmissionDecision::Refuse {
@@ -145,18 +181,18 @@
     let wait = |prospect, limit| AdmissionDecision::Wait { prospect, limit };
     match () {
         () if !may_be_overloaded(outlook.utilization) => AdmissionDecision::Place,
-        () if excess.is_zero() && request.is_behind && request.may_wait => {
+        () if excess.is_zero() && request.is_behind && request.may_wait() => {
             wait(Prospect::InTime, request.max_wait())
         }
         () if excess.is_zero() => AdmissionDecision::Place,
         () if outlook.expected > request.time_left => refuse(AdmissionRefusal::AfterDeadline),
         // The estimate is as old as the sums: so short an excess may be gone by now.
-        () if request.may_wait && excess <= request.max_wait() => {
+        () if request.may_wait() && excess <= request.max_wait() => {
             wait(Prospect::InTime, request.max_wait())
         }
-        () if !request.has_returned && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
+        () if request.may_return() && excess <= max_retry => refuse(AdmissionRefusal::Overloaded),
         // A late response is worth more than none.
-        () if request.may_wait => {
+        () if request.may_wait() => {
             let spare_time = request.time_left - outlook.expected;
             let limit = (spare_time / 2).min(request.time_left / MAX_LATE_WAIT_DIVISOR);
             wait(Prospect::Late, limit)
@@ -165,11 +201,13 @@
     }
 }
 
-/// Returns a time between the one at which a new request is expected to be in time and the one at
-/// which the work in hand and that of the refused callers has drained, at most `max`. The callers are
+/// Returns a time between the one at which a new request is expected to be in time, at most half of
+/// `max`, and the one at which the work in hand and that of the refused callers has drained, at most
+/// `max`. The callers are
 /// spread evenly over it.
 fn retry_after(excess: Duration, drained: Duration, max: Duration, draw: f64) -> Duration {
-    let earliest = excess.min(max);
+    // With an excess beyond `max`, all callers would otherwise return at the same time.
+    let earliest = excess.min(max / 2);
     // The refused callers bring about as much work as there is in hand.
     let latest = (2 * drained).min(max);
     earliest
--- a/crates/oatdale-relay/src/admission.rs
+++ b/crates/oatdale-relay/src/admission.rs
@@ -7,7 +7,7 @@
 mod load;
 mod waiting;
 
-use crate::admission::load::{ServiceLoad, ServiceLoads};
+use crate::admission::load::{ServiceLoads, SummedLoad};
 use crate::admission::waiting::Waiting;
 use crate::cx::Cx;
 use crate::line_limit::LineLimit;
@@ -16,8 +16,8 @@
 use crate::site::SiteConfig;
 use crate::wire::Wire;
 use oatdale_policy::relay::{
-    AdmissionDecision, AdmissionRefusal, AdmissionRequest, Rejections, ReturningCallers,
-    ServiceOutlook, admit, may_be_overloaded,
+    AdmissionDecision, AdmissionRefusal, AdmissionRequest, Prospect, Rejections, ReturningCallers,
+    ServiceOutlook, UrgentTargets, admit, may_be_overloaded,
 };
 use rand::RngExt;
 use std::collections::HashMap;
@@ -43,6 +43,8 @@
     returning: ReturningCallers,
     /// Rejections by service.
     rejections: HashMap<String, Rejections>,
+    /// Missed targets by service.
+    urgent_targets: HashMap<String, UrgentTargets>,
     lines: LineLimit,
 }
 
@@ -71,7 +73,7 @@
         return Ok(());
     }
     let has_returned = has_returned(cx, request_cx);
-    let mut evaluation = evaluate(cx, request_cx, has_returned, true);
+    let mut evaluation = evaluate(cx, request_cx, has_returned, None);
     let began = Instant::now();
     let mut is_released = false;
     let must_wait = matches!(evaluation.decision, AdmissionDecision::Wait { .. });
@@ -84,7 +86,7 @@
             is_released = timeout(limit, waiter.released()).await.is_ok();
         }
         if !is_released {
-            evaluation = evaluate(cx, request_cx, has_returned, false);
+            evaluation = evaluate(cx, request_cx, has_returned, Some(prospect));
         }
     }
     let waited = began.elapsed();
@@ -100,6 +102,9 @@
         }
         AdmissionDecision::Place if !must_wait => Ok(()),
         AdmissionDecision::Place | AdmissionDecision::Wait { .. } => {
+            if !is_released {
+                cx.admission.waiting.charge(request_cx);
+            }
             let decision = if is_released { "released" } else { "placed" };
             log_decision(
                 cx,
@@ -143,25 +148,33 @@
 struct Evaluation {
     decision: AdmissionDecision,
     expected: Duration,
-    load: Option<ServiceLoad>,
+    load: Option<SummedLoad>,
+    /// The route's target, if the request is not placed because it would miss it.
+    missed_target: Option<Duration>,
 }
 
 fn evaluate<W: Wire>(
     cx: &Cx<W>,
     request_cx: &RequestContext,
     has_returned: bool,
-    may_wait: bool,
+    has_waited: Option<Prospect>,
 ) -> Evaluation {
-    let mut evaluation = evaluate_once(cx, request_cx, has_returned, may_wait);
+    let mut evaluation = evaluate_once(cx, request_cx, has_returned, has_waited);
     for _ in 1..MAX_EVALUATIONS {
         if evaluation.decision == AdmissionDecision::Place {
             break;
         }
-        let other = evaluate_once(cx, request_cx, has_returned, may_wait);
+        let other = evaluate_once(cx, request_cx, has_returned, has_waited);
         if other.expected < evaluation.expected {
             evaluation = other;
         }
     }
+    if let Some(target) = evaluation.missed_target {
+        let mut callers = cx.admission.callers();
+        let missed = callers.urgent_targets.entry(request_cx.service.clone());
+        let missed = missed.or_default();
+        missed.record_missed(cx.now(), request_cx.urgency, target);
+    }
     evaluation
 }
 
@@ -169,53 +182,65 @@
     cx: &Cx<W>,
     request_cx: &RequestContext,
     has_returned: bool,
-    may_wait: bool,
+    has_waited: Option<Prospect>,
 ) -> Evaluation {
     let (service, urgency) = (&request_cx.service, request_cx.urgency);
     let load = cx.admission.loads.get(cx, service);
     let utilization = load.map(|l| l.utilization());
     // Not known for most requests, since it takes another choice among the endpoints.
-    let expected = match may_be_overloaded(utilization) {
+    let time = match may_be_overloaded(utilization) {
         true => request_cx.expected_time(cx),
         false => None,
     };
     // If no endpoint can take it, the attempt finds out why and when one can.
-    let Some(expected) = expected else {
+    let Some(time) = time else {
         return Evaluation {
             decision: AdmissionDecision::Place,
             expected: Duration::ZERO,
             load,
+            missed_target: None,
         };
     };
+    let now = cx.now();
+    let urgent_target = {
+        let callers = cx.admission.callers();
+        let missed = callers.urgent_targets.get(service);
+        missed.and_then(|m| m.missed_by_more_urgent(now, urgency))
+    };
     let request = AdmissionRequest {
         target: request_cx.route().target_latency,
         elapsed: request_cx.arrival.elapsed(),
         time_left: request_cx.time_left(),
         has_returned,
-        may_wait,
-        is_behind: cx.admission.waiting.has_more_urgent(service, urgency),
+        has_waited,
+        is_behind: cx.admission.waiting.has_ahead(cx, request_cx, has_returned),
+        urgent_target,
     };
     let draw = rand::rng().random_range(0.0..1.0);
     let outlook = ServiceOutlook {
-        expected,
+        expected: time.expected,
+        idle: time.idle,
         utilization,
         growth: load.map_or(0.0, |l| l.growth),
     };
     let decision = admit(&request, &outlook, draw);
+    let is_placed = decision == AdmissionDecision::Place;
     Evaluation {
         decision,
-        expected,
+        expected: time.expected,
         load,
+        missed_target: request.missed_target(&outlook).filter(|_| !is_placed),
     }
 }
 
 /// Whether the caller was probably refused before, by this node or another one.
 fn has_returned<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) -> bool {
-    let route = &request_cx.route().name;
+    let route = request_cx.route();
     let (is_short_of_time, has_refused) = {
         let returning = &mut cx.admission.callers().returning;
         let time = request_cx.metadata.timeout;
-        let is_short = time.is_some_and(|time| returning.record_time(route, time));
+        let is_short =
+            time.is_some_and(|time| returning.record_time(&route.name, time, route.timeout));
         (is_short, returning.has_refused(cx.now()))
     };
     // The fingerprint takes time, so it is not computed unless it may be known.
--- a/crates/oatdale-relay/src/admission/load.rs
+++ b/crates/oatdale-relay/src/admission/load.rs
@@ -10,7 +10,7 @@
 
 /// Load of a service for which recent sums are known.
 #[derive(Clone, Copy, PartialEq, Debug)]
-pub(crate) struct ServiceLoad {
+pub(crate) struct SummedLoad {
     usage: ServiceUsage,
     spare: SpareCapacity,
     /// Fraction of the load that was added in the time by which the sums lag.
@@ -25,24 +25,20 @@
 
 impl ServiceLoads {
     /// Returns the load of a service; `None` if no recent sum has any of its endpoints.
-    pub(crate) fn get<W: Wire>(&self, cx: &Cx<W>, service: &str) -> Option<ServiceLoad> {
+    pub(crate) fn get<W: Wire>(&self, cx: &Cx<W>, service: &str) -> Option<SummedLoad> {
         let now = cx.now();
-        let (usage, hosts) = {
-            let mut state = cx.state();
-            let usage = state.service_usage(now, service);
-            (usage, state.nodes.iter(now).count().max(1))
-        };
+        let usage = cx.state().service_usage(now, service);
         let sums = usage.sums?;
         let mut services = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let growth = match services.get_mut(service) {
             Some(growth) => growth,
             None => services.entry(service.to_owned()).or_default(),
         };
-        Some(ServiceLoad {
+        Some(SummedLoad {
             usage,
             spare: SpareCapacity {
                 load: usage.spare_slots,
-                hosts,
+                hosts: usage.nodes,
                 summed_until: sums.summed_until,
             },
             growth: growth.record(now, usage.used),
@@ -51,7 +47,7 @@
     }
 }
 
-impl ServiceLoad {
+impl SummedLoad {
     /// Load as a fraction of the capacity.
     pub(crate) fn utilization(&self) -> f64 {
         self.usage.utilization()
--- a/crates/oatdale-relay/src/state/expected_time.rs
+++ b/crates/oatdale-relay/src/state/expected_time.rs
@@ -1,8 +1,8 @@
 //! Expected times until the response head, by service.
 
 use crate::directory::{EndpointKey, Entry};
-use crate::loads::AggregationScheme;
-use crate::state::{KeyedEntry, PlacementRequest, State};
+use crate::state::service_usage::SumTimes;
+use crate::state::{KeyedEntry, Pick, PlacementRequest, State};
 use oatdale_policy::relay::{
     CachedPrefix, LoadAhead, PrefixShares, READ_TIME_PER_WEIGHT, ResponseTimes, TimeCurve,
     TimedCandidate, choose_cached, choose_of_two,
@@ -48,13 +48,6 @@
     prefixes: PrefixShares,
 }
 
-/// Expected times of a service at one moment.
-#[derive(Clone, Copy, Debug)]
-struct ServiceCurves {
-    all_nodes: TimeCurve,
-    own: TimeCurve,
-}
-
 impl Default for ServiceTimes {
     fn default() -> Self {
         ServiceTimes {
@@ -66,34 +59,33 @@
 }
 
 impl ServiceTimes {
-    fn curves(&self, now: Duration) -> ServiceCurves {
-        ServiceCurves {
-            all_nodes: self.all_nodes.curve(now),
-            own: self.own.curve(now),
-        }
-    }
-}
-
-impl ServiceCurves {
-    fn curve(&self, scope: LoadScope) -> &TimeCurve {
+    fn curve(&self, now: Duration, scope: LoadScope) -> TimeCurve {
         match scope {
-            LoadScope::AllNodes => &self.all_nodes,
-            LoadScope::Own => &self.own,
+            LoadScope::AllNodes => self.all_nodes.curve(now),
+            LoadScope::Own => self.own.curve(now),
         }
     }
 }
 
 impl ExpectedTimes {
-    /// Returns the expected times of a service.
-    fn curves(&self, now: Duration, service: &str) -> ServiceCurves {
-        let known = self.services.get(service);
-        known.map_or_else(|| ServiceTimes::default().curves(now), |t| t.curves(now))
+    /// Returns the expected times of a service by the load of this scope.
+    fn curve(&self, now: Duration, service: &str, scope: LoadScope) -> TimeCurve {
+        match self.services.get(service) {
+            Some(times) => times.curve(now, scope),
+            None => ServiceTimes::default().curve(now, scope),
+        }
     }
 
     /// Returns the expected time of a request.
     pub(super) fn time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
-        let curves = self.curves(now, service);
-        curves.curve(basis.scope).expected(basis.ahead)
+        let curve = self.curve(now, service, basis.scope);
+        curve.expected(basis.ahead)
+    }
+
+    /// Returns the expected time of the request without other load at the endpoint.
+    fn idle_time(&self, now: Duration, service: &str, basis: &TimeBasis) -> Duration {
+        let curve = self.curve(now, service, basis.scope);
+        curve.idle(basis.ahead)
     }
 
     fn prefix_share(&self, now: Duration, request: &PlacementRequest<'_>, prefix: u64) -> f64 {
@@ -106,7 +98,24 @@
     }
 }
 
+/// Expected times until the response head of a request that is not placed yet.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct RequestTime {
+    pub(crate) expected: Duration,
+    /// The time at the same endpoint without other load.
+    pub(crate) idle: Duration,
+}
+
 impl State {
+    /// Returns the expected times of a request at the endpoint picked for it.
+    pub(crate) fn request_time(&self, now: Duration, service: &str, pick: &Pick) -> RequestTime {
+        let idle = |basis| self.expected_times.idle_time(now, service, &basis);
+        RequestTime {
+            expected: pick.expected,
+            idle: pick.basis.map_or(Duration::ZERO, idle),
+        }
+    }
+
     /// Counts the prefix of a request that is placed.
     pub(crate) fn record_prefix(&mut self, now: Duration, request: &PlacementRequest<'_>) {
         let prefix = request.prefix.filter(|_| self.load_control.expected_time);
@@ -187,7 +196,9 @@
         let Some(prefix) = request.prefix else {
             return choose_of_two(&candidates, &mut rand::rng());
         };
-        let curve = self.expected_times.curves(now, request.service).all_nodes;
+        let curve = self
+            .expected_times
+            .curve(now, request.service, LoadScope::AllNodes);
         let time_s = |c: &TimedCandidate| {
             curve.time_s(LoadAhead {
                 load: c.health_load(),
@@ -206,13 +217,10 @@
     }
 
     /// Returns an endpoint's load, of all nodes if sums are recent.
-    ///
-    /// A load is in the sums after up to two intervals: one until the node's next report, one until
-    /// the aggregator's next sum.
     pub(super) fn load_of_all_nodes(&self, now: Duration, entry: &Entry) -> (LoadScope, f64) {
         match self.load_sums.last_sum_at(now, entry.number) {
             Some(last_sum) => {
-                let summed_until = last_sum.saturating_sub(2 * AggregationScheme::INTERVAL);
+                let summed_until = SumTimes::new(last_sum).summed_until;
                 let load = entry.known_load(now, Some(summed_until))
                     + self.load_sums.other_nodes_load(now, entry.number);
                 (LoadScope::AllNodes, load)
