--- a/crates/oatdale-policy/src/relay/escalation.rs
+++ b/crates/oatdale-policy/src/relay/escalation.rs
@@ -23,7 +23,7 @@
 
 /// Load beyond [`FULL_THRESHOLD_LOAD`] at which a run of average cost for its value is no longer
 /// made at any confidence. The runs that hosts start within the lag of the sums must not move the
-/// load across this range, or the hosts oscillate, as they do with a range of 0.5.
+/// load across this range, or the hosts start and stop escalating in turn.
 const THRESHOLD_LOAD_RANGE: f64 = 1.5;
 
 /// Shares of the time left until the target: an expected time up to the first one does not lower
--- a/crates/oatdale-relay/src/escalation.rs
+++ b/crates/oatdale-relay/src/escalation.rs
@@ -1,7 +1,7 @@
 //! Repeats a request with a larger model where a smaller one had low confidence.
 //!
-//! With `escalation-by-room`, the endpoint for the larger model is chosen first, and the decision
-//! depends on the spare capacity of the service and on the expected time of the run.
+//! With `escalation-by-room`, the decision depends on the spare capacity of the service and on the
+//! expected time of the larger model's run.
 
 use crate::attempt::{self, Purpose};
 use crate::cx::Cx;
