--- a/crates/oatdale-policy/src/relay/speed.rs
+++ b/crates/oatdale-policy/src/relay/speed.rs
@@ -31,7 +31,7 @@
 const TREND_LOG: f64 = std::f64::consts::LN_2;
 
 /// Largest weight that remains of an estimate, in samples, once two samples in a row show a change.
-/// Without this, hosts took more than 4 s to notice an endpoint that became five times slower.
+/// A full weight would delay the notice of an endpoint that has become several times slower.
 const CHANGE_WEIGHT: f64 = 2.0;
 
 /// Time in which the weight of an estimate halves.
