Run adapters of many hosts in one process over a modelled network

Cause: what hundreds of hosts ask of the key-value service and of each other when they come back together could only be seen in plays of a whole fleet.

No decision changes.

--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -5,6 +5,7 @@
 //! unwritten; everything else is reported as [`SendError::Broken`].
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,10 +14,14 @@
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
 /// A silent connection is probed after this time, this often, and is ended when none of so many
@@ -58,6 +63,36 @@
     }
 }
 
+/// A connection's stream of bytes in both directions.
+pub trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> ByteStream for T {}
+
+/// Opens streams that do not run over TCP.
+pub trait Connect: Send + Sync {
+    /// Opens a stream to an address.
+    fn connect(&self, addr: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn ByteStream>>>;
+}
+
+/// How a pool opens its connections.
+#[derive(Clone, Default)]
+pub enum Connector {
+    /// Over TCP.
+    #[default]
+    Tcp,
+    /// By other means, such as a modelled network in a test.
+    Custom(Arc<dyn Connect>),
+}
+
+impl fmt::Debug for Connector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Connector::Tcp => "Tcp",
+            Connector::Custom(_) => "Custom",
+        })
+    }
+}
+
 /// Whether a call may go over a connection that served one before.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Reuse {
@@ -100,6 +135,7 @@
 #[derive(Debug)]
 struct Shared {
     cfg: PoolConfig,
+    connector: Connector,
     kept: Mutex<Kept>,
 }
 
@@ -126,11 +162,17 @@
 }
 
 impl Pool {
-    /// Makes an empty pool.
+    /// Makes an empty pool whose connections run over TCP.
     pub fn new(cfg: PoolConfig) -> Self {
+        Pool::with_connector(cfg, Connector::Tcp)
+    }
+
+    /// Makes an empty pool whose connections are opened by `connector`.
+    pub fn with_connector(cfg: PoolConfig, connector: Connector) -> Self {
         Pool {
             shared: Arc::new(Shared {
                 cfg,
+                connector,
                 kept: Mutex::new(Kept {
                     idle: HashMap::new(),
                     swept: Instant::now(),
@@ -188,29 +230,30 @@
         deadline: Instant,
     ) -> Result<SendRequest<Full<Bytes>>, SendError> {
         let limit = deadline.min(Instant::now() + self.shared.cfg.connect_timeout);
-        let stream = match timeout_at(limit, TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(err)) => return Err(not_sent(&err)),
-            Err(_) => return Err(not_sent(&"the connection did not open in time")),
-        };
-        stream.set_nodelay(true).map_err(|err| not_sent(&err))?;
-        notice_dead_host(&stream).map_err(|err| not_sent(&err))?;
         let mut builder = http1::Builder::new();
         if let Some(bytes) = self.shared.cfg.receive_buffer_bytes {
-            let limited = SockRef::from(&stream).set_recv_buffer_size(bytes);
-            limited.map_err(|err| not_sent(&err))?;
             builder.max_buf_size(bytes);
         }
-        let (tx, conn) = builder
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|err| not_sent(&err))?;
-        tokio::spawn(async move {
-            if let Err(err) = conn.await {
-                log::debug!("connection to {addr} ended: {err}");
+        match &self.shared.connector {
+            Connector::Tcp => {
+                let stream = opened(timeout_at(limit, TcpStream::connect(addr)).await)?;
+                self.configure(&stream).map_err(|err| not_sent(&err))?;
+                handshake(&builder, addr, stream).await
             }
-        });
-        Ok(tx)
+            Connector::Custom(connector) => {
+                let stream = opened(timeout_at(limit, connector.connect(addr)).await)?;
+                handshake(&builder, addr, stream).await
+            }
+        }
+    }
+
+    fn configure(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        notice_dead_host(stream)?;
+        match self.shared.cfg.receive_buffer_bytes {
+            Some(bytes) => SockRef::from(stream).set_recv_buffer_size(bytes),
+            None => Ok(()),
+        }
     }
 
     async fn attempt(
@@ -317,12 +360,36 @@
     }
 }
 
+/// Returns the stream of a connection that was opened in time.
+fn opened<T>(result: Result<io::Result<T>, Elapsed>) -> Result<T, SendError> {
+    match result {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(err)) => Err(not_sent(&err)),
+        Err(_) => Err(not_sent(&"the connection did not open in time")),
+    }
+}
+
+async fn handshake(
+    builder: &http1::Builder,
+    addr: SocketAddr,
+    stream: impl ByteStream + 'static,
+) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let (tx, conn) = handshake.map_err(|err| not_sent(&err))?;
+    tokio::spawn(async move {
+        if let Err(err) = conn.await {
+            log::debug!("connection to {addr} ended: {err}");
+        }
+    });
+    Ok(tx)
+}
+
 /// Ends the connection about ten seconds after its host is gone.
 ///
 /// A host that loses its power or its network says nothing. Without this, a call to it would wait
 /// for its whole deadline, which for a long register is minutes, and no other endpoint would be
 /// tried before. A process that is only paused is not noticed: its host still answers.
-fn notice_dead_host(stream: &TcpStream) -> std::io::Result<()> {
+fn notice_dead_host(stream: &TcpStream) -> io::Result<()> {
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
         .with_interval(PROBE_INTERVAL)
--- a/crates/oatdale-relay/src/replica/client.rs
+++ b/crates/oatdale-relay/src/replica/client.rs
@@ -6,7 +6,7 @@
 use crate::versions::KnownVersions;
 use http::{Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
-use oatdale_platform::{BodyError, Pool, PoolConfig, Reuse, SendError, read_body};
+use oatdale_platform::{BodyError, Connector, Pool, PoolConfig, Reuse, SendError, read_body};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
@@ -68,17 +68,18 @@
     pool: Pool,
 }
 
-impl Default for ReplicaClient {
-    fn default() -> Self {
-        let pool = Pool::new(PoolConfig {
+impl ReplicaClient {
+    /// Creates a client. It connects on the first request.
+    pub fn new(connector: Connector) -> Self {
+        let cfg = PoolConfig {
             connect_timeout: IO_TIMEOUT,
             ..PoolConfig::default()
-        });
-        ReplicaClient { pool }
+        };
+        ReplicaClient {
+            pool: Pool::with_connector(cfg, connector),
+        }
     }
-}
 
-impl ReplicaClient {
     /// Fetches the changes of a topic. The response has to begin within `timeout` in addition to
     /// the request's own wait time.
     ///
