Let only registered hosts read everything from the service

What callers saw: after a loss of power of all 985 hosts none served again, 31 s after they were back.

Cause: a host that knew of no other one took itself for the only one, registered, and read all records from the service. 985 hosts that start together all did, 3.3 MB each. Their answers were late behind each other, each late one was thrown away and asked for again, so that the service's link stayed full of answers that nobody waited for, and registrations were lost among them. More time does not end this, nor a larger timeout.

Registered hosts read the records, all others read from them; a reader that starts too holds their requests until it has loaded, and says so at once if the service does not answer it. Where too few are registered, hosts register in an order that needs no knowledge of how many wait (few of any number are early, and the others list again before they write). Retries grow and are spread. If no registered host answers for as long as it takes to replace them, the others still read by themselves.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -76,7 +76,8 @@
 pub use crate::relay::reachability::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
 pub use crate::relay::readers::{
     READERS_PER_DOMAIN, REGISTERED_PER_DOMAIN, ReaderCandidate, ReaderSelector, first_read_delay,
-    max_forwarded_bytes, rank_readers, registration_delay, select_readers, start_delay,
+    first_registration_delay, max_forwarded_bytes, rank_readers, registration_delay, retry_pause,
+    select_readers, start_delay,
 };
 pub use crate::relay::request_limit::{LimitChange, RequestLimit};
 pub use crate::relay::retry_limiter::{RetryLimit, RetryLimiter};
--- a/crates/oatdale-policy/src/relay/readers.rs
+++ b/crates/oatdale-policy/src/relay/readers.rs
@@ -32,6 +32,17 @@
 /// Link speed in Mbit/s at which the start delay is half as long as at 0 Mbit/s.
 const HALF_DELAY_LINK_MBPS: f64 = 20.0;
 
+/// Time over which nodes without records spread their registrations, in durations of a call: a node
+/// that registers makes two calls, and another one that lists the nodes a third.
+const REGISTRATION_SPREAD_CALLS: u32 = 25;
+
+/// Bounds of that time.
+const MIN_REGISTRATION_SPREAD: Duration = Duration::from_millis(50);
+const MAX_REGISTRATION_SPREAD: Duration = Duration::from_millis(2_400);
+
+/// Binary logarithm of the number of nodes of which about one registers before all others.
+const REGISTRATION_DOUBLINGS: f64 = 12.0;
+
 /// How long a starting node asks its readers only, before it reads from the service: a reader that
 /// starts at the same time has loaded the records by then.
 const READER_START_TIME: Duration = Duration::from_millis(250);
@@ -95,12 +106,38 @@
     Some(TAKEOVER_INTERVAL.saturating_mul(round))
 }
 
+/// Returns how long a node that has no records yet waits before it registers because too few nodes
+/// are registered. A call to the service takes `call_time`; `draw` is from 0 to 1.
+///
+/// Such a node does not know how many others wait too. The delays are distributed so that few of any
+/// number of nodes are early: each twelfth of the time has twice as many as the one before. The
+/// others find these registered when their turn comes. Nodes with fast links are earlier.
+pub fn first_registration_delay(call_time: Duration, link_mbps: u32, draw: f64) -> Duration {
+    let spread = call_time.saturating_mul(REGISTRATION_SPREAD_CALLS);
+    let spread = spread.clamp(MIN_REGISTRATION_SPREAD, MAX_REGISTRATION_SPREAD);
+    let turn = 1.0 + draw.clamp(f64::MIN_POSITIVE, 1.0).log2() / REGISTRATION_DOUBLINGS;
+    spread.mul_f64(link_slowness(link_mbps) + turn.max(0.0))
+}
+
+/// Returns the pause before a failed call is made again for the n-th time: twice the last one up to
+/// a maximum, of which `draw`, from 0 to 1, takes off up to a half. Nodes that failed together would
+/// otherwise call together again.
+pub fn retry_pause(initial: Duration, max: Duration, attempt: u32, draw: f64) -> Duration {
+    let factor = 2_u32.saturating_pow(attempt);
+    let pause = initial.saturating_mul(factor).min(max);
+    pause.mul_f64(1.0 - draw.clamp(0.0, 1.0) / 2.0)
+}
+
 /// Returns how long a node that starts together with all others waits before it registers: nodes
 /// with fast links are registered by the time the others list the registered nodes. `draw` is from
 /// 0 to 1 and spreads nodes with equal links, which would otherwise all register at once.
 pub fn start_delay(link_mbps: u32, draw: f64) -> Duration {
-    let slowness = HALF_DELAY_LINK_MBPS / (HALF_DELAY_LINK_MBPS + f64::from(link_mbps));
-    MAX_START_DELAY.mul_f64(slowness * (1.0 + draw) / 2.0)
+    MAX_START_DELAY.mul_f64(link_slowness(link_mbps) * (1.0 + draw) / 2.0)
+}
+
+/// Returns how slow a link is: 1 for the slowest one, nearly 0 for a fast one.
+fn link_slowness(link_mbps: u32) -> f64 {
+    HALF_DELAY_LINK_MBPS / (HALF_DELAY_LINK_MBPS + f64::from(link_mbps))
 }
 
 /// Returns how long a node that has no records yet asks its readers only, after they have not
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -68,6 +68,9 @@
     if req.uri().path() == replica::VERSIONS_PATH {
         return Ok(replica::handle_versions(&records, req.into_body()).await);
     }
+    if req.uri().path() == replica::REGISTERED_PATH {
+        return Ok(replica::handle_registered(&records));
+    }
     let after = req.uri().query().and_then(|q| q.strip_prefix("after="));
     let after = after.and_then(|version| version.parse().ok());
     let res = match (req.uri().path(), after) {
--- a/crates/oatdale-relay/src/replica.rs
+++ b/crates/oatdale-relay/src/replica.rs
@@ -18,8 +18,8 @@
 pub use crate::replica::encoded::EncodedUpdate;
 pub use crate::replica::members::Members;
 pub use crate::replica::request::FetchRequest;
-pub(crate) use crate::replica::request::{RECORDS_PATH, VERSIONS_PATH};
-pub(crate) use crate::replica::serve::{handle_fetch, handle_versions};
+pub(crate) use crate::replica::request::{RECORDS_PATH, REGISTERED_PATH, VERSIONS_PATH};
+pub(crate) use crate::replica::serve::{handle_fetch, handle_registered, handle_versions};
 
 use crate::replica::encoded::EncodedResponses;
 use crate::revision::Revision;
@@ -49,6 +49,10 @@
 /// some tens of milliseconds, and a starting node that gets no answer reads from the service next.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// The same if this node is about to load them on behalf of others. All nodes start at once after a
+/// power cut, and each request that is refused is made again.
+const READER_LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How long a node that starts in a later era waits for this node to read all records in that era.
 const ERA_READ_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -147,6 +151,8 @@
     versions: watch::Sender<BTreeMap<Topic, (u64, Vec<KnownVersions>)>>,
     /// The latest era reported by a starting node.
     reported_era: watch::Sender<u64>,
+    /// The other nodes that are registered, from which a starting node can fetch records.
+    registered: Mutex<Vec<Node>>,
 }
 
 /// An in-flight fetch of a member; ends the member's request when dropped.
@@ -170,6 +176,8 @@
 #[derive(Debug, Default)]
 struct State {
     service: ServiceStatus,
+    /// Whether this node reads, or is about to read, on behalf of others.
+    is_reader: bool,
     /// When the service became reachable again, if it was unreachable.
     reachable_since: Option<Instant>,
     /// Length of the longest value that is passed on, in bytes.
@@ -232,10 +240,16 @@
         self.notify_waiting(state);
     }
 
+    /// Records that this node reads on behalf of others, so that their requests are held until it has
+    /// loaded the records.
+    pub fn begin_reading(&self) {
+        self.lock().is_reader = true;
+    }
+
     /// Marks the key-value service as unreachable, so that followers are sent elsewhere at once.
     pub fn suspend(&self) {
         let mut state = self.lock();
-        if state.service == ServiceStatus::Reachable {
+        if state.service == ServiceStatus::Reachable || state.is_reader {
             state.service = ServiceStatus::Unreachable;
         }
         self.notify_waiting(state);
@@ -279,7 +293,6 @@
     ) -> Option<T> {
         let start = Instant::now();
         let end = start + req.wait();
-        let load_deadline = start + LOAD_TIMEOUT;
         let _pending = req.node.map(|node| self.begin_fetch(node));
         let mut changed = self.changed.subscribe();
         loop {
@@ -287,6 +300,7 @@
             let now = Instant::now();
             let wake_at = {
                 let mut state = self.lock();
+                let load_deadline = start + state.load_timeout();
                 match state.readiness(req.topic, req.after) {
                     Readiness::Unavailable => return None,
                     Readiness::NotLoaded if now >= load_deadline => return None,
@@ -360,6 +374,22 @@
         self.load_requested.notified().await;
     }
 
+    /// Sets the other nodes that are registered.
+    pub fn set_registered(&self, nodes: Vec<Node>) {
+        *self.lock_registered() = nodes;
+    }
+
+    /// Returns the other nodes that are registered, as far as this node knows.
+    pub fn registered(&self) -> Vec<Node> {
+        self.lock_registered().clone()
+    }
+
+    fn lock_registered(&self) -> MutexGuard<'_, Vec<Node>> {
+        self.registered
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the running nodes that fetch from this one, sorted by host name.
     pub fn members(&self) -> Vec<Node> {
         let now = self.created_at.elapsed();
@@ -400,6 +430,7 @@
             members: Mutex::default(),
             versions: watch::Sender::default(),
             reported_era: watch::Sender::default(),
+            registered: Mutex::default(),
         }
     }
 }
@@ -432,6 +463,14 @@
         }
     }
 
+    /// How long a request is held that arrives before the records are loaded.
+    fn load_timeout(&self) -> Duration {
+        match self.is_reader {
+            true => READER_LOAD_TIMEOUT,
+            false => LOAD_TIMEOUT,
+        }
+    }
+
     fn readiness(&mut self, topic: Topic, after: Option<Revision>) -> Readiness {
         let service = self.service;
         match (self.records_of(topic), after) {
--- a/crates/oatdale-relay/src/replica/client.rs
+++ b/crates/oatdale-relay/src/replica/client.rs
@@ -1,8 +1,9 @@
 //! A client that fetches records from readers.
 
 use crate::replica::compression::{ZSTD, decompress};
-use crate::replica::request::{RECORDS_PATH, VERSIONS_PATH};
+use crate::replica::request::{RECORDS_PATH, REGISTERED_PATH, VERSIONS_PATH};
 use crate::replica::{FetchRequest, ReplicaUpdate};
+use crate::update::Node;
 use crate::versions::KnownVersions;
 use http::{Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
@@ -71,8 +72,13 @@
 impl ReplicaClient {
     /// Creates a client. It connects on the first request.
     pub fn new(connector: Connector) -> Self {
+        ReplicaClient::with_connect_timeout(connector, IO_TIMEOUT)
+    }
+
+    /// Creates a client whose connections have to open within `connect_timeout`.
+    pub fn with_connect_timeout(connector: Connector, connect_timeout: Duration) -> Self {
         let cfg = PoolConfig {
-            connect_timeout: IO_TIMEOUT,
+            connect_timeout,
             ..PoolConfig::default()
         };
         ReplicaClient {
@@ -111,6 +117,19 @@
         self.post(node, VERSIONS_PATH, &era, timeout).await
     }
 
+    /// Fetches the registered nodes that a node knows.
+    ///
+    /// # Errors
+    ///
+    /// As for [`fetch`](ReplicaClient::fetch).
+    pub async fn fetch_registered(
+        &self,
+        node: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Vec<Node>, FetchError> {
+        self.post(node, REGISTERED_PATH, &(), timeout).await
+    }
+
     /// Posts a payload and decodes the response, which has to begin within `response_timeout`.
     async fn post<T: DeserializeOwned>(
         &self,
--- a/crates/oatdale-relay/src/replica/request.rs
+++ b/crates/oatdale-relay/src/replica/request.rs
@@ -12,6 +12,9 @@
 /// The path at which a starting node fetches the versions that another node knows.
 pub(crate) const VERSIONS_PATH: &str = "/v1/records/versions";
 
+/// The path at which a starting node fetches the registered nodes that another node knows.
+pub(crate) const REGISTERED_PATH: &str = "/v1/records/nodes";
+
 /// Maximum wait that a follower may request.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
--- a/crates/oatdale-relay/src/replica/serve.rs
+++ b/crates/oatdale-relay/src/replica/serve.rs
@@ -67,6 +67,15 @@
     }
 }
 
+/// Responds to a starting node with the registered nodes; 503 if this node knows none.
+pub(crate) fn handle_registered(replica: &Replica) -> Response<Body> {
+    let nodes = replica.registered();
+    match nodes.is_empty() {
+        true => short_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        false => encode(&nodes),
+    }
+}
+
 fn bad_request(reason: &str) -> Response<Body> {
     log::warn!(target: "replica", "event=bad_request reason=\"{reason}\"");
     short_response(StatusCode::BAD_REQUEST, Bytes::new())
