Test the order of first registrations, spread retries, and readers that start

Of 3 to 2,000 hosts at most 20 register before they can see the first; retries double up to their maximum and lose up to half of it; a reader that starts holds requests until it has loaded, and refuses at once if the service does not answer it.

--- a/crates/oatdale-policy/tests/relay_readers.rs
+++ b/crates/oatdale-policy/tests/relay_readers.rs
@@ -2,8 +2,11 @@
 
 use oatdale_policy::relay::{
     READERS_PER_DOMAIN, REGISTERED_PER_DOMAIN, ReaderCandidate, ReaderSelector,
-    max_forwarded_bytes, registration_delay, select_readers, start_delay,
+    first_registration_delay, max_forwarded_bytes, registration_delay, retry_pause, select_readers,
+    start_delay,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 
 fn node(link_mbps: u32, hash: u64) -> ReaderCandidate {
@@ -138,6 +141,39 @@
     }
 }
 
+// Guards against nodes that all register at once because none knows how many others do: those whose
+// turn comes before they can see the first ones must be few at any number of nodes.
+#[test]
+fn few_of_any_number_of_nodes_register_before_they_see_the_first() {
+    let call_time = Duration::from_millis(6);
+    for nodes in [3, 18, 60, 197, 400, 2_000] {
+        for seed in 0..20 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut delays: Vec<_> = (0..nodes)
+                .map(|_| first_registration_delay(call_time, 20, rng.random()))
+                .collect();
+            delays.sort();
+            // Two calls to register, and one to list the nodes.
+            let seen_at = delays[0] + call_time * 3;
+            let early = delays.iter().filter(|delay| **delay < seen_at).count();
+            assert!(early <= 20, "{early} of {nodes} nodes, seed {seed}");
+            assert!(delays[nodes - 1] <= Duration::from_millis(300));
+        }
+    }
+}
+
+// Guards against calls that failed together and are made again together, or ever more often.
+#[test]
+fn retries_grow_and_are_spread() {
+    let [initial, max] = [Duration::from_millis(400), Duration::from_secs(4)];
+    for attempt in 0..40 {
+        let longest = retry_pause(initial, max, attempt, 0.0);
+        let shortest = retry_pause(initial, max, attempt, 1.0);
+        assert_eq!(shortest * 2, longest);
+        assert_eq!(longest, max.min(initial * 2_u32.pow(attempt.min(4))));
+    }
+}
+
 // The service refuses a third of the nodes, one of two readers among them. If its followers asked
 // the service each time before the other reader, calls would grow with the nodes for as long.
 #[test]
--- a/crates/oatdale-relay/tests/replica.rs
+++ b/crates/oatdale-relay/tests/replica.rs
@@ -290,6 +290,28 @@
 
 // Followers have no record of their own. Callers must get their addresses while they run, and no
 // longer soon after they lost power.
+// Guards against followers that ask again and again while their reader, which starts at the same time,
+// loads the records, and against ones that wait for a reader that the service does not answer.
+#[tokio::test(start_paused = true)]
+async fn a_starting_reader_holds_fetches_unless_the_service_does_not_answer() {
+    let replica = Arc::new(Replica::default());
+    replica.set_max_value_bytes(100);
+    replica.begin_reading();
+    let waiting = replica.clone();
+    let held = tokio::spawn(async move { fetch(&waiting, None).await });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    replica.replace(TOPIC, rev(10), &[record("a", 3)]);
+    let update = held.await.expect("the fetch ends").expect("it is answered");
+    assert_eq!(keys(&update), ["a"]);
+
+    let replica = Replica::default();
+    replica.begin_reading();
+    replica.suspend();
+    let began = Instant::now();
+    assert_eq!(fetch(&replica, None).await, None);
+    assert_eq!(began.elapsed(), Duration::ZERO);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_fetching_node_is_listed_as_running() {
     let replica = Arc::new(replica());
