Review case 1: a late second rejection passes for that of the next request

REFUSED is broken: a relay answers 503 to requests that a worker runs. An extra rejection (503 with Not-Executed) of an earlier request, which comes late on a kept connection, counts as the answer to the next request there, since the Request-Id is compared only afterwards.

--- /dev/null
+++ b/review/stand-ins/main.rs
@@ -0,0 +1,47 @@
+//! Runs one case of the review: `cases NAME FOLDER`. The exit code is 0 if the rule held, 1 if it was
+//! broken, and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
+
+mod client;
+mod http;
+mod json;
+mod late_extra_answers;
+mod random;
+mod record;
+mod relay;
+mod store;
+mod worker;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::{env, fs, io, process};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().collect();
+    let [_, name, dir] = args.as_slice() else {
+        eprintln!("usage: cases NAME FOLDER");
+        return ExitCode::from(2);
+    };
+    let with_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let temp = env::temp_dir().join(format!("oatdale-review-{}", process::id()));
+    let result =
+        fs::create_dir_all(&temp).and_then(|()| run(name, Path::new(dir), &temp, with_trouble));
+    if env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(&temp);
+    }
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(err) => {
+            eprintln!("the case could not run: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(name: &str, dir: &Path, temp: &Path, with_trouble: bool) -> io::Result<bool> {
+    let dir = PathBuf::from(dir);
+    match name {
+        "late-extra-answers" => late_extra_answers::run(&dir, temp, with_trouble),
+        _ => Err(io::Error::other(format!("there is no case {name}"))),
+    }
+}
