Review case 2: a stream without framing looks complete when its worker is killed

ORDER is broken: a worker that is killed between two events of a stream with neither a length nor chunks closes its connection, and the relay gives the caller the proper end of the stream, although the worker is gone, the route is resumable and attempts are left.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -2,6 +2,7 @@
 //! broken, and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
 
 mod client;
+mod engine;
 mod http;
 mod json;
 mod late_extra_answers;
@@ -9,6 +10,7 @@
 mod record;
 mod relay;
 mod store;
+mod unframed_streams;
 mod worker;
 
 use std::path::{Path, PathBuf};
@@ -17,6 +19,12 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().collect();
+    if let [_, kind, id, share] = args.as_slice()
+        && kind == "engine"
+    {
+        let ended = engine::run(id, share.parse().unwrap_or(0.0));
+        return ended.map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
+    }
     let [_, name, dir] = args.as_slice() else {
         eprintln!("usage: cases NAME FOLDER");
         return ExitCode::from(2);
@@ -42,6 +50,7 @@
     let dir = PathBuf::from(dir);
     match name {
         "late-extra-answers" => late_extra_answers::run(&dir, temp, with_trouble),
+        "unframed-streams" => unframed_streams::run(&dir, temp, with_trouble),
         _ => Err(io::Error::other(format!("there is no case {name}"))),
     }
 }
