Review case 3: a planned stop ends connections of waiting requests without an answer

LOST is broken: when the stop time is nearly over the process ends with requests that it has passed on and that wait in the workers' queues. Their callers get no byte of an answer, although each could be answered before the end.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+# Needs the build of the deploy file and review/build.sh.
+set -u
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.." || exit 2
+timeout 118 target/review/cases stop-under-load "$here"
+code=$?
+if [ "$code" -gt 1 ]; then
+    exit 2
+fi
+exit "$code"
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `cases NAME FOLDER`. The exit code is 0 if the rule held, 1 if it was
 //! broken, and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
 
+mod batch_worker;
 mod client;
 mod engine;
 mod http;
@@ -9,6 +10,7 @@
 mod random;
 mod record;
 mod relay;
+mod stop_under_load;
 mod store;
 mod unframed_streams;
 mod worker;
@@ -51,6 +53,7 @@
     match name {
         "late-extra-answers" => late_extra_answers::run(&dir, temp, with_trouble),
         "unframed-streams" => unframed_streams::run(&dir, temp, with_trouble),
+        "stop-under-load" => stop_under_load::run(&dir, temp, with_trouble),
         _ => Err(io::Error::other(format!("there is no case {name}"))),
     }
 }
--- a/review/stand-ins/record.rs
+++ b/review/stand-ins/record.rs
@@ -25,8 +25,12 @@
     Sent,
     /// The client got an answer with this status; 0 if the connection ended without one.
     Answered(u16),
+    /// The request reached a worker.
+    Reached,
     /// A worker began to run the request.
     Ran,
+    /// A worker's run of the request ended.
+    RunEnded,
     /// A worker rejected the request without running it.
     Rejected,
     /// A disruption, or a step of the case.
--- a/review/stand-ins/relay.rs
+++ b/review/stand-ins/relay.rs
@@ -12,10 +12,12 @@
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, arg2: u64, arg3: u64, arg4: u64, arg5: u64) -> i32;
 }
 
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
 
 /// Has the kernel end a process with its parent.
 const PR_SET_PDEATHSIG: i32 = 1;
@@ -182,6 +184,19 @@
         ask().is_ok_and(|status| status == 200)
     }
 
+    /// Asks the process to end.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            unsafe { kill(child.id() as i32, SIGTERM) };
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.child.as_mut().map(Child::try_wait);
+        !matches!(status, Some(Ok(None)))
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
