--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -1,5 +1,5 @@
-//! Runs one case of the review: `cases NAME FOLDER`. The exit code is 0 if the rule held, 1 if it was
-//! broken, and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
+//! Runs one case of the review: `cases NAME FOLDER TROUBLE`. The exit code is 0 if the rule held, 1 if it was
+//! broken, and 2 if the case could not run. If TROUBLE is 0 there is no disruption.
 
 mod batch_worker;
 mod client;
@@ -27,11 +27,11 @@
         let ended = engine::run(id, share.parse().unwrap_or(0.0));
         return ended.map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
     }
-    let [_, name, dir] = args.as_slice() else {
-        eprintln!("usage: cases NAME FOLDER");
+    let [_, name, dir, trouble] = args.as_slice() else {
+        eprintln!("usage: cases NAME FOLDER TROUBLE");
         return ExitCode::from(2);
     };
-    let with_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let with_trouble = trouble != "0";
     let temp = env::temp_dir().join(format!("oatdale-review-{}", process::id()));
     let result =
         fs::create_dir_all(&temp).and_then(|()| run(name, Path::new(dir), &temp, with_trouble));
