Log what a crash check rests on, and breaks that are not checked

The line of a check gave its verdict alone: whether the address accepted, whether the endpoint had restarted and what else the host reached had to be guessed from other lines, and a break at an endpoint with a planned end left no line at all. Three of the hypotheses of requests that empty a service look alike without these. Lines only, no logic: one more field group in a line per check, and a line for each break that is not checked.

--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -89,6 +89,7 @@
     in_flight: &InFlightRequest<W>,
 ) {
     if in_flight.is_leaving() {
+        log::info!(target: "quarantine", "event=not_checked endpoint={} reason=\"planned end\"", in_flight.id);
         return;
     }
     let request = request_cx.fingerprint();
@@ -110,7 +111,9 @@
             request,
             parts: request_cx.part_fingerprints().into(),
         };
-        if !entry.has_planned_end(now) && state.checks.add(*key, crashed) {
+        if entry.has_planned_end(now) {
+            log::info!(target: "quarantine", "event=not_checked endpoint={} reason=\"planned end\"", entry.endpoint.id);
+        } else if state.checks.add(*key, crashed) {
             let service = entry.endpoint.service.clone();
             tokio::spawn(check(cx.clone(), *key, entry.endpoint.addr, service));
         }
@@ -125,9 +128,13 @@
         false => try_connect(addr).await,
     };
     // A refused connection may also mean that this node's own links are cut.
-    let is_own_link = outcome != ConnectOutcome::Reachable
-        && !has_restarted
-        && !reachability::shows_endpoint_fault(&cx, &service).await;
+    let reached = match outcome {
+        ConnectOutcome::Refused | ConnectOutcome::Unreachable if !has_restarted => {
+            Some(reachability::check_for_fault(&cx, &service).await)
+        }
+        _ => None,
+    };
+    let is_own_link = reached.is_some_and(|reached| !reached.shows_endpoint_fault());
     let has_crashed = outcome == ConnectOutcome::Refused && !is_own_link;
     let mut state = cx.state();
     if outcome != ConnectOutcome::Reachable && !is_own_link {
@@ -140,8 +147,9 @@
     let endpoint = entry.number;
     log::info!(
         target: "quarantine",
-        "event=checked endpoint={} number={endpoint} crashed={has_crashed} own_link={is_own_link} requests={}",
-        entry.endpoint.id, requests.len()
+        "event=checked endpoint={} number={endpoint} connection={} restarted={has_restarted} reached={} \
+         crashed={has_crashed} own_link={is_own_link} requests={}",
+        entry.endpoint.id, outcome.name(), reached.map_or("-", reachability::FaultCheck::name), requests.len()
     );
     if has_crashed {
         cx.metrics.crashes.inc();
@@ -159,6 +167,17 @@
     Unreachable,
 }
 
+impl ConnectOutcome {
+    /// Name for logs.
+    fn name(self) -> &'static str {
+        match self {
+            ConnectOutcome::Reachable => "accepted",
+            ConnectOutcome::Refused => "refused",
+            ConnectOutcome::Unreachable => "silent",
+        }
+    }
+}
+
 async fn try_connect(addr: SocketAddr) -> ConnectOutcome {
     let mut outcome = ConnectOutcome::Reachable;
     for delay in CONNECT_DELAYS {
--- a/crates/oatdale-relay/src/reachability.rs
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -105,8 +105,28 @@
     record_failure(cx, key);
 }
 
-/// Whether a failed connection to an endpoint of this service is the endpoint's fault.
-pub(crate) async fn shows_endpoint_fault<W: Wire>(cx: &Cx<W>, service: &str) -> bool {
+/// What a node reaches beside an endpoint that does not accept its connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FaultCheck {
+    outcome: CheckOutcome,
+    /// Number of the service's endpoints.
+    endpoints: usize,
+}
+
+impl FaultCheck {
+    /// Whether the failed connection is the endpoint's fault.
+    pub(crate) fn shows_endpoint_fault(self) -> bool {
+        self.outcome.shows_endpoint_fault(self.endpoints)
+    }
+
+    /// Name for logs.
+    pub(crate) fn name(self) -> &'static str {
+        name(self.outcome)
+    }
+}
+
+/// Checks what else this node reaches after a failed connection to an endpoint of this service.
+pub(crate) async fn check_for_fault<W: Wire>(cx: &Cx<W>, service: &str) -> FaultCheck {
     let (targets, endpoints) = {
         let state = cx.state();
         let now = cx.now();
@@ -115,7 +135,7 @@
         (targets, endpoints)
     };
     let outcome = connect(&targets).await;
-    outcome.shows_endpoint_fault(endpoints)
+    FaultCheck { outcome, endpoints }
 }
 
 /// Checks a service, and repeats this until it is reached.
