Count crashes only for requests that the endpoint may have run

What callers saw: a request that found its first endpoint down, and whose second one crashed, was blamed for both: two such failures quarantined it for ten minutes.

Cause: endpoints were noted as having had the request before it was sent. A connection that could not be opened, or a rejection with the statement that nothing was run, left the endpoint there, and it was checked with the others when one broke.

Endpoints are now noted after an attempt, unless that is certain not to have run. A service that is emptied makes this frequent, as most endpoints are down when a request is tried there.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -168,9 +168,6 @@
     request_cx.pin_session(cx, &in_flight);
     gossip::announce_long_prompt(cx, &in_flight);
     request_cx.excluded.push(in_flight.key);
-    if !request_cx.sent_to.contains(&in_flight.key) {
-        request_cx.sent_to.push(in_flight.key);
-    }
     if in_flight.limit_before.per_second().is_some() {
         cx.metrics
             .limited
@@ -182,6 +179,10 @@
     let told = in_flight.limit_before.age(cx.now());
     let result = send(cx, request_cx, &in_flight, options).await;
     let attempt_time = sent_at.elapsed();
+    let may_have_run = !result.as_ref().is_err_and(Failure::is_not_run);
+    if may_have_run && !request_cx.may_have_run_at.contains(&in_flight.key) {
+        request_cx.may_have_run_at.push(in_flight.key);
+    }
     // Only attempts that sent at least one byte count.
     request_cx.sends += u32::from(!matches!(result, Err(Failure::NotSent(_))));
     log::info!(
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -58,15 +58,15 @@
     }
 }
 
-/// Waits until it is known whether the endpoints that a suspected request was sent to have crashed,
+/// Waits until it is known whether the endpoints that may have run a suspected request have crashed,
 /// since one more crash may quarantine it.
 pub(crate) async fn wait_for_checks<W: Wire>(cx: &Cx<W>, request_cx: &RequestContext) {
     loop {
         let check = {
             let state = cx.state();
-            match state.quarantine.is_empty() || request_cx.sent_to.is_empty() {
+            match state.quarantine.is_empty() || request_cx.may_have_run_at.is_empty() {
                 true => None,
-                false => state.checks.watch_any(&request_cx.sent_to),
+                false => state.checks.watch_any(&request_cx.may_have_run_at),
             }
         };
         let Some(mut check) = check else { return };
@@ -80,7 +80,7 @@
 
 /// Starts checking whether the endpoint has crashed, after its connection broke during a request.
 ///
-/// Endpoints to which the request was sent before are checked too: this node no longer reads their
+/// Endpoints that may have run the request before are checked too: this node no longer reads their
 /// responses, so it would not notice a crash otherwise. A leaving endpoint is not checked: it stops
 /// as planned, even with requests in flight.
 pub(crate) fn check_for_crash<W: Wire>(
@@ -103,7 +103,7 @@
     let now = cx.now();
     let mut state = cx.state();
     let state = &mut *state;
-    for key in &request_cx.sent_to {
+    for key in &request_cx.may_have_run_at {
         let Some(entry) = state.directory.get(*key) else {
             continue;
         };
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -50,8 +50,8 @@
     pub(crate) model_index: usize,
     /// Endpoints that are excluded from the next attempt because they received the request.
     pub(crate) excluded: Vec<EndpointKey>,
-    /// All endpoints that received the request, including those whose responses were discarded.
-    pub(crate) sent_to: SmallVec<[EndpointKey; 4]>,
+    /// All endpoints that may have run the request, including those whose responses were discarded.
+    pub(crate) may_have_run_at: SmallVec<[EndpointKey; 4]>,
     /// Number of attempts in which at least one byte was sent to an endpoint.
     pub(crate) sends: u32,
     /// Size of the generation as a multiple of the route's mean.
@@ -95,7 +95,7 @@
             urgency: site.routes[route].urgency,
             model_index: 0,
             excluded: Vec::new(),
-            sent_to: SmallVec::new(),
+            may_have_run_at: SmallVec::new(),
             sends: 0,
             relative_size: 1.0,
             confidences: SmallVec::new(),
