Settle doubtful crashes by what becomes of the endpoint

Cause: right after a connection broke, the host tried the endpoint and, where it refused, others of its service. If none accepted, it took the crash for a cut of its own link and dropped what it knew; if the endpoint accepted, being back already, it took the break for a lost connection and dropped it too. The first happens to all hosts at once whenever a request empties its service: the worse a request is, the less was known of it. Class: evidence that one verdict needs is thrown away by another.

Seven tests over sockets failed for these two reasons.

Change: what is doubtful is kept until it shows. A crash is confirmed if the endpoint starts again under its id, if another one gets its address, if its record goes without an announcement, or if it still refuses once another one of its service accepts again. It is dropped if the endpoint has announced that it leaves, after ten seconds, and, if the endpoint has responded since, unless it is replaced within the time in which the record of a restart shows. A host that is cut sees endpoints that go on, and blames none. An endpoint whose address was taken no longer counts as one that left as planned.

Cost: no message, no call; at most 4,096 broken requests in memory; one connection for each endpoint in doubt when its service is reached again; a pass over the doubtful ones with each read of records and five times a second, nothing while there are none.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -41,6 +41,7 @@
 mod roll_out;
 mod speed;
 mod timed_placement;
+mod unconfirmed_crashes;
 mod warm_up;
 
 pub use crate::average::{Mean, Rate};
@@ -92,4 +93,5 @@
 pub use crate::relay::timed_placement::{
     CachedPrefix, TimedCandidate, choose_cached, choose_of_two,
 };
+pub use crate::relay::unconfirmed_crashes::{EndpointFate, SettledCrash, UnconfirmedCrashes};
 pub use crate::relay::warm_up::{WarmUp, warm_up_share};
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -302,6 +302,7 @@
         cx.record_unknown_announcement(name, &in_flight.id);
     }
     validate(request_cx, in_flight, &metadata, &head)?;
+    in_flight.record_valid_response(progress_before);
     // Only a valid response shows by a missing limit that there is none.
     if !metadata.states_limit() {
         in_flight.record_limit(None, None, sent_at);
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -11,7 +11,9 @@
 mod parts;
 mod records;
 
-pub(crate) use crate::crashes::check::{CrashChecks, check_for_crash, wait_for_checks};
+pub(crate) use crate::crashes::check::{
+    CrashChecks, check_for_crash, handle_endpoint_record, recheck, settle, wait_for_checks,
+};
 pub(crate) use crate::crashes::parts::{Parts, handle_answers, handle_crash, handle_suspected};
 pub(crate) use crate::crashes::records::PendingRecords;
 
@@ -89,11 +91,12 @@
 
     /// Records that a copy of a request has succeeded.
     pub(crate) fn record_success(&self, request_cx: &RequestContext) {
-        if self.state().quarantine.is_empty() {
+        let mut state = self.state();
+        if state.quarantine.is_empty() && state.unconfirmed_crashes.is_empty() {
             return;
         }
         let request = request_cx.fingerprint();
-        let mut state = self.state();
+        state.unconfirmed_crashes.forget(request);
         let msg = Message::Completed { request: request.0 };
         match state.quarantine.clear(request) {
             Tracking::Unknown => {}
@@ -231,6 +234,7 @@
 
 /// Returns the commands that record this node's decisions and are due.
 pub(crate) fn due_commands<W: Wire>(cx: &Cx<W>, state: &mut State, now: Duration) -> Vec<Command> {
+    settle(cx, state, now);
     parts::decide_all(cx, state);
     state.quarantine.expire(now);
     let due = state.pending_records.due_writes(now).into_iter();
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -5,8 +5,9 @@
 use crate::in_flight::{InFlightRequest, handle_unreachable};
 use crate::reachability;
 use crate::request_context::RequestContext;
+use crate::state::State;
 use crate::wire::Wire;
-use oatdale_policy::relay::CrashedRequest;
+use oatdale_policy::relay::{CrashedRequest, EndpointFate};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -122,38 +123,135 @@
 
 /// Checks one endpoint on behalf of all requests whose connections to it broke.
 async fn check<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr, service: String) {
-    let has_restarted = cx.state().directory.has_restarted(key);
-    let outcome = match has_restarted {
+    let fate = cx.state().directory.fate(cx.now(), key);
+    let is_replaced = fate == Some(EndpointFate::Replaced);
+    let outcome = match is_replaced {
         true => ConnectOutcome::Refused,
         false => try_connect(addr).await,
     };
     // A refused connection may also mean that this node's own links are cut.
     let reached = match outcome {
-        ConnectOutcome::Refused | ConnectOutcome::Unreachable if !has_restarted => {
+        ConnectOutcome::Refused | ConnectOutcome::Unreachable if !is_replaced => {
             Some(reachability::check_for_fault(&cx, &service).await)
         }
         _ => None,
     };
-    let is_own_link = reached.is_some_and(|reached| !reached.shows_endpoint_fault());
-    let has_crashed = outcome == ConnectOutcome::Refused && !is_own_link;
-    let mut state = cx.state();
-    if outcome != ConnectOutcome::Reachable && !is_own_link {
-        handle_unreachable(&cx, &mut state, key);
+    let may_be_own_link = reached.is_some_and(|reached| !reached.shows_endpoint_fault());
+    let now = cx.now();
+    let mut guard = cx.state();
+    let state = &mut *guard;
+    if outcome != ConnectOutcome::Reachable && !may_be_own_link {
+        handle_unreachable(&cx, state, key);
     }
     let requests = state.checks.finish(key);
     let Some(entry) = state.directory.get(key) else {
         return;
     };
     let endpoint = entry.number;
+    let has_crashed = outcome == ConnectOutcome::Refused && !may_be_own_link;
     log::info!(
         target: "quarantine",
-        "event=checked endpoint={} number={endpoint} connection={} restarted={has_restarted} reached={} \
-         crashed={has_crashed} own_link={is_own_link} requests={}",
+        "event=checked endpoint={} number={endpoint} connection={} replaced={is_replaced} reached={} \
+         crashed={has_crashed} own_link={may_be_own_link} requests={}",
         entry.endpoint.id, outcome.name(), reached.map_or("-", reachability::FaultCheck::name), requests.len()
     );
-    if has_crashed {
-        cx.metrics.crashes.inc();
-        super::report_crash(&cx, &mut state, &service, endpoint, requests);
+    match outcome {
+        ConnectOutcome::Refused if has_crashed => {
+            cx.metrics.crashes.inc();
+            super::report_crash(&cx, state, &service, endpoint, requests);
+        }
+        ConnectOutcome::Refused | ConnectOutcome::Reachable => {
+            let accepts = outcome == ConnectOutcome::Reachable;
+            state.unconfirmed_crashes.add(now, key, requests, accepts);
+            settle(&cx, state, now);
+        }
+        // The host may have lost its power or its links, with all that it runs.
+        ConnectOutcome::Unreachable => {}
+    }
+}
+
+/// Reports the crashes that have been confirmed by what became of the endpoints.
+pub(crate) fn settle<W: Wire>(cx: &Cx<W>, state: &mut State, now: Duration) {
+    if state.unconfirmed_crashes.is_empty() {
+        return;
+    }
+    let directory = &state.directory;
+    let settled = state
+        .unconfirmed_crashes
+        .settle(now, |key| directory.fate(now, key));
+    for crash in settled {
+        let Some(entry) = state.directory.get(crash.endpoint) else {
+            continue;
+        };
+        let (endpoint, service) = (entry.number, entry.endpoint.service.clone());
+        log::info!(
+            target: "quarantine",
+            "event=settled endpoint={} number={endpoint} fate={:?} crashed={} dropped={}",
+            entry.endpoint.id, crash.fate, crash.crashed.len(), crash.dropped
+        );
+        if !crash.crashed.is_empty() {
+            cx.metrics.crashes.inc();
+            super::report_crash(cx, state, &service, endpoint, crash.crashed);
+        }
+    }
+}
+
+/// Checks endpoints of a service that refused connections when none of the service accepted any, now that one
+/// does.
+pub(crate) fn recheck<W: Wire>(cx: &Arc<Cx<W>>, state: &State, service: &str) {
+    let silent = state.unconfirmed_crashes.silent_endpoints();
+    for key in silent {
+        let entry = state.directory.get(key);
+        if let Some(entry) = entry.filter(|e| e.endpoint.service == service) {
+            tokio::spawn(recheck_endpoint(cx.clone(), key, entry.endpoint.addr));
+        }
+    }
+}
+
+async fn recheck_endpoint<W: Wire>(cx: Arc<Cx<W>>, key: EndpointKey, addr: SocketAddr) {
+    let began = cx.now();
+    // The links to the service may come back one after the other.
+    for delay in CONNECT_DELAYS {
+        sleep(delay).await;
+        match connect(addr).await {
+            ConnectOutcome::Refused => {}
+            ConnectOutcome::Unreachable => return,
+            ConnectOutcome::Reachable => {
+                let now = cx.now();
+                let unconfirmed = &mut cx.state().unconfirmed_crashes;
+                return unconfirmed.record_response(now, key, began);
+            }
+        }
+    }
+    let mut guard = cx.state();
+    let state = &mut *guard;
+    let Some(entry) = state.directory.get(key) else {
+        return;
+    };
+    let (endpoint, service) = (entry.number, entry.endpoint.service.clone());
+    let requests = state.unconfirmed_crashes.confirm(key);
+    if requests.is_empty() {
+        return;
+    }
+    log::info!(
+        target: "quarantine",
+        "event=rechecked endpoint={} number={endpoint} crashed=true requests={}",
+        entry.endpoint.id, requests.len()
+    );
+    cx.metrics.crashes.inc();
+    super::report_crash(&cx, state, &service, endpoint, requests);
+}
+
+/// Handles the record of an endpoint. If it is the first one with this id, others at its address have ended.
+pub(crate) fn handle_endpoint_record(state: &mut State, id: &str, addr: SocketAddr) {
+    if state.unconfirmed_crashes.is_empty() || state.directory.by_id_mut(id).is_some() {
+        return;
+    }
+    for key in state.unconfirmed_crashes.endpoints() {
+        let entry = state.directory.get_mut(key);
+        if let Some(entry) = entry.filter(|e| e.endpoint.addr == addr && e.endpoint.id != id) {
+            entry.mark_replaced();
+        }
     }
 }
 
@@ -182,13 +280,18 @@
     let mut outcome = ConnectOutcome::Reachable;
     for delay in CONNECT_DELAYS {
         sleep(delay).await;
-        outcome = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
-            Ok(Ok(_)) => ConnectOutcome::Reachable,
-            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                return ConnectOutcome::Refused;
-            }
-            Ok(Err(_)) | Err(_) => ConnectOutcome::Unreachable,
-        };
+        outcome = connect(addr).await;
+        if outcome == ConnectOutcome::Refused {
+            break;
+        }
     }
     outcome
 }
+
+async fn connect(addr: SocketAddr) -> ConnectOutcome {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => ConnectOutcome::Reachable,
+        Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => ConnectOutcome::Refused,
+        Ok(Err(_)) | Err(_) => ConnectOutcome::Unreachable,
+    }
+}
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -147,9 +147,13 @@
         let mut state = self.state();
         match update {
             Update::Site(site) => self.apply_site(&mut state, site),
-            Update::Endpoints(all) => self.replace_endpoints(&mut state, now, all),
+            Update::Endpoints(all) => {
+                self.replace_endpoints(&mut state, now, all);
+                crashes::settle(self, &mut state, now);
+            }
             Update::EndpointChanges(changes) => {
                 self.apply_endpoint_changes(&mut state, now, changes);
+                crashes::settle(self, &mut state, now);
                 self.record_endpoints_known(&state);
             }
             Update::Evacuated(domains) => self.apply_evacuated(&mut state, domains),
@@ -194,6 +198,9 @@
 
     /// Applies a complete list of endpoints.
     pub(crate) fn replace_endpoints(&self, state: &mut State, now: Duration, all: Vec<Endpoint>) {
+        for endpoint in &all {
+            crashes::handle_endpoint_record(state, &endpoint.id, endpoint.addr);
+        }
         for addr in state.directory.replace(now, all) {
             self.pool.forget(addr);
         }
@@ -261,6 +268,7 @@
 
     fn apply_endpoint(&self, state: &mut State, now: Duration, endpoint: Endpoint) -> RecordChange {
         let (id, born) = (endpoint.id.clone(), endpoint.born);
+        crashes::handle_endpoint_record(state, &id, endpoint.addr);
         let change = state.directory.upsert(now, endpoint);
         match change {
             RecordChange::Leaves if state.reads_only_for_itself => {
--- a/crates/oatdale-relay/src/directory.rs
+++ b/crates/oatdale-relay/src/directory.rs
@@ -8,7 +8,7 @@
 use crate::probe::ProbeReport;
 use crate::state::LimitedEndpoints;
 use crate::update::Endpoint;
-use oatdale_policy::relay::{Health, PermitSeeker, RequestLimit, WarmUp};
+use oatdale_policy::relay::{EndpointFate, Health, PermitSeeker, RequestLimit, WarmUp};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::fmt;
@@ -102,6 +102,8 @@
     pub(crate) back_off_until: Duration,
     /// Cancelled when the endpoint restarts: requests in flight to it are lost.
     pub(crate) restart_token: CancellationToken,
+    /// Whether another endpoint has its address.
+    is_replaced: bool,
     registration: Registration,
 }
 
@@ -520,11 +522,9 @@
         self.entries.get(&key)
     }
 
-    /// Whether an endpoint has restarted since it got this key.
-    pub(crate) fn has_restarted(&self, key: EndpointKey) -> bool {
-        self.entries
-            .get(&key)
-            .is_some_and(|e| e.restart_token.is_cancelled())
+    /// Returns what has become of the endpoint with this key; `None` if it is no longer known.
+    pub(crate) fn fate(&self, now: Duration, key: EndpointKey) -> Option<EndpointFate> {
+        Some(self.entries.get(&key)?.fate(now))
     }
 
     /// Returns the endpoint with this key for an update.
@@ -653,6 +653,7 @@
             permits: None,
             back_off_until: Duration::ZERO,
             restart_token: CancellationToken::new(),
+            is_replaced: false,
             registration: Registration::Present,
         }
     }
@@ -746,16 +747,30 @@
     /// Whether its end was planned: it announced its leaving or its record is gone, and it has not
     /// restarted.
     pub(crate) fn has_planned_end(&self, now: Duration) -> bool {
-        !self.accepts_new_requests(now) && !self.restart_token.is_cancelled()
+        let is_expected = self.endpoint.leaving || !self.is_registered(now);
+        is_expected && !self.restart_token.is_cancelled()
     }
 
     /// Whether it may get new requests.
     pub fn accepts_new_requests(&self, now: Duration) -> bool {
-        let is_registered = match self.registration {
+        self.is_registered(now) && !self.endpoint.leaving && !self.is_replaced
+    }
+
+    /// What has become of it.
+    fn fate(&self, now: Duration) -> EndpointFate {
+        match self {
+            e if e.endpoint.leaving => EndpointFate::Leaving,
+            e if e.is_replaced || e.restart_token.is_cancelled() => EndpointFate::Replaced,
+            e if !e.is_registered(now) => EndpointFate::Gone,
+            _ => EndpointFate::Present,
+        }
+    }
+
+    fn is_registered(&self, now: Duration) -> bool {
+        match self.registration {
             Registration::Present => true,
             Registration::ExpiresAt(at) => now < at,
-        };
-        is_registered && !self.endpoint.leaving
+        }
     }
 
     /// Whether it accepts a request from this node now, or once this node has asked for a permit.
@@ -774,8 +789,8 @@
         self.back_off_until = self.back_off_until.max(now + time);
     }
 
-    /// Marks it as gone, whatever its entry says: another endpoint answered at its address.
+    /// Marks it as gone, whatever its entry says: another endpoint has its address.
     pub fn mark_replaced(&mut self) {
-        self.endpoint.leaving = true;
+        self.is_replaced = true;
     }
 }
--- a/crates/oatdale-relay/src/in_flight.rs
+++ b/crates/oatdale-relay/src/in_flight.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// Records a valid response to a request that was sent at `sent_at`.
+    pub(crate) fn record_valid_response(&self, sent_at: Duration) {
+        let now = self.cx.now();
+        let unconfirmed = &mut self.cx.state().unconfirmed_crashes;
+        unconfirmed.record_response(now, self.key, sent_at);
+    }
+
     /// Whether bytes have arrived from the endpoint since this time, on any connection.
     pub(crate) fn has_progress_since(&self, since: Duration) -> bool {
         let state = self.cx.state();
--- a/crates/oatdale-relay/src/reachability.rs
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -1,6 +1,7 @@
 //! Checks whether this node can reach the endpoints of a service, after failures that could also be
 //! those of its own links.
 
+use crate::crashes;
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::in_flight::handle_unreachable;
@@ -184,7 +185,11 @@
 }
 
 /// Records the outcome of a check, and returns the delay before the next one if there is to be one.
-fn finish_check<W: Wire>(cx: &Cx<W>, service: &str, outcome: CheckOutcome) -> Option<Duration> {
+fn finish_check<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    service: &str,
+    outcome: CheckOutcome,
+) -> Option<Duration> {
     let now = cx.now();
     let mut state = cx.state();
     let endpoints = state.directory.eligible(now, service).count();
@@ -215,6 +220,9 @@
             handle_unreachable(cx, &mut state, key);
         }
     }
+    if outcome == CheckOutcome::Service {
+        crashes::recheck(cx, &state, service);
+    }
     cx.metrics
         .unreachable_services
         .set(unreachable_services(&state));
--- a/crates/oatdale-relay/src/state.rs
+++ b/crates/oatdale-relay/src/state.rs
@@ -21,7 +21,7 @@
 use crate::state::expected_time::ExpectedTimes;
 use crate::state::service_usage::ServiceUsages;
 use oatdale_policy::relay::{
-    Candidate, Mean, Placement, Quarantine, RetryLimit, RetryLimiter, choose,
+    Candidate, Mean, Placement, Quarantine, RetryLimit, RetryLimiter, UnconfirmedCrashes, choose,
 };
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -62,6 +62,8 @@
     pub(crate) unknown_announcements: BTreeSet<String>,
     /// Pending checks whether endpoints crashed.
     pub(crate) checks: CrashChecks,
+    /// Requests at endpoints of which it is not known yet whether they have crashed.
+    pub(crate) unconfirmed_crashes: UnconfirmedCrashes<EndpointKey>,
     /// Requests quarantined because they crash endpoints.
     pub(crate) quarantine: Quarantine,
     /// Parts of prompts that may crash endpoints.
@@ -171,6 +173,7 @@
             endpoint_lines: LineLimit::default(),
             unknown_announcements: BTreeSet::new(),
             checks: CrashChecks::default(),
+            unconfirmed_crashes: UnconfirmedCrashes::default(),
             quarantine: Quarantine::default(),
             parts: Parts::default(),
             pending_records: PendingRecords::default(),
