Compare durations with the medians of all nodes in a roll-out

What callers saw: a version whose answers take ten times as long was completed, and all callers had it from then on.

Cause: a node calls an answer slow by its own last answers of the route, of which it needs four, and counts nothing before.

Change: while a roll-out is under way each node's report states the medians of the service's classes of answers with the numbers of samples, eight at the most. A node without a median of its own takes the weighted median of what is stated. Coordinators have those of all nodes, others those of the coordinators.

Cost: up to 20 bytes a class in reports that are sent anyway, within their size; at 2,000 nodes some 300 kB at the eight coordinators while a roll-out is under way.

Evidence: slow_version_is_found_although_each_node_has_few_requests, nine nodes with two old answers and three new ones each; without the change it ends Completed, with it RolledBack, and a sound version is completed.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -66,7 +66,7 @@
 pub use crate::relay::health::Health;
 pub use crate::relay::held_requests::{HeldReport, HeldRequests};
 pub use crate::relay::ladder::{EscalationDecision, Ladder};
-pub use crate::relay::pace::{BaselineTime, StreamPace};
+pub use crate::relay::pace::{BaselineTime, MedianTime, StreamPace};
 pub use crate::relay::part_crashes::{CrashedRequest, PartAnswers, PartCrashes};
 pub use crate::relay::permits::{
     IssuerRank, IssuerView, PermitIssuer, PermitReply, PermitRequest, PermitSeeker,
--- a/crates/oatdale-policy/src/relay/pace.rs
+++ b/crates/oatdale-policy/src/relay/pace.rs
@@ -21,7 +21,7 @@
 const SLOW_MARGIN: Duration = Duration::from_millis(8);
 
 /// Samples that are required before anything counts as slow: with fewer, there is no usual time.
-const MIN_SAMPLES: usize = 4;
+const MIN_SAMPLES: u32 = 4;
 
 /// Pace of one stream: the shortest of its first pauses.
 ///
@@ -72,6 +72,15 @@
     }
 }
 
+/// Median of the recent times of one kind of operation.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct MedianTime {
+    /// The median.
+    pub median: Duration,
+    /// Number of times that it is the median of; at least 1.
+    pub samples: u32,
+}
+
 /// Recent times of one kind of operation.
 #[derive(Clone, Debug, Default)]
 pub struct BaselineTime {
@@ -91,12 +100,44 @@
         self.median = *sorted.select_nth_unstable(middle).1;
     }
 
+    /// Returns the time above which an operation counts as slow, if a usual time is known.
+    pub fn slow_threshold(&self) -> Option<Duration> {
+        self.median()?.slow_threshold()
+    }
+
+    /// Returns the recent median; `None` if nothing was recorded.
+    pub fn median(&self) -> Option<MedianTime> {
+        let samples = u32::try_from(self.recent.len()).ok()?;
+        (samples > 0).then_some(MedianTime {
+            median: self.median,
+            samples,
+        })
+    }
+}
+
+impl MedianTime {
+    /// Returns the median of several nodes' samples, of which only their own medians are known.
+    pub fn combined(medians: impl IntoIterator<Item = MedianTime>) -> Option<MedianTime> {
+        let mut medians: Vec<_> = medians.into_iter().collect();
+        medians.sort_unstable_by_key(|m| m.median);
+        let samples: u32 = medians.iter().map(|m| m.samples).sum();
+        let mut before = 0;
+        let middle = medians.iter().find(|m| {
+            before += m.samples;
+            before * 2 >= samples
+        })?;
+        Some(MedianTime {
+            median: middle.median,
+            samples,
+        })
+    }
+
     /// Returns the time above which an operation counts as slow, if a usual time is known.
     ///
     /// It is derived from the median: the mean follows the few operations that wait behind long
     /// prompts, and a slow version exceeds it only slightly.
-    pub fn slow_threshold(&self) -> Option<Duration> {
-        let has_baseline = self.recent.len() >= MIN_SAMPLES;
+    pub fn slow_threshold(self) -> Option<Duration> {
+        let has_baseline = self.samples >= MIN_SAMPLES;
         has_baseline.then(|| self.median.mul_f64(SLOW_FACTOR) + SLOW_MARGIN)
     }
 }
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -85,6 +85,7 @@
                     roll_out.order, roll_out.end
                 );
                 self.has_new_order = true;
+                self.baselines.forget_stated();
                 self.sessions_sent_at = None;
                 let service = roll_out.service.clone();
                 if let Some(replaced) = replaced {
@@ -224,7 +225,7 @@
         }
         let is_new = self.counts(source).is_some_and(|(_, is_new)| is_new);
         if !is_new && !self.is_excluded(source.service, source.version) {
-            self.baselines.record(class, time);
+            self.baselines.record(source.service, class, time);
         }
     }
 
@@ -300,6 +301,7 @@
         if !active.roll_out.is_same_order(&reported_order) {
             return;
         }
+        self.baselines.handle_stated(&report.host, &report.medians);
         let age = Duration::from_millis(report.age_ms);
         active.started_at = active.started_at.min(now.saturating_sub(age));
         let peer = PeerReport {
@@ -349,9 +351,10 @@
                 rate: self.rates.get(now, &a.roll_out.service),
                 recent_rate: self.rates.recent(now, &a.roll_out.service),
                 outcomes: self.latest_outcomes(&a.roll_out.service),
+                medians: self.baselines.to_state(&a.roll_out.service),
             })
             .map(|mut report| {
-                report.truncate_outcomes();
+                report.truncate();
                 report
             })
             .collect()
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -1,5 +1,6 @@
 //! Messages that nodes exchange about a rollout.
 
+use super::baseline::StatedMedian;
 use super::history::VersionOutcome;
 use crate::revision::Revision;
 use crate::update::RollOut;
@@ -39,6 +40,10 @@
     /// them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<VersionOutcome>,
+    /// Medians of the durations of the service's responses on versions that are not in a trial; nodes of
+    /// an earlier version do not send them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub medians: Vec<StatedMedian>,
 }
 
 /// Response counts of one origin: route, endpoint, and the numbers of all, failed, timed and slow
@@ -71,11 +76,14 @@
         }
     }
 
-    /// Removes outcomes until the report fits into a datagram. Datagrams that are too long are
-    /// dropped, and the response counts with them; outcomes are in the records as well.
-    pub(super) fn truncate_outcomes(&mut self) {
-        while !self.outcomes.is_empty() && self.encoded_bytes() > MAX_REPORT_BYTES {
-            self.outcomes.pop();
+    /// Removes outcomes and then medians until the report fits into a datagram. Datagrams that are too
+    /// long are dropped, and the response counts with them; outcomes are in the records as well.
+    pub(super) fn truncate(&mut self) {
+        while self.encoded_bytes() > MAX_REPORT_BYTES {
+            let is_removed = self.outcomes.pop().is_some() || self.medians.pop().is_some();
+            if !is_removed {
+                return;
+            }
         }
     }
 
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -311,3 +311,61 @@
     let outcomes: Vec<_> = outcomes.map(|o| (o.version, o.outcome)).collect();
     assert_eq!(outcomes, [("v2".to_owned(), Outcome::Replaced)]);
 }
+
+/// Nodes that each have two requests on the old version and three on the new one, which answers a part of
+/// them several times slower; `record` records one of these.
+fn nodes_with_few_requests(record: impl Fn(&mut RollOuts, &ResponseSource<'_>, u64)) -> RollOuts {
+    const CLASS: u64 = 7;
+    let mut nodes: Vec<_> = (0..9).map(|_| RollOuts::default()).collect();
+    for (n, node) in (0..).zip(&mut nodes) {
+        for sample in 0..2 {
+            let time = Some((CLASS, ms(8 + n + sample)));
+            node.record_response(&response_from("v1", 9), false, time);
+        }
+        node.update(ms(0), order(2, None));
+    }
+    let exchange = |nodes: &mut [RollOuts], now| {
+        let reports: Vec<_> = (0..)
+            .zip(nodes.iter())
+            .flat_map(|(n, node)| node.reports(now, &format!("node-{n}"), |_, _| false))
+            .collect();
+        for (n, node) in nodes.iter_mut().enumerate() {
+            let others = reports.iter().filter(|r| r.host != format!("node-{n}"));
+            others.for_each(|report| node.merge_report(now, report));
+        }
+    };
+    exchange(&mut nodes, ms(400));
+    for (n, node) in (0..).zip(&mut nodes) {
+        for sample in 0..3 {
+            let time = Some((CLASS, ms(9 + n)));
+            node.record_response(&response_from("v1", 9), false, time);
+            let source = response_from("v2", (n as u32 + sample) % 3 + 1);
+            record(node, &source, n * 3 + u64::from(sample));
+        }
+    }
+    exchange(&mut nodes, ms(4_000));
+    nodes.swap_remove(0)
+}
+
+fn end_of(mut node: RollOuts) -> Option<RollOutEnd> {
+    let ends = (0..200).find_map(|n| {
+        let due = node.due_ends(ms(n * 50), 0, |_, _| false);
+        due.first().map(|(_, end)| *end)
+    });
+    ends
+}
+
+// Guards against completing a slow version of a service with few requests: no node has a usual time by
+// itself, and responses that it can't compare don't count.
+#[test]
+fn slow_version_is_found_although_each_node_has_few_requests() {
+    let node = nodes_with_few_requests(|node, source, n| {
+        let time = if n % 3 == 0 { ms(105) } else { ms(10) };
+        node.record_response(source, false, Some((7, time)));
+    });
+    assert_eq!(end_of(node), Some(RollOutEnd::RolledBack));
+    let node = nodes_with_few_requests(|node, source, _| {
+        node.record_response(source, false, Some((7, ms(12))));
+    });
+    assert_eq!(end_of(node), Some(RollOutEnd::Completed));
+}
