Count failures that take longer than usual as slow in a roll-out

A slow version's requests also fail, with a 504 when their time has run out, and a fifth of the old version's requests failed at once for reasons of their own, so that 2 failures of 21 said nothing.

Cause: the time of a failed response was never looked at: the verdict that it failed threw away the evidence that it was slow.

Fast failures still count as failures only, and no failure counts as a usual time, on either version.

Evidence: failures_at_the_deadline_count_as_slow, which ends Completed without the change and RolledBack with it; a version that fails as often at once is completed.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -426,7 +426,7 @@
     // A stream's first event waits for the engine's queue and for the prompt to be processed, which
     // says little about a version; the intervals between its events say more and are recorded while
     // the stream runs.
-    let is_timed = !failed && !request_cx.route().kind.is_stream();
+    let is_timed = !request_cx.route().kind.is_stream();
     if is_timed && matches!(result, Ok((head, ..)) if head.status.is_success()) {
         speeds::record_response(cx, request_cx, in_flight, attempt_time);
     }
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -192,8 +192,8 @@
         self.sessions.expire(now, ttl);
     }
 
-    /// Records a response head: whether the endpoint failed, and how long it took, where that time
-    /// is meaningful.
+    /// Records a response head, or that there was none before the deadline: whether the endpoint failed,
+    /// and how long it took, where that time is meaningful.
     pub fn record_response(
         &mut self,
         source: &ResponseSource<'_>,
@@ -204,8 +204,17 @@
             counts.answers += 1;
             counts.failed += u64::from(failed);
         }
-        if let Some((class, time)) = time {
-            self.record_duration(source, class, time);
+        match time {
+            // Failures are often fast, which is not to count as a usual time; one that takes longer than
+            // usual is due to the endpoint's slowness, such as one at the deadline.
+            Some((class, time)) if failed => {
+                let threshold = self.slow_threshold(class);
+                if threshold.is_some_and(|threshold| time > threshold) {
+                    self.record_slow(source, true);
+                }
+            }
+            Some((class, time)) => self.record_duration(source, class, time),
+            None => {}
         }
         if let Some(active) = self.by_service.get_mut(source.service) {
             active.update_verdict();
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -338,7 +338,8 @@
     for (n, node) in (0..).zip(&mut nodes) {
         for sample in 0..3 {
             let time = Some((CLASS, ms(9 + n)));
-            node.record_response(&response_from("v1", 9), false, time);
+            let fails = sample == 2;
+            node.record_response(&response_from("v1", 9), fails, time);
             let source = response_from("v2", (n as u32 + sample) % 3 + 1);
             record(node, &source, n * 3 + u64::from(sample));
         }
@@ -369,3 +370,18 @@
     });
     assert_eq!(end_of(node), Some(RollOutEnd::Completed));
 }
+
+// Guards against completing a slow version because most of its slow responses are failures, as the time of
+// their requests runs out: the old version fails as often, but at once.
+#[test]
+fn failures_at_the_deadline_count_as_slow() {
+    let node = nodes_with_few_requests(|node, source, n| match n % 3 {
+        0 => node.record_response(source, true, Some((7, ms(400)))),
+        _ => node.record_response(source, false, Some((7, ms(10)))),
+    });
+    assert_eq!(end_of(node), Some(RollOutEnd::RolledBack));
+    let node = nodes_with_few_requests(|node, source, n| {
+        node.record_response(source, n % 9 == 0, Some((7, ms(10))));
+    });
+    assert_eq!(end_of(node), Some(RollOutEnd::Completed));
+}
