Take a rejection only from the response of the same request

Cause: a rejection, or the statement that another endpoint has the address, was taken for the current request's before the ids were compared. An endpoint that sends its response to an earlier request a second time, late, sends it at the place of the next one. What it announced was taken over as well.

Change: the id of a response is compared first, where it has one. The request then counts as one that may have run, and the connection is discarded: the responses to come on it may each belong to the request before.

--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -62,6 +62,8 @@
 pub use crate::http_kv::{HttpKv, HttpKvConfig};
 pub use crate::kv::{Condition, Entry, Kv, KvError, LeaseId, ModRevision, Put, Result};
 pub use crate::plain::{PlainClient, strip};
-pub use crate::pool::{ByteStream, Connect, Connector, Pool, PoolConfig, Reuse, SendError};
+pub use crate::pool::{
+    ByteStream, Connect, Connector, Pool, PoolConfig, ResponseConnection, Reuse, SendError,
+};
 pub use crate::rating::RatingClient;
 pub use crate::weights::WeightStoreClient;
--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -17,6 +17,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -106,6 +107,22 @@
     Recent,
 }
 
+/// The connection that a response came on, in the response's extensions.
+#[derive(Clone, Debug, Default)]
+pub struct ResponseConnection(Arc<AtomicBool>);
+
+impl ResponseConnection {
+    /// Closes the connection once it is idle, instead of using it for further requests: the response
+    /// shows that those to come on it may belong to other requests.
+    pub fn discard(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_discarded(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Why a request got no answer head.
 #[derive(Clone, PartialEq, Eq, Debug, Snafu)]
 pub enum SendError {
@@ -152,6 +169,7 @@
     since: Instant,
     /// How long it may be idle and still be used.
     limit: Duration,
+    connection: ResponseConnection,
 }
 
 /// What became of a request that was given to one connection.
@@ -264,8 +282,10 @@
         deadline: Instant,
     ) -> Attempt {
         match timeout_at(deadline, tx.try_send_request(req)).await {
-            Ok(Ok(res)) => {
-                self.keep(addr, tx, self.idle_limit(res.headers()));
+            Ok(Ok(mut res)) => {
+                let connection = ResponseConnection::default();
+                res.extensions_mut().insert(connection.clone());
+                self.keep(addr, tx, self.idle_limit(res.headers()), connection);
                 Attempt::Answered(res)
             }
             Ok(Err(mut err)) => match err.take_message() {
@@ -279,11 +299,24 @@
     }
 
     /// Puts the connection back once the answer has been read to its end.
-    fn keep(&self, addr: SocketAddr, mut tx: SendRequest<Full<Bytes>>, limit: Duration) {
+    fn keep(
+        &self,
+        addr: SocketAddr,
+        mut tx: SendRequest<Full<Bytes>>,
+        limit: Duration,
+        connection: ResponseConnection,
+    ) {
         let pool = self.clone();
         tokio::spawn(async move {
             if tx.ready().await.is_ok() {
-                pool.put_idle(addr, tx, limit);
+                let since = Instant::now();
+                let idle = Idle {
+                    tx,
+                    since,
+                    limit,
+                    connection,
+                };
+                pool.put_idle(addr, idle);
             }
         });
     }
@@ -294,15 +327,13 @@
         announced_idle(headers).map_or(own, |told| own.min(told.mul_f64(SAFE_IDLE)))
     }
 
-    fn put_idle(&self, addr: SocketAddr, tx: SendRequest<Full<Bytes>>, limit: Duration) {
-        let now = Instant::now();
+    fn put_idle(&self, addr: SocketAddr, idle: Idle) {
         let cfg = self.shared.cfg;
         let mut kept = self.lock();
-        kept.sweep(now, cfg.idle_timeout);
+        kept.sweep(idle.since, cfg.idle_timeout);
         let list = kept.idle.entry(addr).or_default();
-        if list.len() < cfg.max_idle {
-            let since = now;
-            list.push(Idle { tx, since, limit });
+        if list.len() < cfg.max_idle && !idle.connection.is_discarded() {
+            list.push(idle);
         }
     }
 
@@ -317,6 +348,9 @@
         let mut kept = self.lock();
         let list = kept.idle.get_mut(&addr)?;
         while let Some(idle) = list.pop() {
+            if idle.connection.is_discarded() {
+                continue;
+            }
             if idle.tx.is_ready() && now - idle.since < idle.limit.mul_f64(part) {
                 return Some(idle.tx);
             }
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::wire::{ResponseMetadata, Wire};
 use http::response;
 use hyper::body::Incoming;
-use oatdale_platform::SendError;
+use oatdale_platform::{ResponseConnection, SendError};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -276,6 +276,11 @@
     };
     in_flight.record_progress();
     let metadata = cx.wire.response(&head);
+    // A response to an earlier request may come late, at the place of this one's: what it says holds for
+    // that request alone.
+    if metadata.id.is_some() && metadata.id != request_cx.metadata.id {
+        return Err(mismatched_id(&head, &metadata));
+    }
     if metadata.leaving && !metadata.misdirected {
         in_flight.record_leaving();
     }
@@ -358,13 +363,9 @@
     if metadata.not_executed {
         return Err(Failure::NotRun(head.status.as_u16()));
     }
-    // A connection may deliver a response to an earlier request. Forwarding it would disclose
-    // another caller's data; the request itself may have run.
+    // Whose response it is can't be told: forwarding it could disclose another caller's data.
     if metadata.id != request_cx.metadata.id {
-        return Err(Failure::Unknown(format!(
-            "response id mismatch: got {:?}",
-            metadata.id
-        )));
+        return Err(mismatched_id(head, metadata));
     }
     if !metadata.signed {
         return Err(Failure::Unknown(format!(
@@ -375,6 +376,14 @@
     Ok(())
 }
 
+/// Gives up the connection that delivered the response of another request; the request itself may have run.
+fn mismatched_id(head: &response::Parts, metadata: &ResponseMetadata) -> Failure {
+    if let Some(connection) = head.extensions.get::<ResponseConnection>() {
+        connection.discard();
+    }
+    Failure::Unknown(format!("response id mismatch: got {:?}", metadata.id))
+}
+
 /// Updates endpoint health and rollout statistics with an attempt's outcome.
 fn record_outcome<W: Wire>(
     cx: &Cx<W>,
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -349,11 +349,10 @@
 }
 
 fn end_of(mut node: RollOuts) -> Option<RollOutEnd> {
-    let ends = (0..200).find_map(|n| {
+    (0..200).find_map(|n| {
         let due = node.due_ends(ms(n * 50), 0, |_, _| false);
         due.first().map(|(_, end)| *end)
-    });
-    ends
+    })
 }
 
 // Guards against completing a slow version of a service with few requests: no node has a usual time by
