Take a response without framing for complete only from a live endpoint

Cause: the connections of a process that is killed end like those of one that is done. A response with neither a length nor chunks has nothing but the end of its connection to show that it is complete, and nobody looked whether the endpoint was there.

Change: after such an end the endpoint's address is tried once, 20 ms later. If nothing accepts there, or another start of the endpoint is known, the response has broken off: a stream is resumed where it may be, a plain request is sent again where it may be, and the caller's answer breaks off otherwise. A response with a length or chunks costs nothing; one without costs 20 ms at its end and a connection. An engine that is back within 20 ms is not told apart, unless its record shows the later start.

--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -12,7 +12,8 @@
 mod records;
 
 pub(crate) use crate::crashes::check::{
-    CrashChecks, check_for_crash, handle_endpoint_record, recheck, settle, wait_for_checks,
+    CrashChecks, check_for_crash, handle_endpoint_record, has_ended, recheck, settle,
+    wait_for_checks,
 };
 pub(crate) use crate::crashes::parts::{Parts, handle_answers, handle_crash, handle_suspected};
 pub(crate) use crate::crashes::records::PendingRecords;
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -170,6 +170,17 @@
     }
 }
 
+/// Whether an endpoint no longer accepts connections or has been replaced, right after one of its connections
+/// has ended.
+pub(crate) async fn has_ended<W: Wire>(in_flight: &InFlightRequest<W>) -> bool {
+    let [delay, ..] = CONNECT_DELAYS;
+    sleep(delay).await;
+    let cx = &in_flight.cx;
+    let fate = cx.state().directory.fate(cx.now(), in_flight.key);
+    fate == Some(EndpointFate::Replaced)
+        || connect(in_flight.addr).await != ConnectOutcome::Reachable
+}
+
 /// Reports the crashes that have been confirmed by what became of the endpoints.
 pub(crate) fn settle<W: Wire>(cx: &Cx<W>, state: &mut State, now: Duration) {
     if state.unconfirmed_crashes.is_empty() {
--- a/crates/oatdale-relay/src/endpoint_response.rs
+++ b/crates/oatdale-relay/src/endpoint_response.rs
@@ -9,7 +9,7 @@
 use crate::request_context::RequestContext;
 use crate::wire::{ResponseMetadata, Wire};
 use bytes::Bytes;
-use http::response;
+use http::{StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -52,7 +52,11 @@
 
     /// Whether the body's end can be told from that of its connection.
     pub(crate) fn has_framing(&self) -> bool {
-        has_framing(&self.head.headers)
+        let has_no_body = matches!(
+            self.head.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+        has_no_body || has_framing(&self.head.headers)
     }
 
     /// Id of the endpoint that responded.
@@ -95,12 +99,29 @@
                 Read::Chunk(chunk)
             }
             Ok(Some(Err(err))) => Read::Broken(err.to_string()),
+            Ok(None) if self.may_have_broken_off().await => {
+                Read::Broken("the endpoint ended with the response".to_owned())
+            }
             Ok(None) => Read::End,
             Err(_) => Read::Late,
         }
     }
 }
 
+impl<W: Wire> EndpointResponse<W> {
+    /// Whether a response that has ended may not be complete: nothing but the end of its connection shows
+    /// that it is, and its endpoint is gone. The connections of a process that is killed end like those of
+    /// one that is done.
+    async fn may_have_broken_off(&self) -> bool {
+        match &self.upstream {
+            Upstream::Endpoint(in_flight) if !self.has_framing() => {
+                crashes::has_ended(in_flight).await
+            }
+            _ => false,
+        }
+    }
+}
+
 async fn wait_restarted<W: Wire>(upstream: &Upstream<W>) {
     match upstream {
         Upstream::Endpoint(in_flight) => in_flight.wait_restarted().await,
