Answer waiting requests before a planned stop ends the process

Cause: when the stop time was nearly over the process ended, whatever was in flight.

Change: 0.4 s before that, as before, what has no response yet is given up, and is now answered: 503 with Retry-After 0 if no endpoint has had it, 502 otherwise. Responses that have begun end with the process, as before. The stop takes up to 0.2 s of the 0.4 s more, if something is in flight.

Evidence: waiting_requests_are_answered_before_the_process_ends failed before, as the answers came after the stop had ended. Not mended, and open: a stream that waits is not moved to another node while the node stops.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -177,7 +177,9 @@
     let sent_at = Instant::now();
     let progress_before = cx.now();
     let told = in_flight.limit_before.age(cx.now());
+    request_cx.is_being_sent = true;
     let result = send(cx, request_cx, &in_flight, options).await;
+    request_cx.is_being_sent = false;
     let attempt_time = sent_at.elapsed();
     let may_have_run = !result.as_ref().is_err_and(Failure::is_not_run);
     if may_have_run && !request_cx.may_have_run_at.contains(&in_flight.key) {
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -23,6 +23,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Connect timeout to an endpoint. Endpoints are a few milliseconds away; a slower one is better
 /// replaced by another within the time that callers wait.
@@ -74,6 +75,8 @@
     pub(crate) quarantine_changed: watch::Sender<()>,
     /// Notified when requests at endpoints are to be reported to the issuers of permits.
     pub(crate) held_changed: Notify,
+    /// Cancelled when the requests that have no response yet are given up, shortly before the process ends.
+    pub(crate) abandoned: CancellationToken,
     started: Instant,
     state: Mutex<State>,
 }
@@ -102,6 +105,7 @@
             admission: Admission::default(),
             quarantine_changed: watch::Sender::default(),
             held_changed: Notify::new(),
+            abandoned: CancellationToken::new(),
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds, settings.load_control)),
             settings,
--- a/crates/oatdale-relay/src/forwarding.rs
+++ b/crates/oatdale-relay/src/forwarding.rs
@@ -104,7 +104,9 @@
         };
         tried.push(hash(&node.host));
         let sent_at = Instant::now();
+        request_cx.is_being_sent = true;
         let outcome = send(cx, request_cx, &node, options).await;
+        request_cx.is_being_sent = false;
         if let Some(can_serve) = outcome.can_serve() {
             record(cx, &request_cx.service, &node.host, can_serve);
         }
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -34,6 +34,10 @@
 /// Time before the end of the shutdown at which remaining in-flight requests are abandoned.
 const ABANDON_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time for the responses to abandoned requests to be written; a part of the margin above, which has to
+/// suffice for the end of the process too.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -108,7 +112,12 @@
         while self.in_flight() > 0 && Instant::now() < deadline {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        log::info!(target: "node", "event=stopped under_way={}", self.in_flight());
+        let unanswered = self.in_flight();
+        self.cx.abandoned.cancel();
+        if unanswered > 0 {
+            tokio::time::sleep(FINAL_ANSWER_TIME).await;
+        }
+        log::info!(target: "node", "event=stopped under_way={} abandoned={unanswered}", self.in_flight());
     }
 
     /// Applies changed bounds, and returns whether other settings changed, such as addresses, which
--- a/crates/oatdale-relay/src/request_context.rs
+++ b/crates/oatdale-relay/src/request_context.rs
@@ -52,6 +52,8 @@
     pub(crate) excluded: Vec<EndpointKey>,
     /// All endpoints that may have run the request, including those whose responses were discarded.
     pub(crate) may_have_run_at: SmallVec<[EndpointKey; 4]>,
+    /// Whether an attempt is under way in which an endpoint or another node may have received the request.
+    pub(crate) is_being_sent: bool,
     /// Number of attempts in which at least one byte was sent to an endpoint.
     pub(crate) sends: u32,
     /// Size of the generation as a multiple of the route's mean.
@@ -96,6 +98,7 @@
             model_index: 0,
             excluded: Vec::new(),
             may_have_run_at: SmallVec::new(),
+            is_being_sent: false,
             sends: 0,
             relative_size: 1.0,
             confidences: SmallVec::new(),
@@ -278,6 +281,11 @@
         hash(&("event", self.model_index))
     }
 
+    /// Whether an endpoint may have run the request or may still do so.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.is_being_sent || self.sends > 0 || !self.may_have_run_at.is_empty()
+    }
+
     /// Records how large the generation is relative to others of its route.
     pub(crate) fn record_size<W>(&mut self, cx: &Cx<W>) {
         let Some(prompt) = &self.metadata.prompt else {
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -182,7 +182,18 @@
     mut request_log: RequestLog<W>,
 ) -> Response<Body> {
     request_cx.record_size(cx);
-    let result = send_with_retries(cx, &mut request_cx).await;
+    let result = tokio::select! {
+        biased;
+        result = send_with_retries(cx, &mut request_cx) => Some(result),
+        () = cx.abandoned.cancelled() => None,
+    };
+    let result = result.unwrap_or_else(|| {
+        let refusal = match request_cx.may_have_run() {
+            true => Refusal::ResponseLost,
+            false => Refusal::Stopping,
+        };
+        Err((refusal, "the node stops".to_owned()))
+    });
     request_log.fields = format!(
         "config={} route={} service={} from_node={} session={} model={} sends={} confidences={:?} ",
         request_cx.site.version,
@@ -228,6 +239,8 @@
             request_log.set_outcome(&format!("refused {refusal}: {detail}"));
             let retry = match refusal {
                 Refusal::Quarantined => cx.remaining_quarantine(&request_cx),
+                // Another node can serve it at once.
+                Refusal::Stopping => Some(Duration::ZERO),
                 _ if refusal.status().as_u16() == 503 => Some(retry_delay(cx, &request_cx)),
                 _ => None,
             };
