Discard what is unsent of requests that are given up

Cause: the connection was closed as usual, and the operating system goes on delivering what it has taken before that.

Change: connections of the pool discard what is not delivered when they are closed, and end with a reset. The pool closes them only when idle or when their request is given up.

--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -267,6 +267,9 @@
 
     fn configure(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        // A request that is given up must not be delivered later, as the operating system would once a
+        // broken link works again: closing the connection discards what is not sent yet.
+        SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
         notice_dead_host(stream)?;
         match self.shared.cfg.receive_buffer_bytes {
             Some(bytes) => SockRef::from(stream).set_recv_buffer_size(bytes),
--- a/crates/oatdale-platform/tests/pool.rs
+++ b/crates/oatdale-platform/tests/pool.rs
@@ -293,3 +293,36 @@
     })
     .await;
 }
+
+// Guards against requests that reach an endpoint after they were given up: a link that was broken meanwhile
+// delivers what the operating system still has of them.
+#[tokio::test]
+async fn request_that_was_given_up_is_not_delivered_later() {
+    const BODY_BYTES: usize = 100_000;
+    bounded(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        // Less than the request, as if the link had taken a part of it before it broke.
+        socket.set_recv_buffer_size(4_096).unwrap();
+        socket
+            .bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+            .unwrap();
+        let listener = socket.listen(8).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let pool = Pool::new(PoolConfig::default());
+        let body = Full::new(Bytes::from(vec![b'x'; BODY_BYTES]));
+        let req = Request::post("/slots/7/confirm").body(body).unwrap();
+        let deadline = Instant::now() + Duration::from_millis(300);
+        let (sent, accepted) = tokio::join!(
+            pool.send(addr, req, Reuse::Allowed, deadline),
+            listener.accept()
+        );
+        assert_eq!(sent.map(|_| ()), Err(SendError::TimedOut));
+        sleep(Duration::from_millis(200)).await;
+        let (mut stream, _) = accepted.unwrap();
+        let mut received = Vec::new();
+        // An error is the end of what arrives too.
+        let _ = stream.read_to_end(&mut received).await;
+        assert!(received.len() < BODY_BYTES, "{} bytes", received.len());
+    })
+    .await;
+}
