Log whose id a rejection has, and how often its connection was used

An attempt that ended NotRun(503) did not tell whether the response named this request, an earlier one on the connection or none, nor whether the connection had carried responses before: the hypotheses of requests that run and are answered as not run could not be told apart. A line and a counter by the kind of id have both now, for rejections and for responses of other requests only.

--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -109,17 +109,31 @@
 
 /// The connection that a response came on, in the response's extensions.
 #[derive(Clone, Debug, Default)]
-pub struct ResponseConnection(Arc<AtomicBool>);
+pub struct ResponseConnection {
+    discarded: Arc<AtomicBool>,
+    earlier_responses: u64,
+}
 
 impl ResponseConnection {
     /// Closes the connection once it is idle, instead of using it for further requests: the response
     /// shows that those to come on it may belong to other requests.
     pub fn discard(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.discarded.store(true, Ordering::Relaxed);
+    }
+
+    /// Number of responses that came on the connection before this one.
+    pub fn earlier_responses(&self) -> u64 {
+        self.earlier_responses
     }
 
     fn is_discarded(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.discarded.load(Ordering::Relaxed)
+    }
+
+    /// The connection as the next response on it describes it.
+    fn after_response(mut self) -> Self {
+        self.earlier_responses += 1;
+        self
     }
 }
 
@@ -215,15 +229,16 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendError> {
         set_host(&mut req, addr);
-        while let Some(tx) = self.take_idle(addr, reuse) {
-            match self.attempt(addr, tx, req, deadline).await {
+        while let Some((tx, connection)) = self.take_idle(addr, reuse) {
+            match self.attempt(addr, tx, connection, req, deadline).await {
                 Attempt::Answered(res) => return Ok(res),
                 Attempt::HandedBack(unsent) => req = unsent,
                 Attempt::Failed(err) => return Err(err),
             }
         }
         let tx = self.connect(addr, deadline).await?;
-        match self.attempt(addr, tx, req, deadline).await {
+        let connection = ResponseConnection::default();
+        match self.attempt(addr, tx, connection, req, deadline).await {
             Attempt::Answered(res) => Ok(res),
             Attempt::HandedBack(_) => Err(SendError::NotSent {
                 message: "the new connection closed at once".to_owned(),
@@ -281,12 +296,12 @@
         &self,
         addr: SocketAddr,
         mut tx: SendRequest<Full<Bytes>>,
+        connection: ResponseConnection,
         req: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Attempt {
         match timeout_at(deadline, tx.try_send_request(req)).await {
             Ok(Ok(mut res)) => {
-                let connection = ResponseConnection::default();
                 res.extensions_mut().insert(connection.clone());
                 self.keep(addr, tx, self.idle_limit(res.headers()), connection);
                 Attempt::Answered(res)
@@ -341,7 +356,11 @@
     }
 
     /// The connection used last, which is the least likely to have been closed meanwhile.
-    fn take_idle(&self, addr: SocketAddr, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(
+        &self,
+        addr: SocketAddr,
+        reuse: Reuse,
+    ) -> Option<(SendRequest<Full<Bytes>>, ResponseConnection)> {
         let part = match reuse {
             Reuse::Never => return None,
             Reuse::Recent => RECENT,
@@ -355,7 +374,7 @@
                 continue;
             }
             if idle.tx.is_ready() && now - idle.since < idle.limit.mul_f64(part) {
-                return Some(idle.tx);
+                return Some((idle.tx, idle.connection.after_response()));
             }
             // The others were used before it, so they are no more recent.
             if reuse == Reuse::Recent {
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -278,6 +278,7 @@
     };
     in_flight.record_progress();
     let metadata = cx.wire.response(&head);
+    log_if_not_answered(cx, request_cx, in_flight, &metadata, &head);
     // A response to an earlier request may come late, at the place of this one's: what it says holds for
     // that request alone.
     if metadata.id.is_some() && metadata.id != request_cx.metadata.id {
@@ -378,6 +379,38 @@
     Ok(())
 }
 
+/// Logs a response that rejects the request or belongs to another one, with what tells the two apart: the
+/// id in it, and whether earlier responses came on its connection.
+fn log_if_not_answered<W: Wire>(
+    cx: &Cx<W>,
+    request_cx: &RequestContext,
+    in_flight: &InFlightRequest<W>,
+    metadata: &ResponseMetadata,
+    head: &response::Parts,
+) {
+    let own = &request_cx.metadata.id;
+    let response_id = match &metadata.id {
+        None => "missing",
+        id if id == own => "own",
+        Some(_) => "other",
+    };
+    let rejects = metadata.not_executed || metadata.misdirected;
+    if response_id == "own" && !rejects {
+        return;
+    }
+    cx.metrics
+        .rejected_responses
+        .with_label_values(&[response_id])
+        .inc();
+    let connection = head.extensions.get::<ResponseConnection>();
+    log::info!(
+        target: "attempt",
+        "event=rejected id={} endpoint={} status={} not_executed={} response_id={response_id} got={:?} earlier_responses={}",
+        own.as_deref().unwrap_or("-"), in_flight.id, head.status.as_u16(), metadata.not_executed, metadata.id,
+        connection.map_or(0, ResponseConnection::earlier_responses)
+    );
+}
+
 /// Gives up the connection that delivered the response of another request; the request itself may have run.
 fn mismatched_id(head: &response::Parts, metadata: &ResponseMetadata) -> Failure {
     if let Some(connection) = head.extensions.get::<ResponseConnection>() {
--- a/crates/oatdale-relay/src/metrics.rs
+++ b/crates/oatdale-relay/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) permits: IntCounterVec,
     /// Rejections by endpoints that must not reject many, by whether a permit was needed.
     pub(crate) rejections: IntCounterVec,
+    /// Responses that reject a request or belong to another one, by the id in them.
+    pub(crate) rejected_responses: IntCounterVec,
     /// Checks whether this node reaches a service, by what they could connect to.
     pub(crate) reach_checks: IntCounterVec,
     /// Services of which this node reaches no endpoint.
@@ -94,6 +96,10 @@
             "brittle_rejections_total",
             "Rejections by endpoints that fail if they reject many",
         );
+        let rejected_responses = Opts::new(
+            "rejected_responses_total",
+            "Responses that reject a request or belong to another one, by the id in them",
+        );
         let permits = Opts::new("permits_total", "Requests for permits by outcome");
         let reach_checks = Opts::new(
             "reach_checks_total",
@@ -141,6 +147,7 @@
             limited: IntCounterVec::new(limited, &["purpose"])?,
             permits: IntCounterVec::new(permits, &["outcome"])?,
             rejections: IntCounterVec::new(rejections, &["permit"])?,
+            rejected_responses: IntCounterVec::new(rejected_responses, &["response_id"])?,
             reach_checks: IntCounterVec::new(reach_checks, &["reached"])?,
             unreachable_services: IntGauge::new(
                 "unreachable_services",
@@ -179,7 +186,7 @@
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 30] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 31] = [
             Box::new(self.requests.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.escalations.clone()),
@@ -192,6 +199,7 @@
             Box::new(self.limited.clone()),
             Box::new(self.permits.clone()),
             Box::new(self.rejections.clone()),
+            Box::new(self.rejected_responses.clone()),
             Box::new(self.reach_checks.clone()),
             Box::new(self.unreachable_services.clone()),
             Box::new(self.forwarded.clone()),
