Take no statement from a response that does not name the request

What callers saw (REFUSED): 503, not run, for a request that its endpoint ran. They send it again, and it runs twice; on a route with several attempts the host itself sends it again (TWICE).

Cause: the ids of a request and of the response at its place were compared only where the response had one. A rejection or misdirection without an id was taken for this request's, and so was one with two ids whose first was this request's; its announcements were taken over and the connection was used again, out of step. The class: a promise that rests on evidence which may be another request's.

Change: ResponseId says which request a response names, if it is exactly one, and nothing else of a response is looked at before it is this one. Otherwise the request may have run, its caller gets 502, and the connection is closed.

Why it works: an endpoint repeats the id of the request that it answers; a second response and the answer to bytes that are no request have an earlier one's or none. What remains is an endpoint that states with the right id what is not true.

Cost: no call, no byte, no memory beyond the string that was kept before.

--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -279,9 +279,9 @@
     in_flight.record_progress();
     let metadata = cx.wire.response(&head);
     log_if_not_answered(cx, request_cx, in_flight, &metadata, &head);
-    // A response to an earlier request may come late, at the place of this one's: what it says holds for
-    // that request alone.
-    if metadata.id.is_some() && metadata.id != request_cx.metadata.id {
+    // A response to an earlier request, or to bytes that are none, may come at the place of this one's.
+    // Nothing that it states holds for this request.
+    if !metadata.id.belongs_to(request_cx.metadata.id.as_deref()) {
         return Err(mismatched_id(&head, &metadata));
     }
     if metadata.leaving && !metadata.misdirected {
@@ -309,7 +309,7 @@
     if let Some(name) = &metadata.unknown_announcement {
         cx.record_unknown_announcement(name, &in_flight.id);
     }
-    validate(request_cx, in_flight, &metadata, &head)?;
+    validate(in_flight, &metadata, &head)?;
     in_flight.record_valid_response(progress_before);
     // Only a valid response shows by a missing limit that there is none.
     if !metadata.states_limit() {
@@ -352,9 +352,8 @@
         || in_flight.has_lost_request(id, sent_at.elapsed()).await
 }
 
-/// Rejects responses that are not valid for this request.
+/// Rejects responses to this request that are no answers.
 fn validate<W: Wire>(
-    request_cx: &RequestContext,
     in_flight: &InFlightRequest<W>,
     metadata: &ResponseMetadata,
     head: &response::Parts,
@@ -366,10 +365,6 @@
     if metadata.not_executed {
         return Err(Failure::NotRun(head.status.as_u16()));
     }
-    // Whose response it is can't be told: forwarding it could disclose another caller's data.
-    if metadata.id != request_cx.metadata.id {
-        return Err(mismatched_id(head, metadata));
-    }
     if !metadata.signed {
         return Err(Failure::Unknown(format!(
             "unsigned response, status {}",
@@ -388,12 +383,8 @@
     metadata: &ResponseMetadata,
     head: &response::Parts,
 ) {
-    let own = &request_cx.metadata.id;
-    let response_id = match &metadata.id {
-        None => "missing",
-        id if id == own => "own",
-        Some(_) => "other",
-    };
+    let own = request_cx.metadata.id.as_deref();
+    let response_id = metadata.id.kind(own);
     let rejects = metadata.not_executed || metadata.misdirected;
     if response_id == "own" && !rejects {
         return;
@@ -406,12 +397,13 @@
     log::info!(
         target: "attempt",
         "event=rejected id={} endpoint={} status={} not_executed={} response_id={response_id} got={:?} earlier_responses={}",
-        own.as_deref().unwrap_or("-"), in_flight.id, head.status.as_u16(), metadata.not_executed, metadata.id,
+        own.unwrap_or("-"), in_flight.id, head.status.as_u16(), metadata.not_executed, metadata.id,
         connection.map_or(0, ResponseConnection::earlier_responses)
     );
 }
 
-/// Gives up the connection that delivered the response of another request; the request itself may have run.
+/// Gives up the connection that delivered the response of another request; the request itself may have run, and
+/// forwarding the response could disclose another caller's data.
 fn mismatched_id(head: &response::Parts, metadata: &ResponseMetadata) -> Failure {
     if let Some(connection) = head.extensions.get::<ResponseConnection>() {
         connection.discard();
--- a/crates/oatdale-relay/src/forwarding.rs
+++ b/crates/oatdale-relay/src/forwarding.rs
@@ -259,7 +259,8 @@
         None => {
             let endpoint = stated.endpoint.unwrap_or_default();
             let metadata = cx.wire.response(&head);
-            if metadata.id != request_cx.metadata.id || !metadata.signed {
+            let id = request_cx.metadata.id.as_deref();
+            if !metadata.id.belongs_to(id) || !metadata.signed {
                 return Outcome::Failed(Failure::Unknown("other node: bad response".to_owned()));
             }
             request_cx.exclude(cx, &endpoint);
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -112,5 +112,7 @@
     Command, Endpoint, EndpointChange, Link, Node, RollOut, RollOutEnd, Update,
 };
 pub use crate::versions::{KeptVersion, KnownVersions, RetentionPolicy, VersionTracker};
-pub use crate::wire::{Forward, Prompt, RequestMetadata, ResponseMetadata, StatedLimit, Wire};
+pub use crate::wire::{
+    Forward, Prompt, RequestMetadata, ResponseId, ResponseMetadata, StatedLimit, Wire,
+};
 pub use oatdale_policy::relay::EngineReport;
--- a/crates/oatdale-relay/src/wire.rs
+++ b/crates/oatdale-relay/src/wire.rs
@@ -101,6 +101,35 @@
     Invalid,
 }
 
+/// Id of the request that a response names as its own.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub enum ResponseId {
+    /// It names none.
+    #[default]
+    Missing,
+    /// It names this one.
+    One(String),
+    /// It names several, or one that is not text.
+    Ambiguous,
+}
+
+impl ResponseId {
+    /// Whether the response belongs to the request with this id.
+    pub(crate) fn belongs_to(&self, request: Option<&str>) -> bool {
+        matches!(self, ResponseId::One(id) if request == Some(id))
+    }
+
+    /// Name for logs and metrics, given the id of the request that the response arrived for.
+    pub(crate) fn kind(&self, request: Option<&str>) -> &'static str {
+        match self {
+            ResponseId::Missing => "missing",
+            ResponseId::Ambiguous => "ambiguous",
+            ResponseId::One(_) if self.belongs_to(request) => "own",
+            ResponseId::One(_) => "other",
+        }
+    }
+}
+
 impl ResponseMetadata {
     /// Whether the endpoint states anything that makes its requests need permits.
     pub(crate) fn states_limit(&self) -> bool {
@@ -112,7 +141,7 @@
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
-    pub id: Option<String>,
+    pub id: ResponseId,
     /// Whether the endpoint states that it has not run the request and never will.
     pub not_executed: bool,
     /// Whether the request reached another endpoint, which has the address now.
