--- a/crates/oatdale-node/tests/promises/endpoint.rs
+++ b/crates/oatdale-node/tests/promises/endpoint.rs
@@ -3,6 +3,7 @@
 use crate::faults::{Dose, Fault};
 use crate::http::{Conn, Head, message};
 use crate::record::{Record, What};
+use crate::slots::{Admission, SLOTS, Slots};
 use oatdale_adapter_fakes::{
     EXPECTED_INSTANCE, INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, SIGNATURE, Store,
 };
@@ -12,17 +13,13 @@
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-const SLOTS: usize = 6;
-const QUEUE: usize = 24;
-
 /// Longest time, in milliseconds, after which an idle connection is closed unannounced.
 const MAX_CLOSE_MS: u64 = 400;
 
@@ -39,8 +36,7 @@
     keep_alive_s: u64,
     doses: Mutex<Vec<Dose>>,
     rng: Mutex<Pcg64>,
-    slots: Semaphore,
-    waiting: AtomicUsize,
+    slots: Slots,
     conns: AtomicU64,
     record: Record,
 }
@@ -52,15 +48,6 @@
     Both(String),
 }
 
-/// Counts a request as waiting until dropped.
-struct Waiting<'a>(&'a AtomicUsize);
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Endpoint {
     /// Starts an endpoint; port 0 stands for any.
     pub(crate) async fn start(
@@ -76,8 +63,7 @@
             keep_alive_s: 60,
             doses: Mutex::default(),
             rng: Mutex::new(Pcg64::seed_from_u64(seed)),
-            slots: Semaphore::new(SLOTS),
-            waiting: AtomicUsize::new(0),
+            slots: Slots::new(),
             conns: AtomicU64::new(0),
             record,
         });
@@ -111,9 +97,16 @@
         store.put(&self.key(), &record);
     }
 
-    pub(crate) fn key(&self) -> String {
+    fn key(&self) -> String {
         format!("servers/{}", self.id)
     }
+
+    /// Ends the endpoint and its connections, so that its address is free.
+    pub(crate) async fn kill(mut self) {
+        self.server.abort();
+        // It was cancelled.
+        let _ = (&mut self.server).await;
+    }
 }
 
 impl Drop for Endpoint {
@@ -207,13 +200,21 @@
                 (421, text)
             }
             () if has(Fault::Shed) => (503, cx.rejection(&[&id])),
-            () => match run(&cx, &conn, &log).await {
-                Run::Gone => return Ok(()),
-                Run::Rejected => (503, cx.rejection(&[&id])),
-                Run::Ended if has(Fault::FalseRejection) => (503, cx.rejection(&[&id])),
-                Run::Ended => {
-                    let body = json!({"id": id, "endpoint": cx.id}).to_string();
-                    (200, cx.response("200 OK", &[&id], false, &body))
+            () => match cx.slots.enter(&conn).await {
+                Admission::Gone => return Ok(()),
+                Admission::Rejected => (503, cx.rejection(&[&id])),
+                Admission::Slot(slot) => {
+                    log(What::Began);
+                    sleep(cx.draw_ms(20..60)).await;
+                    log(What::Ended);
+                    drop(slot);
+                    match has(Fault::FalseRejection) {
+                        true => (503, cx.rejection(&[&id])),
+                        false => {
+                            let body = json!({"id": id, "endpoint": cx.id}).to_string();
+                            (200, cx.response("200 OK", &[&id], false, &body))
+                        }
+                    }
                 }
             },
         };
@@ -248,44 +249,6 @@
     }
 }
 
-enum Run {
-    Ended,
-    Rejected,
-    /// The connection closed before the request ran.
-    Gone,
-}
-
-/// Waits for a slot and runs a request.
-async fn run(cx: &Inner, conn: &Conn, log: &impl Fn(What)) -> Run {
-    let slot = match cx.slots.try_acquire() {
-        Ok(slot) => slot,
-        Err(_) => {
-            if cx.waiting.fetch_add(1, Ordering::Relaxed) >= QUEUE {
-                drop(Waiting(&cx.waiting));
-                return Run::Rejected;
-            }
-            let _waiting = Waiting(&cx.waiting);
-            tokio::select! {
-                biased;
-                () = closed(conn) => return Run::Gone,
-                slot = cx.slots.acquire() => slot.expect("the semaphore is never closed"),
-            }
-        }
-    };
-    log(What::Began);
-    sleep(cx.draw_ms(20..60)).await;
-    log(What::Ended);
-    drop(slot);
-    Run::Ended
-}
-
-/// Waits until the other side has closed the connection.
-async fn closed(conn: &Conn) {
-    if matches!(conn.stream.peek(&mut [0]).await, Ok(n) if n > 0) {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Returns the response to a check, which is no request of a caller.
 fn health(cx: &Inner, head: &Head) -> Option<String> {
     let path = head.first_line.split(' ').nth(1)?;
--- a/crates/oatdale-node/tests/promises/main.rs
+++ b/crates/oatdale-node/tests/promises/main.rs
@@ -1,8 +1,10 @@
 //! What hosts promise to callers, checked from outside: `oatdaled` processes between callers and endpoints that
 //! log what they do.
 //!
-//! PROMISES_HOSTS, PROMISES_SECONDS, PROMISES_SEED, PROMISES_RATE and PROMISES_FAULTS set the size of
-//! `promises_of_a_run`, OATDALED names another binary, and PROMISES_LOGS a folder in which logs are kept.
+//! PROMISES_HOSTS, PROMISES_SECONDS, PROMISES_SEED, PROMISES_RATE, PROMISES_FAULTS, PROMISES_AT_FAULT,
+//! PROMISES_OTHERS and PROMISES_TROUBLE (`series`, `overlapping`) set the size of
+//! `promises_are_kept_by_a_run_of_any_size`; OATDALED names another binary, and PROMISES_LOGS a folder in which
+//! logs are kept.
 
 mod callers;
 mod check;
@@ -11,10 +13,11 @@
 mod http;
 mod processes;
 mod record;
+mod slots;
+mod trouble;
 
 use callers::Plan;
 use check::Report;
-use endpoint::Endpoint;
 use faults::Dose;
 use oatdale_adapter_fakes::{CONFIGURATION_KEY, Store};
 use processes::{HOST, Hosts};
@@ -23,6 +26,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use trouble::{Order, Site};
 
 const ENDPOINTS: usize = 4;
 
@@ -41,23 +45,48 @@
     seconds: f64,
     seed: u64,
     per_second: f64,
-    /// Faults of the first endpoint.
     doses: Vec<Dose>,
+    /// Endpoints with faults.
+    at_fault: usize,
     /// Share of requests whose route allows three endpoints, and of safe ones.
     others: f64,
+    trouble: Option<Order>,
+}
+
+impl Default for Size {
+    fn default() -> Size {
+        Size {
+            hosts: 5,
+            seconds: 8.0,
+            seed: 1,
+            per_second: 80.0,
+            doses: Vec::new(),
+            at_fault: 1,
+            others: 0.2,
+            trouble: None,
+        }
+    }
 }
 
 impl Size {
     /// Returns the size that the environment sets.
-    fn from_env(doses: &str) -> Size {
-        let doses = std::env::var("PROMISES_FAULTS").unwrap_or_else(|_| doses.to_owned());
+    fn from_env() -> Size {
+        let default = Size::default();
+        let doses = std::env::var("PROMISES_FAULTS").unwrap_or_default();
+        let trouble = match std::env::var("PROMISES_TROUBLE").as_deref() {
+            Ok("series") => Some(Order::Series),
+            Ok("overlapping") => Some(Order::Overlapping),
+            _ => None,
+        };
         Size {
-            hosts: number("PROMISES_HOSTS", 5),
-            seconds: number("PROMISES_SECONDS", 8.0),
-            seed: number("PROMISES_SEED", 1),
-            per_second: number("PROMISES_RATE", 80.0),
+            hosts: number("PROMISES_HOSTS", default.hosts),
+            seconds: number("PROMISES_SECONDS", default.seconds),
+            seed: number("PROMISES_SEED", default.seed),
+            per_second: number("PROMISES_RATE", default.per_second),
             doses: faults::parse(&doses),
-            others: number("PROMISES_OTHERS", 0.2),
+            at_fault: number("PROMISES_AT_FAULT", default.at_fault),
+            others: number("PROMISES_OTHERS", default.others),
+            trouble,
         }
     }
 }
@@ -89,24 +118,29 @@
 /// Runs hosts, endpoints and callers, and returns what came of it.
 async fn run(size: &Size) -> Report {
     let store = Store::start().await.expect("a port is free");
-    let record = Record::new();
-    let mut endpoints = Vec::new();
+    store.put(CONFIGURATION_KEY, &configuration());
+    let hosts = Hosts::new(size.hosts, store.addr());
+    let mut site = Site {
+        store,
+        record: Record::new(),
+        hosts,
+        endpoints: Vec::new(),
+        doses: size.doses.clone(),
+        at_fault: size.at_fault,
+        seed: size.seed,
+    };
     for n in 0..ENDPOINTS {
-        let (id, seed) = (format!("i-{n}"), size.seed.wrapping_add(n as u64));
+        site.endpoints.push(None);
         let addr = "127.0.0.1:0".parse().expect("an address");
-        let endpoint = Endpoint::start(&id, addr, seed, record.clone()).await;
-        let endpoint = endpoint.expect("a port is free");
-        endpoint.register(&store, 1);
-        endpoints.push(endpoint);
+        site.start_endpoint(n, &format!("i-{n}"), addr).await;
     }
-    store.put(CONFIGURATION_KEY, &configuration());
-    let hosts = Hosts::start(size.hosts, store.addr()).await;
+    site.hosts.start().await;
     sleep(PROPAGATION_TIME).await;
-    endpoints[0].set_doses(&size.doses);
+    let until = Instant::now() + Duration::from_secs_f64(size.seconds);
     let plan = Plan {
-        hosts: hosts.callers(),
+        hosts: site.hosts.callers(),
         per_second: size.per_second,
-        until: Instant::now() + Duration::from_secs_f64(size.seconds),
+        until,
         seed: size.seed,
         paths: vec![
             ("/lock/", 1.0 - size.others),
@@ -114,27 +148,86 @@
             ("/look/", size.others / 2.0),
         ],
     };
-    callers::send_all(&plan, &record).await;
+    let record = site.record.clone();
+    let trouble = async {
+        if let Some(order) = size.trouble {
+            site.disturb(order, size.seed, until).await;
+        }
+    };
+    futures::join!(callers::send_all(&plan, &record), trouble);
     sleep(REST_TIME).await;
     let report = Report::new(&record);
-    hosts.keep(&record);
-    println!("{:?} {report}", size.doses);
+    site.hosts.keep(&record);
+    println!("seed {} {:?} {report}", size.seed, size.doses);
     for case in report.cases.iter().take(MAX_PRINTED) {
         println!("{case}");
-        for line in hosts.lines_of(&[&case.attempt.id]) {
+        for line in site.hosts.lines_of(&[&case.attempt.id]) {
             println!("  {line}");
         }
     }
     report
 }
 
-/// Runs with these faults at one of the endpoints, and asserts that all promises are kept.
-async fn assert_kept(doses: &str) {
-    let report = run(&Size::from_env(doses)).await;
+/// Runs with this size and asserts that all promises are kept.
+async fn assert_kept(size: Size) {
+    let report = run(&size).await;
     assert!(report.cases.is_empty(), "{report}");
 }
 
+/// Runs with these faults at two of the endpoints.
+async fn assert_kept_beside(doses: &str) {
+    let size = Size {
+        hosts: 3,
+        seconds: 5.0,
+        at_fault: 2,
+        doses: faults::parse(doses),
+        ..Size::default()
+    };
+    assert_kept(size).await;
+}
+
+#[tokio::test]
+async fn promises_are_kept_by_a_run_of_any_size() {
+    assert_kept(Size::from_env()).await;
+}
+
+// Guards against a request that runs and is answered as not run, since the rejection of an earlier one on its
+// connection came twice.
 #[tokio::test]
-async fn promises_of_a_run() {
-    assert_kept("").await;
+async fn promises_are_kept_beside_rejections_that_come_twice() {
+    assert_kept_beside("shed=0.4,extra-late=0.4,extra-with-next=0.2").await;
+}
+
+// The same for rejections that name no request.
+#[tokio::test]
+async fn promises_are_kept_beside_rejections_that_name_no_request() {
+    assert_kept_beside("second-503=0.2,second-400=0.2,second-421=0.2").await;
+}
+
+// The same for rejections that name two requests.
+#[tokio::test]
+async fn promises_are_kept_beside_rejections_that_name_two_requests() {
+    assert_kept_beside("repeated-id=0.4").await;
+}
+
+// The same for the rest of a body that an endpoint takes for a request of its own.
+#[tokio::test]
+async fn promises_are_kept_beside_bodies_that_are_not_read() {
+    assert_kept_beside("unread-body=0.4").await;
+}
+
+// Guards against a request that is sent again, or answered as not run, since its connection broke.
+#[tokio::test]
+async fn promises_are_kept_beside_connections_that_break() {
+    assert_kept_beside("reset-after-run=0.1,truncate=0.1,hang=0.02,close-idle=0.3").await;
+}
+
+// The same for hosts and endpoints that stop, die, freeze and return.
+#[tokio::test]
+async fn promises_are_kept_beside_restarts() {
+    let size = Size {
+        trouble: Some(Order::Overlapping),
+        ..Size::default()
+    };
+    assert_kept(size).await;
 }
--- a/crates/oatdale-node/tests/promises/processes.rs
+++ b/crates/oatdale-node/tests/promises/processes.rs
@@ -43,8 +43,8 @@
 }
 
 impl Hosts {
-    /// Starts so many hosts and waits until all are ready.
-    pub(crate) async fn start(number: usize, key_value: SocketAddr) -> Hosts {
+    /// Writes the settings of so many hosts.
+    pub(crate) fn new(number: usize, key_value: SocketAddr) -> Hosts {
         let process = std::process::id();
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let name = format!("oatdale-promises-{process}-{run}");
@@ -66,17 +66,20 @@
                 child: None,
             }
         };
-        let mut hosts = Hosts {
+        Hosts {
             all: (1..=number).map(host).collect(),
             folder: folder.clone(),
-        };
-        for n in 0..number {
-            hosts.start_host(n);
         }
-        for n in 0..number {
-            hosts.wait_ready(n).await;
+    }
+
+    /// Starts all processes and waits until they are ready.
+    pub(crate) async fn start(&mut self) {
+        for n in 0..self.all.len() {
+            self.start_host(n);
+        }
+        for n in 0..self.all.len() {
+            self.wait_ready(n).await;
         }
-        hosts
     }
 
     pub(crate) fn callers(&self) -> Vec<SocketAddr> {
@@ -100,7 +103,7 @@
         host.child = Some(child);
     }
 
-    pub(crate) async fn wait_ready(&self, n: usize) {
+    async fn wait_ready(&self, n: usize) {
         let end = Instant::now() + READY_TIMEOUT;
         while self.all[n].readiness().await != Some(200) {
             assert!(Instant::now() < end, "host {n} is not ready");
