--- a/crates/oatdale-node/tests/promises/check.rs
+++ b/crates/oatdale-node/tests/promises/check.rs
@@ -85,6 +85,11 @@
         self.cases.iter().filter(|case| case.rule == rule).count()
     }
 
+    /// Number of requests that endpoints ran.
+    pub(crate) fn runs(&self) -> usize {
+        self.runs.values().sum()
+    }
+
     /// REFUSED cases by connection of an endpoint.
     fn by_conn(&self) -> BTreeMap<(&str, u64), usize> {
         let mut by_conn = BTreeMap::new();
--- a/crates/oatdale-node/tests/promises/endpoint.rs
+++ b/crates/oatdale-node/tests/promises/endpoint.rs
@@ -150,6 +150,7 @@
     let mut conn = Conn::new(stream);
     let mut extra: Option<Extra> = None;
     let mut extra_with_next = None;
+    let mut is_shifted = false;
     let mut unread_bytes = 0;
     loop {
         let unread = conn.read_body(unread_bytes).await?;
@@ -230,11 +231,14 @@
         }
         let with_it: String = extra_with_next.take().unwrap_or_default();
         log(What::Answered(status));
-        conn.write(&(with_it + &response)).await?;
+        if !is_shifted {
+            conn.write(&(with_it + &response)).await?;
+        }
+        is_shifted |= has(Fault::Shift);
         let without_id =
             |status, not_executed| Some(Extra::Text(cx.response(status, &[], not_executed, "")));
         extra = match () {
-            () if has(Fault::ExtraLate) => Some(Extra::Text(response.clone())),
+            () if is_shifted || has(Fault::ExtraLate) => Some(Extra::Text(response.clone())),
             () if has(Fault::Second503WithoutId) => without_id("503 Service Unavailable", true),
             () if has(Fault::Second400WithoutId) => without_id("400 Bad Request", true),
             () if has(Fault::Second421WithoutId) => without_id("421 Misdirected Request", false),
--- a/crates/oatdale-node/tests/promises/faults.rs
+++ b/crates/oatdale-node/tests/promises/faults.rs
@@ -11,6 +11,8 @@
     ExtraLate,
     /// Sends the response a second time together with the next response on the connection.
     ExtraWithNext,
+    /// Does so from then on, and each further response comes in place of the next one.
+    Shift,
     /// Sends a 503 that names no request when the next request on the connection arrives.
     Second503WithoutId,
     /// The same with a 400.
@@ -40,10 +42,11 @@
     pub(crate) share: f64,
 }
 
-const NAMES: [(&str, Fault); 13] = [
+const NAMES: [(&str, Fault); 14] = [
     ("shed", Fault::Shed),
     ("extra-late", Fault::ExtraLate),
     ("extra-with-next", Fault::ExtraWithNext),
+    ("shift", Fault::Shift),
     ("second-503", Fault::Second503WithoutId),
     ("second-400", Fault::Second400WithoutId),
     ("second-421", Fault::Second421WithoutId),
--- a/crates/oatdale-node/tests/promises/main.rs
+++ b/crates/oatdale-node/tests/promises/main.rs
@@ -171,6 +171,7 @@
 /// Runs with this size and asserts that all promises are kept.
 async fn assert_kept(size: Size) {
     let report = run(&size).await;
+    assert!(report.runs() > 0, "{report}");
     assert!(report.cases.is_empty(), "{report}");
 }
 
