Take no response of a request for that of a probe

What callers saw: 503 from a host whose only engine counted as leaving, by the word of a response that was not the probe's; and 502 for the next request on the probe's connection, which was out of step.

Cause: a probe has no id, and took any response for its own. The late second response to an earlier request came at its place, and the probe's own one at that of the next request. The same class as rejections that name no request.

Change: a response that names a request is none of a probe's. It states nothing of the engine, beyond that it is alive, and its connection is closed.

Evidence: late_response_in_a_probes_place_announces_nothing and _does_not_shift_its_connection failed before, with 503 and 502, expected 200.

--- a/crates/oatdale-relay/src/probe.rs
+++ b/crates/oatdale-relay/src/probe.rs
@@ -10,10 +10,10 @@
 use crate::in_flight::InFlightRequest;
 use crate::permits::{self, PermitUse};
 use crate::reachability;
-use crate::wire::{StatedLimit, Wire};
+use crate::wire::{ResponseId, StatedLimit, Wire};
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use oatdale_platform::Reuse;
+use oatdale_platform::{ResponseConnection, Reuse};
 use oatdale_policy::relay::EngineReport;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -178,6 +178,19 @@
         };
         let (head, body) = res.into_parts();
         let metadata = self.wire.response(&head);
+        // A probe has no id: this is a late response to a request, and the probe's own follows it.
+        if metadata.id != ResponseId::Missing {
+            if let Some(connection) = head.extensions.get::<ResponseConnection>() {
+                connection.discard();
+            }
+            return ProbeResult::Alive {
+                report: None,
+                leaving: false,
+                cold_left: None,
+                limit: None,
+                max_rejections: None,
+            };
+        }
         let body = Limited::new(body, MAX_REPORT_BYTES).collect();
         let report = match timeout_at(deadline, body).await {
             Ok(Ok(body)) => self.wire.engine_report(&body.to_bytes()).map(Arc::new),
