--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -70,21 +70,18 @@
             deadline: self.job.deadline,
         };
         let version = routed.dispatch.version.map(|key| cfg.version_name(key));
-        let idempotent = self.job.request_info.idempotent;
+        let reuse = match self.job.request_info.idempotent {
+            true => Reuse::Allowed,
+            false => Reuse::Never,
+        };
         let (engines, plain) = (&self.cx.engines, &self.cx.plain);
         let sending = async {
             match &mut self.job.work {
                 Work::Chat(chat) => {
                     let body = chat.body_for(version.as_deref().unwrap_or_default());
-                    engines.chat(addr, &call, body).await
-                }
-                Work::Plain(work) => {
-                    let reuse = match idempotent {
-                        true => Reuse::Allowed,
-                        false => Reuse::Never,
-                    };
-                    plain.call(addr, &call, work.request(), reuse).await
+                    engines.chat_over(addr, &call, body, reuse).await
                 }
+                Work::Plain(work) => plain.call(addr, &call, work.request(), reuse).await,
             }
         };
         let Some(reply) = self.reply.as_mut() else {
--- a/crates/oatdale-node/tests/support/site.rs
+++ b/crates/oatdale-node/tests/support/site.rs
@@ -128,8 +128,13 @@
 
     /// Stores the next revision of the text.
     pub(crate) async fn apply(&mut self, states: &States, quality: f64) {
-        self.revision += 1;
         let text = text(&self.stand_ins, states, quality);
+        self.apply_text(text).await;
+    }
+
+    /// Stores a text as the next revision.
+    pub(crate) async fn apply_text(&mut self, text: String) {
+        self.revision += 1;
         oatdale_config::from_str(&text).expect("the test's text is right");
         let revision = Revision(self.revision);
         let change = ChangeId(self.revision);
--- a/crates/oatdale-platform/src/engine.rs
+++ b/crates/oatdale-platform/src/engine.rs
@@ -37,8 +37,25 @@
         EngineClient { pool }
     }
 
+    /// Sends a chat completion that may be repeated; see [`EngineClient::chat_over`].
+    ///
+    /// # Errors
+    ///
+    /// As [`EngineClient::chat_over`].
+    pub async fn chat(
+        &self,
+        addr: SocketAddr,
+        call: &Call,
+        body: Bytes,
+    ) -> Result<Answer, CallError> {
+        self.chat_over(addr, call, body, Reuse::Allowed).await
+    }
+
     /// Sends a chat completion, as JSON whose `model` is `model/version`.
     ///
+    /// One that may not be repeated goes with [`Reuse::Never`]: an endpoint may close an idle
+    /// connection just as the call is written to it, and it could then not be sent again.
+    ///
     /// An answer with a status of 400 to 499 is the caller's matter and is returned as it came.
     /// Dropping the future or the answer closes the connection, by which the engine cancels the
     /// request.
@@ -46,15 +63,16 @@
     /// # Errors
     ///
     /// [`CallError`]; a server error that the engine did not mark as not begun is `Broken`.
-    pub async fn chat(
+    pub async fn chat_over(
         &self,
         addr: SocketAddr,
         call: &Call,
         body: Bytes,
+        reuse: Reuse,
     ) -> Result<Answer, CallError> {
         let mut req = call::request(Method::POST, "/v1/chat/completions", Some(body));
         name(&mut req, call)?;
-        let answer = call::send(&self.pool, addr, req, Reuse::Allowed, call.deadline).await?;
+        let answer = call::send(&self.pool, addr, req, reuse, call.deadline).await?;
         call::no_server_error(answer, call.deadline).await
     }
 
