Take a refusal as a promise only if it can be no other request's

A caller was answered not-run, and its Idempotency-Key given back, on any response with `x-not-started: true`, also on a connection that had served other requests: a second, late response to one of them came in the place of this request's, which ran. Ids were sent, and not compared. Calls that may be repeated go over kept connections; those that may not got new ones.

A refusal counts now if it repeats the request's id, or if it has none and is the first response on its connection. Any other is still tried elsewhere where that is safe, leaves the request as may-have-run, and ends its connection, so that the next refusal is a first one. An endpoint that does not repeat the id loses not-run for refusals on kept connections, and a connection for each; one that does loses nothing. The stand-ins repeat it. A request never goes to the same endpoint twice, so an id stands for one attempt there.

--- a/crates/oatdale-fakes/src/server.rs
+++ b/crates/oatdale-fakes/src/server.rs
@@ -1,12 +1,13 @@
 //! A small HTTP server on a loopback port whose connections can be refused or cut.
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use oatdale_platform::wire;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -170,6 +171,15 @@
     }
 }
 
+/// Names the request in its answer, if it has an id.
+async fn named(id: Option<HeaderValue>, answer: impl Future<Output = Reply>) -> Reply {
+    let mut res = answer.await?;
+    if let Some(id) = id {
+        res.headers_mut().insert(wire::REQUEST_ID, id);
+    }
+    Ok(res)
+}
+
 /// Serves one connection; `_open` is held until it is closed.
 async fn serve<F>(
     stream: TcpStream,
@@ -180,7 +190,11 @@
     F: Future<Output = Reply>,
 {
     stream.set_nodelay(true).ok();
-    let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(handler));
+    let service = service_fn(move |req: Request<Incoming>| {
+        let id = req.headers().get(wire::REQUEST_ID).cloned();
+        named(id, handler(req))
+    });
+    let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let mut conn = pin!(conn);
     loop {
         match *phase.borrow_and_update() {
--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -208,7 +208,7 @@
                     routed.dispatch.attempt,
                     err.to_string()
                 );
-                (result_of(&err), false)
+                (result_of(&err, self.job.request_info.idempotent), false)
             }
             End::Kept { answered, usage } => (self.keep(routed, answered, usage).await, false),
             End::Forwarded(forwarded) => {
@@ -297,13 +297,17 @@
     Some(routed.live.cfg.version_name(key))
 }
 
-fn result_of(err: &CallError) -> AttemptResult {
+fn result_of(err: &CallError, idempotent: bool) -> AttemptResult {
     match err {
         CallError::NotSent { .. } => AttemptResult::NotSent,
-        CallError::NotStarted { retry_after, .. } => AttemptResult::NotStarted {
-            retry_after: *retry_after,
-        },
-        CallError::Broken { .. } => AttemptResult::Broken,
+        // The endpoint has no room, whichever request it refused; but only a call that may be repeated
+        // goes on from a refusal that may be another's.
+        CallError::NotStarted { retry_after, .. } if idempotent || err.is_not_run() => {
+            AttemptResult::NotStarted {
+                retry_after: *retry_after,
+            }
+        }
+        CallError::NotStarted { .. } | CallError::Broken { .. } => AttemptResult::Broken,
         CallError::TimedOut => AttemptResult::TimedOut,
     }
 }
--- a/crates/oatdale-node/tests/kept_connections.rs
+++ b/crates/oatdale-node/tests/kept_connections.rs
@@ -3,13 +3,16 @@
 #[path = "support/site.rs"]
 mod site;
 
+use futures::future::join_all;
 use http::StatusCode;
 use site::{Site, usual_states};
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 const CHAT: &[u8] = b"POST /v1/chat/completions ";
 
@@ -96,3 +99,139 @@
     assert_eq!(own.len(), sent, "completions shared a connection");
     assert!(own.is_disjoint(&kept), "a completion went over a kept one");
 }
+
+/// Time that the first response of a connection takes.
+const FIRST_RESPONSE: Duration = Duration::from_millis(100);
+
+/// Requests at the same time, after which as many connections are kept.
+const KEPT: usize = 24;
+
+/// Which request a refusal names, if any.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Named {
+    None,
+    Other,
+    This,
+}
+
+/// A service that answers the first request of a connection, runs the later ones too, and writes a refusal
+/// as the response to them.
+#[derive(Clone)]
+struct LateRefusals {
+    named: Named,
+    ran: Arc<Mutex<HashSet<String>>>,
+}
+
+impl LateRefusals {
+    async fn start(&self) -> SocketAddr {
+        let (listener, addr) = listen().await;
+        let service = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(service.clone().serve(stream));
+            }
+        });
+        addr
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut first = true;
+        while let Some((path, id)) = read_request(&mut stream).await {
+            self.ran.lock().unwrap().insert(path);
+            if first {
+                // So that requests at the same time get connections of their own.
+                sleep(FIRST_RESPONSE).await;
+            }
+            let response = match (first, self.named) {
+                (true, _) => "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}".to_owned(),
+                (false, Named::None) => refusal(None),
+                (false, Named::Other) => refusal(Some("another")),
+                (false, Named::This) => refusal(Some(&id)),
+            };
+            first = false;
+            if stream.write_all(response.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn refusal(id: Option<&str>) -> String {
+    let id = id.map_or(String::new(), |id| format!("x-request-id: {id}\r\n"));
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{id}x-not-started: true\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+/// Reads a request whose body is `{}`, and returns its path and its id.
+async fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut buf = Vec::new();
+    while !buf.ends_with(b"\r\n\r\n{}") {
+        buf.push(stream.read_u8().await.ok()?);
+    }
+    let text = String::from_utf8(buf).unwrap();
+    let path = text.split(' ').nth(1).unwrap().to_owned();
+    let id = text
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request-id: "));
+    Some((path, id.unwrap_or_default().to_owned()))
+}
+
+/// Starts a site whose desks are `service`, with connections that served a request.
+async fn site_of(service: &LateRefusals) -> Site {
+    let mut site = Site::start(1).await;
+    replace(&mut site, "plain-", async |_| service.start().await).await;
+    let warm = (0..KEPT).map(|_| site.desk(0, "GET", "/warm", &[]));
+    for got in join_all(warm).await {
+        assert_eq!(got.status, StatusCode::OK, "{}", got.text());
+    }
+    site
+}
+
+// Guards against requests that run and are answered as not run: a refusal that names no request, or another
+// one, comes on a kept connection in the place of their response.
+#[tokio::test]
+async fn refusal_that_may_be_another_requests_is_no_promise() {
+    for named in [Named::None, Named::Other] {
+        let service = LateRefusals {
+            named,
+            ran: Arc::default(),
+        };
+        let site = site_of(&service).await;
+        let mut failed = 0;
+        for n in 0..20 {
+            let path = format!("/slots/{n}");
+            let got = site.desk(0, "GET", &path, &[]).await;
+            let ran = service.ran.lock().unwrap().contains(&path);
+            assert!(ran || got.run() == "not-run", "{named:?}: {}", got.text());
+            assert!(
+                !ran || got.run() != "not-run",
+                "it ran, {named:?}: {}",
+                got.text()
+            );
+            failed += usize::from(!got.status.is_success());
+        }
+        assert!(failed > 0, "no connection was used again");
+    }
+}
+
+// Guards against refusals that count for nothing: one that names its request is a promise on any connection,
+// and callers would otherwise learn less than the endpoint has said.
+#[tokio::test]
+async fn refusal_that_names_its_request_is_a_promise_on_kept_connections() {
+    let service = LateRefusals {
+        named: Named::This,
+        ran: Arc::default(),
+    };
+    let site = site_of(&service).await;
+    let mut refused = 0;
+    for n in 0..20 {
+        let got = site.desk(0, "GET", &format!("/slots/{n}"), &[]).await;
+        if !got.status.is_success() {
+            assert_eq!(got.run(), "not-run", "{}", got.text());
+            refused += 1;
+        }
+    }
+    assert!(refused > 0, "no connection was used again");
+}
--- a/crates/oatdale-platform/src/call.rs
+++ b/crates/oatdale-platform/src/call.rs
@@ -1,6 +1,6 @@
 //! One attempt of one call to an endpoint, and the exact ways in which it fails.
 
-use crate::pool::{Pool, Reuse, SendError};
+use crate::pool::{Pool, ResponseConnection, Reuse, SendError};
 use crate::sse::SseError;
 use crate::wire::{self, Load};
 use bytes::Bytes;
@@ -21,7 +21,7 @@
 
 /// Why an attempt gave no answer.
 ///
-/// Only the first two may ever become "not run" towards a caller.
+/// Only the first two may ever become "not run" towards a caller; see [`CallError::is_not_run`].
 #[derive(Clone, PartialEq, Eq, Debug, Snafu)]
 pub enum CallError {
     /// No byte was sent.
@@ -31,10 +31,16 @@
         message: String,
     },
     /// The endpoint refused and promised that it had not begun.
-    #[snafu(display("not started: {status}: {message}"))]
+    #[snafu(display("not started{}: {status}: {message}", match certain {
+        true => "",
+        false => " (the refusal may be another request's)",
+    }))]
     NotStarted {
         /// The status of the refusal.
         status: StatusCode,
+        /// Whether the refusal is certainly this request's: it names it, or it names none and is the
+        /// first response on its connection.
+        certain: bool,
         /// When the endpoint wants to be asked again.
         retry_after: Option<Duration>,
         /// What the endpoint said.
@@ -82,7 +88,7 @@
     pub fn is_not_run(&self) -> bool {
         matches!(
             self,
-            CallError::NotSent { .. } | CallError::NotStarted { .. }
+            CallError::NotSent { .. } | CallError::NotStarted { certain: true, .. }
         )
     }
 
@@ -155,6 +161,7 @@
     reuse: Reuse,
     deadline: Instant,
 ) -> Result<Answer, CallError> {
+    let id = req.headers().get(wire::REQUEST_ID).cloned();
     let (head, body) = pool.send(addr, req, reuse, deadline).await?.into_parts();
     let load = head
         .headers
@@ -165,12 +172,30 @@
         false => Ok(answer),
         true => Err(CallError::NotStarted {
             status: answer.head.status,
+            certain: is_certain(&answer.head, id.as_ref()),
             retry_after: wire::retry_after(&answer.head.headers),
             message: message(answer, deadline).await,
         }),
     }
 }
 
+/// Whether a refusal is certainly that of the request with this id.
+///
+/// One that is not ends its connection, so that a refusal of the next request is that connection's first.
+fn is_certain(refusal: &response::Parts, id: Option<&HeaderValue>) -> bool {
+    let connection = refusal.extensions.get::<ResponseConnection>();
+    let mut named = refusal.headers.get_all(wire::REQUEST_ID).iter();
+    let certain = match (named.next(), named.next()) {
+        (None, _) => connection.is_some_and(|c| c.earlier_responses() == 0),
+        (Some(named), None) => Some(named) == id,
+        (Some(_), Some(_)) => false,
+    };
+    if let (false, Some(connection)) = (certain, connection) {
+        connection.discard();
+    }
+    certain
+}
+
 /// Turns a server error into [`CallError::Broken`].
 pub(crate) async fn no_server_error(
     answer: Answer,
--- a/crates/oatdale-platform/src/lib.rs
+++ b/crates/oatdale-platform/src/lib.rs
@@ -1,7 +1,7 @@
 //! Clients for the platform's services, engines and plain services.
 //!
 //! Each client says of a failure whether the endpoint can have run the call: only
-//! [`CallError::NotSent`] and [`CallError::NotStarted`] ever become "not run" towards a caller.
+//! [`CallError::NotSent`] and a certain [`CallError::NotStarted`] ever become "not run" towards a caller.
 //! `docs/PLATFORM.md` tells what each interface is expected to speak.
 //!
 //! ```
