Use no connection on which something came before the request

A connection's task notices bytes and ends only when the runtime has looked at its socket. A request that was given to the connection before that was written to it: a late second response on the socket was taken for its response, and a connection that its endpoint had closed lost the request, which may have run for all that is known. On a host that is busy or was frozen that time is milliseconds or more.

The pool looks at the socket itself before it uses a kept connection.

--- a/crates/oatdale-platform/src/pool.rs
+++ b/crates/oatdale-platform/src/pool.rs
@@ -4,6 +4,9 @@
 //! idle connection turned out to be closed. This pool repeats only what the connection handed back
 //! unwritten; everything else is reported as [`SendError::Broken`].
 
+mod stream;
+
+use crate::pool::stream::{Look, Stream};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -112,6 +115,7 @@
 pub struct ResponseConnection {
     discarded: Arc<AtomicBool>,
     earlier_responses: u64,
+    stream: Look,
 }
 
 impl ResponseConnection {
@@ -230,14 +234,17 @@
     ) -> Result<Response<Incoming>, SendError> {
         set_host(&mut req, addr);
         while let Some((tx, connection)) = self.take_idle(addr, reuse) {
+            // What came before the request is no response to it.
+            if connection.stream.has_input() {
+                continue;
+            }
             match self.attempt(addr, tx, connection, req, deadline).await {
                 Attempt::Answered(res) => return Ok(res),
                 Attempt::HandedBack(unsent) => req = unsent,
                 Attempt::Failed(err) => return Err(err),
             }
         }
-        let tx = self.connect(addr, deadline).await?;
-        let connection = ResponseConnection::default();
+        let (tx, connection) = self.connect(addr, deadline).await?;
         match self.attempt(addr, tx, connection, req, deadline).await {
             Attempt::Answered(res) => Ok(res),
             Attempt::HandedBack(_) => Err(SendError::NotSent {
@@ -261,7 +268,7 @@
         &self,
         addr: SocketAddr,
         deadline: Instant,
-    ) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    ) -> Result<(SendRequest<Full<Bytes>>, ResponseConnection), SendError> {
         let limit = deadline.min(Instant::now() + self.shared.cfg.connect_timeout);
         let mut builder = http1::Builder::new();
         if let Some(bytes) = self.shared.cfg.receive_buffer_bytes {
@@ -271,11 +278,17 @@
             Connector::Tcp => {
                 let stream = opened(timeout_at(limit, TcpStream::connect(addr)).await)?;
                 self.configure(&stream).map_err(|err| not_sent(&err))?;
-                handshake(&builder, addr, stream).await
+                let stream = Stream::new(stream);
+                let connection = ResponseConnection {
+                    stream: stream.look(),
+                    ..ResponseConnection::default()
+                };
+                Ok((handshake(&builder, addr, stream).await?, connection))
             }
             Connector::Custom(connector) => {
                 let stream = opened(timeout_at(limit, connector.connect(addr)).await)?;
-                handshake(&builder, addr, stream).await
+                let tx = handshake(&builder, addr, stream).await?;
+                Ok((tx, ResponseConnection::default()))
             }
         }
     }
--- a/crates/oatdale-platform/tests/pool_promises.rs
+++ b/crates/oatdale-platform/tests/pool_promises.rs
@@ -263,6 +263,48 @@
     .await;
 }
 
+// Guards against a late second response that is on the socket, unseen by the connection's task, when the
+// next request is given to it.
+#[tokio::test]
+async fn bytes_that_arrive_as_next_request_is_given_end_connection() {
+    bounded(async {
+        for round in 0..200 {
+            let (listener, addr) = listen().await;
+            let pool = Pool::default();
+            let (stream, _) = answered(&pool, &listener, addr, OK).await;
+            sleep(Duration::from_millis(2)).await;
+            assert_eq!(pool.idle(addr), 1);
+            // Nothing else runs between this write and the first poll of the call.
+            assert_eq!(stream.try_write(LATE).unwrap(), LATE.len());
+            let mut stream = stream;
+            let old = async {
+                let line = read_request(&mut stream).await;
+                assert_eq!(line, "", "written to it in round {round}");
+            };
+            tokio::join!(old, on_new_connection(&pool, &listener, addr));
+        }
+    })
+    .await;
+}
+
+// Guards against a request that is lost, and may have run for all that is known, because its connection was
+// closed, unseen by the connection's task, when it was given to it.
+#[tokio::test]
+async fn connection_closed_as_next_request_is_given_is_passed_over() {
+    bounded(async {
+        for _ in 0..200 {
+            let (listener, addr) = listen().await;
+            let pool = Pool::default();
+            let (stream, _) = answered(&pool, &listener, addr, OK).await;
+            sleep(Duration::from_millis(2)).await;
+            assert_eq!(pool.idle(addr), 1);
+            drop(stream);
+            on_new_connection(&pool, &listener, addr).await;
+        }
+    })
+    .await;
+}
+
 // Guards against connections that stay out of step: once a second response was taken for that of the next
 // request, the true one must not wait for a third request.
 #[tokio::test]
