Count an answer of the key-value service that names another call as lost

The second, late copy of an answer on a kept connection was taken for that of the next call: a write that lost its race was told to have stored its value, by which two nodes win one claim, and one that took effect was told that the service was not available, which promises no effect. Calls had no ids to compare.

Each call has an x-request-id now, which the stand-ins repeat. A service that does not is used as before.

--- a/crates/oatdale-platform/src/call.rs
+++ b/crates/oatdale-platform/src/call.rs
@@ -4,7 +4,7 @@
 use crate::sse::SseError;
 use crate::wire::{self, Load};
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode, header, response};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header, response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
@@ -83,6 +83,26 @@
     pub body: Incoming,
 }
 
+/// Which request an answer names.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Named {
+    None,
+    This,
+    /// Another one, or more than one.
+    Other,
+}
+
+impl Named {
+    pub(crate) fn of(headers: &HeaderMap, id: Option<&HeaderValue>) -> Self {
+        let mut named = headers.get_all(wire::REQUEST_ID).iter();
+        match (named.next(), named.next()) {
+            (None, _) => Named::None,
+            (Some(named), None) if Some(named) == id => Named::This,
+            _ => Named::Other,
+        }
+    }
+}
+
 impl CallError {
     /// Whether it is certain that the endpoint ran nothing.
     pub fn is_not_run(&self) -> bool {
@@ -184,11 +204,10 @@
 /// One that is not ends its connection, so that a refusal of the next request is that connection's first.
 fn is_certain(refusal: &response::Parts, id: Option<&HeaderValue>) -> bool {
     let connection = refusal.extensions.get::<ResponseConnection>();
-    let mut named = refusal.headers.get_all(wire::REQUEST_ID).iter();
-    let certain = match (named.next(), named.next()) {
-        (None, _) => connection.is_some_and(|c| c.earlier_responses() == 0),
-        (Some(named), None) => Some(named) == id,
-        (Some(_), Some(_)) => false,
+    let certain = match Named::of(&refusal.headers, id) {
+        Named::This => true,
+        Named::None => connection.is_some_and(|c| c.earlier_responses() == 0),
+        Named::Other => false,
     };
     if let (false, Some(connection)) = (certain, connection) {
         connection.discard();
--- a/crates/oatdale-platform/src/http_kv.rs
+++ b/crates/oatdale-platform/src/http_kv.rs
@@ -1,14 +1,17 @@
 //! The key-value service over HTTP.
 
+use crate::call::Named;
 use crate::kv::{Condition, Entry, Kv, KvError, LeaseId, ModRevision, Put, Result};
-use crate::pool::{Pool, PoolConfig, Reuse, SendError};
+use crate::pool::{Pool, PoolConfig, ResponseConnection, Reuse, SendError};
 use crate::wire::{self, LeaseWire, ListedEntry};
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -39,6 +42,8 @@
 pub struct HttpKv {
     cfg: HttpKvConfig,
     pool: Pool,
+    /// The id of the next call.
+    next_id: Arc<AtomicU64>,
 }
 
 /// Whether a call changes anything, which decides what a lost answer means.
@@ -61,15 +66,21 @@
             connect_timeout: cfg.timeout,
             ..PoolConfig::default()
         });
-        HttpKv { cfg, pool }
+        HttpKv {
+            cfg,
+            pool,
+            next_id: Arc::default(),
+        }
     }
 
     async fn call(
         &self,
         effect: Effect,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<Answer> {
+        let id = HeaderValue::from(self.next_id.fetch_add(1, Ordering::Relaxed));
+        req.headers_mut().insert(wire::REQUEST_ID, id.clone());
         let deadline = Instant::now() + self.cfg.timeout + wait;
         let mut last = "no address is set".to_owned();
         for &addr in &self.cfg.addresses {
@@ -80,6 +91,13 @@
             {
                 Ok(res) => {
                     let (head, body) = res.into_parts();
+                    if Named::of(&head.headers, Some(&id)) == Named::Other {
+                        if let Some(connection) = head.extensions.get::<ResponseConnection>() {
+                            connection.discard();
+                        }
+                        let message = "the answer names another call".to_owned();
+                        return Err(lost(effect, message));
+                    }
                     let body = collect(body, deadline).await.map_err(|m| lost(effect, m))?;
                     let answer = Answer {
                         status: head.status,
--- a/crates/oatdale-platform/tests/http_kv.rs
+++ b/crates/oatdale-platform/tests/http_kv.rs
@@ -7,6 +7,8 @@
 };
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 const LOOPBACK: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 
@@ -248,3 +250,68 @@
         "{pauses:?}"
     );
 }
+
+/// A service that answers a first write, and a second one by a late copy of that answer, before its own.
+async fn late_copy(first: &'static str, second: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(LOOPBACK).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut id_before = None;
+            while let Some(id) = read_put(&mut stream).await {
+                let responses = match id_before.replace(id.clone()) {
+                    None => answer(first, &id),
+                    Some(before) => answer(first, &before) + &answer(second, &id),
+                };
+                if stream.write_all(responses.as_bytes()).await.is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    addr
+}
+
+fn answer(status: &str, id: &str) -> String {
+    format!("HTTP/1.1 {status}\r\netag: \"7\"\r\nx-request-id: {id}\r\ncontent-length: 0\r\n\r\n")
+}
+
+/// Reads a write whose value is `value`, and returns its id.
+async fn read_put(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    while !buf.ends_with(b"\r\n\r\nvalue") {
+        buf.push(stream.read_u8().await.ok()?);
+    }
+    let text = String::from_utf8(buf).unwrap();
+    let id = text
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request-id: "));
+    Some(id.unwrap_or_default().to_owned())
+}
+
+// Guards against claims that two hosts win, and writes that took effect and are said to have had none: the late
+// copy of another call's answer comes on a kept connection in the place of this one's.
+#[tokio::test]
+async fn answer_that_names_another_call_is_none() {
+    let cases = [
+        ("200 OK", "412 Precondition Failed"),
+        ("503 Service Unavailable", "200 OK"),
+        ("429 Too Many Requests", "200 OK"),
+        ("412 Precondition Failed", "200 OK"),
+    ];
+    for (first, second) in cases {
+        let kv = client(late_copy(first, second).await);
+        let before = create(&kv, "journal/3/1", b"value").await;
+        // The connection is kept once its task had a turn.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let mixed = create(&kv, "journal/3/2", b"value").await;
+        assert!(
+            matches!(mixed, Err(KvError::Unknown { .. })),
+            "{first}, {second}: {mixed:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let after = create(&kv, "journal/3/3", b"value").await;
+        assert_eq!(after, before, "on a new connection");
+    }
+}
