Test requests that are given up, early rejections and hundreds of connections

All hold: a request that its caller drops at any poll, or whose deadline passes, takes its connection along; what an endpoint writes on reading the rest of a body as a request comes with earlier_responses() above 0; responses on 300 connections, of which a third are read slowly or given up, belong to their requests.

--- a/crates/oatdale-platform/tests/pool_promises.rs
+++ b/crates/oatdale-platform/tests/pool_promises.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Collected, Full};
 use hyper::body::Incoming;
-use oatdale_platform::{Pool, Reuse, SendError};
+use oatdale_platform::{Pool, PoolConfig, ResponseConnection, Reuse, SendError};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -484,3 +484,165 @@
     })
     .await;
 }
+
+// Guards against a response without a sign that it may be another request's: the endpoint rejects a long body
+// unread and reads it as a next request, whose rejection comes in the place of the next one's response.
+#[tokio::test]
+async fn response_to_rest_of_a_body_has_earlier_responses() {
+    const BODY_BYTES: usize = 64 << 10;
+    bounded(async {
+        let (listener, addr) = listen().await;
+        let pool = Pool::default();
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_head(&mut stream).await;
+            stream.write_all(LATE).await.unwrap();
+            stream.read_exact(&mut vec![0; BODY_BYTES]).await.unwrap();
+            assert_eq!(read_request(&mut stream).await, "POST /second HTTP/1.1");
+            let bad = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(&joined(&[bad, OK])).await.unwrap();
+            stream
+        };
+        let calls = async {
+            let req = request("/first", vec![b'x'; BODY_BYTES]);
+            let res = pool.send(addr, req, Reuse::Allowed, soon()).await.unwrap();
+            let connection = res.extensions().get::<ResponseConnection>().unwrap();
+            assert_eq!(connection.earlier_responses(), 0);
+            res.into_body().collect().await.unwrap();
+            sleep(SETTLED).await;
+            let res = send(&pool, addr, "/second").await.unwrap();
+            assert_eq!(res.status(), StatusCode::BAD_REQUEST);
+            let connection = res.extensions().get::<ResponseConnection>().unwrap();
+            assert_eq!(connection.earlier_responses(), 1);
+            sleep(SETTLED).await;
+        };
+        let (_stream, ()) = tokio::join!(serve, calls);
+        on_new_connection(&pool, &listener, addr).await;
+    })
+    .await;
+}
+
+// Guards against a request given up by its caller whose response is taken for that of the next one, or that is
+// written after it was given up.
+#[tokio::test]
+async fn request_given_up_at_any_point_takes_its_connection_along() {
+    bounded(async {
+        for polls in 0..6 {
+            let (listener, addr) = listen().await;
+            let pool = Pool::default();
+            let (mut stream, _) = answered(&pool, &listener, addr, OK).await;
+            sleep(Duration::from_millis(2)).await;
+            assert_eq!(pool.idle(addr), 1);
+            let mut given_up = Box::pin(send(&pool, addr, "/given-up"));
+            for _ in 0..polls {
+                assert!(futures::poll!(&mut given_up).is_pending());
+                tokio::task::yield_now().await;
+            }
+            drop(given_up);
+            if polls == 0 {
+                on_same_connection(&pool, addr, &mut stream).await;
+                continue;
+            }
+            assert_eq!(pool.idle(addr), 0, "{polls}");
+            let serve = async {
+                // It was written or not; either way nothing follows.
+                let line = read_request(&mut stream).await;
+                assert!(["", "POST /given-up HTTP/1.1"].contains(&line.as_str()));
+                let _ = stream.write_all(LATE).await;
+                assert_eq!(read_request(&mut stream).await, "", "{polls}");
+            };
+            tokio::join!(serve, on_new_connection(&pool, &listener, addr));
+        }
+    })
+    .await;
+}
+
+// Guards against the response that comes after the deadline and is taken for that of the next request.
+#[tokio::test]
+async fn response_after_deadline_belongs_to_no_request() {
+    bounded(async {
+        let (listener, addr) = listen().await;
+        let pool = Pool::default();
+        let (mut stream, _) = answered(&pool, &listener, addr, OK).await;
+        sleep(SETTLED).await;
+        let serve = async {
+            assert_eq!(read_request(&mut stream).await, "POST /late HTTP/1.1");
+            sleep(2 * SETTLED).await;
+            let _ = stream.write_all(LATE).await;
+            assert_eq!(read_request(&mut stream).await, "");
+        };
+        let late = async {
+            let deadline = Instant::now() + SETTLED;
+            let res = pool.send(addr, request("/late", "{}"), Reuse::Allowed, deadline);
+            assert_eq!(res.await.map(|_| ()), Err(SendError::TimedOut));
+            on_new_connection(&pool, &listener, addr).await;
+        };
+        tokio::join!(serve, late);
+    })
+    .await;
+}
+
+// Guards against mixed-up responses among hundreds of connections to one address, a third of whose callers read
+// slowly or stop in the middle.
+#[tokio::test]
+async fn responses_on_hundreds_of_connections_are_their_requests_own() {
+    const CALLERS: usize = 300;
+    const ROUNDS: usize = 5;
+    const REPEATS: usize = 5_000;
+    async fn serve(mut stream: TcpStream) {
+        loop {
+            let line = read_request(&mut stream).await;
+            let Some(path) = line.split(' ').nth(1) else {
+                return;
+            };
+            let body = path.repeat(REPEATS);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            if stream.write_all(head.as_bytes()).await.is_err()
+                || stream.write_all(body.as_bytes()).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+    bounded(async {
+        let (listener, addr) = listen().await;
+        let accept = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(serve(stream));
+            }
+        });
+        let pool = Pool::new(PoolConfig {
+            // All connections and both of their ends share one thread.
+            connect_timeout: Duration::from_secs(30),
+            ..PoolConfig::default()
+        });
+        let callers = (0..CALLERS).map(|nr| {
+            let pool = &pool;
+            async move {
+                for round in 0..ROUNDS {
+                    let path = format!("/calls/{nr:03}/{round}");
+                    let deadline = Instant::now() + Duration::from_secs(30);
+                    let req = request(&path, "{}");
+                    let res = pool.send(addr, req, Reuse::Allowed, deadline).await;
+                    let mut body = res.unwrap().into_body();
+                    let mut read = Vec::new();
+                    if nr % 3 == 0 {
+                        let frame = body.frame().await.unwrap().unwrap();
+                        read.extend(frame.into_data().unwrap());
+                        sleep(Duration::from_millis(20)).await;
+                    }
+                    if nr % 6 == 0 {
+                        assert!(path.repeat(REPEATS).as_bytes().starts_with(&read), "{path}");
+                        continue;
+                    }
+                    read.extend(body.collect().await.unwrap().to_bytes());
+                    assert!(read == path.repeat(REPEATS).as_bytes(), "{path}");
+                }
+            }
+        });
+        futures::future::join_all(callers).await;
+        accept.abort();
+    })
+    .await;
+}
