--- a/crates/oatdale-node/src/call/attempt.rs
+++ b/crates/oatdale-node/src/call/attempt.rs
@@ -70,21 +70,18 @@
             deadline: self.job.deadline,
         };
         let version = routed.dispatch.version.map(|key| cfg.version_name(key));
-        let idempotent = self.job.request_info.idempotent;
+        let reuse = match self.job.request_info.idempotent {
+            true => Reuse::Allowed,
+            false => Reuse::Never,
+        };
         let (engines, plain) = (&self.cx.engines, &self.cx.plain);
         let sending = async {
             match &mut self.job.work {
                 Work::Chat(chat) => {
                     let body = chat.body_for(version.as_deref().unwrap_or_default());
-                    engines.chat(addr, &call, body).await
-                }
-                Work::Plain(work) => {
-                    let reuse = match idempotent {
-                        true => Reuse::Allowed,
-                        false => Reuse::Never,
-                    };
-                    plain.call(addr, &call, work.request(), reuse).await
+                    engines.chat_over(addr, &call, body, reuse).await
                 }
+                Work::Plain(work) => plain.call(addr, &call, work.request(), reuse).await,
             }
         };
         let Some(reply) = self.reply.as_mut() else {
@@ -211,7 +208,7 @@
                     routed.dispatch.attempt,
                     err.to_string()
                 );
-                (result_of(&err), false)
+                (result_of(&err, self.job.request_info.idempotent), false)
             }
             End::Kept { answered, usage } => (self.keep(routed, answered, usage).await, false),
             End::Forwarded(forwarded) => {
@@ -300,13 +297,17 @@
     Some(routed.live.cfg.version_name(key))
 }
 
-fn result_of(err: &CallError) -> AttemptResult {
+fn result_of(err: &CallError, idempotent: bool) -> AttemptResult {
     match err {
         CallError::NotSent { .. } => AttemptResult::NotSent,
-        CallError::NotStarted { retry_after, .. } => AttemptResult::NotStarted {
-            retry_after: *retry_after,
-        },
-        CallError::Broken { .. } => AttemptResult::Broken,
+        // The endpoint has no room, whichever request it refused; but only a call that may be repeated
+        // goes on from a refusal that may be another's.
+        CallError::NotStarted { retry_after, .. } if idempotent || err.is_not_run() => {
+            AttemptResult::NotStarted {
+                retry_after: *retry_after,
+            }
+        }
+        CallError::NotStarted { .. } | CallError::Broken { .. } => AttemptResult::Broken,
         CallError::TimedOut => AttemptResult::TimedOut,
     }
 }
--- a/crates/oatdale-platform/src/call.rs
+++ b/crates/oatdale-platform/src/call.rs
@@ -1,10 +1,10 @@
 //! One attempt of one call to an endpoint, and the exact ways in which it fails.
 
-use crate::pool::{Pool, Reuse, SendError};
+use crate::pool::{Pool, ResponseConnection, Reuse, SendError};
 use crate::sse::SseError;
 use crate::wire::{self, Load};
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode, header, response};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header, response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
@@ -21,7 +21,7 @@
 
 /// Why an attempt gave no answer.
 ///
-/// Only the first two may ever become "not run" towards a caller.
+/// Only the first two may ever become "not run" towards a caller; see [`CallError::is_not_run`].
 #[derive(Clone, PartialEq, Eq, Debug, Snafu)]
 pub enum CallError {
     /// No byte was sent.
@@ -31,10 +31,16 @@
         message: String,
     },
     /// The endpoint refused and promised that it had not begun.
-    #[snafu(display("not started: {status}: {message}"))]
+    #[snafu(display("not started{}: {status}: {message}", match certain {
+        true => "",
+        false => " (the refusal may be another request's)",
+    }))]
     NotStarted {
         /// The status of the refusal.
         status: StatusCode,
+        /// Whether the refusal is certainly this request's: it names it, or it names none and is the
+        /// first response on its connection.
+        certain: bool,
         /// When the endpoint wants to be asked again.
         retry_after: Option<Duration>,
         /// What the endpoint said.
@@ -77,12 +83,32 @@
     pub body: Incoming,
 }
 
+/// Which request an answer names.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Named {
+    None,
+    This,
+    /// Another one, or more than one.
+    Other,
+}
+
+impl Named {
+    pub(crate) fn of(headers: &HeaderMap, id: Option<&HeaderValue>) -> Self {
+        let mut named = headers.get_all(wire::REQUEST_ID).iter();
+        match (named.next(), named.next()) {
+            (None, _) => Named::None,
+            (Some(named), None) if Some(named) == id => Named::This,
+            _ => Named::Other,
+        }
+    }
+}
+
 impl CallError {
     /// Whether it is certain that the endpoint ran nothing.
     pub fn is_not_run(&self) -> bool {
         matches!(
             self,
-            CallError::NotSent { .. } | CallError::NotStarted { .. }
+            CallError::NotSent { .. } | CallError::NotStarted { certain: true, .. }
         )
     }
 
@@ -155,6 +181,7 @@
     reuse: Reuse,
     deadline: Instant,
 ) -> Result<Answer, CallError> {
+    let id = req.headers().get(wire::REQUEST_ID).cloned();
     let (head, body) = pool.send(addr, req, reuse, deadline).await?.into_parts();
     let load = head
         .headers
@@ -165,12 +192,44 @@
         false => Ok(answer),
         true => Err(CallError::NotStarted {
             status: answer.head.status,
+            certain: is_certain(&answer.head, id.as_ref()),
             retry_after: wire::retry_after(&answer.head.headers),
             message: message(answer, deadline).await,
         }),
     }
 }
 
+/// Whether a refusal is certainly that of the request with this id.
+///
+/// One that is not ends its connection, so that a refusal of the next request is that connection's first.
+fn is_certain(refusal: &response::Parts, id: Option<&HeaderValue>) -> bool {
+    let connection = refusal.extensions.get::<ResponseConnection>();
+    let certain = match Named::of(&refusal.headers, id) {
+        Named::This => true,
+        Named::None => connection.is_some_and(|c| c.earlier_responses() == 0),
+        Named::Other => false,
+    };
+    if let (false, Some(connection)) = (certain, connection) {
+        connection.discard();
+    }
+    certain
+}
+
+/// Turns an answer that names another request into [`CallError::Broken`], and ends its connection.
+pub(crate) fn not_of_another(answer: Answer, id: &str) -> Result<Answer, CallError> {
+    let id = HeaderValue::try_from(id).ok();
+    if Named::of(&answer.head.headers, id.as_ref()) != Named::Other {
+        return Ok(answer);
+    }
+    if let Some(connection) = answer.head.extensions.get::<ResponseConnection>() {
+        connection.discard();
+    }
+    Err(CallError::Broken {
+        status: Some(answer.head.status),
+        message: "the answer names another request".to_owned(),
+    })
+}
+
 /// Turns a server error into [`CallError::Broken`].
 pub(crate) async fn no_server_error(
     answer: Answer,
