--- a/crates/oatdale-node/tests/promises/main.rs
+++ b/crates/oatdale-node/tests/promises/main.rs
@@ -13,6 +13,7 @@
 mod http;
 mod processes;
 mod record;
+mod serve;
 mod slots;
 mod trouble;
 
--- a/crates/oatdale-node/tests/promises/processes.rs
+++ b/crates/oatdale-node/tests/promises/processes.rs
@@ -1,5 +1,6 @@
 //! Hosts as processes.
 
+use crate::http::{Conn, message};
 use crate::record::{Attempt, End, Record};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -13,8 +14,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::http::{Conn, message};
-
 /// Value of the `host` header of callers' requests.
 pub(crate) const HOST: &str = "desk.example";
 
