--- a/crates/oatdale-node/tests/promises/endpoint.rs
+++ b/crates/oatdale-node/tests/promises/endpoint.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep_until};
 
 /// Idle time, in seconds, after which connections are said to close.
 const KEEP_ALIVE_S: u64 = 60;
@@ -36,6 +37,7 @@
     doses: Mutex<Vec<Dose>>,
     rng: Mutex<Pcg64>,
     conns: AtomicU64,
+    frozen_until: Mutex<Instant>,
 }
 
 impl Endpoint {
@@ -54,6 +56,7 @@
             rng: Mutex::new(Pcg64::seed_from_u64(seed)),
             slots: Slots::new(),
             conns: AtomicU64::new(0),
+            frozen_until: Mutex::new(Instant::now()),
             record,
         });
         let serving = inner.clone();
@@ -61,6 +64,7 @@
             let mut conns = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 while conns.try_join_next().is_some() {}
+                serving.wait_thawed().await;
                 let number = serving.conns.fetch_add(1, Ordering::Relaxed);
                 conns.spawn(serve::serve(serving.clone(), stream, number));
             }
@@ -77,6 +81,12 @@
         *lock(&self.inner.doses) = doses.to_vec();
     }
 
+    /// Lets the endpoint neither begin nor answer anything for a time; the system goes on to accept
+    /// connections and bytes.
+    pub(crate) fn freeze(&self, time: Duration) {
+        *lock(&self.inner.frozen_until) = Instant::now() + time;
+    }
+
     /// Writes the endpoint's record.
     pub(crate) fn register(&self, store: &Store, seq: u64) {
         let record = json!({
@@ -105,6 +115,12 @@
 }
 
 impl Inner {
+    /// Waits while the endpoint is frozen.
+    pub(crate) async fn wait_thawed(&self) {
+        let until = *lock(&self.frozen_until);
+        sleep_until(until).await;
+    }
+
     /// Returns the faults that concern a request.
     pub(crate) fn draw(&self) -> Vec<Fault> {
         let mut rng = lock(&self.rng);
--- a/crates/oatdale-node/tests/promises/serve.rs
+++ b/crates/oatdale-node/tests/promises/serve.rs
@@ -81,6 +81,7 @@
         let Some(head) = self.conn.read_head().await? else {
             return Ok(ControlFlow::Break(()));
         };
+        self.cx.wait_thawed().await;
         if !unread.is_empty() {
             let text = self.cx.response(BAD_REQUEST, &[], true, "");
             self.conn.write(&text).await?;
@@ -142,8 +143,10 @@
             Admission::Rejected => return Some((503, cx.rejection(&ids))),
             Admission::Gone => return None,
         };
+        cx.wait_thawed().await;
         self.log(req, What::Began);
         sleep(cx.draw_ms(RUN_MS)).await;
+        cx.wait_thawed().await;
         self.log(req, What::Ended);
         drop(slot);
         if req.has(Fault::FalseRejection) {
--- a/crates/oatdale-node/tests/promises/trouble.rs
+++ b/crates/oatdale-node/tests/promises/trouble.rs
@@ -1,4 +1,4 @@
-//! Processes and endpoints that stop, die, freeze and return during a run.
+//! Hosts and endpoints that stop, die, freeze and return during a run.
 
 use crate::endpoint::Endpoint;
 use crate::faults::Dose;
@@ -27,16 +27,19 @@
     Kill,
     /// A host's process is stopped for a while.
     Freeze,
+    /// An endpoint does nothing for a while.
+    FreezeEndpoint,
     /// An endpoint dies and returns under its id and address.
     RestartEndpoint,
     /// An endpoint dies, and another one starts at its address.
     ReplaceEndpoint,
 }
 
-const ALL: [Act; 5] = [
+const ALL: [Act; 6] = [
     Act::Terminate,
     Act::Kill,
     Act::Freeze,
+    Act::FreezeEndpoint,
     Act::RestartEndpoint,
     Act::ReplaceEndpoint,
 ];
@@ -123,7 +126,7 @@
         let ms = match act {
             Act::Terminate => STOP_TIME_MS,
             Act::Kill => rng.random_range(0..1_500),
-            Act::Freeze => rng.random_range(100..3_000),
+            Act::Freeze | Act::FreezeEndpoint => rng.random_range(100..3_000),
             Act::RestartEndpoint | Act::ReplaceEndpoint => rng.random_range(0..1_500),
         };
         if of_kind().count() >= max || of_kind().any(|c| c.n == n) {
@@ -138,6 +141,9 @@
             Act::Terminate => self.hosts.signal(n, Signal::SIGTERM),
             Act::Kill => self.hosts.signal(n, Signal::SIGKILL),
             Act::Freeze => self.hosts.signal(n, Signal::SIGSTOP),
+            Act::FreezeEndpoint => self.endpoints[n]
+                .as_ref()?
+                .freeze(Duration::from_millis(ms)),
             Act::RestartEndpoint | Act::ReplaceEndpoint => {
                 let endpoint = self.endpoints[n].take()?;
                 addr = Some(endpoint.addr);
