Return an endpoint's response through a host that does not name the request

What callers saw while hosts are replaced by this version: 502 for a request that another host's endpoint answered, at hosts that reach none themselves, since a response through a host of the version before names the request by the endpoint's id alone.

Change: such a response is told by that id. A refusal of such a host still counts as an answer that is lost, since nothing in it names the request. A 404 without the header of forwarded requests counts only without an id, which each endpoint's has.

--- a/crates/oatdale-relay/src/forwarding.rs
+++ b/crates/oatdale-relay/src/forwarding.rs
@@ -20,7 +20,7 @@
 use crate::request_context::RequestContext;
 use crate::state::hash;
 use crate::update::Node;
-use crate::wire::Wire;
+use crate::wire::{ResponseId, Wire};
 use http::{HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -246,17 +246,26 @@
     let (mut head, body) = res.into_parts();
     let stated = match ForwardedResponse::try_from(&head.headers) {
         Ok(stated) if stated.request == request_cx.metadata.id => stated,
+        // A node of a version that does not name the request; the endpoint's response does.
+        Ok(stated) if stated.request.is_none() && stated.refusal.is_none() => stated,
         Ok(_) => return lost_track(request_cx, &head, "response to another request"),
         // A node of a version that knows no forwarded requests. It does not name the request, so the response
         // is certainly this one's only if no other came before it on the connection.
         Err(HeaderError::Missing)
-            if head.status == StatusCode::NOT_FOUND && is_first_on_connection(&head) =>
+            if head.status == StatusCode::NOT_FOUND
+                && cx.wire.response(&head).id == ResponseId::Missing
+                && is_first_on_connection(&head) =>
         {
             return Outcome::other_node("requests are not accepted".to_owned());
         }
         Err(err) => return lost_track(request_cx, &head, &err.to_string()),
     };
     head.headers.remove(FORWARDED);
+    let metadata = cx.wire.response(&head);
+    let is_own = metadata.id.belongs_to(request_cx.metadata.id.as_deref());
+    if stated.refusal.is_none() && !(is_own && metadata.signed) {
+        return lost_track(request_cx, &head, "bad response");
+    }
     request_cx.sends += match stated.refusal {
         Some(NodeRefusal::MayHaveRun) => stated.sends.max(1),
         _ => stated.sends,
@@ -265,11 +274,6 @@
     match refusal {
         None => {
             let endpoint = stated.endpoint.unwrap_or_default();
-            let metadata = cx.wire.response(&head);
-            let id = request_cx.metadata.id.as_deref();
-            if !metadata.id.belongs_to(id) || !metadata.signed {
-                return lost_track(request_cx, &head, "bad response");
-            }
             request_cx.exclude(cx, &endpoint);
             let upstream = Upstream::Node(ForwardingNode {
                 host: node.host.clone(),
