Tell three hosts of doubtful crashes, and of an endpoint's end

Cause: the crash that empties a service is doubtful, as a host that is cut sees the same. The host that saw it kept the request alone, until its own view showed the endpoint's end. Another host found that end 0.16 s before the four copies were sent, but kept an innocent request only; the one that kept the request at fault read the records last, and the crash was counted 1 s later.

Mend: what is doubtful is told to three hosts picked by the start of the endpoint, and so is each end that a host finds without an announcement. So the first view of any host that keeps something of the endpoint counts for all. The three check for themselves: an endpoint that accepts there is not taken for gone on the word of a host whose own links may be cut, and a request that completes is dropped there too.

--- a/crates/oatdale-policy/src/relay/unconfirmed_crashes.rs
+++ b/crates/oatdale-policy/src/relay/unconfirmed_crashes.rs
@@ -4,7 +4,7 @@
 //! the node is cut from all of them or a request has crashed the last one; if the endpoint accepts, it
 //! either lives or has started again already. What becomes of the endpoint tells: a crashed one is
 //! replaced, or its record goes without an announcement, and the endpoint of a node that was cut off goes
-//! on. So the requests are kept until one of these shows.
+//! on. So the requests are kept until one of these shows, here or at another node.
 
 use crate::relay::{CrashedRequest, Fingerprint};
 use std::collections::BTreeMap;
@@ -52,6 +52,9 @@
 pub struct UnconfirmedCrashes<K> {
     breaks: BTreeMap<K, Vec<Break>>,
     len: usize,
+    /// Ends that other nodes have reported, and until when each is remembered: the report of a broken
+    /// connection may come after it.
+    reported_ends: BTreeMap<K, (EndpointFate, Duration)>,
 }
 
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -70,6 +73,7 @@
         UnconfirmedCrashes {
             breaks: BTreeMap::new(),
             len: 0,
+            reported_ends: BTreeMap::new(),
         }
     }
 }
@@ -140,9 +144,32 @@
         crashed.into_iter().map(|b| b.request).collect()
     }
 
-    /// Drops a request that has completed since.
-    pub fn forget(&mut self, request: Fingerprint) {
-        self.retain(|_, b| b.request.request != request);
+    /// Records that another node reports an endpoint as gone or replaced.
+    pub fn record_end(&mut self, now: Duration, endpoint: K, fate: EndpointFate) {
+        self.reported_ends.retain(|_, (_, until)| now < *until);
+        let is_known = self.reported_ends.contains_key(&endpoint);
+        if !is_known && self.reported_ends.len() >= MAX_BREAKS {
+            return;
+        }
+        let end = (fate, now + CONFIRM_TIME);
+        let known = self.reported_ends.entry(endpoint).or_insert(end);
+        if fate == EndpointFate::Replaced {
+            *known = end;
+        }
+    }
+
+    /// Drops a request that has completed since, and returns the endpoints to which its connections broke.
+    pub fn forget(&mut self, request: Fingerprint) -> Vec<K> {
+        let mut endpoints = Vec::new();
+        self.retain(|endpoint, b| {
+            let is_kept = b.request.request != request;
+            if !is_kept {
+                endpoints.push(*endpoint);
+            }
+            is_kept
+        });
+        endpoints.dedup();
+        endpoints
     }
 
     /// Returns the endpoints about which something is settled, given what has become of each; `None` for one
@@ -155,7 +182,10 @@
         let mut settled = Vec::new();
         let endpoints: Vec<_> = self.endpoints().collect();
         for endpoint in endpoints {
-            let fate = fate(endpoint).unwrap_or(EndpointFate::Leaving);
+            let fate = match fate(endpoint).unwrap_or(EndpointFate::Leaving) {
+                EndpointFate::Present => self.reported_end(now, endpoint),
+                known => known,
+            };
             let breaks = self.breaks.remove(&endpoint).unwrap_or_default();
             let before = breaks.len();
             let mut crashed = Vec::new();
@@ -184,6 +214,12 @@
         settled
     }
 
+    fn reported_end(&self, now: Duration, endpoint: K) -> EndpointFate {
+        let end = self.reported_ends.get(&endpoint);
+        let end = end.filter(|(_, until)| now < *until);
+        end.map_or(EndpointFate::Present, |(fate, _)| *fate)
+    }
+
     fn retain(&mut self, mut is_kept: impl FnMut(&K, &Break) -> bool) {
         self.breaks.retain(|endpoint, breaks| {
             breaks.retain(|b| is_kept(endpoint, b));
--- a/crates/oatdale-policy/tests/relay_unconfirmed_crashes.rs
+++ b/crates/oatdale-policy/tests/relay_unconfirmed_crashes.rs
@@ -92,6 +92,65 @@
     );
 }
 
+// Guards against crashes that wait for the view of the host that saw them, while another one knows what
+// became of the endpoint, whichever of the two reports comes first.
+#[test]
+fn reported_end_confirms_a_crash() {
+    for fate in [EndpointFate::Gone, EndpointFate::Replaced] {
+        for is_end_first in [true, false] {
+            let mut unconfirmed = UnconfirmedCrashes::default();
+            if is_end_first {
+                unconfirmed.record_end(ms(0), ENDPOINT, fate);
+            }
+            unconfirmed.add(ms(100), ENDPOINT, [request(1)], false);
+            unconfirmed.add(ms(100), ENDPOINT + 1, [request(2)], false);
+            if !is_end_first {
+                unconfirmed.record_end(ms(200), ENDPOINT, fate);
+            }
+            let settled = settle(&mut unconfirmed, ms(300), EndpointFate::Present);
+            assert_eq!(settled, (1, 0), "{fate:?}");
+            assert_eq!(
+                unconfirmed.endpoints().collect::<Vec<_>>(),
+                [ENDPOINT + 1],
+                "{fate:?}"
+            );
+        }
+    }
+}
+
+// Guards against blaming requests on the word of a host whose own links are cut, for an endpoint that has
+// responded here, or that has announced that it leaves.
+#[test]
+fn reported_end_of_an_endpoint_that_goes_on_confirms_no_crash() {
+    let mut unconfirmed = UnconfirmedCrashes::default();
+    unconfirmed.add(ms(0), ENDPOINT, [request(1)], false);
+    unconfirmed.record_response(ms(600), ENDPOINT, ms(500));
+    unconfirmed.record_end(ms(700), ENDPOINT, EndpointFate::Gone);
+    assert_eq!(
+        settle(&mut unconfirmed, ms(800), EndpointFate::Present),
+        (0, 1)
+    );
+    unconfirmed.add(ms(1_000), ENDPOINT, [request(1)], false);
+    assert_eq!(
+        settle(&mut unconfirmed, ms(1_100), EndpointFate::Leaving),
+        (0, 1)
+    );
+}
+
+// Guards against blaming a request for an end that was reported long before its connection broke.
+#[test]
+fn reported_end_is_forgotten() {
+    let mut unconfirmed = UnconfirmedCrashes::default();
+    unconfirmed.record_end(ms(0), ENDPOINT, EndpointFate::Gone);
+    unconfirmed.add(ms(11_000), ENDPOINT, [request(1)], false);
+    assert_eq!(
+        settle(&mut unconfirmed, ms(11_000), EndpointFate::Present),
+        (0, 0)
+    );
+    assert_eq!(unconfirmed.forget(Fingerprint(1)), [ENDPOINT]);
+    assert!(unconfirmed.is_empty());
+}
+
 /// One start of an endpoint.
 struct Start {
     crashed_at: Option<Duration>,
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -8,6 +8,7 @@
 //! platform, for nodes that miss the broadcast or start later.
 
 mod check;
+mod doubts;
 mod parts;
 mod records;
 
@@ -15,6 +16,7 @@
     CrashChecks, check_for_crash, handle_endpoint_record, has_ended, recheck, settle,
     wait_for_checks,
 };
+pub(crate) use crate::crashes::doubts::{handle_end, handle_report};
 pub(crate) use crate::crashes::parts::{Parts, handle_answers, handle_crash, handle_suspected};
 pub(crate) use crate::crashes::records::PendingRecords;
 
@@ -92,20 +94,21 @@
 
     /// Records that a copy of a request has succeeded.
     pub(crate) fn record_success(&self, request_cx: &RequestContext) {
-        let mut state = self.state();
+        let mut guard = self.state();
+        let state = &mut *guard;
         if state.quarantine.is_empty() && state.unconfirmed_crashes.is_empty() {
             return;
         }
         let request = request_cx.fingerprint();
-        state.unconfirmed_crashes.forget(request);
+        doubts::forget(self, state, request);
         let msg = Message::Completed { request: request.0 };
         match state.quarantine.clear(request) {
             Tracking::Unknown => {}
-            Tracking::Suspected => gossip::send_now(self, tally_peers(self, &state, request), &msg),
+            Tracking::Suspected => gossip::send_now(self, tally_peers(self, state, request), &msg),
             Tracking::Quarantined => {
                 log::warn!(target: "quarantine", "event=released request={request} reason=\"a copy completed\"");
                 state.pending_records.add(self.now(), request, false);
-                gossip::broadcast(self, &state, &msg);
+                gossip::broadcast(self, state, &msg);
             }
         }
     }
@@ -200,6 +203,7 @@
 pub(crate) fn apply_release<W: Wire>(cx: &Cx<W>, state: &mut State, request: Fingerprint) {
     // A decision written after the release would quarantine the request again.
     state.pending_records.remove(request);
+    state.unconfirmed_crashes.forget(request);
     apply_state(cx, state, request, false);
 }
 
--- a/crates/oatdale-relay/src/crashes/check.rs
+++ b/crates/oatdale-relay/src/crashes/check.rs
@@ -1,5 +1,6 @@
 //! Detection of endpoint crashes.
 
+use crate::crashes::doubts;
 use crate::cx::Cx;
 use crate::directory::EndpointKey;
 use crate::in_flight::{InFlightRequest, handle_unreachable};
@@ -137,7 +138,6 @@
         _ => None,
     };
     let may_be_own_link = reached.is_some_and(|reached| !reached.shows_endpoint_fault());
-    let now = cx.now();
     let mut guard = cx.state();
     let state = &mut *guard;
     if outcome != ConnectOutcome::Reachable && !may_be_own_link {
@@ -158,12 +158,12 @@
     match outcome {
         ConnectOutcome::Refused if has_crashed => {
             cx.metrics.crashes.inc();
+            doubts::report_end(&cx, state, key, is_replaced);
             super::report_crash(&cx, state, &service, endpoint, requests);
         }
         ConnectOutcome::Refused | ConnectOutcome::Reachable => {
             let accepts = outcome == ConnectOutcome::Reachable;
-            state.unconfirmed_crashes.add(now, key, requests, accepts);
-            settle(&cx, state, now);
+            doubts::keep(&cx, state, key, requests, accepts);
         }
         // The host may have lost its power or its links, with all that it runs.
         ConnectOutcome::Unreachable => {}
@@ -200,10 +200,16 @@
             "event=settled endpoint={} number={endpoint} fate={:?} crashed={} dropped={}",
             entry.endpoint.id, crash.fate, crash.crashed.len(), crash.dropped
         );
-        if !crash.crashed.is_empty() {
-            cx.metrics.crashes.inc();
-            super::report_crash(cx, state, &service, endpoint, crash.crashed);
+        if crash.crashed.is_empty() {
+            continue;
+        }
+        cx.metrics.crashes.inc();
+        // One that another node reported is known to those that have to know.
+        if state.directory.fate(now, crash.endpoint) == Some(crash.fate) {
+            let is_replaced = crash.fate == EndpointFate::Replaced;
+            doubts::report_end(cx, state, crash.endpoint, is_replaced);
         }
+        super::report_crash(cx, state, &service, endpoint, crash.crashed);
     }
 }
 
@@ -250,6 +256,7 @@
         entry.endpoint.id, requests.len()
     );
     cx.metrics.crashes.inc();
+    doubts::report_end(&cx, state, key, false);
     super::report_crash(&cx, state, &service, endpoint, requests);
 }
 
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -79,6 +79,22 @@
         endpoint: u32,
         requests: Vec<u128>,
     },
+    /// The connections of these requests to the endpoint with this id, started at `born`, broke, and it is
+    /// not known whether it has crashed.
+    MaybeCrashed {
+        id: String,
+        born: Option<u64>,
+        /// Whether its address accepts connections.
+        accepts: bool,
+        requests: Vec<u128>,
+    },
+    /// The endpoint with this id, started at `born`, has ended without an announcement.
+    EndpointEnded {
+        id: String,
+        born: Option<u64>,
+        /// Whether it has started again, or another endpoint has its address.
+        is_replaced: bool,
+    },
     /// An endpoint of a service crashed while it held these requests, with the shared parts of their
     /// prompts.
     PartsCrashed {
@@ -152,6 +168,8 @@
             Message::Heavy { .. } => "sent_long_prompt",
             Message::Loads(_) => "sent_loads",
             Message::Crashed { .. }
+            | Message::MaybeCrashed { .. }
+            | Message::EndpointEnded { .. }
             | Message::PartsCrashed { .. }
             | Message::PartsSuspected { .. }
             | Message::PartsAnswered { .. }
@@ -185,7 +203,7 @@
     }
 }
 
-fn handle_datagram<W: Wire>(cx: &Cx<W>, datagram: &[u8], from: SocketAddr) {
+fn handle_datagram<W: Wire>(cx: &Arc<Cx<W>>, datagram: &[u8], from: SocketAddr) {
     let now = cx.now();
     match ciborium::from_reader(datagram) {
         Ok(Message::Report(report)) => cx.state().roll_outs.merge_report(now, &report),
@@ -234,6 +252,21 @@
             let requests: Vec<_> = requests.into_iter().map(Fingerprint).collect();
             crashes::count_crash(cx, state, endpoint, &requests);
         }),
+        Ok(Message::MaybeCrashed {
+            id,
+            born,
+            accepts,
+            requests,
+        }) => apply_from_known(cx, from, |state| {
+            crashes::handle_report(cx, state, from, (id, born), requests, accepts);
+        }),
+        Ok(Message::EndpointEnded {
+            id,
+            born,
+            is_replaced,
+        }) => apply_from_known(cx, from, |state| {
+            crashes::handle_end(cx, state, &id, born, is_replaced);
+        }),
         Ok(Message::PartsCrashed {
             service,
             endpoint,
--- a/crates/oatdale-relay/src/reachability.rs
+++ b/crates/oatdale-relay/src/reachability.rs
@@ -54,15 +54,19 @@
 
 /// Records a failure at an endpoint that may be due to this node's own links, and starts a check.
 pub(crate) fn record_failure<W: Wire>(cx: &Arc<Cx<W>>, key: EndpointKey) {
-    let now = cx.now();
     let mut state = cx.state();
     let Some(entry) = state.directory.get(key) else {
         return;
     };
     let service = entry.endpoint.service.clone();
-    let known = state.reach.entry(service.clone()).or_default();
-    if let Some(delay) = known.reach.schedule(now) {
-        tokio::spawn(check_until_reached(cx.clone(), service, delay));
+    schedule_check(cx, &mut state, &service);
+}
+
+/// Starts a check of a service, unless one is scheduled or running.
+pub(crate) fn schedule_check<W: Wire>(cx: &Arc<Cx<W>>, state: &mut State, service: &str) {
+    let known = state.reach.entry(service.to_owned()).or_default();
+    if let Some(delay) = known.reach.schedule(cx.now()) {
+        tokio::spawn(check_until_reached(cx.clone(), service.to_owned(), delay));
     }
 }
 
