Rank how slow a short trial's responses are before completing a version

Callers of a plain service got responses that take eight times as long for three in ten of their requests: in a quick roll-out the slow version was completed, and the old endpoints stopped.

Cause: of a response only whether it is slow was counted. One that takes a little over twice the usual time counted like one that takes ten times as long, one on a route of 1 ms had to take 10 ms to count at all, and a node's own median of four samples went before the one of all nodes. And the completion, which is judged once, asked for evidence that would hold after every response.

Nodes count by how often the usual time doubles within a response's time. At the completion the new version's responses are ranked among all: an exact test, that asks nothing of the times' distribution, and leaves each endpoint out in turn. It works with few responses because 7 to 9% of the old version's take twice the usual time or more, and 1 to 3% four times, where the slow version's share of those is three in ten.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -39,6 +39,7 @@
 mod request_limit;
 mod retry_limiter;
 mod roll_out;
+mod slowdown;
 mod speed;
 mod timed_placement;
 mod unconfirmed_crashes;
@@ -85,6 +86,7 @@
 pub use crate::relay::roll_out::{
     ExposureLimit, MAX_TRIAL_SHARE, Phase, Schedule, is_in_trial, trial_share, uses_new_version,
 };
+pub use crate::relay::slowdown::Slowdowns;
 pub use crate::relay::speed::{
     EstimateFault, GapSampler, MAX_SPEED_FACTOR, MAX_SPEED_WEIGHT, MIN_SPEED_FACTOR, MergeOutcome,
     SlownessChange, SpeedEstimate, SpeedOrigin, SpeedSample, SpeedTable, StatedEstimate, Trend,
--- a/crates/oatdale-policy/src/relay/evidence.rs
+++ b/crates/oatdale-policy/src/relay/evidence.rs
@@ -4,8 +4,10 @@
 //! over all routes hides; and a single endpoint may be slow or failing by itself, which is no fault
 //! of the version that it runs.
 
+use crate::relay::slowdown::{Slowdowns, tail_probability};
 use crate::trial::log_evidence;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Natural logarithm of the evidence (a mean of likelihood ratios) above which a version is bad:
 /// one false rollback in 100 rollouts of good versions. After a false rollback, the rollout has to
@@ -18,6 +20,14 @@
 /// be ordered again and a version that is probably bad for all callers.
 const COMPLETION_LOG_BOUND: f64 = 2.3;
 
+/// Probability below which the responses of a version that is to be completed are slow by more than chance: one
+/// false rollback in 200 rollouts of good versions. Completion is judged once, so that this needs no margin for
+/// being judged after each response.
+const SLOWDOWN_PROBABILITY: f64 = 0.005;
+
+/// Probability that must remain when the endpoint that contributes most to the evidence is left out: one in four.
+const LEAVE_ONE_OUT_PROBABILITY: f64 = 0.25;
+
 /// Natural logarithm of the evidence that must remain when the endpoint that contributes most to it
 /// is left out: a likelihood ratio of four for a bad version at the other endpoints.
 const LEAVE_ONE_OUT_LOG_BOUND: f64 = 1.4;
@@ -62,6 +72,8 @@
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct CountsByOrigin {
     by_origin: BTreeMap<Origin, Counts>,
+    /// Slowdowns by endpoint, over all routes: each is relative to its route's usual time.
+    slowdowns: BTreeMap<u32, Slowdowns>,
 }
 
 /// Response counts of both versions since the rollout order.
@@ -136,6 +148,36 @@
             let sum = self.by_origin.entry(origin).or_default();
             *sum = sum.plus(counts);
         }
+        for (endpoint, slowdowns) in other.slowdowns() {
+            self.add_slowdowns(endpoint, slowdowns);
+        }
+    }
+
+    /// Counts how many times as long as usual a response took.
+    pub fn record_slowdown(&mut self, endpoint: u32, usual: Duration, time: Duration) {
+        let is_known = self.slowdowns.contains_key(&endpoint);
+        let is_own = |key: &&u32| **key != 0;
+        let fits = is_known || self.slowdowns.keys().filter(is_own).count() < MAX_ENDPOINTS;
+        let endpoint = if fits { endpoint } else { 0 };
+        let slowdowns = self.slowdowns.entry(endpoint).or_default();
+        slowdowns.record(usual, time);
+    }
+
+    /// Adds slowdowns at an endpoint.
+    pub fn add_slowdowns(&mut self, endpoint: u32, slowdowns: Slowdowns) {
+        let sum = self.slowdowns.entry(endpoint).or_default();
+        *sum = sum.plus(slowdowns);
+    }
+
+    /// Iterates over the slowdowns by endpoint.
+    pub fn slowdowns(&self) -> impl Iterator<Item = (u32, Slowdowns)> + '_ {
+        self.slowdowns.iter().map(|(e, s)| (*e, *s))
+    }
+
+    /// Returns the sum of the slowdowns at all endpoints but one.
+    fn slowdowns_without(&self, left_out: Option<u32>) -> Slowdowns {
+        let included = self.slowdowns().filter(|(e, _)| Some(*e) != left_out);
+        included.fold(Slowdowns::default(), |sum, (_, s)| sum.plus(s))
     }
 
     /// Iterates over all origins and their counts.
@@ -195,7 +237,24 @@
 
 /// Judges the new version once more when it is to be completed: one that is probably bad must not be.
 pub fn completion_verdict(version_counts: &VersionCounts) -> Verdict {
-    verdict_above(version_counts, COMPLETION_LOG_BOUND)
+    match verdict_above(version_counts, COMPLETION_LOG_BOUND) {
+        Verdict::Sound if is_slower(version_counts) => Verdict::Bad,
+        verdict => verdict,
+    }
+}
+
+/// Whether the new version's responses take longer than the old one's by more than chance, and not only because
+/// of one endpoint.
+fn is_slower(version_counts: &VersionCounts) -> bool {
+    let VersionCounts { new, old } = version_counts;
+    let old = old.slowdowns_without(None);
+    let is_below = |left_out: Option<u32>, bound: f64| {
+        let probability = tail_probability(new.slowdowns_without(left_out), old);
+        probability.is_some_and(|p| p <= bound)
+    };
+    let mut endpoints = new.slowdowns.keys();
+    is_below(None, SLOWDOWN_PROBABILITY)
+        && endpoints.all(|endpoint| is_below(Some(*endpoint), LEAVE_ONE_OUT_PROBABILITY))
 }
 
 fn verdict_above(version_counts: &VersionCounts, bound: f64) -> Verdict {
--- a/crates/oatdale-relay/src/attempt.rs
+++ b/crates/oatdale-relay/src/attempt.rs
@@ -418,7 +418,12 @@
         Err(Failure::Abandoned) => {
             in_flight.record_no_response();
             let source = request_cx.source(in_flight);
-            return cx.state().roll_outs.record_slow(&source, true);
+            let class = request_cx.response_latency_class();
+            let roll_outs = &mut cx.state().roll_outs;
+            return match request_cx.route().kind.is_stream() {
+                true => roll_outs.record_slow(&source, true),
+                false => roll_outs.record_abandoned(&source, class, attempt_time),
+            };
         }
         Err(Failure::NotSent(_)) => {
             in_flight.record_unreachable();
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -15,7 +15,7 @@
 use active::{PeerReport, RollOutState};
 use baseline::BaselineTimes;
 use history::VersionHistory;
-use oatdale_policy::relay::{Counts, ExposureLimit, Origin};
+use oatdale_policy::relay::{Counts, CountsByOrigin, ExposureLimit, Origin};
 use rates::Rates;
 use report::millis;
 use sessions::Sessions;
@@ -204,6 +204,9 @@
             counts.answers += 1;
             counts.failed += u64::from(failed);
         }
+        if let Some((class, time)) = time {
+            self.record_slowdown(source, class, time, failed);
+        }
         match time {
             // Failures are often fast, which is not to count as a usual time; one that takes longer than
             // usual is due to the endpoint's slowness, such as one at the deadline.
@@ -221,6 +224,35 @@
         }
     }
 
+    /// Records that a response was given up after this time.
+    pub fn record_abandoned(
+        &mut self,
+        source: &ResponseSource<'_>,
+        class: LatencyClass,
+        time: Duration,
+    ) {
+        self.record_slowdown(source, class, time, false);
+        self.record_slow(source, true);
+    }
+
+    /// Records how many times as long as usual an endpoint took, if a usual duration is known. Of failures only
+    /// those that take longer than usual count.
+    fn record_slowdown(
+        &mut self,
+        source: &ResponseSource<'_>,
+        class: LatencyClass,
+        time: Duration,
+        failed: bool,
+    ) {
+        let usual = self.baselines.usual(class);
+        let Some(usual) = usual.filter(|usual| !failed || time > *usual * 2) else {
+            return;
+        };
+        if let Some((counts, origin, _)) = self.counts_by_origin(source) {
+            counts.record_slowdown(origin.endpoint, usual, time);
+        }
+    }
+
     /// Records how long an endpoint took; durations of one latency class are comparable.
     pub fn record_duration(
         &mut self,
@@ -258,6 +290,16 @@
     /// Returns the counters for a response and whether it is from the new version, while a rollout
     /// is in progress.
     fn counts(&mut self, source: &ResponseSource<'_>) -> Option<(&mut Counts, bool)> {
+        let (counts, origin, is_new) = self.counts_by_origin(source)?;
+        Some((counts.entry(origin), is_new))
+    }
+
+    /// Returns the counters of the response's version, the origin under which it counts there, and whether it is
+    /// from the new version.
+    fn counts_by_origin(
+        &mut self,
+        source: &ResponseSource<'_>,
+    ) -> Option<(&mut CountsByOrigin, Origin, bool)> {
         let is_excluded = self.is_excluded(source.service, source.version);
         let active = self.by_service.get_mut(source.service)?;
         let is_new = active.roll_out.target == source.version;
@@ -268,14 +310,14 @@
         };
         match active.roll_out.end {
             Some(_) => None,
-            None if is_new => Some((active.own_counts.new.entry(source.origin), true)),
+            None if is_new => Some((&mut active.own_counts.new, source.origin, true)),
             // A faulty endpoint of the old version is excluded from the baseline. Otherwise a new
             // version that fails a third of its requests looks like the old one, and its rollout
             // completes.
             None if source.is_failing => None,
             // The same holds for a version of an earlier order that was not completed.
             None if is_excluded => None,
-            None => Some((active.own_counts.old.entry(old), false)),
+            None => Some((&mut active.own_counts.old, old, false)),
         }
     }
 
@@ -356,6 +398,8 @@
                 age_ms: millis(now.saturating_sub(a.started_at)),
                 new: report::to_wire(&a.own_counts.new),
                 old: report::to_wire(&a.own_counts.old),
+                new_slowdowns: report::slowdowns_to_wire(&a.own_counts.new),
+                old_slowdowns: report::slowdowns_to_wire(&a.own_counts.old),
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
                 rate: self.rates.get(now, &a.roll_out.service),
                 recent_rate: self.rates.recent(now, &a.roll_out.service),
--- a/crates/oatdale-relay/src/roll_outs/baseline.rs
+++ b/crates/oatdale-relay/src/roll_outs/baseline.rs
@@ -52,13 +52,22 @@
     pub(super) fn slow_threshold(&self, class: LatencyClass) -> Option<Duration> {
         let own = self.by_class.get(&class).and_then(|b| b.times.median());
         let own_threshold = own.and_then(MedianTime::slow_threshold);
-        own_threshold.or_else(|| {
-            let stated = self.stated.values().flatten();
-            let stated = stated
-                .filter(|m| m.0 == class)
-                .map(|m| MedianTime::from(*m));
-            MedianTime::combined(stated.chain(own))?.slow_threshold()
-        })
+        own_threshold.or_else(|| self.combined(class)?.slow_threshold())
+    }
+
+    /// Returns the median that all nodes together have, if it is known well enough.
+    pub(super) fn usual(&self, class: LatencyClass) -> Option<Duration> {
+        let combined = self.combined(class)?;
+        combined.slow_threshold().map(|_| combined.median)
+    }
+
+    fn combined(&self, class: LatencyClass) -> Option<MedianTime> {
+        let own = self.by_class.get(&class).and_then(|b| b.times.median());
+        let stated = self.stated.values().flatten();
+        let stated = stated
+            .filter(|m| m.0 == class)
+            .map(|m| MedianTime::from(*m));
+        MedianTime::combined(stated.chain(own))
     }
 
     /// Returns the medians of a service to state to other nodes.
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -4,7 +4,7 @@
 use super::history::VersionOutcome;
 use crate::revision::Revision;
 use crate::update::RollOut;
-use oatdale_policy::relay::{Counts, CountsByOrigin, Origin, VersionCounts};
+use oatdale_policy::relay::{Counts, CountsByOrigin, Origin, Slowdowns, VersionCounts};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -30,6 +30,12 @@
     pub new: Vec<OriginCountsWire>,
     /// Response counts of the old versions.
     pub old: Vec<OriginCountsWire>,
+    /// Slowdowns of the new version; nodes of an earlier version do not send them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub new_slowdowns: Vec<SlowdownsWire>,
+    /// Slowdowns of the old versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub old_slowdowns: Vec<SlowdownsWire>,
     /// Whether the node has requests in flight on an old version.
     pub old_busy: bool,
     /// The node's requests per second for the service.
@@ -51,6 +57,10 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct OriginCountsWire(u32, u32, [u64; 4]);
 
+/// Slowdowns at one endpoint, encoded like [`OriginCountsWire`].
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct SlowdownsWire(u32, [u64; 4]);
+
 /// Sessions that began on an old version and that other nodes might route to another one.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct OldSessions {
@@ -76,13 +86,19 @@
         }
     }
 
-    /// Removes outcomes and then medians until the report fits into a datagram. Datagrams that are too
-    /// long are dropped, and the response counts with them; outcomes are in the records as well.
+    /// Removes outcomes, then medians, then slowdowns until the report fits into a datagram. Datagrams that are
+    /// too long are dropped, and the response counts with them; outcomes are in the records as well. A node that
+    /// has counts of so many routes and endpoints has responses enough to do without slowdowns.
     pub(super) fn truncate(&mut self) {
         while self.encoded_bytes() > MAX_REPORT_BYTES {
             let is_removed = self.outcomes.pop().is_some() || self.medians.pop().is_some();
-            if !is_removed {
-                return;
+            match is_removed {
+                true => {}
+                false if self.new_slowdowns.is_empty() && self.old_slowdowns.is_empty() => return,
+                false => {
+                    self.new_slowdowns.clear();
+                    self.old_slowdowns.clear();
+                }
             }
         }
     }
@@ -99,14 +115,27 @@
     }
 
     pub(super) fn version_counts(&self) -> VersionCounts {
-        let decode = |wire: &[OriginCountsWire]| wire.iter().copied().map(Into::into).collect();
         VersionCounts {
-            new: decode(&self.new),
-            old: decode(&self.old),
+            new: decode(&self.new, &self.new_slowdowns),
+            old: decode(&self.old, &self.old_slowdowns),
         }
     }
 }
 
+fn decode(counts: &[OriginCountsWire], slowdowns: &[SlowdownsWire]) -> CountsByOrigin {
+    let mut by_origin: CountsByOrigin = counts.iter().copied().map(Into::into).collect();
+    for SlowdownsWire(endpoint, counts) in slowdowns {
+        by_origin.add_slowdowns(*endpoint, Slowdowns(*counts));
+    }
+    by_origin
+}
+
+pub(super) fn slowdowns_to_wire(counts: &CountsByOrigin) -> Vec<SlowdownsWire> {
+    let all = counts.slowdowns();
+    all.map(|(endpoint, Slowdowns(counts))| SlowdownsWire(endpoint, counts))
+        .collect()
+}
+
 pub(super) fn to_wire(counts: &CountsByOrigin) -> Vec<OriginCountsWire> {
     counts.iter().map(OriginCountsWire::from).collect()
 }
