Count a request as in flight until its response has been written

What callers saw: a response that its caller reads slowly was cut in the last tens of kilobytes, although the endpoint had sent all of it: at a planned stop, and, without any stop, when the reader paused for longer than the idle timeout.

Cause: a request counted as ended once the relay had read its response. The last bytes may then still wait in the relay for room in the connection. The stop ended the process if nothing was in flight; the timeout for idle connections took such a connection for idle, shut it down gracefully and dropped it at its next look.

Change: the state of a connection goes from the request to idle only when all bytes have been written, and the number of requests in flight is that of connections in these states. So a stop waits for responses within the time that it had before, and the idle time begins when the caller can have the response. The same holds for connections of nodes that forward requests.

Cost: one lock for a flush; a stop takes longer by what its callers need to read.

--- a/crates/oatdale-relay/src/conn_timeouts.rs
+++ b/crates/oatdale-relay/src/conn_timeouts.rs
@@ -1,4 +1,7 @@
-//! Timeouts for callers' connections that are idle or send a request head slowly.
+//! The state of connections, and timeouts for those of callers that are idle or send a request head slowly.
+//!
+//! A request is in flight until its response has been written to the connection: a caller that reads slowly
+//! gets the end of a response long after the endpoint has sent it.
 //!
 //! The limits are part of the configuration and may change while a connection is open, so each
 //! check looks them up. Without these timeouts, callers that open connections and send nothing, or
@@ -6,9 +9,10 @@
 
 use crate::site::CallerLimits;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use prometheus::IntGauge;
 use std::io::Result;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use tokio::time::Instant;
 
@@ -21,6 +25,10 @@
     Head(Instant),
     /// A request is in flight.
     InFlight,
+    /// The end of a response is being written.
+    Writing,
+    /// The connection has ended.
+    Closed,
 }
 
 /// Result of checking a connection's timeouts.
@@ -36,17 +44,31 @@
 
 /// State of one connection, shared by its I/O wrapper and its request handlers.
 #[derive(Clone, Debug)]
-pub(crate) struct ConnTracker(Arc<Mutex<ConnState>>);
+pub(crate) struct ConnTracker {
+    state: Arc<Mutex<ConnState>>,
+    /// Number of connections with a request in flight.
+    in_flight: IntGauge,
+}
 
-/// I/O wrapper that records when bytes arrive.
+/// I/O wrapper that records when bytes arrive and when all bytes are written.
 pub(crate) struct TrackedIo<I> {
     io: I,
     tracker: ConnTracker,
 }
 
+impl ConnState {
+    fn is_in_flight(self) -> bool {
+        matches!(self, ConnState::InFlight | ConnState::Writing)
+    }
+}
+
 impl ConnTracker {
-    pub(crate) fn new() -> Self {
-        ConnTracker(Arc::new(Mutex::new(ConnState::Idle(Instant::now()))))
+    /// Creates the state of a connection that is counted in `in_flight` while it has a request.
+    pub(crate) fn new(in_flight: IntGauge) -> Self {
+        ConnTracker {
+            state: Arc::new(Mutex::new(ConnState::Idle(Instant::now()))),
+            in_flight,
+        }
     }
 
     /// Records that a complete request head has been received.
@@ -54,13 +76,9 @@
         self.set(ConnState::InFlight);
     }
 
-    /// Records that the response has ended.
+    /// Records that the response has ended; its last bytes may still have to be written.
     pub(crate) fn response_ended(&self) {
-        self.set(ConnState::Idle(Instant::now()));
-    }
-
-    pub(crate) fn is_idle(&self) -> bool {
-        matches!(self.get(), ConnState::Idle(_))
+        self.set(ConnState::Writing);
     }
 
     /// Checks the timeouts against the current limits.
@@ -73,23 +91,46 @@
             ConnState::Idle(since) => {
                 Timeout::RecheckAt((since + limits.idle_timeout).min(now + limits.header_timeout))
             }
-            ConnState::InFlight => Timeout::RecheckAt(now + limits.header_timeout),
+            ConnState::InFlight | ConnState::Writing | ConnState::Closed => {
+                Timeout::RecheckAt(now + limits.header_timeout)
+            }
         }
     }
 
     /// Records that bytes have been received.
     fn bytes_received(&self) {
-        if self.is_idle() {
+        if matches!(self.get(), ConnState::Idle(_)) {
             self.set(ConnState::Head(Instant::now()));
         }
     }
 
+    /// Records that all bytes have been written.
+    fn bytes_written(&self) {
+        if self.get() == ConnState::Writing {
+            self.set(ConnState::Idle(Instant::now()));
+        }
+    }
+
     fn get(&self) -> ConnState {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        *self.lock()
     }
 
     fn set(&self, state: ConnState) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = state;
+        let mut current = self.lock();
+        // A request may end after its connection.
+        if *current == ConnState::Closed {
+            return;
+        }
+        let previous = std::mem::replace(&mut *current, state);
+        match (previous.is_in_flight(), state.is_in_flight()) {
+            (false, true) => self.in_flight.inc(),
+            (true, false) => self.in_flight.dec(),
+            _ => {}
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ConnState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -99,6 +140,12 @@
     }
 }
 
+impl<I> Drop for TrackedIo<I> {
+    fn drop(&mut self) {
+        self.tracker.set(ConnState::Closed);
+    }
+}
+
 impl<I: Read + Unpin> Read for TrackedIo<I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -123,7 +170,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        let poll = Pin::new(&mut self.io).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = poll {
+            self.tracker.bytes_written();
+        }
+        poll
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/oatdale-relay/src/front.rs
+++ b/crates/oatdale-relay/src/front.rs
@@ -83,7 +83,7 @@
         log::debug!(target: "front", "event=socket_option_failed err={err}");
     }
     cx.metrics.connections.inc();
-    let tracker = ConnTracker::new();
+    let tracker = ConnTracker::new(cx.metrics.in_flight.clone());
     let io = TrackedIo::new(TokioIo::new(stream), tracker.clone());
     let service = service_fn(|req| serve(cx.clone(), tracker.clone(), req));
     let header_bytes = current_limits(&cx).header_bytes.max(MIN_HEADER_BYTES);
--- a/crates/oatdale-relay/src/local.rs
+++ b/crates/oatdale-relay/src/local.rs
@@ -1,5 +1,6 @@
 //! Serves the relay's own endpoints: readiness, node addresses and metrics.
 
+use crate::conn_timeouts::{ConnTracker, TrackedIo};
 use crate::cx::Cx;
 use crate::reply::{Body, short_response};
 use crate::state::hash;
@@ -12,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use oatdale_policy::relay::{AddressCandidate, advertised_addresses};
+use prometheus::IntGauge;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,13 +32,15 @@
 
 /// Serves readiness, node addresses and metrics to callers and operators.
 pub(crate) async fn serve_status<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
-    serve_http(listener, move |req| respond(cx.clone(), req)).await;
+    let in_flight = cx.metrics.in_flight.clone();
+    serve_http(listener, in_flight, move |_, req| respond(cx.clone(), req)).await;
 }
 
-/// Accepts connections and serves their requests with `handler`; requests have no body.
-pub(crate) async fn serve_http<F, A>(listener: TcpListener, handler: F)
+/// Accepts connections and serves their requests with `handler`; a connection is counted in `in_flight` while
+/// its handler records a request.
+pub(crate) async fn serve_http<F, A>(listener: TcpListener, in_flight: IntGauge, handler: F)
 where
-    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    F: Fn(ConnTracker, Request<Incoming>) -> A + Clone + Send + 'static,
     A: Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
 {
     loop {
@@ -45,11 +49,14 @@
                 if let Err(err) = stream.set_nodelay(true) {
                     log::debug!(target: "local", "event=socket_option_failed err={err}");
                 }
-                let service = service_fn(handler.clone());
+                let tracker = ConnTracker::new(in_flight.clone());
+                let io = TrackedIo::new(TokioIo::new(stream), tracker.clone());
+                let handler = handler.clone();
+                let service = service_fn(move |req| handler(tracker.clone(), req));
                 let conn = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(IDLE_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), service);
+                    .serve_connection(io, service);
                 tokio::spawn(async move {
                     if let Err(err) = conn.await {
                         log::debug!(target: "local", "event=connection_ended err={err}");
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -34,6 +34,9 @@
 /// Time before the end of the shutdown at which remaining in-flight requests are abandoned.
 const ABANDON_MARGIN: Duration = Duration::from_millis(400);
 
+/// Interval in which a node that stops looks whether requests are in flight.
+const IN_FLIGHT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for the responses to abandoned requests to be written; a part of the margin above, which has to
 /// suffice for the end of the process too.
 const FINAL_ANSWER_TIME: Duration = Duration::from_millis(200);
@@ -109,14 +112,10 @@
         tokio::time::sleep_until(stop_began + stop_time.mul_f64(ACCEPT_FRACTION)).await;
         self.shutdown.send_replace(ShutdownPhase::Closing);
         let deadline = stop_began + stop_time.saturating_sub(ABANDON_MARGIN);
-        while self.in_flight() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
+        self.wait_until_written(deadline).await;
         let unanswered = self.in_flight();
         self.cx.abandoned.cancel();
-        if unanswered > 0 {
-            tokio::time::sleep(FINAL_ANSWER_TIME).await;
-        }
+        self.wait_until_written(deadline + FINAL_ANSWER_TIME).await;
         log::info!(target: "node", "event=stopped under_way={} abandoned={unanswered}", self.in_flight());
     }
 
@@ -131,6 +130,13 @@
         needs_restart
     }
 
+    /// Waits until the responses to all requests have been written.
+    async fn wait_until_written(&self, deadline: Instant) {
+        while self.in_flight() > 0 && Instant::now() < deadline {
+            tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
+        }
+    }
+
     fn in_flight(&self) -> i64 {
         self.cx.metrics.in_flight.get()
     }
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -6,6 +6,7 @@
 
 mod wire;
 
+use crate::conn_timeouts::ConnTracker;
 use crate::crashes;
 use crate::cx::Cx;
 use crate::forwarding::FORWARDED;
@@ -48,8 +49,9 @@
 
 /// Serves this node's state to other nodes.
 pub(crate) async fn serve<W: Wire>(cx: Arc<Cx<W>>, records: Arc<Replica>, listener: TcpListener) {
-    serve_http(listener, move |req| {
-        handle(cx.clone(), records.clone(), req)
+    let in_flight = cx.metrics.in_flight.clone();
+    serve_http(listener, in_flight, move |tracker, req| {
+        handle(cx.clone(), records.clone(), tracker, req)
     })
     .await;
 }
@@ -57,10 +59,11 @@
 async fn handle<W: Wire>(
     cx: Arc<Cx<W>>,
     records: Arc<Replica>,
+    tracker: ConnTracker,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     if req.headers().contains_key(FORWARDED) {
-        return Ok(serve_forwarded(cx, req).await);
+        return Ok(serve_forwarded(cx, tracker, req).await);
     }
     if req.uri().path() == replica::RECORDS_PATH {
         return Ok(replica::handle_fetch(&records, &cx.metrics.traffic, req.into_body()).await);
--- a/crates/oatdale-relay/src/request_log.rs
+++ b/crates/oatdale-relay/src/request_log.rs
@@ -24,7 +24,6 @@
         arrival: Instant,
         id: Option<&str>,
     ) -> Self {
-        cx.metrics.in_flight.inc();
         RequestLog {
             cx,
             tracker,
@@ -55,7 +54,6 @@
             .requests
             .with_label_values(&[label(outcome)])
             .inc();
-        self.cx.metrics.in_flight.dec();
         self.tracker.response_ended();
     }
 }
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -68,13 +68,14 @@
 /// Responds to one request that another node has forwarded.
 pub(crate) async fn serve_forwarded<W: Wire>(
     cx: Arc<Cx<W>>,
+    tracker: ConnTracker,
     mut req: Request<Incoming>,
 ) -> Response<Body> {
     cx.metrics.forwarded_here.inc();
     match ForwardedRequest::try_from(req.headers()) {
         Ok(forwarded) => {
             req.headers_mut().remove(FORWARDED);
-            serve_request(cx, ConnTracker::new(), req, Some(forwarded)).await
+            serve_request(cx, tracker, req, Some(forwarded)).await
         }
         Err(err) => {
             log::warn!(target: "forwarding", "event=bad_request err={err}");
