Answer requests that are still being received when a planned stop ends

What callers saw: a caller that was still sending its request's body when its node's stop was over got no answer, and did not know whether the request had run. The same held for a request that a starting node holds until it knows endpoints.

Cause: what gives up requests at the end of a stop covered them only from the moment at which they were received.

Change: receiving and holding are given up as well, with 503 and Retry-After 0: nothing of the request has been sent.

Cost: none but the answer's bytes.

--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::reply::{self, Body, Refusal, refusal_response};
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
-use crate::wire::Wire;
+use crate::wire::{RequestMetadata, Wire};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, response};
 use hyper::body::Incoming;
@@ -100,23 +100,14 @@
     let metadata = cx.wire.request(&head);
     let id = metadata.id.clone();
     let mut request_log = RequestLog::new(cx.clone(), tracker, arrival, id.as_deref());
-    // Another node that forwards a request can choose one that has started.
-    if !is_forwarded {
-        cx.start_up
-            .hold_for_site(&cx.body_memory, &head, &metadata, arrival)
-            .await;
-    }
-    let mut res = match prepare(&cx, head, metadata, body, arrival, &mut request_log).await {
-        Ok(mut request_cx) => {
-            if let Some(forwarded) = forwarded {
-                request_cx.set_forwarded(&cx, forwarded);
-            } else {
-                cx.start_up
-                    .hold_for_endpoints(&cx.body_memory, &request_cx)
-                    .await;
-            }
-            respond(&cx, request_cx, request_log).await
-        }
+    let received = tokio::select! {
+        biased;
+        received = receive(&cx, head, metadata, body, arrival, forwarded, &mut request_log) => received,
+        // Nothing of it has been sent.
+        () = cx.abandoned.cancelled() => Err(Refusal::Stopping),
+    };
+    let mut res = match received {
+        Ok(request_cx) => respond(&cx, request_cx, request_log).await,
         Err(refusal) => {
             let retry = match refusal {
                 Refusal::NotReady | Refusal::NoMemory => Some(NOT_READY_RETRY_AFTER),
@@ -139,11 +130,39 @@
     res
 }
 
+/// Reads a request, and holds it until this node has started.
+async fn receive<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    head: http::request::Parts,
+    metadata: RequestMetadata,
+    body: Incoming,
+    arrival: Instant,
+    forwarded: Option<ForwardedRequest>,
+    request_log: &mut RequestLog<W>,
+) -> Result<RequestContext, Refusal> {
+    // Another node that forwards a request can choose one that has started.
+    if forwarded.is_none() {
+        cx.start_up
+            .hold_for_site(&cx.body_memory, &head, &metadata, arrival)
+            .await;
+    }
+    let mut request_cx = prepare(cx, head, metadata, body, arrival, request_log).await?;
+    match forwarded {
+        Some(forwarded) => request_cx.set_forwarded(cx, forwarded),
+        None => {
+            cx.start_up
+                .hold_for_endpoints(&cx.body_memory, &request_cx)
+                .await;
+        }
+    }
+    Ok(request_cx)
+}
+
 /// Routes and authenticates a request, and reads its body.
 async fn prepare<W: Wire>(
     cx: &Arc<Cx<W>>,
     mut head: http::request::Parts,
-    metadata: crate::wire::RequestMetadata,
+    metadata: RequestMetadata,
     body: Incoming,
     arrival: Instant,
     request_log: &mut RequestLog<W>,
