Record the second crash under a request, for hosts that are killed before the third

Cause: the crashes that lead to a quarantine were in memory alone, so the hosts began to count anew.

Change: from the second crash on they are recorded where the decision is, under a lease for as long as they count; a completed copy releases them. What concerns such requests is written at once, not with the next tick.

--- a/crates/oatdale-policy/src/relay.rs
+++ b/crates/oatdale-policy/src/relay.rs
@@ -74,7 +74,9 @@
 };
 pub use crate::relay::placement::{Candidate, Placement, choose};
 pub use crate::relay::prefix_shares::PrefixShares;
-pub use crate::relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine, Tracking};
+pub use crate::relay::quarantine::{
+    MAX_CRASHES, QUARANTINE_TIME, Quarantine, SUSPECT_TIME, Tracking,
+};
 pub use crate::relay::reachability::{CHECKED_ENDPOINTS, CheckOutcome, ReachChange, Reachability};
 pub use crate::relay::readers::{
     READERS_PER_DOMAIN, REGISTERED_PER_DOMAIN, ReaderCandidate, ReaderSelector, first_read_delay,
--- a/crates/oatdale-policy/src/relay/quarantine.rs
+++ b/crates/oatdale-policy/src/relay/quarantine.rs
@@ -21,7 +21,7 @@
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
 /// How long crashes under a request are remembered.
-const SUSPECT_TIME: Duration = Duration::from_secs(60);
+pub const SUSPECT_TIME: Duration = Duration::from_secs(60);
 
 /// Upper bound of the requests that are tracked.
 const MAX_TRACKED_REQUESTS: usize = 4_096;
@@ -112,6 +112,14 @@
         }
     }
 
+    /// Returns the endpoints that crashed under a request, if there are too few to quarantine it.
+    pub fn crashed(&self, request: Fingerprint) -> &[u32] {
+        match self.tracked.get(&request).map(|t| &t.state) {
+            Some(State::Suspected(crashed_endpoints)) => crashed_endpoints,
+            Some(State::Quarantined) | None => &[],
+        }
+    }
+
     /// Whether endpoints crashed under a request, but too few to quarantine it.
     pub fn is_suspected(&self, now: Duration, request: Fingerprint) -> bool {
         let tracked = self.tracked.get(&request).filter(|t| t.expires_at > now);
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -5,7 +5,8 @@
 //! reset it; an endpoint that crashed refuses new connections. Each node reports the requests whose
 //! endpoints crashed to a few nodes selected by the request's fingerprint, which count the crashes
 //! seen by all nodes. A quarantined request is broadcast to all nodes at once and recorded on the
-//! platform, for nodes that miss the broadcast or start later.
+//! platform, for nodes that miss the broadcast or start later. So are the crashes under a request that
+//! one more would quarantine, since all nodes may be killed at once.
 
 mod check;
 mod parts;
@@ -26,7 +27,7 @@
 use crate::nodes::first_by_hash;
 use crate::request_context::RequestContext;
 use crate::state::State;
-use crate::update::Command;
+use crate::update::{Command, QuarantineState};
 use crate::wire::Wire;
 use http::response;
 use oatdale_policy::relay::{CrashedRequest, Fingerprint, Tracking};
@@ -38,6 +39,10 @@
 /// just started and a datagram may be lost.
 const TALLY_NODES: usize = 3;
 
+/// Number of crashes under a request from which on they are recorded on the platform. A single crash is
+/// not: most requests that share a crashing endpoint are not at fault.
+const MIN_RECORDED_CRASHES: usize = 2;
+
 /// Maximum number of requests in one datagram.
 const MAX_REQUESTS_PER_DATAGRAM: usize = 40;
 
@@ -102,12 +107,16 @@
         let request = request_cx.fingerprint();
         unconfirmed::forget(self, state, request);
         let msg = Message::Completed { request: request.0 };
+        let is_recorded = state.quarantine.crashed(request).len() >= MIN_RECORDED_CRASHES;
         match state.quarantine.clear(request) {
             Tracking::Unknown => {}
-            Tracking::Suspected => gossip::send_now(self, tally_peers(self, state, request), &msg),
-            Tracking::Quarantined => {
+            Tracking::Suspected if !is_recorded => {
+                gossip::send_now(self, tally_peers(self, state, request), &msg);
+            }
+            Tracking::Suspected | Tracking::Quarantined => {
                 log::warn!(target: "quarantine", "event=released request={request} reason=\"a copy completed\"");
-                state.pending_records.add(self.now(), request, false);
+                let released = QuarantineState::Released;
+                state.pending_records.add(self.now(), request, released);
                 gossip::broadcast(self, state, &msg);
             }
         }
@@ -149,18 +158,50 @@
     endpoint: u32,
     requests: &[Fingerprint],
 ) {
-    let now = cx.now();
     for request in requests {
-        if !state.quarantine.record_crash(now, *request, endpoint) {
-            continue;
+        let known = state.quarantine.crashed(*request).len();
+        count(cx, state, endpoint, *request);
+        let crashed = state.quarantine.crashed(*request);
+        if crashed.len() > known && crashed.len() >= MIN_RECORDED_CRASHES {
+            let suspected = QuarantineState::Suspected(crashed.to_vec());
+            record_suspected(cx, state, *request, suspected);
         }
-        log::warn!(
-            target: "quarantine",
-            "event=quarantined request={request} reason=\"endpoints crashed while running it\" endpoint={endpoint}"
-        );
-        state.pending_records.add(now, *request, true);
-        gossip::broadcast(cx, state, &Message::Quarantined { request: request.0 });
-        cx.notify_quarantine_change(state);
+    }
+}
+
+fn count<W: Wire>(cx: &Cx<W>, state: &mut State, endpoint: u32, request: Fingerprint) {
+    let now = cx.now();
+    if !state.quarantine.record_crash(now, request, endpoint) {
+        return;
+    }
+    log::warn!(
+        target: "quarantine",
+        "event=quarantined request={request} reason=\"endpoints crashed while running it\" endpoint={endpoint}"
+    );
+    state
+        .pending_records
+        .add(now, request, QuarantineState::Held);
+    cx.records_due.notify_one();
+    gossip::broadcast(cx, state, &Message::Quarantined { request: request.0 });
+    cx.notify_quarantine_change(state);
+}
+
+/// Records the crashes under a request, if this node is one of those that count them.
+fn record_suspected<W: Wire>(
+    cx: &Cx<W>,
+    state: &mut State,
+    request: Fingerprint,
+    suspected: QuarantineState,
+) {
+    let now = cx.now();
+    let own_addr = cx.settings.listen.nodes;
+    let rank = tally_nodes(state, now, request).position(|node| node == own_addr);
+    if let Some(rank) = rank {
+        log::info!(target: "quarantine", "event=suspected request={request} {suspected:?} rank={rank}");
+        state
+            .pending_records
+            .add_ranked(now, request, suspected, rank);
+        cx.records_due.notify_one();
     }
 }
 
@@ -185,17 +226,28 @@
     cx: &Cx<W>,
     state: &mut State,
     request: Fingerprint,
-    is_quarantined: bool,
+    recorded: &QuarantineState,
 ) {
-    match state
-        .pending_records
-        .handle_record(cx.now(), request, is_quarantined)
-    {
-        true => apply_state(cx, state, request, is_quarantined),
-        false => log::info!(
+    let now = cx.now();
+    if !state.pending_records.handle_record(now, request, recorded) {
+        log::info!(
             target: "quarantine",
-            "event=late_record request={request} held={is_quarantined} reason=\"a copy completed since\""
-        ),
+            "event=late_record request={request} state={recorded:?} reason=\"a copy completed since\""
+        );
+        return;
+    }
+    match recorded {
+        QuarantineState::Held => apply_state(cx, state, request, true),
+        QuarantineState::Released => apply_state(cx, state, request, false),
+        QuarantineState::Suspected(_) if state.quarantine.remaining(now, request).is_some() => {
+            // It was written late, over the record of the quarantine.
+            schedule_rewrite(state, now, request);
+        }
+        QuarantineState::Suspected(crashed) => {
+            for endpoint in crashed {
+                count(cx, state, *endpoint, request);
+            }
+        }
     }
 }
 
@@ -231,23 +283,23 @@
 pub(crate) fn schedule_rewrites(state: &mut State, now: Duration) {
     let quarantined: Vec<_> = state.quarantine.quarantined(now).collect();
     for request in quarantined {
-        state
-            .pending_records
-            .add_fallback(now, request, rand::random_range(0..TALLY_NODES));
+        schedule_rewrite(state, now, request);
     }
 }
 
+fn schedule_rewrite(state: &mut State, now: Duration, request: Fingerprint) {
+    let rank = rand::random_range(0..TALLY_NODES);
+    state.pending_records.add_fallback(now, request, rank);
+}
+
 /// Returns the commands that record this node's decisions and are due.
 pub(crate) fn due_commands<W: Wire>(cx: &Cx<W>, state: &mut State, now: Duration) -> Vec<Command> {
     settle(cx, state, now);
     parts::decide_all(cx, state);
     state.quarantine.expire(now);
     let due = state.pending_records.due_writes(now).into_iter();
-    due.map(|(request, is_quarantined)| Command::RecordQuarantine {
-        request,
-        is_quarantined,
-    })
-    .collect()
+    due.map(|(request, state)| Command::RecordQuarantine { request, state })
+        .collect()
 }
 
 /// Returns the nodes that count the crashes of a request, most preferred first; may include this
--- a/crates/oatdale-relay/src/crashes/parts.rs
+++ b/crates/oatdale-relay/src/crashes/parts.rs
@@ -9,6 +9,7 @@
 use crate::nodes::first_by_hash;
 use crate::request_context::RequestContext;
 use crate::state::State;
+use crate::update::QuarantineState;
 use crate::wire::Wire;
 use oatdale_policy::relay::{CrashedRequest, Fingerprint, PartAnswers, PartCrashes, Tracking};
 use std::collections::HashMap;
@@ -98,7 +99,9 @@
                 continue;
             }
             log::warn!(target: "quarantine", "event=released part={part} reason=\"a request with it was answered\"");
-            state.pending_records.add(now, *part, false);
+            state
+                .pending_records
+                .add(now, *part, QuarantineState::Released);
             state.parts.set_quarantined(*part, false);
             gossip::broadcast(self, state, &Message::Completed { request: part.0 });
             self.notify_quarantine_change(state);
@@ -283,7 +286,7 @@
             target: "quarantine",
             "event=quarantined part={part} service={service} reason=\"endpoints crashed while requests with it were there, and none was answered\""
         );
-        state.pending_records.add(now, part, true);
+        state.pending_records.add(now, part, QuarantineState::Held);
         gossip::broadcast(cx, state, &Message::Quarantined { request: part.0 });
         cx.notify_quarantine_change(state);
     }
--- a/crates/oatdale-relay/src/crashes/records.rs
+++ b/crates/oatdale-relay/src/crashes/records.rs
@@ -1,6 +1,7 @@
-//! Quarantine decisions not yet recorded on the platform.
+//! What is to be recorded on the platform of requests that crash endpoints.
 
-use oatdale_policy::relay::Fingerprint;
+use crate::update::QuarantineState;
+use oatdale_policy::relay::{Fingerprint, SUSPECT_TIME};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 
 #[derive(Debug)]
 struct Decision {
-    is_quarantined: bool,
+    state: QuarantineState,
     decided_at: Duration,
     /// Time of the next write; unset once the record has been read back.
     due: Option<Duration>,
@@ -24,9 +25,9 @@
 
 impl PendingRecords {
     /// Adds a decision made by this node.
-    pub(crate) fn add(&mut self, now: Duration, request: Fingerprint, is_quarantined: bool) {
+    pub(crate) fn add(&mut self, now: Duration, request: Fingerprint, state: QuarantineState) {
         let decision = Decision {
-            is_quarantined,
+            state,
             decided_at: now,
             due: Some(now),
         };
@@ -36,9 +37,21 @@
     /// Adds a request that another node has quarantined and is expected to record; `rank` is this
     /// node's position among those that write the record if that node does not.
     pub(crate) fn add_fallback(&mut self, now: Duration, request: Fingerprint, rank: usize) {
-        let delay = WRITE_INTERVAL * u32::try_from(rank + 1).unwrap_or(u32::MAX);
+        self.add_ranked(now, request, QuarantineState::Held, rank + 1);
+    }
+
+    /// Adds a decision that several nodes make; the one of rank 0 writes it at once, and the others
+    /// one after the other until its record has been read.
+    pub(crate) fn add_ranked(
+        &mut self,
+        now: Duration,
+        request: Fingerprint,
+        state: QuarantineState,
+        rank: usize,
+    ) {
+        let delay = WRITE_INTERVAL * u32::try_from(rank).unwrap_or(u32::MAX);
         let decision = Decision {
-            is_quarantined: true,
+            state,
             decided_at: now,
             due: Some(now + delay),
         };
@@ -56,17 +69,27 @@
         &mut self,
         now: Duration,
         request: Fingerprint,
-        is_quarantined: bool,
+        recorded: &QuarantineState,
     ) -> bool {
-        match self.0.get_mut(&request) {
-            Some(decision) if !decision.is_quarantined && is_quarantined => {
+        let Some(decision) = self.0.get_mut(&request) else {
+            return true;
+        };
+        match (&decision.state, recorded) {
+            (QuarantineState::Released, QuarantineState::Released) => {
+                decision.due = None;
+                true
+            }
+            (QuarantineState::Released, _) => {
                 decision.due = Some(now);
                 false
             }
-            Some(decision) if !decision.is_quarantined => {
-                decision.due = None;
+            // Of the crashes that several nodes record, the last write may lack some.
+            (QuarantineState::Suspected(own), QuarantineState::Suspected(crashed))
+                if !own.iter().all(|endpoint| crashed.contains(endpoint)) =>
+            {
                 true
             }
+            (QuarantineState::Held, QuarantineState::Suspected(_)) => true,
             _ => {
                 self.0.remove(&request);
                 true
@@ -75,15 +98,22 @@
     }
 
     /// Returns the decisions to write now.
-    pub(crate) fn due_writes(&mut self, now: Duration) -> Vec<(Fingerprint, bool)> {
-        let is_pending = |d: &Decision| d.due.is_some() || now < d.decided_at + LATE_WRITE_WINDOW;
-        self.0.retain(|_, d| is_pending(d));
+    pub(crate) fn due_writes(&mut self, now: Duration) -> Vec<(Fingerprint, QuarantineState)> {
+        self.0.retain(|_, d| d.is_pending(now));
         let due = self.0.iter_mut();
         due.filter(|(_, d)| d.due.is_some_and(|due| due <= now))
             .map(|(request, decision)| {
                 decision.due = Some(now + WRITE_INTERVAL);
-                (*request, decision.is_quarantined)
+                (*request, decision.state.clone())
             })
             .collect()
     }
 }
+
+impl Decision {
+    fn is_pending(&self, now: Duration) -> bool {
+        let is_outdated = matches!(self.state, QuarantineState::Suspected(_))
+            && now >= self.decided_at + SUSPECT_TIME;
+        !is_outdated && (self.due.is_some() || now < self.decided_at + LATE_WRITE_WINDOW)
+    }
+}
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -75,6 +75,9 @@
     pub(crate) quarantine_changed: watch::Sender<()>,
     /// Notified when requests at endpoints are to be reported to the issuers of permits.
     pub(crate) held_changed: Notify,
+    /// Notified when something about requests that crash endpoints is to be recorded: a kill of all nodes
+    /// must not come between.
+    pub(crate) records_due: Notify,
     /// Cancelled when the requests that have no response yet are given up, shortly before the process ends.
     pub(crate) abandoned: CancellationToken,
     started: Instant,
@@ -105,6 +108,7 @@
             admission: Admission::default(),
             quarantine_changed: watch::Sender::default(),
             held_changed: Notify::new(),
+            records_due: Notify::new(),
             abandoned: CancellationToken::new(),
             started: Instant::now(),
             state: Mutex::new(State::new(settings.bounds, settings.load_control)),
@@ -167,9 +171,9 @@
             }
             Update::Quarantine {
                 request,
-                is_quarantined,
+                state: recorded,
             } => {
-                crashes::apply_record(self, &mut state, request, is_quarantined);
+                crashes::apply_record(self, &mut state, request, &recorded);
             }
             Update::RollOutEndLost(service) => state.roll_outs.handle_lost_end(now, &service),
             Update::Restored { kept } => {
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -109,7 +109,7 @@
 pub use crate::speeds::{EndpointSpeed, MAX_SPEEDS_PER_DATAGRAM};
 pub use crate::traffic::Traffic;
 pub use crate::update::{
-    Command, Endpoint, EndpointChange, Link, Node, RollOut, RollOutEnd, Update,
+    Command, Endpoint, EndpointChange, Link, Node, QuarantineState, RollOut, RollOutEnd, Update,
 };
 pub use crate::versions::{KeptVersion, KnownVersions, RetentionPolicy, VersionTracker};
 pub use crate::wire::{
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// Interval of the periodic tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -152,8 +152,18 @@
 async fn tick<W: Wire>(cx: Arc<Cx<W>>, commands: mpsc::Sender<Command>) {
     let mut last_report = Instant::now();
     let mut last_counts = Instant::now();
+    let mut interval = tokio::time::interval(TICK_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    interval.tick().await;
     loop {
-        tokio::time::sleep(TICK_INTERVAL).await;
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = cx.records_due.notified() => {
+                let due = crashes::due_commands(&cx, &mut cx.state(), cx.now());
+                send_commands(&commands, due);
+                continue;
+            }
+        }
         if last_counts.elapsed() >= TRAFFIC_LOG_INTERVAL {
             last_counts = Instant::now();
             log::info!(target: "node", "event=traffic {}", cx.metrics.traffic);
@@ -163,11 +173,15 @@
             last_report = Instant::now();
             gossip::report_roll_outs(&cx).await;
         }
-        for command in due_commands(&cx) {
-            log::info!(target: "node", "event=write {command:?}");
-            if commands.try_send(command).is_err() {
-                log::warn!(target: "node", "event=write_postponed reason=\"platform adapter is busy\"");
-            }
+        send_commands(&commands, due_commands(&cx));
+    }
+}
+
+fn send_commands(commands: &mpsc::Sender<Command>, due: Vec<Command>) {
+    for command in due {
+        log::info!(target: "node", "event=write {command:?}");
+        if commands.try_send(command).is_err() {
+            log::warn!(target: "node", "event=write_postponed reason=\"platform adapter is busy\"");
         }
     }
 }
--- a/crates/oatdale-relay/src/update.rs
+++ b/crates/oatdale-relay/src/update.rs
@@ -61,8 +61,8 @@
     Quarantine {
         /// The request.
         request: Fingerprint,
-        /// Whether the request is to be refused.
-        is_quarantined: bool,
+        /// What it states of the request.
+        state: QuarantineState,
     },
     /// Whether this node reads the records for itself only, and so sends what it reads to all other
     /// nodes. Nodes that have a reader do not, since all of them would send the same at once.
@@ -83,6 +83,17 @@
     Gone(String),
 }
 
+/// What is recorded of a request that crashes endpoints.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum QuarantineState {
+    /// Endpoints crashed under it, too few to refuse it. Each number stands for one start of an endpoint.
+    Suspected(Vec<u32>),
+    /// Copies of it are refused.
+    Held,
+    /// It is no longer suspected or refused because a copy of it completed.
+    Released,
+}
+
 /// A command from the relay to the adapter.
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -99,8 +110,8 @@
     RecordQuarantine {
         /// The request.
         request: Fingerprint,
-        /// Whether the request is to be refused.
-        is_quarantined: bool,
+        /// What to record of the request.
+        state: QuarantineState,
     },
     /// Removes this node from the list of nodes that callers get.
     Deregister,
