Let all nodes use the same share in a trial, also those that stop or start

Cause: each node sets the share of requests that try the new version by the sum of all nodes' rates, which come in reports. Nodes that stop were left out of the reports, and so was the next process of their host while the stop could have lasted. They set the share by their own rate: 0.08 to 0.25, where the others had 0.07.

--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -363,6 +363,7 @@
             received_at: now,
         };
         active.peers.insert(report.host.clone(), peer);
+        active.limit_share(report.share);
         active.update_verdict();
     }
 
@@ -403,6 +404,7 @@
                 old_busy: old_busy(&a.roll_out.service, &a.roll_out.target),
                 rate: self.rates.get(now, &a.roll_out.service),
                 recent_rate: self.rates.recent(now, &a.roll_out.service),
+                share: a.share,
                 outcomes: self.latest_outcomes(&a.roll_out.service),
                 medians: self.baselines.to_state(&a.roll_out.service),
             })
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -27,11 +27,17 @@
 /// Requests to endpoints per request of a caller; higher than 1 because of retries.
 const ATTEMPTS_PER_REQUEST: f64 = 1.4;
 
+/// How long a node waits for other nodes' reports before it sets the share of the trial by itself: without them
+/// it knows only its own rate, and the share would be too large.
+const REPORT_WAIT: Duration = Duration::from_millis(800);
+
 /// State of one rollout.
 #[derive(Debug)]
 pub(super) struct RollOutState {
     pub(super) roll_out: RollOut,
     pub(super) started_at: Duration,
+    /// Since when this node has known the order.
+    known_since: Duration,
     pub(super) own_counts: VersionCounts,
     pub(super) peers: HashMap<String, PeerReport>,
     schedule: Schedule,
@@ -64,6 +70,7 @@
             planned_rate: 0.0,
             roll_out,
             started_at,
+            known_since: started_at,
             own_counts: VersionCounts::default(),
             peers: HashMap::new(),
             share: None,
@@ -170,7 +177,8 @@
         exposure_limit: ExposureLimit,
         own_rate: f64,
     ) {
-        if self.share.is_some() || self.phase(now) == Phase::Announced {
+        let is_alone = self.peers.is_empty() && now < self.known_since + REPORT_WAIT;
+        if self.share.is_some() || is_alone || self.phase(now) == Phase::Announced {
             return;
         }
         let peer_rate: f64 = self.peers.values().map(|p| p.rate).sum();
@@ -185,6 +193,25 @@
         self.share = Some(share);
     }
 
+    /// Takes over the share that another node has set, if it is smaller.
+    ///
+    /// The share falls with the sum of all nodes' rates, of which a node that has just started knows only a
+    /// part. So the smallest share is the best informed one, and with it all nodes route a session alike.
+    pub(super) fn limit_share(&mut self, stated: Option<f64>) {
+        let Some(stated) = stated.filter(|share| (0.0..=MAX_TRIAL_SHARE).contains(share)) else {
+            return;
+        };
+        if self.share.is_some_and(|own| own <= stated) {
+            return;
+        }
+        log::info!(
+            target: "roll-out",
+            "event=share_adopted service={} target={} order={} share={stated:.2} own={:?}",
+            self.roll_out.service, self.roll_out.target, self.roll_out.order, self.share
+        );
+        self.share = Some(stated);
+    }
+
     /// Adjusts the schedule to the request rate after the share was set.
     pub(super) fn adjust_schedule(&mut self, now: Duration, own_rate: f64) {
         let peer_rate: f64 = self.peers.values().map(|p| p.recent_rate).sum();
--- a/crates/oatdale-relay/src/roll_outs/report.rs
+++ b/crates/oatdale-relay/src/roll_outs/report.rs
@@ -42,6 +42,9 @@
     pub rate: f64,
     /// The same rate within about the last second.
     pub recent_rate: f64,
+    /// Share of requests that try the new version; nodes of an earlier version do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<f64>,
     /// Latest outcomes of the service's earlier orders; nodes of an earlier version do not send
     /// them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/oatdale-relay/tests/roll_outs.rs
+++ b/crates/oatdale-relay/tests/roll_outs.rs
@@ -2,7 +2,7 @@
 
 use oatdale_policy::relay::{ExposureLimit, Origin};
 use oatdale_relay::{
-    AllowedVersions, Outcome, ResponseSource, Revision, RollOut, RollOutEnd, RollOuts,
+    AllowedVersions, Outcome, Report, ResponseSource, Revision, RollOut, RollOutEnd, RollOuts,
 };
 use std::time::Duration;
 
@@ -384,3 +384,65 @@
     });
     assert_eq!(end_of(node), Some(RollOutEnd::Completed));
 }
+
+/// A node that sends so many requests a second, and has the order since `now`.
+fn node_with_rate(now: Duration, per_second: u64) -> RollOuts {
+    let mut node = RollOuts::default();
+    for n in 0..per_second * 5 {
+        let sent_at = now.saturating_sub(ms(5_000)) + ms(n * 1_000 / per_second);
+        node.count_request(sent_at, "pool");
+    }
+    node.update(now, order(2, None));
+    node
+}
+
+/// Which of a hundred sessions are in the trial.
+fn sessions_in_trial(node: &RollOuts, now: Duration) -> Vec<u64> {
+    let sessions = (0..100).map(|n| u64::MAX / 100 * n);
+    let is_in_trial = |session: &u64| {
+        let allowed = node.allowed(now, "pool", Some(*session), 0);
+        allowed.trial.is_some_and(|t| t.share > 0.0)
+    };
+    sessions.filter(is_in_trial).collect()
+}
+
+fn report_of(node: &RollOuts, now: Duration, host: &str) -> Report {
+    let mut reports = node.reports(now, host, |_, _| false);
+    reports.pop().expect("the order is under way")
+}
+
+// Guards against sessions that change their version because a node that has just started has another share in the
+// trial: it knows its own request rate alone.
+#[test]
+fn node_that_starts_in_a_trial_has_the_share_of_the_others() {
+    let mut node = node_with_rate(ms(10_000), 100);
+    node.update_rates(ms(11_200), EXPOSURE_LIMIT);
+    let in_trial = sessions_in_trial(&node, ms(12_000));
+    assert!((1..20).contains(&in_trial.len()), "{in_trial:?}");
+    let mut started = node_with_rate(ms(12_000), 1);
+    started.update_rates(ms(12_200), EXPOSURE_LIMIT);
+    assert!(sessions_in_trial(&started, ms(12_200)).is_empty());
+    started.merge_report(ms(12_400), &report_of(&node, ms(12_400), "a"));
+    started.update_rates(ms(12_600), EXPOSURE_LIMIT);
+    assert_eq!(sessions_in_trial(&started, ms(12_600)), in_trial);
+}
+
+// The same for a node that has set the share before it hears of the others.
+#[test]
+fn nodes_with_different_shares_use_the_smallest() {
+    let mut node = node_with_rate(ms(10_000), 100);
+    node.update_rates(ms(11_200), EXPOSURE_LIMIT);
+    let in_trial = sessions_in_trial(&node, ms(14_000));
+    let mut alone = node_with_rate(ms(10_000), 1);
+    alone.update_rates(ms(11_200), EXPOSURE_LIMIT);
+    assert!(sessions_in_trial(&alone, ms(11_200)).len() > in_trial.len());
+    let reports = [
+        report_of(&node, ms(12_000), "a"),
+        report_of(&alone, ms(12_000), "b"),
+    ];
+    node.merge_report(ms(12_000), &reports[1]);
+    alone.merge_report(ms(12_000), &reports[0]);
+    for node in [&node, &alone] {
+        assert_eq!(sessions_in_trial(node, ms(14_000)), in_trial);
+    }
+}
