--- a/crates/oatdale-platform/tests/pool_framing.rs
+++ b/crates/oatdale-platform/tests/pool_framing.rs
@@ -5,10 +5,10 @@
 
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use oatdale_platform::{Pool, Reuse, SendError};
+use oatdale_platform::{Reuse, SendError};
 use raw_endpoint::{
-    OK, SETTLED, accept_request, answered, bounded, call, joined, listen, on_new_connection,
-    on_same_connection, read_head, send, soon, with_pool,
+    OK, SETTLED, accept_request, answered, call, joined, on_new_connection, on_same_connection,
+    read_head, send, soon, with_pool,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, timeout};
@@ -21,18 +21,16 @@
         b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
         b"HTTP/1.1 102 Processing\r\nx-not-started: true\r\n\r\n",
     ];
-    bounded(async {
-        for first in interim {
-            let (listener, addr) = listen().await;
-            let pool = Pool::default();
+    for first in interim {
+        with_pool(async |pool, listener, addr| {
             let (mut stream, res) =
                 answered(&pool, &listener, addr, &joined(&[first, first, OK])).await;
             assert_eq!(res, (StatusCode::OK, "ok".into()));
             sleep(SETTLED).await;
             on_same_connection(&pool, addr, &mut stream).await;
-        }
-    })
-    .await;
+        })
+        .await;
+    }
 }
 
 // Guards against requests written to a connection that speaks another protocol since a 101.
@@ -57,10 +55,8 @@
         b"HTTP/1.1 200 OK\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
     ];
-    bounded(async {
-        for response in responses {
-            let (listener, addr) = listen().await;
-            let pool = Pool::default();
+    for response in responses {
+        with_pool(async |pool, listener, addr| {
             let serve = async {
                 let (mut stream, _) = accept_request(&listener).await;
                 stream.write_all(response).await.unwrap();
@@ -72,9 +68,9 @@
             sleep(SETTLED).await;
             assert_eq!(pool.idle(addr), 0);
             on_new_connection(&pool, &listener, addr).await;
-        }
-    })
-    .await;
+        })
+        .await;
+    }
 }
 
 // Guards against a connection out of step behind a response whose body is framed in an unusual way.
@@ -92,17 +88,15 @@
         (b"HTTP/1.1 204 No Content\r\n\r\n", ""),
         (b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", ""),
     ];
-    bounded(async {
-        for (response, body) in responses {
-            let (listener, addr) = listen().await;
-            let pool = Pool::default();
+    for (response, body) in responses {
+        with_pool(async |pool, listener, addr| {
             let (mut stream, res) = answered(&pool, &listener, addr, response).await;
             assert_eq!(res.1, body);
             sleep(SETTLED).await;
             on_same_connection(&pool, addr, &mut stream).await;
-        }
-    })
-    .await;
+        })
+        .await;
+    }
 }
 
 // Guards against a HEAD request's response whose length is waited for as a body.
@@ -138,10 +132,8 @@
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n",
     ];
-    bounded(async {
-        for response in responses {
-            let (listener, addr) = listen().await;
-            let pool = Pool::default();
+    for response in responses {
+        with_pool(async |pool, listener, addr| {
             let serve = async {
                 let (mut stream, _) = accept_request(&listener).await;
                 stream.write_all(response).await.unwrap();
@@ -161,7 +153,7 @@
             sleep(SETTLED).await;
             assert_eq!(pool.idle(addr), 0);
             on_new_connection(&pool, &listener, addr).await;
-        }
-    })
-    .await;
+        })
+        .await;
+    }
 }
--- a/crates/oatdale-relay/src/conn_timeouts.rs
+++ b/crates/oatdale-relay/src/conn_tracker.rs
@@ -1,9 +1,9 @@
-//! The state of connections, and timeouts for those of callers that are idle or send a request head slowly.
+//! The state of a connection: idle, receiving a request head, or with a request in flight.
 //!
-//! A request is in flight until its response has been written to the connection: a caller that reads slowly
-//! gets the end of a response long after the endpoint has sent it.
+//! A request is in flight until its response has been written: a caller that reads slowly gets the end of a
+//! response long after the endpoint has sent it.
 //!
-//! The limits are part of the configuration and may change while a connection is open, so each
+//! Callers' connections have timeouts while they are idle or receive a head. The limits are part of the configuration and may change while a connection is open, so each
 //! check looks them up. Without these timeouts, callers that open connections and send nothing, or
 //! send a head byte by byte, would exhaust the node's file descriptors.
 
--- a/crates/oatdale-relay/src/crashes.rs
+++ b/crates/oatdale-relay/src/crashes.rs
@@ -159,17 +159,18 @@
     requests: &[Fingerprint],
 ) {
     for request in requests {
-        let known = state.quarantine.crashed(*request).len();
-        count(cx, state, endpoint, *request);
+        let crashes_before = state.quarantine.crashed(*request).len();
+        count_crash_under(cx, state, endpoint, *request);
         let crashed = state.quarantine.crashed(*request);
-        if crashed.len() > known && crashed.len() >= MIN_RECORDED_CRASHES {
+        if crashed.len() > crashes_before && crashed.len() >= MIN_RECORDED_CRASHES {
             let suspected = QuarantineState::Suspected(crashed.to_vec());
-            record_suspected(cx, state, *request, suspected);
+            schedule_suspected(cx, state, *request, suspected);
         }
     }
 }
 
-fn count<W: Wire>(cx: &Cx<W>, state: &mut State, endpoint: u32, request: Fingerprint) {
+/// Counts a crash for one request, and quarantines it if it reaches the limit.
+fn count_crash_under<W: Wire>(cx: &Cx<W>, state: &mut State, endpoint: u32, request: Fingerprint) {
     let now = cx.now();
     if !state.quarantine.record_crash(now, request, endpoint) {
         return;
@@ -186,8 +187,8 @@
     cx.notify_quarantine_change(state);
 }
 
-/// Records the crashes under a request, if this node is one of those that count them.
-fn record_suspected<W: Wire>(
+/// Schedules the record of the crashes under a request, if this node is one of those that count them.
+fn schedule_suspected<W: Wire>(
     cx: &Cx<W>,
     state: &mut State,
     request: Fingerprint,
@@ -245,7 +246,7 @@
         }
         QuarantineState::Suspected(crashed) => {
             for endpoint in crashed {
-                count(cx, state, *endpoint, request);
+                count_crash_under(cx, state, *endpoint, request);
             }
         }
     }
--- a/crates/oatdale-relay/src/crashes/records.rs
+++ b/crates/oatdale-relay/src/crashes/records.rs
@@ -1,37 +1,32 @@
-//! What is to be recorded on the platform of requests that crash endpoints.
+//! Records of requests that crash endpoints, as far as they are still to be written to the platform.
 
 use crate::update::QuarantineState;
 use oatdale_policy::relay::{Fingerprint, SUSPECT_TIME};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Interval between writes of one decision until its record is read back.
+/// Interval between writes of one record until it is read back.
 const WRITE_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// How long after an unanswered write it may still be executed.
 const LATE_WRITE_WINDOW: Duration = Duration::from_secs(10);
 
-/// Decisions that this node is responsible for writing and has not read back from the platform yet.
+/// Records that this node is responsible for writing and has not read back from the platform yet.
 #[derive(Debug, Default)]
-pub(crate) struct PendingRecords(BTreeMap<Fingerprint, Decision>);
+pub(crate) struct PendingRecords(BTreeMap<Fingerprint, PendingRecord>);
 
 #[derive(Debug)]
-struct Decision {
+struct PendingRecord {
     state: QuarantineState,
-    decided_at: Duration,
+    added_at: Duration,
     /// Time of the next write; unset once the record has been read back.
     due: Option<Duration>,
 }
 
 impl PendingRecords {
-    /// Adds a decision made by this node.
+    /// Adds a record that this node writes at once.
     pub(crate) fn add(&mut self, now: Duration, request: Fingerprint, state: QuarantineState) {
-        let decision = Decision {
-            state,
-            decided_at: now,
-            due: Some(now),
-        };
-        self.0.insert(request, decision);
+        self.add_ranked(now, request, state, 0);
     }
 
     /// Adds a request that another node has quarantined and is expected to record; `rank` is this
@@ -40,8 +35,8 @@
         self.add_ranked(now, request, QuarantineState::Held, rank + 1);
     }
 
-    /// Adds a decision that several nodes make; the one of rank 0 writes it at once, and the others
-    /// one after the other until its record has been read.
+    /// Adds a record that several nodes are to write: that of rank 0 at once, and the others one after
+    /// the other until the record has been read.
     pub(crate) fn add_ranked(
         &mut self,
         now: Duration,
@@ -50,37 +45,37 @@
         rank: usize,
     ) {
         let delay = WRITE_INTERVAL * u32::try_from(rank).unwrap_or(u32::MAX);
-        let decision = Decision {
+        let record = PendingRecord {
             state,
-            decided_at: now,
+            added_at: now,
             due: Some(now + delay),
         };
-        self.0.insert(request, decision);
+        self.0.insert(request, record);
     }
 
-    /// Removes a superseded decision.
+    /// Removes a superseded record.
     pub(crate) fn remove(&mut self, request: Fingerprint) {
         self.0.remove(&request);
     }
 
-    /// Handles a record, and returns whether it is to be applied. The write of a decision that this
-    /// node has since reversed may be executed late; that record is ignored and overwritten.
+    /// Handles a record that was read, and returns whether it is to be applied. After this node has
+    /// released a request, a record that says otherwise was written late; it is ignored and overwritten.
     pub(crate) fn handle_record(
         &mut self,
         now: Duration,
         request: Fingerprint,
         recorded: &QuarantineState,
     ) -> bool {
-        let Some(decision) = self.0.get_mut(&request) else {
+        let Some(pending) = self.0.get_mut(&request) else {
             return true;
         };
-        match (&decision.state, recorded) {
+        match (&pending.state, recorded) {
             (QuarantineState::Released, QuarantineState::Released) => {
-                decision.due = None;
+                pending.due = None;
                 true
             }
             (QuarantineState::Released, _) => {
-                decision.due = Some(now);
+                pending.due = Some(now);
                 false
             }
             // Of the crashes that several nodes record, the last write may lack some.
@@ -97,23 +92,23 @@
         }
     }
 
-    /// Returns the decisions to write now.
+    /// Returns the records to write now.
     pub(crate) fn due_writes(&mut self, now: Duration) -> Vec<(Fingerprint, QuarantineState)> {
-        self.0.retain(|_, d| d.is_pending(now));
+        self.0.retain(|_, record| record.is_pending(now));
         let due = self.0.iter_mut();
-        due.filter(|(_, d)| d.due.is_some_and(|due| due <= now))
-            .map(|(request, decision)| {
-                decision.due = Some(now + WRITE_INTERVAL);
-                (*request, decision.state.clone())
+        due.filter(|(_, record)| record.due.is_some_and(|due| due <= now))
+            .map(|(request, record)| {
+                record.due = Some(now + WRITE_INTERVAL);
+                (*request, record.state.clone())
             })
             .collect()
     }
 }
 
-impl Decision {
+impl PendingRecord {
     fn is_pending(&self, now: Duration) -> bool {
         let is_outdated = matches!(self.state, QuarantineState::Suspected(_))
-            && now >= self.decided_at + SUSPECT_TIME;
-        !is_outdated && (self.due.is_some() || now < self.decided_at + LATE_WRITE_WINDOW)
+            && now >= self.added_at + SUSPECT_TIME;
+        !is_outdated && (self.due.is_some() || now < self.added_at + LATE_WRITE_WINDOW)
     }
 }
--- a/crates/oatdale-relay/src/cx.rs
+++ b/crates/oatdale-relay/src/cx.rs
@@ -75,8 +75,8 @@
     pub(crate) quarantine_changed: watch::Sender<()>,
     /// Notified when requests at endpoints are to be reported to the issuers of permits.
     pub(crate) held_changed: Notify,
-    /// Notified when something about requests that crash endpoints is to be recorded: a kill of all nodes
-    /// must not come between.
+    /// Notified when something is to be recorded of a request that crashes endpoints. It is written at
+    /// once, since all nodes may be killed before the next tick.
     pub(crate) records_due: Notify,
     /// Cancelled when the requests that have no response yet are given up, shortly before the process ends.
     pub(crate) abandoned: CancellationToken,
--- a/crates/oatdale-relay/src/front.rs
+++ b/crates/oatdale-relay/src/front.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves callers' connections.
 
-use crate::conn_timeouts::{ConnTracker, Timeout, TrackedIo};
+use crate::conn_tracker::{ConnTracker, Timeout, TrackedIo};
 use crate::cx::Cx;
 use crate::serve::serve;
 use crate::site::CallerLimits;
--- a/crates/oatdale-relay/src/gossip.rs
+++ b/crates/oatdale-relay/src/gossip.rs
@@ -537,7 +537,7 @@
     let mut nodes: Vec<_> = state.nodes.iter(now).collect();
     nodes.sort_by(|a, b| a.host.cmp(&b.host));
     let is_coordinator = nodes.iter().take(COORDINATORS).any(|n| n.host == *host);
-    // Nodes that stop serve requests until they are gone.
+    // A node that has announced its leaving still serves requests.
     for (_, node) in state.nodes.recently_removed(now) {
         if nodes.iter().all(|known| known.host != node.host) {
             nodes.push(node);
--- a/crates/oatdale-relay/src/lib.rs
+++ b/crates/oatdale-relay/src/lib.rs
@@ -43,7 +43,7 @@
 mod admission;
 mod attempt;
 mod body;
-mod conn_timeouts;
+mod conn_tracker;
 mod crashes;
 mod cx;
 mod directory;
--- a/crates/oatdale-relay/src/local.rs
+++ b/crates/oatdale-relay/src/local.rs
@@ -1,6 +1,6 @@
 //! Serves the relay's own endpoints: readiness, node addresses and metrics.
 
-use crate::conn_timeouts::{ConnTracker, TrackedIo};
+use crate::conn_tracker::{ConnTracker, TrackedIo};
 use crate::cx::Cx;
 use crate::reply::{Body, short_response};
 use crate::state::hash;
@@ -36,8 +36,9 @@
     serve_http(listener, in_flight, move |_, req| respond(cx.clone(), req)).await;
 }
 
-/// Accepts connections and serves their requests with `handler`; a connection is counted in `in_flight` while
-/// its handler records a request.
+/// Accepts connections and serves their requests with `handler`.
+///
+/// `in_flight` counts the connections with a request that the handler has recorded in their tracker.
 pub(crate) async fn serve_http<F, A>(listener: TcpListener, in_flight: IntGauge, handler: F)
 where
     F: Fn(ConnTracker, Request<Incoming>) -> A + Clone + Send + 'static,
--- a/crates/oatdale-relay/src/node.rs
+++ b/crates/oatdale-relay/src/node.rs
@@ -113,10 +113,10 @@
         self.shutdown.send_replace(ShutdownPhase::Closing);
         let deadline = stop_began + stop_time.saturating_sub(ABANDON_MARGIN);
         self.wait_until_written(deadline).await;
-        let unanswered = self.in_flight();
+        let abandoned = self.in_flight();
         self.cx.abandoned.cancel();
         self.wait_until_written(deadline + FINAL_ANSWER_TIME).await;
-        log::info!(target: "node", "event=stopped under_way={} abandoned={unanswered}", self.in_flight());
+        log::info!(target: "node", "event=stopped under_way={} abandoned={abandoned}", self.in_flight());
     }
 
     /// Applies changed bounds, and returns whether other settings changed, such as addresses, which
@@ -130,7 +130,7 @@
         needs_restart
     }
 
-    /// Waits until the responses to all requests have been written.
+    /// Waits until the responses to all requests have been written, or until `deadline`.
     async fn wait_until_written(&self, deadline: Instant) {
         while self.in_flight() > 0 && Instant::now() < deadline {
             tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
--- a/crates/oatdale-relay/src/peers.rs
+++ b/crates/oatdale-relay/src/peers.rs
@@ -6,7 +6,7 @@
 
 mod wire;
 
-use crate::conn_timeouts::ConnTracker;
+use crate::conn_tracker::ConnTracker;
 use crate::crashes;
 use crate::cx::Cx;
 use crate::forwarding::FORWARDED;
--- a/crates/oatdale-relay/src/request_log.rs
+++ b/crates/oatdale-relay/src/request_log.rs
@@ -1,6 +1,6 @@
 //! Logs and counts how each request ended.
 
-use crate::conn_timeouts::ConnTracker;
+use crate::conn_tracker::ConnTracker;
 use crate::cx::Cx;
 use std::sync::Arc;
 use tokio::time::Instant;
--- a/crates/oatdale-relay/src/roll_outs.rs
+++ b/crates/oatdale-relay/src/roll_outs.rs
@@ -363,7 +363,7 @@
             received_at: now,
         };
         active.peers.insert(report.host.clone(), peer);
-        active.limit_share(report.share);
+        active.adopt_smaller_share(report.share);
         active.update_verdict();
     }
 
--- a/crates/oatdale-relay/src/roll_outs/active.rs
+++ b/crates/oatdale-relay/src/roll_outs/active.rs
@@ -27,8 +27,8 @@
 /// Requests to endpoints per request of a caller; higher than 1 because of retries.
 const ATTEMPTS_PER_REQUEST: f64 = 1.4;
 
-/// How long a node waits for other nodes' reports before it sets the share of the trial by itself: without them
-/// it knows only its own rate, and the share would be too large.
+/// How long a node waits for the first report of another node before it sets the share of the trial: by its own
+/// rate alone, the share would be too large.
 const REPORT_WAIT: Duration = Duration::from_millis(800);
 
 /// State of one rollout.
@@ -177,8 +177,8 @@
         exposure_limit: ExposureLimit,
         own_rate: f64,
     ) {
-        let is_alone = self.peers.is_empty() && now < self.known_since + REPORT_WAIT;
-        if self.share.is_some() || is_alone || self.phase(now) == Phase::Announced {
+        let awaits_report = self.peers.is_empty() && now < self.known_since + REPORT_WAIT;
+        if self.share.is_some() || awaits_report || self.phase(now) == Phase::Announced {
             return;
         }
         let peer_rate: f64 = self.peers.values().map(|p| p.rate).sum();
@@ -193,11 +193,11 @@
         self.share = Some(share);
     }
 
-    /// Takes over the share that another node has set, if it is smaller.
+    /// Adopts the share that another node has set, if this node has set none or a larger one.
     ///
-    /// The share falls with the sum of all nodes' rates, of which a node that has just started knows only a
-    /// part. So the smallest share is the best informed one, and with it all nodes route a session alike.
-    pub(super) fn limit_share(&mut self, stated: Option<f64>) {
+    /// All nodes have to use the same share, so that they route a session alike. The larger the sum of the
+    /// rates that a node knows, the smaller the share that it sets; so the smallest one is right.
+    pub(super) fn adopt_smaller_share(&mut self, stated: Option<f64>) {
         let Some(stated) = stated.filter(|share| (0.0..=MAX_TRIAL_SHARE).contains(share)) else {
             return;
         };
--- a/crates/oatdale-relay/src/serve.rs
+++ b/crates/oatdale-relay/src/serve.rs
@@ -4,7 +4,7 @@
 
 use crate::admission;
 use crate::attempt::{self, Failure, Purpose, SendOptions};
-use crate::conn_timeouts::ConnTracker;
+use crate::conn_tracker::ConnTracker;
 use crate::cx::Cx;
 use crate::endpoint_response::EndpointResponse;
 use crate::escalation;
