--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -33,6 +33,9 @@
         prefill: Duration::from_millis(50),
         event: Duration::from_millis(700),
         events: 8,
+        crash_part: None,
+        down: Duration::ZERO,
+        version: "v1",
     };
     let workers: Vec<_> = (1..=3)
         .map(|n| Worker::start(&format!("w{n}"), "pool", ZONES[n - 1], engine.clone(), &record))
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -539,6 +539,12 @@
     pub event: Duration,
     /// Events of an answer.
     pub events: u64,
+    /// Part of a prompt that crashes a worker which begins to answer on it, if there is one, and how long
+    /// the worker is down then.
+    pub crash_part: Option<String>,
+    pub down: Duration,
+    /// Version of the worker's software.
+    pub version: &'static str,
 }
 
 /// What became of a request at a worker.
@@ -553,7 +559,7 @@
     pub is_complete: bool,
 }
 
-/// A worker with an engine.
+/// A worker with an engine. Each start of it is a `Worker` of its own.
 pub struct Worker {
     pub id: String,
     pub service: String,
@@ -568,11 +574,17 @@
     waiting: AtomicUsize,
     runs: Mutex<Vec<Run>>,
     pub rejected: AtomicUsize,
+    /// When it crashed, and the connections that end then.
+    crashed: Mutex<Option<u64>>,
+    connections: Mutex<Vec<TcpStream>>,
+    /// Requests that have reached it: when, and their ids.
+    arrivals: Mutex<Vec<(u64, String)>>,
 }
 
 impl Worker {
     pub fn start(id: &str, service: &str, zone: &str, engine: Engine, record: &Arc<Record>) -> Arc<Worker> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.set_nonblocking(true).expect("a listener");
         let worker = Arc::new(Worker {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -586,10 +598,19 @@
             waiting: AtomicUsize::new(0),
             runs: Mutex::default(),
             rejected: AtomicUsize::new(0),
+            crashed: Mutex::new(None),
+            connections: Mutex::default(),
+            arrivals: Mutex::default(),
         });
         let shared = worker.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while shared.crashed_at().is_none() {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                shared.connections.lock().unwrap().extend(stream.try_clone());
                 let worker = shared.clone();
                 thread::spawn(move || {
                     worker.wait_silent();
@@ -600,11 +621,42 @@
         worker
     }
 
+    /// When it crashed, if it has.
+    pub fn crashed_at(&self) -> Option<u64> {
+        *self.crashed.lock().unwrap()
+    }
+
+    /// Ends its connections and its listener at once.
+    fn crash(&self, id: &str) {
+        self.record.line(format!("worker {} crashes as it begins to answer {id}", self.id));
+        self.stop();
+    }
+
+    /// Stops it at once, with all that it runs.
+    pub fn stop(&self) {
+        *self.crashed.lock().unwrap() = Some(self.record.ms());
+        // The listener's task has seen it by then.
+        thread::sleep(Duration::from_millis(5));
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Requests that have reached it: when, and their ids.
+    pub fn arrivals(&self) -> Vec<(u64, String)> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     /// Its entry in the store.
     pub fn entry(&self) -> String {
+        self.entry_with(1, 0)
+    }
+
+    /// Its entry in the store, with its number and how much longer the worker is slow after its start.
+    pub fn entry_with(&self, seq: u64, cold_left_ms: u64) -> String {
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","cold_left_ms":0,"seq":1,"born":1750000000000}}"#,
-            self.service, self.addr, self.zone, self.engine.slots
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":{},"state":"ready","cold_left_ms":{cold_left_ms},"seq":{seq},"born":1750000000000}}"#,
+            self.service, self.addr, self.zone, self.engine.version, self.engine.slots
         )
     }
 
@@ -651,6 +703,7 @@
                 continue;
             }
             let id = head.get("request-id").unwrap_or_default().to_owned();
+            self.arrivals.lock().unwrap().push((self.record.ms(), id.clone()));
             let own = format!("Request-Id: {id}\r\n");
             if head.get("expect-instance") != Some(&self.id) {
                 respond(stream, "421 Misdirected Request", &own, "")?;
@@ -660,7 +713,10 @@
                 respond(stream, "503 Service Unavailable", &format!("{own}Not-Executed: 1\r\n"), "")?;
             } else {
                 let after = head.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
-                let result = self.run(stream, &id, after);
+                let parts = head.get("prompt-prefix").unwrap_or_default().split(',');
+                let crash_part = self.engine.crash_part.as_deref();
+                let crashes = parts.filter_map(|part| part.split_once(':')).any(|(part, _)| Some(part) == crash_part);
+                let result = self.run(stream, &id, after, crashes);
                 *self.running.lock().unwrap() -= 1;
                 self.freed.notify_one();
                 result?;
@@ -699,10 +755,14 @@
         )
     }
 
-    fn run(&self, stream: &TcpStream, id: &str, after: u64) -> io::Result<()> {
+    fn run(&self, stream: &TcpStream, id: &str, after: u64, crashes: bool) -> io::Result<()> {
         if !self.work(stream, self.engine.prefill) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
+        if crashes {
+            self.crash(id);
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         let number = {
             let mut runs = self.runs.lock().unwrap();
             runs.push(Run {
@@ -751,7 +811,7 @@
         while !left.is_zero() {
             thread::sleep(step.min(left));
             self.wait_silent();
-            if is_closed(stream) {
+            if is_closed(stream) || self.crashed_at().is_some() {
                 return false;
             }
             left = left.saturating_sub(step);
@@ -842,6 +902,8 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub control: SocketAddr,
+    root: PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -898,18 +960,17 @@
         let text = values.iter().fold(template, |text, (name, value)| {
             text.replace(&format!("{{{{{name}}}}}"), value)
         });
-        let path = dir.join(format!("{name}.yaml"));
-        std::fs::write(&path, text)?;
-        let log = File::create(dir.join(format!("{name}.log")))?;
-        let child = Command::new(root.join("target/release/oatdaled"))
-            .arg("--settings")
-            .arg(&path)
-            .current_dir(root)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()?;
-        Ok(Relay { front, ready, control, child })
+        let settings = dir.join(format!("{name}.yaml"));
+        std::fs::write(&settings, text)?;
+        let child = spawn(root, &settings)?;
+        Ok(Relay { front, ready, control, root: root.to_owned(), settings, child })
+    }
+
+    /// Waits for the end of its process, and starts it again with the same settings.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child.wait()?;
+        self.child = spawn(&self.root, &self.settings)?;
+        Ok(())
     }
 
     pub fn pid(&self) -> u32 {
@@ -938,6 +999,18 @@
     }
 }
 
+fn spawn(root: &Path, settings: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
+    Command::new(root.join("target/release/oatdaled"))
+        .arg("--settings")
+        .arg(settings)
+        .current_dir(root)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+}
+
 fn is_ready(addr: SocketAddr) -> bool {
     let Ok(stream) = TcpStream::connect(addr) else { return false };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
@@ -959,7 +1032,9 @@
 
 impl Drop for TempDir {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
     }
 }
 
