Review cases: order them by gravity, and start relays anew when a port is taken

The roll-out case is now 4, the silence beside a stop 5, the silence alone 6, the crashing part 7. A relay whose free port was taken before it listened made a run end with 2 when several cases ran at once; all are started again then.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,32 +1,37 @@
-//! A machine is stopped and started again while a new version is brought in. Do its clients get their whole answers
-//! when the old version stops?
+//! The ninth of ten parts of some prompts crashes each worker that begins to answer on it. Do requests with it stop to reach
+//! workers?
 
 #[path = "../stand-ins-2/common.rs"]
 mod common;
 
 use common::*;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 const ZONES: [&str; 3] = ["thu-duc", "tan-binh", "nha-be"];
+const WORKERS: usize = 9;
 
-/// How long the order gives the system to bring in the version.
-const ORDER_S: u64 = 16;
+/// The part that crashes workers.
+const BAD_PART: &str = "badbadba";
 
-/// When the machine gets SIGTERM, after the order.
-const TERM_MS: u64 = 8_000;
+/// How long requests come.
+const TRAFFIC_MS: u64 = 40_000;
 
-/// The rule: planned work lasts from SIGTERM until 1 s after `grace_s`.
-const PLANNED_MS: u64 = 9_000;
+/// Time from one request to the next, and how many of them are sound for each with the part.
+const GAP: Duration = Duration::from_millis(120);
+const SOUND_FOR_EACH: usize = 5;
 
-/// A worker writes its entry once in this time, and is slow for so long after its start.
-const HEARTBEAT_MS: u64 = 1_200;
-const COLD_MS: u64 = 30_000;
+/// A worker is back so long after a crash, and its entry goes after three heartbeats of 1.2 s.
+const DOWN: Duration = Duration::from_secs(2);
+const ENTRY_MS: u64 = 3_600;
 
-/// Time from one client of a machine to the next.
-const GAP: Duration = Duration::from_millis(200);
+/// The rule: `stable_window_ms` after the fifth crash no more than three requests may reach workers.
+const CRASHES: usize = 5;
+const WINDOW_MS: u64 = 3_000;
+const ALLOWED: usize = 3;
 
 fn main() {
     let folder = PathBuf::from(std::env::args().nth(1).expect("the case's folder"));
@@ -34,130 +39,110 @@
     exit(run(&folder, &root));
 }
 
+/// Parts of a prompt: a number of shared ones, one that tells the kind, and the request's own.
+fn headers(id: &str, kind: &str) -> String {
+    let before: usize = std::env::var("PARTS_BEFORE").ok().and_then(|n| n.parse().ok()).unwrap_or(8);
+    let shared: Vec<String> = (0..before).map(|n| format!("5c1e07a{n}:100")).collect();
+    format!(
+        "Model: m1\r\nToken-Counts: 1300,60\r\nPrompt-Prefix: {},{kind}:100,{id}:100\r\n",
+        shared.join(",")
+    )
+}
+
 fn run(folder: &Path, root: &Path) -> i32 {
     let record = Record::create(&folder.join("record.txt"));
     let Ok(dir) = TempDir::create("7") else { return COULD_NOT_RUN };
     let engine = Engine {
         slots: 64,
         queue: 192,
-        prefill: Duration::from_millis(30),
-        event: Duration::from_millis(120),
-        events: 15,
-        crash_part: None,
-        down: Duration::ZERO,
+        prefill: Duration::from_millis(40),
+        event: Duration::from_millis(60),
+        events: 6,
+        crash_part: has_trouble().then(|| BAD_PART.to_owned()),
+        down: DOWN,
         version: "v1",
+        is_head_early: false,
     };
     let store = Store::start();
     store.put("op/config", &config(1));
-    let start = |version: &'static str| -> Vec<Arc<Worker>> {
-        let engine = Engine { version, ..engine.clone() };
-        let start = |zone: &&str| {
-            let worker = Worker::start(&format!("{version}-{zone}"), "pool", zone, engine.clone(), &record);
-            store.put(&format!("servers/{}", worker.id), &worker.entry());
-            worker
-        };
-        ZONES.iter().map(start).collect()
+    let workers: Arc<Mutex<Vec<Arc<Worker>>>> = Arc::default();
+    let start = {
+        let (store, workers, record) = (store.clone(), workers.clone(), record.clone());
+        let count = AtomicUsize::new(0);
+        move |zone: &str| {
+            let id = format!("i-{:04}", count.fetch_add(1, Ordering::SeqCst));
+            let worker = Worker::start(&id, "pool", zone, engine.clone(), &record);
+            store.put(&format!("servers/{id}"), &worker.entry());
+            workers.lock().unwrap().push(worker);
+        }
     };
-    let old = start("v1");
-    let mut relays: Vec<_> = (1..=3)
-        .filter_map(|n| Relay::start(root, &dir.0, &format!("front-{n}"), ZONES[n - 1], store.addr).ok())
-        .collect();
-    if relays.len() < 3 || !relays.iter().all(|relay| relay.wait_ready(Duration::from_secs(20))) {
-        record.line("a relay has not become ready");
+    (0..WORKERS).for_each(|n| start(ZONES[n % 3]));
+    let Some(relays) = start_relays(root, &dir.0, &ZONES, store.addr) else {
+        record.line("the relays have not become ready");
         return COULD_NOT_RUN;
-    }
+    };
     thread::sleep(Duration::from_secs(4));
 
-    let new = start("v2");
-    let order = format!(r#"{{"service":"pool","target":"v2","duration_s":{ORDER_S}}}"#);
-    store.put("op/rollout/pool", &order);
-    let ordered_at = record.ms();
-    record.line(format!("the operator orders v2 within {ORDER_S} s"));
-
-    // The new workers write their entries again and again, which change as long as they are slow.
-    for (i, worker) in new.into_iter().enumerate() {
-        let (store, record) = (store.clone(), record.clone());
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(HEARTBEAT_MS * i as u64 / 3));
-            for seq in 2.. {
-                let cold_left = COLD_MS.saturating_sub(record.ms() - ordered_at);
-                store.put(&format!("servers/{}", worker.id), &worker.entry_with(seq, cold_left));
-                thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+    // Starts crashed workers again, each with a new id, and removes the entries of the old ones.
+    let keeper = {
+        let (store, workers, record) = (store.clone(), workers.clone(), record.clone());
+        move || {
+            let (mut replaced, mut removed) = (0, 0);
+            loop {
+                thread::sleep(Duration::from_millis(20));
+                let mut crashed: Vec<_> = {
+                    let all = workers.lock().unwrap();
+                    all.iter().filter_map(|w| Some((w.crashed_at()?, w.zone.clone(), w.id.clone()))).collect()
+                };
+                crashed.sort();
+                while crashed.get(replaced).is_some_and(|(at, ..)| record.ms() >= at + DOWN.as_millis() as u64) {
+                    start(&crashed[replaced].1);
+                    replaced += 1;
+                }
+                while crashed.get(removed).is_some_and(|(at, ..)| record.ms() >= at + ENTRY_MS) {
+                    store.delete(&format!("servers/{}", crashed[removed].2));
+                    removed += 1;
+                }
             }
-        });
-    }
-    // At `completed` the old workers stop at once, without draining.
-    let completed: Arc<Mutex<Option<u64>>> = Arc::default();
-    {
-        let (store, record, completed) = (store.clone(), record.clone(), completed.clone());
-        thread::spawn(move || {
-            while !store.get("status/rollout/pool").unwrap_or_default().contains("completed") {
-                thread::sleep(Duration::from_millis(10));
-            }
-            *completed.lock().unwrap() = Some(record.ms());
-            record.line("the system has written `completed`: the old workers stop");
-            for worker in &old {
-                worker.stop();
-                store.delete(&format!("servers/{}", worker.id));
-            }
-        });
-    }
+        }
+    };
+    thread::spawn(keeper);
 
+    let began = record.ms();
     let mut clients = Vec::new();
-    let (mut n, mut term_at, mut is_restarted) = (0_u64, None, false);
-    let end = ordered_at + ORDER_S * 1_000 + 2_500;
-    while record.ms() < end {
-        for (machine, relay) in relays.iter().enumerate() {
-            // Clients leave a machine that is not ready.
-            if machine == 0 && term_at.is_some() && !is_restarted {
-                continue;
-            }
-            let (record, to) = (record.clone(), relay.front);
-            n += 1;
-            let id = format!("{:016x}", 0x7000_0000_u64 + n);
-            clients.push(thread::spawn(move || {
-                let headers = format!("{}Session: s-{id}\r\n", prompt(&id));
-                (machine, call(&record, to, &id, &headers, Duration::from_secs(20)))
-            }));
-        }
-        if has_trouble() && term_at.is_none() && record.ms() >= ordered_at + TERM_MS {
-            record.line("front-1 gets SIGTERM");
-            relays[0].signal("TERM");
-            term_at = Some(record.ms());
-        }
-        if term_at.is_some() && !is_restarted && relays[0].has_ended() {
-            record.line("front-1 has ended and is started again");
-            if relays[0].start_again().is_err() || !relays[0].wait_ready(Duration::from_secs(5)) {
-                return COULD_NOT_RUN;
-            }
-            record.line("front-1 is ready");
-            is_restarted = true;
-        }
+    let mut n = 0;
+    while record.ms() < began + TRAFFIC_MS {
+        let is_bad = n % (SOUND_FOR_EACH + 1) == SOUND_FOR_EACH;
+        let (record, to) = (record.clone(), relays[n % 3].front);
+        clients.push(thread::spawn(move || {
+            let id = format!("{:08x}{:08x}", if is_bad { 0xbad } else { 0x50 }, n);
+            let kind = if is_bad { BAD_PART } else { "50505050" };
+            (is_bad, call(&record, to, &id, &headers(&id, kind), Duration::from_secs(5)))
+        }));
+        n += 1;
         thread::sleep(GAP);
     }
-    let completed_at = *completed.lock().unwrap();
-    let Some(completed_at) = completed_at else {
-        record.line("the system has not completed the order in time");
-        return COULD_NOT_RUN;
-    };
-    // Without the stop, the same time counts.
-    let planned_from = term_at.unwrap_or(ordered_at + TERM_MS);
-    let planned = planned_from..planned_from + PLANNED_MS;
     let answers: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
-    let is_cut = |answer: &Answer| answer.status == 200 && !answer.is_complete;
-    for machine in 0..3 {
-        let own: Vec<_> = answers.iter().filter(|(at, _)| *at == machine).map(|(_, answer)| answer).collect();
-        let cut = own.iter().filter(|answer| is_cut(answer)).count();
-        let refused = own.iter().filter(|answer| answer.status != 200).count();
-        record.line(format!("front-{}: {} requests, {cut} answers cut, {refused} without one", machine + 1, own.len()));
+    let sound: Vec<_> = answers.iter().filter(|(is_bad, _)| !is_bad).collect();
+    let whole = sound.iter().filter(|(_, answer)| answer.is_complete && answer.status == 200).count();
+    let cut = sound.iter().filter(|(_, answer)| answer.status == 200 && !answer.is_complete).count();
+    record.line(format!("{whole} of {} sound requests got a whole answer, {cut} were cut", sound.len()));
+    if whole == 0 {
+        return COULD_NOT_RUN;
     }
-    let broken = answers.iter().filter(|(machine, answer)| {
-        *machine == 0 && is_cut(answer) && answer.ended >= completed_at && planned.contains(&answer.ended)
-    });
-    let broken = broken.count();
-    record.line(format!("{broken} answers were cut at front-1 from {completed_at} ms to {} ms", planned.end));
-    match broken {
-        0 => HELD,
-        _ => BROKEN,
+
+    let workers = workers.lock().unwrap();
+    let mut crashes: Vec<u64> = workers.iter().filter_map(|worker| worker.crashed_at()).collect();
+    crashes.sort_unstable();
+    record.line(format!("{} crashes", crashes.len()));
+    let Some(fifth) = crashes.get(CRASHES - 1) else { return HELD };
+    let arrivals = workers.iter().flat_map(|worker| worker.arrivals());
+    let late = arrivals.filter(|(at, id)| id.starts_with("00000bad") && *at > fifth + WINDOW_MS).count();
+    record.line(format!(
+        "the fifth crash was at {fifth} ms; {late} requests with the part have reached workers later than {WINDOW_MS} ms after it"
+    ));
+    match late > ALLOWED {
+        true => BROKEN,
+        false => HELD,
     }
 }
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -545,6 +545,8 @@
     pub down: Duration,
     /// Version of the worker's software.
     pub version: &'static str,
+    /// Whether the head of an answer is sent as soon as the request is accepted, also if it waits then.
+    pub is_head_early: bool,
 }
 
 /// What became of a request at a worker.
@@ -707,7 +709,7 @@
             let own = format!("Request-Id: {id}\r\n");
             if head.get("expect-instance") != Some(&self.id) {
                 respond(stream, "421 Misdirected Request", &own, "")?;
-            } else if !self.enter(stream) {
+            } else if !self.enter(stream, &id) {
                 self.rejected.fetch_add(1, Ordering::SeqCst);
                 self.record.line(format!("worker {} is full and rejects {id}", self.id));
                 respond(stream, "503 Service Unavailable", &format!("{own}Not-Executed: 1\r\n"), "")?;
@@ -726,15 +728,19 @@
     }
 
     /// Takes a slot, or waits for one if there is room in the queue.
-    fn enter(&self, stream: &TcpStream) -> bool {
+    fn enter(&self, stream: &TcpStream, id: &str) -> bool {
         let mut running = self.running.lock().unwrap();
-        if *running < self.engine.slots {
+        let is_free = *running < self.engine.slots;
+        if !is_free && self.waiting.load(Ordering::SeqCst) >= self.engine.queue {
+            return false;
+        }
+        if self.engine.is_head_early {
+            let _ = send(stream, &self.head(id));
+        }
+        if is_free {
             *running += 1;
             return true;
         }
-        if self.waiting.load(Ordering::SeqCst) >= self.engine.queue {
-            return false;
-        }
         self.waiting.fetch_add(1, Ordering::SeqCst);
         while *running >= self.engine.slots && !is_closed(stream) {
             running = self.freed.wait_timeout(running, Duration::from_millis(20)).unwrap().0;
@@ -744,6 +750,13 @@
         true
     }
 
+    fn head(&self, id: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {}.{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        )
+    }
+
     fn report(&self) -> String {
         let running = self.running();
         let runs: Vec<String> = running.iter().map(|id| format!(r#"["{id}",100,1,5]"#)).collect();
@@ -791,11 +804,8 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             let mut text = String::new();
-            if n == after + 1 {
-                text = format!(
-                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {}.{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                    self.id
-                );
+            if n == after + 1 && !self.engine.is_head_early {
+                text = self.head(id);
             }
             let event = format!("id: {n}\ndata: token-{n}\n\n");
             text += &format!("{:x}\r\n{event}\r\n", event.len());
@@ -825,6 +835,8 @@
 /// A client's view of one stream.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
+    /// When the request was sent.
+    pub sent: u64,
     pub status: u16,
     /// Ids of the events that came.
     pub events: Vec<u64>,
@@ -837,7 +849,7 @@
 
 /// Sends a request and reads its answer to the end.
 pub fn call(record: &Record, to: SocketAddr, id: &str, headers: &str, wait: Duration) -> Answer {
-    let mut answer = Answer::default();
+    let mut answer = Answer { sent: record.ms(), ..Answer::default() };
     let result = exchange(record, to, id, headers, wait, &mut answer);
     answer.ended = record.ms();
     answer.end = match &result {
@@ -987,9 +999,9 @@
     }
 
     /// Waits until it says that it is ready.
-    pub fn wait_ready(&self, limit: Duration) -> bool {
+    pub fn wait_ready(&mut self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
-        while Instant::now() < end {
+        while Instant::now() < end && !self.has_ended() {
             if is_ready(self.ready) {
                 return true;
             }
@@ -999,6 +1011,20 @@
     }
 }
 
+/// Starts a relay in each of these zones, and waits until all of them are ready. A port that was free may be taken before
+/// a relay listens there: then all are started again.
+pub fn start_relays(root: &Path, dir: &Path, zones: &[&str], store: SocketAddr) -> Option<Vec<Relay>> {
+    for _ in 0..3 {
+        let start = |(n, zone): (usize, &&str)| Relay::start(root, dir, &format!("front-{}", n + 1), zone, store);
+        let relays: io::Result<Vec<Relay>> = zones.iter().enumerate().map(start).collect();
+        let mut relays = relays.ok()?;
+        if relays.iter_mut().all(|relay| relay.wait_ready(Duration::from_secs(10))) {
+            return Some(relays);
+        }
+    }
+    None
+}
+
 fn spawn(root: &Path, settings: &Path) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
     Command::new(root.join("target/release/oatdaled"))
